--- /dev/null
+++ b/fulmarseam/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios, checker and plots."""
--- /dev/null
+++ b/fulmarseam/blocks/__init__.py
@@ -0,0 +1,1 @@
+"""The table of caller address blocks."""
--- /dev/null
+++ b/fulmarseam/client/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers for callers and targets to embed."""
--- /dev/null
+++ b/fulmarseam/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The command lines of the programs, one module for each."""
--- /dev/null
+++ b/fulmarseam/commands/_launcher.py
@@ -0,0 +1,61 @@
+"""Shared start of all programs: flags, settings and exit codes."""
+
+from collections.abc import Callable
+import sys
+from typing import Any
+from typing import TypeVar
+
+from absl import app
+from absl import flags
+
+import fulmarseam
+from fulmarseam import errors
+from fulmarseam import settings
+
+SchemaT = TypeVar('SchemaT')
+
+_CONFIG = flags.DEFINE_string('config', None, 'The YAML settings file.')
+_CHECK = flags.DEFINE_bool('check', False, 'Check the settings file and stop.')
+_VERSION = flags.DEFINE_bool('version', False, 'Print the version and stop.')
+
+
+def launch(main: Callable[[list[str]], int]) -> None:
+    """Parse the flags, run `main` with the arguments left, and exit.
+
+    A `FulmarseamError` ends in one line per problem on standard error and
+    the exit code of its kind.
+    """
+
+    def run(argv: list[str]) -> int:
+        if _VERSION.value:
+            print(fulmarseam.__version__)
+            return 0
+        try:
+            return main(argv[1:])
+        except errors.FulmarseamError as error:
+            print(f'error: {error.detail}', file=sys.stderr)
+            return error.answer.exit_code
+
+    app.run(run)
+
+
+def launch_daemon(
+    schema: type[SchemaT], serve: Callable[[SchemaT], Any]
+) -> None:
+    """Load the settings that `--config` names and run `serve` with them."""
+
+    def main(arguments: list[str]) -> int:
+        if arguments:
+            raise errors.UsageError(
+                f'found argument {arguments[0]!r}, expected only flags'
+            )
+        if _CONFIG.value is None:
+            raise errors.UsageError('--config: found nothing, expected a file')
+        loaded = settings.load_settings(_CONFIG.value, schema)
+        if _CHECK.value:
+            print(f'{_CONFIG.value}: valid')
+            return 0
+        serve(loaded)
+        return 0
+
+    launch(main)
--- /dev/null
+++ b/fulmarseam/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log of the control group."""
--- /dev/null
+++ b/fulmarseam/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control daemon."""
--- /dev/null
+++ b/fulmarseam/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon."""
--- /dev/null
+++ b/fulmarseam/http/__init__.py
@@ -0,0 +1,1 @@
+"""Streaming HTTP/1.1 server and client."""
--- /dev/null
+++ b/fulmarseam/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Tables of announced targets and of entries."""
--- /dev/null
+++ b/fulmarseam/records/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once records of requests."""
--- /dev/null
+++ b/fulmarseam/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in target, load generator and fault proxy."""
--- /dev/null
+++ b/fulmarseam/steering/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on grants, targets, shifts, queues and retries."""
--- /dev/null
+++ b/fulmarseam/store/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated tables as a pure state machine."""
--- /dev/null
+++ b/fulmarseam/telemetry/_logs.py
@@ -0,0 +1,54 @@
+"""Log lines of key=value pairs, one line for each event."""
+
+from collections.abc import Iterator
+import contextlib
+import sys
+from typing import Any
+
+import logbook
+
+_FORMAT = (
+    'time={record.time:%Y-%m-%dT%H:%M:%S.%f}Z level={record.level_name} '
+    'logger={record.channel} {record.message}'
+)
+_PLAIN = frozenset(
+    'abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/@+,%'
+)
+
+
+def format_event(event: str, **fields: Any) -> str:
+    """Return the text of one event.
+
+    Values with other than plain characters are quoted::
+
+        format_event('edit_accepted', revision=7)
+        'event=edit_accepted revision=7'
+    """
+    pairs = [f'event={event}']
+    pairs.extend(f'{key}={_quote(value)}' for key, value in fields.items())
+    return ' '.join(pairs)
+
+
+def _quote(value: Any) -> str:
+    text = f'{value:.3f}' if isinstance(value, float) else str(value)
+    if text and all(character in _PLAIN for character in text):
+        return text
+    escaped = text.replace('\\', '\\\\').replace('"', '\\"')
+    return '"' + escaped.replace('\n', '\\n') + '"'
+
+
+@contextlib.contextmanager
+def open_log(path: str | None, level: str) -> Iterator[None]:
+    """Send log lines to a file, or to standard error without a path."""
+    handler: Any
+    if path is None:
+        handler = logbook.StreamHandler(
+            sys.stderr, level=level.upper(), format_string=_FORMAT
+        )
+    else:
+        handler = logbook.FileHandler(
+            path, level=level.upper(), format_string=_FORMAT
+        )
+    logbook.set_datetime_format('utc')
+    with handler.applicationbound():
+        yield
--- /dev/null
+++ b/fulmarseam/transport/_rpc.py
@@ -0,0 +1,169 @@
+"""Request/reply calls over nng."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+from typing import Any
+from typing import Self
+
+import logbook
+import pynng
+
+from fulmarseam import errors
+from fulmarseam import wire
+
+Handler = Callable[[wire.Message], Awaitable[wire.Message]]
+
+MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+MAX_PENDING_CALLS = 4_096
+RECONNECT_MIN_MS = 20
+RECONNECT_MAX_MS = 200
+# Calls are repeated by their owner, which knows whether that is safe.
+RESEND_NEVER_MS = -1
+
+_log = logbook.Logger('transport')
+
+
+class RpcServer:
+    """Serves calls on one address until the context ends.
+
+    `handler` gets each decoded message and returns the answer. A
+    `FulmarseamError` from it is answered as `wire.Failure`.
+    """
+
+    def __init__(self, address: str, handler: Handler) -> None:
+        self._address = address
+        self._handler = handler
+        self._socket: Any = None
+        self._accept_task: asyncio.Task[None] | None = None
+        self._calls: set[asyncio.Task[None]] = set()
+        self._slots = asyncio.Semaphore(MAX_PENDING_CALLS)
+
+    async def __aenter__(self) -> Self:
+        """Listen on the address.
+
+        Raises `errors.TransportError` when the address cannot be used.
+        """
+        self._socket = pynng.Rep0(recv_max_size=MAX_MESSAGE_BYTES)
+        try:
+            self._socket.listen(f'tcp://{self._address}')
+        except pynng.NNGException as error:
+            self._socket.close()
+            raise errors.TransportError(
+                f'cannot listen on {self._address}: {error}'
+            ) from error
+        self._accept_task = asyncio.create_task(self._accept_calls())
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        tasks = [*self._calls]
+        if self._accept_task is not None:
+            tasks.append(self._accept_task)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._socket.close()
+
+    async def _accept_calls(self) -> None:
+        while True:
+            await self._slots.acquire()
+            context = self._socket.new_context()
+            try:
+                data = await context.arecv()
+            except pynng.NNGException as error:
+                context.close()
+                self._slots.release()
+                if isinstance(error, pynng.Closed):
+                    return
+                _log.debug('event=receive_failed error={!r}', str(error))
+                continue
+            except asyncio.CancelledError:
+                context.close()
+                raise
+            task = asyncio.create_task(self._serve_call(context, data))
+            self._calls.add(task)
+            task.add_done_callback(self._calls.discard)
+
+    async def _serve_call(self, context: Any, data: bytes) -> None:
+        try:
+            answer = await self._answer(data)
+            await context.asend(wire.encode(answer))
+        except pynng.NNGException as error:
+            _log.debug('event=reply_failed error={!r}', str(error))
+        finally:
+            context.close()
+            self._slots.release()
+
+    async def _answer(self, data: bytes) -> wire.Message:
+        try:
+            return await self._handler(wire.decode(data))
+        except errors.NotLeaderError as error:
+            return wire.Failure(
+                kind=error.kind.value, detail=error.detail, leader=error.leader
+            )
+        except errors.FulmarseamError as error:
+            return wire.Failure(kind=error.kind.value, detail=error.detail)
+        except Exception:
+            _log.exception('event=handler_failed')
+            return wire.Failure(kind=errors.ErrorKind.INTERNAL.value)
+
+
+class RpcClient:
+    """Calls one address; reconnects by itself.
+
+    Usable from one event loop. The connection is made in the background,
+    so entering the context does not wait for the other process.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._socket: Any = None
+
+    async def __aenter__(self) -> Self:
+        self.open()
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        self.close()
+
+    def open(self) -> None:
+        """Start to connect."""
+        self._socket = pynng.Req0(
+            recv_max_size=MAX_MESSAGE_BYTES,
+            reconnect_time_min=RECONNECT_MIN_MS,
+            reconnect_time_max=RECONNECT_MAX_MS,
+            resend_time=RESEND_NEVER_MS,
+        )
+        self._socket.dial(f'tcp://{self.address}', block=False)
+
+    def close(self) -> None:
+        """Close the connection; pending calls fail."""
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
+
+    async def call(
+        self, message: wire.Message, timeout_s: float
+    ) -> wire.Message:
+        """Send a message and return the answer.
+
+        Raises `errors.TransportError` when there is no answer in time; the
+        other process may have handled the call all the same.
+        """
+        if self._socket is None:
+            raise errors.TransportError(f'{self.address}: closed')
+        with contextlib.closing(self._socket.new_context()) as context:
+            try:
+                async with asyncio.timeout(timeout_s):
+                    await context.asend(wire.encode(message))
+                    data = await context.arecv()
+            except TimeoutError:
+                raise errors.TransportError(
+                    f'{self.address}: no answer within {timeout_s:.3f} s'
+                ) from None
+            except pynng.NNGException as error:
+                raise errors.TransportError(
+                    f'{self.address}: {error}'
+                ) from error
+        return wire.decode(data)
--- /dev/null
+++ b/fulmarseam/wire/__init__.py
@@ -0,0 +1,73 @@
+"""Messages between the processes of the system, and their codec.
+
+Every message is a tagged `msgspec` struct, sent as MessagePack::
+
+    data = wire.encode(wire.Failure(kind='not_leader', detail=''))
+    message = wire.decode(data)
+"""
+
+from fulmarseam.wire._codec import decode
+from fulmarseam.wire._codec import encode
+from fulmarseam.wire._codec import Message
+from fulmarseam.wire._common import Failure
+from fulmarseam.wire._common import Ok
+from fulmarseam.wire._rows import Block
+from fulmarseam.wire._rows import Change
+from fulmarseam.wire._rows import Drain
+from fulmarseam.wire._rows import DrainScope
+from fulmarseam.wire._rows import DrainState
+from fulmarseam.wire._rows import Link
+from fulmarseam.wire._rows import Pool
+from fulmarseam.wire._rows import RecordGroup
+from fulmarseam.wire._rows import Route
+from fulmarseam.wire._rows import Row
+from fulmarseam.wire._rows import Shift
+from fulmarseam.wire._rows import ShiftState
+from fulmarseam.wire._rows import TableName
+from fulmarseam.wire._sync import EntryInfo
+from fulmarseam.wire._sync import EntryRow
+from fulmarseam.wire._sync import LinkDemand
+from fulmarseam.wire._sync import LinkRate
+from fulmarseam.wire._sync import PoolDemand
+from fulmarseam.wire._sync import SlotGrant
+from fulmarseam.wire._sync import SlotUse
+from fulmarseam.wire._sync import SyncRequest
+from fulmarseam.wire._sync import SyncResponse
+from fulmarseam.wire._sync import TargetLoad
+from fulmarseam.wire._sync import TargetReport
+from fulmarseam.wire._sync import TargetRow
+from fulmarseam.wire._sync import TargetState
+
+__all__ = [
+    'Block',
+    'Change',
+    'Drain',
+    'DrainScope',
+    'DrainState',
+    'EntryInfo',
+    'EntryRow',
+    'Failure',
+    'Link',
+    'LinkDemand',
+    'LinkRate',
+    'Message',
+    'Ok',
+    'Pool',
+    'PoolDemand',
+    'RecordGroup',
+    'Route',
+    'Row',
+    'Shift',
+    'ShiftState',
+    'SlotGrant',
+    'SlotUse',
+    'SyncRequest',
+    'SyncResponse',
+    'TableName',
+    'TargetLoad',
+    'TargetReport',
+    'TargetRow',
+    'TargetState',
+    'decode',
+    'encode',
+]
--- /dev/null
+++ b/fulmarseam/wire/_codec.py
@@ -0,0 +1,28 @@
+"""The codec of messages between processes."""
+
+import msgspec
+
+from fulmarseam import errors
+from fulmarseam.wire import _common
+from fulmarseam.wire import _sync
+
+Message = _common.Ok | _common.Failure | _sync.SyncRequest | _sync.SyncResponse
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
+
+
+def encode(message: Message) -> bytes:
+    """Return the MessagePack form of a message."""
+    return _encoder.encode(message)
+
+
+def decode(data: bytes) -> Message:
+    """Return the message held in `data`.
+
+    Raises `errors.WireError` when the data is no known message.
+    """
+    try:
+        return _decoder.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise errors.WireError(str(error)) from error
--- /dev/null
+++ b/fulmarseam/wire/_sync.py
@@ -0,0 +1,172 @@
+"""Messages between an entry and the control leader."""
+
+import enum
+
+import msgspec
+
+from fulmarseam import ids
+from fulmarseam.wire import _rows
+
+
+class TargetState(enum.Enum):
+    """States that a target announces."""
+
+    STARTING = 'starting'
+    READY = 'ready'
+    LEAVING = 'leaving'
+
+
+class TargetLoad(msgspec.Struct, frozen=True, kw_only=True):
+    """Load as a target reports it; it may lag or mislead."""
+
+    busy_slots: int
+    queued: int = 0
+    latency_ms: float = 0.0
+
+
+class TargetReport(msgspec.Struct, frozen=True, kw_only=True):
+    """An announcement of a target.
+
+    Reports are ordered by (incarnation, sequence); older ones are ignored.
+    """
+
+    target: ids.TargetId
+    pool: ids.PoolName
+    address: str
+    region: ids.RegionName
+    failure_domain: ids.DomainName
+    slots: int
+    connections: int
+    incarnation: int
+    sequence: int
+    state: TargetState
+    load: TargetLoad | None = None
+
+
+class TargetRow(msgspec.Struct, frozen=True, kw_only=True):
+    """A target as the leader knows it.
+
+    `lease_ms` is the time left at the moment of the answer. `ready_ms` is
+    the time since the target first was ready in this incarnation.
+    `load_age_ms` is the age of the load report.
+    """
+
+    report: TargetReport
+    lease_ms: int
+    ready_ms: int
+    load_age_ms: int
+
+
+class EntryInfo(msgspec.Struct, frozen=True, kw_only=True):
+    """Identity and addresses of an entry."""
+
+    entry: ids.EntryId
+    incarnation: int
+    region: ids.RegionName
+    failure_domain: ids.DomainName
+    listen: str
+    api: str
+    rpc: str
+    has_disk: bool = False
+
+
+class EntryRow(msgspec.Struct, frozen=True, kw_only=True):
+    """An entry as the leader knows it."""
+
+    info: EntryInfo
+    draining: bool
+    alive: bool
+
+
+class SlotUse(msgspec.Struct, frozen=True, kw_only=True):
+    """What an entry holds on a target and has in flight there."""
+
+    target: ids.TargetId
+    allowance: int
+    in_flight: int
+
+
+class SlotGrant(msgspec.Struct, frozen=True, kw_only=True):
+    """Slots and connections that an entry may use on a target."""
+
+    target: ids.TargetId
+    slots: int
+    connections: int
+
+
+class PoolDemand(msgspec.Struct, frozen=True, kw_only=True):
+    """Demand for a pool seen by an entry.
+
+    `wanted` is the number of slots wanted now: in flight plus queued.
+    """
+
+    pool: ids.PoolName
+    wanted: int
+    arrivals_per_s: float = 0.0
+
+
+class LinkDemand(msgspec.Struct, frozen=True, kw_only=True):
+    """Bytes/s that an entry holds on a link and would like to have."""
+
+    name: str
+    held: int
+    wanted: int
+
+
+class LinkRate(msgspec.Struct, frozen=True, kw_only=True):
+    """Bytes/s that an entry may send over a link."""
+
+    name: str
+    bytes_per_s: int
+
+
+class SyncRequest(
+    msgspec.Struct, tag='sync_request', frozen=True, kw_only=True
+):
+    """An entry's report to the leader and its request for news.
+
+    `ack_term` and `ack_sequence` name the last grants applied. The answer
+    may be held back for `wait_ms` when there is no news.
+    """
+
+    info: EntryInfo
+    draining: bool
+    revision: int
+    targets_term: int
+    targets_version: int
+    ack_term: int
+    ack_sequence: int
+    uses: list[SlotUse]
+    demand: list[PoolDemand]
+    links: list[LinkDemand]
+    announcements: list[TargetReport]
+    announcement_ages_ms: list[int]
+    wait_ms: int
+
+
+class SyncResponse(
+    msgspec.Struct, tag='sync_response', frozen=True, kw_only=True
+):
+    """The leader's news for one entry.
+
+    `leadership_age_ms` is the time since a majority last confirmed the
+    leader. `changes` brings the entry from its revision to `revision`;
+    with `full` they replace all tables. `grants` and `links` replace what
+    the entry held and are valid for `grant_ttl_ms` from the moment it sent
+    the request.
+    """
+
+    term: int
+    leadership_age_ms: int
+    revision: int
+    full: bool
+    changes: list[_rows.Change]
+    targets_version: int
+    targets_full: bool
+    targets: list[TargetRow]
+    targets_removed: list[ids.TargetId]
+    entries: list[EntryRow]
+    grant_sequence: int
+    grant_ttl_ms: int
+    grants: list[SlotGrant]
+    links: list[LinkRate]
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of fulmarseam."""
--- /dev/null
+++ b/tests/integration/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with real processes behind the fault proxy."""
--- /dev/null
+++ b/tests/test_transport.py
@@ -0,0 +1,58 @@
+"""Tests of the transport package."""
+
+import asyncio
+import socket
+import unittest
+
+import pynng
+
+from fulmarseam import errors
+from fulmarseam import transport
+from fulmarseam import wire
+
+
+def find_free_address() -> str:
+    """Return a loopback address that is free at the moment."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{probe.getsockname()[1]}'
+
+
+class RpcTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against lost, mixed up or malformed calls."""
+
+    async def test_answers_reach_their_own_calls(self) -> None:
+        async def handle(message: wire.Message) -> wire.Message:
+            assert isinstance(message, wire.Failure)
+            await asyncio.sleep(0.05 if message.detail == '0' else 0)
+            return message
+
+        address = find_free_address()
+        async with transport.RpcServer(address, handle):
+            async with transport.RpcClient(address) as client:
+                calls = [
+                    client.call(wire.Failure('x', str(number)), 2.0)
+                    for number in range(50)
+                ]
+                answers = await asyncio.gather(*calls)
+        details = [getattr(answer, 'detail', None) for answer in answers]
+        self.assertEqual([str(number) for number in range(50)], details)
+
+    async def test_call_without_answer_times_out(self) -> None:
+        async with transport.RpcClient(find_free_address()) as client:
+            with self.assertRaises(errors.TransportError):
+                await client.call(wire.Ok(), 0.1)
+
+    async def test_malformed_message_does_not_stop_the_server(self) -> None:
+        async def handle(message: wire.Message) -> wire.Message:
+            return wire.Ok()
+
+        address = find_free_address()
+        async with transport.RpcServer(address, handle):
+            with pynng.Req0(dial=f'tcp://{address}') as raw:
+                await raw.asend(b'\xc1garbage')
+                answer = wire.decode(await raw.arecv())
+            async with transport.RpcClient(address) as client:
+                good = await client.call(wire.Ok(), 2.0)
+        self.assertIsInstance(answer, wire.Failure)
+        self.assertEqual(wire.Ok(), good)
