Add the messages and the public signatures of the replicated log

Cause: the control daemon is written at the same time and needs them.

Conclusion: the daemon can be typed against this.

--- a/fulmarseam/consensus/__init__.py
+++ b/fulmarseam/consensus/__init__.py
@@ -1,1 +1,33 @@
-"""The replicated log of the control group."""
+"""The replicated log of the control group.
+
+A `Member` replicates the commands of a `Machine` to the other members of
+its group. Messages of the types in `PEER_MESSAGES` belong to `handle`::
+
+    member = consensus.Member(
+        consensus.MemberSettings.from_control(loaded), machine
+    )
+    async with member:
+        result = await member.propose(b'command')
+"""
+
+from fulmarseam import wire
+from fulmarseam.consensus._interface import Machine
+from fulmarseam.consensus._interface import MemberSettings
+from fulmarseam.consensus._interface import MemberStatus
+from fulmarseam.consensus._interface import Role
+from fulmarseam.consensus._runtime import Member
+
+PEER_MESSAGES = (
+    wire.MemberRequest,
+    wire.IdentityRequest,
+    wire.FoundRequest,
+)
+
+__all__ = [
+    'PEER_MESSAGES',
+    'Machine',
+    'Member',
+    'MemberSettings',
+    'MemberStatus',
+    'Role',
+]
--- a/fulmarseam/wire/__init__.py
+++ b/fulmarseam/wire/__init__.py
@@ -11,6 +11,26 @@
 from fulmarseam.wire._codec import Message
 from fulmarseam.wire._common import Failure
 from fulmarseam.wire._common import Ok
+from fulmarseam.wire._consensus import AppendRequest
+from fulmarseam.wire._consensus import AppendResponse
+from fulmarseam.wire._consensus import EntryType
+from fulmarseam.wire._consensus import Founding
+from fulmarseam.wire._consensus import FoundRequest
+from fulmarseam.wire._consensus import GroupMembers
+from fulmarseam.wire._consensus import IdentityRequest
+from fulmarseam.wire._consensus import IdentityResponse
+from fulmarseam.wire._consensus import LogEntry
+from fulmarseam.wire._consensus import MemberInfo
+from fulmarseam.wire._consensus import MemberRequest
+from fulmarseam.wire._consensus import MemberResponse
+from fulmarseam.wire._consensus import ReplicaMessage
+from fulmarseam.wire._consensus import ReplicaRequest
+from fulmarseam.wire._consensus import ReplicaResponse
+from fulmarseam.wire._consensus import SnapshotChunk
+from fulmarseam.wire._consensus import SnapshotMeta
+from fulmarseam.wire._consensus import SnapshotResponse
+from fulmarseam.wire._consensus import VoteRequest
+from fulmarseam.wire._consensus import VoteResponse
 from fulmarseam.wire._rows import Block
 from fulmarseam.wire._rows import Change
 from fulmarseam.wire._rows import Drain
@@ -39,6 +59,8 @@
 from fulmarseam.wire._sync import TargetState
 
 __all__ = [
+    'AppendRequest',
+    'AppendResponse',
     'Block',
     'Change',
     'Drain',
@@ -46,21 +68,37 @@
     'DrainState',
     'EntryInfo',
     'EntryRow',
+    'EntryType',
     'Failure',
+    'FoundRequest',
+    'Founding',
+    'GroupMembers',
+    'IdentityRequest',
+    'IdentityResponse',
     'Link',
     'LinkDemand',
     'LinkRate',
+    'LogEntry',
+    'MemberInfo',
+    'MemberRequest',
+    'MemberResponse',
     'Message',
     'Ok',
     'Pool',
     'PoolDemand',
     'RecordGroup',
+    'ReplicaMessage',
+    'ReplicaRequest',
+    'ReplicaResponse',
     'Route',
     'Row',
     'Shift',
     'ShiftState',
     'SlotGrant',
     'SlotUse',
+    'SnapshotChunk',
+    'SnapshotMeta',
+    'SnapshotResponse',
     'SyncRequest',
     'SyncResponse',
     'TableName',
@@ -68,6 +106,8 @@
     'TargetReport',
     'TargetRow',
     'TargetState',
+    'VoteRequest',
+    'VoteResponse',
     'decode',
     'encode',
 ]
--- a/fulmarseam/wire/_codec.py
+++ b/fulmarseam/wire/_codec.py
@@ -4,9 +4,20 @@
 
 from fulmarseam import errors
 from fulmarseam.wire import _common
+from fulmarseam.wire import _consensus
 from fulmarseam.wire import _sync
 
-Message = _common.Ok | _common.Failure | _sync.SyncRequest | _sync.SyncResponse
+Message = (
+    _common.Ok
+    | _common.Failure
+    | _sync.SyncRequest
+    | _sync.SyncResponse
+    | _consensus.MemberRequest
+    | _consensus.MemberResponse
+    | _consensus.IdentityRequest
+    | _consensus.IdentityResponse
+    | _consensus.FoundRequest
+)
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
--- /dev/null
+++ b/fulmarseam/wire/_consensus.py
@@ -0,0 +1,207 @@
+"""Messages between the members of the control group."""
+
+import enum
+
+import msgspec
+
+from fulmarseam import ids
+
+
+class MemberInfo(msgspec.Struct, frozen=True, kw_only=True):
+    """A member of the group.
+
+    `store` is the random id of its data directory: a directory that was
+    wiped has another one. A learner (`voter` false) gets the log and
+    counts for no majority.
+    """
+
+    member: ids.MemberId
+    address: str
+    region: ids.RegionName
+    store: str
+    voter: bool = True
+
+
+class GroupMembers(msgspec.Struct, frozen=True):
+    """The members of the group and the ids that may not come back."""
+
+    members: list[MemberInfo] = []
+    retired: list[ids.MemberId] = []
+
+
+class EntryType(enum.Enum):
+    """What a log entry holds."""
+
+    COMMAND = 'c'
+    TERM_START = 't'
+    MEMBERS = 'm'
+
+
+class LogEntry(msgspec.Struct, frozen=True, array_like=True):
+    """One entry of the replicated log.
+
+    `data` is a command of the machine, or encoded `GroupMembers`.
+    """
+
+    index: int
+    term: int
+    type: EntryType
+    data: bytes = b''
+
+
+class VoteRequest(
+    msgspec.Struct, tag='vote_request', frozen=True, kw_only=True
+):
+    """A candidate asks for a vote, or with `pre_vote` if it would get one."""
+
+    term: int
+    last_index: int
+    last_term: int
+    pre_vote: bool
+
+
+class VoteResponse(
+    msgspec.Struct, tag='vote_response', frozen=True, kw_only=True
+):
+    """The answer to a vote request for `for_term`."""
+
+    term: int
+    for_term: int
+    granted: bool
+    pre_vote: bool
+
+
+class AppendRequest(
+    msgspec.Struct, tag='append_request', frozen=True, kw_only=True
+):
+    """Entries that follow (`previous_index`, `previous_term`).
+
+    `round` is the leader's number of the confirmation round.
+    """
+
+    term: int
+    round: int
+    previous_index: int
+    previous_term: int
+    commit_index: int
+    entries: list[LogEntry] = []
+
+
+class AppendResponse(
+    msgspec.Struct, tag='append_response', frozen=True, kw_only=True
+):
+    """The answer to an append.
+
+    With `success` the logs are equal up to `match_index`. Otherwise the
+    leader continues at `hint_index`, or after its own last entry of
+    `hint_term` when it has one; `hint_term` 0 means the log is shorter.
+    """
+
+    term: int
+    round: int
+    success: bool
+    match_index: int = 0
+    rejected_index: int = 0
+    hint_index: int = 0
+    hint_term: int = 0
+
+
+class SnapshotMeta(msgspec.Struct, frozen=True, kw_only=True):
+    """What a snapshot covers, its size in bytes and its CRC-32."""
+
+    index: int
+    term: int
+    members: GroupMembers
+    size: int
+    checksum: int
+
+
+class SnapshotChunk(
+    msgspec.Struct, tag='snapshot_chunk', frozen=True, kw_only=True
+):
+    """A part of a snapshot that starts at byte `offset`."""
+
+    term: int
+    round: int
+    meta: SnapshotMeta
+    offset: int
+    data: bytes
+
+
+class SnapshotResponse(
+    msgspec.Struct, tag='snapshot_response', frozen=True, kw_only=True
+):
+    """The answer to a chunk.
+
+    `index` names the snapshot, and `next_offset` is the first byte that is
+    missing. With `done` the member has everything up to `index`.
+    """
+
+    term: int
+    round: int
+    index: int
+    next_offset: int
+    done: bool
+
+
+ReplicaRequest = VoteRequest | AppendRequest | SnapshotChunk
+ReplicaResponse = VoteResponse | AppendResponse | SnapshotResponse
+ReplicaMessage = ReplicaRequest | ReplicaResponse
+
+
+class MemberRequest(
+    msgspec.Struct, tag='member_request', frozen=True, kw_only=True
+):
+    """A request to a member whose data directory has the id `store`."""
+
+    group: str
+    sender: ids.MemberId
+    store: str
+    body: ReplicaRequest
+
+
+class MemberResponse(
+    msgspec.Struct, tag='member_response', frozen=True, kw_only=True
+):
+    """The answer of a member."""
+
+    sender: ids.MemberId
+    body: ReplicaResponse
+
+
+class Founding(msgspec.Struct, frozen=True, kw_only=True):
+    """The first members of a group, all of which were new."""
+
+    group: str
+    members: GroupMembers
+
+
+class IdentityRequest(
+    msgspec.Struct, tag='identity_request', frozen=True, kw_only=True
+):
+    """Asks a member who it is."""
+
+    sender: ids.MemberId
+
+
+class IdentityResponse(
+    msgspec.Struct, tag='identity_response', frozen=True, kw_only=True
+):
+    """A member's id and data directory.
+
+    `group` is empty while the member belongs to no group. `members` is the
+    group as the member knows it.
+    """
+
+    member: ids.MemberId
+    store: str
+    group: str
+    members: GroupMembers
+
+
+class FoundRequest(
+    msgspec.Struct, tag='found_request', frozen=True, kw_only=True
+):
+    """Tells a new member of the group it belongs to."""
+
+    founding: Founding
