--- a/fulmarseam/settings/_control.py
+++ b/fulmarseam/settings/_control.py
@@ -50,6 +50,7 @@
     )
     log_file: str | None = _option(_options.optional(_options.text()), None)
     trace_file: str | None = _option(_options.optional(_options.text()), None)
+    trace_ratio: float = _option(_options.number(0.0, 1.0), 1.0)
 
     def find_problems(self) -> list[str]:
         """Return a line for each pair of settings that do not fit."""
--- a/fulmarseam/settings/_entry.py
+++ b/fulmarseam/settings/_entry.py
@@ -57,3 +57,4 @@
     )
     log_file: str | None = _option(_options.optional(_options.text()), None)
     trace_file: str | None = _option(_options.optional(_options.text()), None)
+    trace_ratio: float = _option(_options.number(0.0, 1.0), 1.0)
--- a/fulmarseam/telemetry/__init__.py
+++ b/fulmarseam/telemetry/__init__.py
@@ -1,6 +1,19 @@
-"""Logs of key=value lines."""
+"""Logs of key=value lines, traces and metrics."""
 
 from fulmarseam.telemetry._logs import format_event
 from fulmarseam.telemetry._logs import open_log
+from fulmarseam.telemetry._metrics import Metrics
+from fulmarseam.telemetry._traces import open_traces
+from fulmarseam.telemetry._traces import Span
+from fulmarseam.telemetry._traces import TRACEPARENT
+from fulmarseam.telemetry._traces import Tracer
 
-__all__ = ['format_event', 'open_log']
+__all__ = [
+    'Metrics',
+    'Span',
+    'TRACEPARENT',
+    'Tracer',
+    'format_event',
+    'open_log',
+    'open_traces',
+]
