--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,46 @@
+"""Tests that the documentation matches the code."""
+
+import pathlib
+import re
+import unittest
+
+from fulmarseam import errors
+from fulmarseam import settings
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+ERROR_ROW = re.compile(r'^\| `(\w+)` \| (\d+) \| ([a-z-]+) \|', re.MULTILINE)
+EXIT_ROW = re.compile(r'^\| `(\w+)` \| (\d+) \| ', re.MULTILINE)
+
+
+class ErrorPageTest(unittest.TestCase):
+    """Guards against an error page that says other than the code."""
+
+    def test_page_lists_every_kind_with_its_answer(self) -> None:
+        page = (ROOT / 'docs' / 'errors.md').read_text(encoding='utf-8')
+        callers, operators = page.split('## Kinds that operators see')
+        seen = set()
+        for name, status, outcome in ERROR_ROW.findall(callers):
+            answer = errors.ANSWERS[errors.ErrorKind(name)]
+            self.assertEqual(int(status), answer.status, name)
+            self.assertEqual(outcome, answer.outcome.value, name)
+            seen.add(name)
+        for name, exit_code in EXIT_ROW.findall(operators):
+            answer = errors.ANSWERS[errors.ErrorKind(name)]
+            self.assertEqual(int(exit_code), answer.exit_code, name)
+            seen.add(name)
+        self.assertEqual({kind.value for kind in errors.ErrorKind}, seen)
+
+
+class ExampleSettingsTest(unittest.TestCase):
+    """Guards against example settings that the programs refuse."""
+
+    def test_all_examples_are_valid(self) -> None:
+        for deployment in ('landesmoebeldienst', 'tabua'):
+            folder = ROOT / 'examples' / deployment
+            controls = sorted(folder.glob('control-*.yaml'))
+            entries = sorted(folder.glob('entry-*.yaml'))
+            self.assertEqual((5, 7), (len(controls), len(entries)))
+            for path in controls:
+                settings.load_settings(str(path), settings.ControlSettings)
+            for path in entries:
+                settings.load_settings(str(path), settings.EntrySettings)
