Add the replicated log with its files and its member

Cause: control members need a log that survives crashes and partitions. The founding member starts a group only when all initial members are new, and each group knows the store id of every data directory, so a wiped directory is refused under its old member id.

--- a/fulmarseam/consensus/__init__.py
+++ b/fulmarseam/consensus/__init__.py
@@ -11,16 +11,15 @@
 """
 
 from fulmarseam import wire
+from fulmarseam.consensus._core_types import Role
 from fulmarseam.consensus._interface import Machine
 from fulmarseam.consensus._interface import MemberSettings
 from fulmarseam.consensus._interface import MemberStatus
-from fulmarseam.consensus._interface import Role
 from fulmarseam.consensus._runtime import Member
 
 PEER_MESSAGES = (
     wire.MemberRequest,
     wire.IdentityRequest,
-    wire.FoundRequest,
 )
 
 __all__ = [
--- /dev/null
+++ b/fulmarseam/consensus/_core_log.py
@@ -0,0 +1,107 @@
+"""The log in memory."""
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+import itertools
+
+from fulmarseam import wire
+
+
+class Log:
+    """Entries after a base index, which a snapshot covers."""
+
+    def __init__(
+        self,
+        base_index: int = 0,
+        base_term: int = 0,
+        entries: Iterable[wire.LogEntry] = (),
+    ) -> None:
+        self.base_index = base_index
+        self.base_term = base_term
+        self._entries = list(entries)
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry."""
+        return self.base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry."""
+        return self._entries[-1].term if self._entries else self.base_term
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, or None when it is not held."""
+        if index == self.base_index:
+            return self.base_term
+        if self.base_index < index <= self.last_index:
+            return self._entries[index - self.base_index - 1].term
+        return None
+
+    def append(self, entries: Sequence[wire.LogEntry]) -> None:
+        """Add entries, replacing those from the first index on."""
+        if not entries:
+            return
+        keep = entries[0].index - self.base_index - 1
+        if not 0 <= keep <= len(self._entries):
+            raise AssertionError(
+                f'entry {entries[0].index} does not follow the log '
+                f'({self.base_index}, {self.last_index}]'
+            )
+        del self._entries[keep:]
+        self._entries.extend(entries)
+
+    def slice(
+        self, first: int, max_entries: int, max_bytes: int
+    ) -> list[wire.LogEntry]:
+        """Return entries from `first` on within limits, at least one."""
+        start = first - self.base_index - 1
+        taken: list[wire.LogEntry] = []
+        size = 0
+        for entry in self._entries[start : start + max_entries]:
+            size += len(entry.data)
+            if taken and size > max_bytes:
+                break
+            taken.append(entry)
+        return taken
+
+    def range(self, first: int, last: int) -> list[wire.LogEntry]:
+        """Return the entries from `first` to `last`, both included."""
+        start = first - self.base_index - 1
+        return self._entries[start : last - self.base_index]
+
+    def tail(self) -> list[wire.LogEntry]:
+        """Return all entries held."""
+        return list(self._entries)
+
+    def compact(self, index: int) -> None:
+        """Drop the entries up to `index`."""
+        term = self.term_at(index)
+        if term is None:
+            raise AssertionError(f'entry {index} is not in the log')
+        self._entries = self._entries[index - self.base_index :]
+        self.base_index = index
+        self.base_term = term
+
+    def reset(self, index: int, term: int) -> None:
+        """Drop all entries and start after a snapshot."""
+        self._entries = []
+        self.base_index = index
+        self.base_term = term
+
+    def first_index_of_term(self, index: int) -> int:
+        """Return the first held index with the same term as `index`."""
+        term = self.term_at(index)
+        while index - 1 > self.base_index and self.term_at(index - 1) == term:
+            index -= 1
+        return index
+
+    def last_index_of_term(self, term: int, limit: int) -> int | None:
+        """Return the last index up to `limit` that has `term`."""
+        end = min(limit, self.last_index) - self.base_index
+        for entry in reversed(list(itertools.islice(self._entries, end))):
+            if entry.term == term:
+                return entry.index
+            if entry.term < term:
+                return None
+        return None
--- /dev/null
+++ b/fulmarseam/consensus/_core_transfer.py
@@ -0,0 +1,161 @@
+"""Compaction, and snapshot transfer in chunks."""
+
+import zlib
+
+from fulmarseam import ids
+from fulmarseam import wire
+from fulmarseam.consensus import _core_follower
+from fulmarseam.consensus import _core_state
+from fulmarseam.consensus import _core_types
+
+
+def compact(
+    state: _core_state.State, data: bytes, effects: _core_types.Effects
+) -> None:
+    """Take over a snapshot of everything committed, and drop the log."""
+    index = state.commit_index
+    covered = state.snapshot.meta.index if state.snapshot else 0
+    if index <= covered:
+        return
+    state.snapshot = _core_types.make_snapshot(
+        index,
+        state.log.term_at(index) or 0,
+        state.history.at(index),
+        data,
+    )
+    state.history.compact(index)
+    keep_from = index - state.config.keep_entries
+    state.log.compact(max(state.log.base_index, keep_from))
+    _record_snapshot(state, effects)
+
+
+def _record_snapshot(
+    state: _core_state.State, effects: _core_types.Effects
+) -> None:
+    if state.snapshot is None:
+        raise AssertionError('no snapshot to record')
+    effects.records.append(
+        _core_types.SnapshotRecord(
+            snapshot=state.snapshot,
+            base_index=state.log.base_index,
+            base_term=state.log.base_term,
+            entries=state.log.tail(),
+            term=state.term,
+            vote=state.vote,
+        )
+    )
+
+
+def start(state: _core_state.State, peer: _core_state.Peer) -> None:
+    """Turn a peer that is behind the log to snapshot transfer."""
+    peer.mode = _core_state.PeerMode.SNAPSHOT
+    peer.in_flight.clear()
+    peer.waiting = False
+    peer.snapshot = state.snapshot
+    peer.offset = 0
+
+
+def send_chunk(
+    state: _core_state.State,
+    now: float,
+    member: ids.MemberId,
+    peer: _core_state.Peer,
+    effects: _core_types.Effects,
+) -> None:
+    """Send the next chunk of a transfer."""
+    if peer.snapshot is None:
+        raise AssertionError(f'no snapshot to send to {member}')
+    meta, data = peer.snapshot
+    end = peer.offset + state.config.chunk_bytes
+    request = wire.SnapshotChunk(
+        term=state.term,
+        round=state.rounds.current,
+        meta=meta,
+        offset=peer.offset,
+        data=data[peer.offset : end],
+    )
+    effects.messages.append(_core_types.Outgoing(member, request))
+    peer.waiting = True
+    peer.sent_at = now
+
+
+def note_response(
+    now: float, peer: _core_state.Peer, response: wire.SnapshotResponse
+) -> None:
+    """Go on with the next chunk, or leave the transfer when it is done."""
+    if peer.mode is not _core_state.PeerMode.SNAPSHOT or not peer.snapshot:
+        return
+    if response.index != peer.snapshot.meta.index:
+        return
+    peer.waiting = False
+    peer.sent_at = now
+    peer.offset = response.next_offset
+    if response.done:
+        peer.match_index = max(peer.match_index, response.index)
+        peer.next_index = peer.match_index + 1
+        peer.mode = _core_state.PeerMode.PROBE
+        peer.snapshot = None
+
+
+def handle_chunk(
+    state: _core_state.State,
+    now: float,
+    sender: ids.MemberId,
+    chunk: wire.SnapshotChunk,
+    effects: _core_types.Effects,
+) -> None:
+    """Collect a chunk; install the snapshot when it is complete."""
+    done = False
+    if _core_follower.accept_leader(state, now, sender, chunk.term, effects):
+        done = _collect(state, chunk, effects)
+    incoming = state.incoming
+    effects.reply = wire.SnapshotResponse(
+        term=state.term,
+        round=chunk.round,
+        index=chunk.meta.index,
+        next_offset=len(incoming.data) if incoming else 0,
+        done=done,
+    )
+
+
+def _collect(
+    state: _core_state.State,
+    chunk: wire.SnapshotChunk,
+    effects: _core_types.Effects,
+) -> bool:
+    if chunk.meta.index <= state.commit_index:
+        state.incoming = None
+        return True
+    if state.incoming is None or state.incoming.meta != chunk.meta:
+        state.incoming = _core_state.Incoming(chunk.meta)
+    data = state.incoming.data
+    if chunk.offset == len(data):
+        data.extend(chunk.data)
+    if len(data) < chunk.meta.size:
+        return False
+    complete = bytes(data)
+    state.incoming = None
+    is_whole = len(complete) == chunk.meta.size
+    if not is_whole or zlib.crc32(complete) != chunk.meta.checksum:
+        return False
+    _install(state, _core_types.Snapshot(chunk.meta, complete), effects)
+    return True
+
+
+def _install(
+    state: _core_state.State,
+    snapshot: _core_types.Snapshot,
+    effects: _core_types.Effects,
+) -> None:
+    """Replace the state by a snapshot; keep the log that follows it."""
+    meta = snapshot.meta
+    state.snapshot = snapshot
+    if state.log.term_at(meta.index) == meta.term:
+        state.log.compact(meta.index)
+    else:
+        state.log.reset(meta.index, meta.term)
+        state.history.truncate(0)
+    state.history.replace_base(meta.index, meta.members)
+    state.commit_index = meta.index
+    _record_snapshot(state, effects)
+    effects.committed.append(snapshot)
--- a/fulmarseam/consensus/_interface.py
+++ b/fulmarseam/consensus/_interface.py
@@ -2,12 +2,12 @@
 
 from collections.abc import Mapping
 import dataclasses
-import enum
 from typing import Protocol
 
 from fulmarseam import ids
 from fulmarseam import settings
 from fulmarseam import wire
+from fulmarseam.consensus import _core_types
 
 
 class Machine(Protocol):
@@ -28,14 +28,6 @@
         """Replace the whole state by one that `snapshot` returned."""
 
 
-class Role(enum.Enum):
-    """Roles of a replica."""
-
-    FOLLOWER = 'follower'
-    CANDIDATE = 'candidate'
-    LEADER = 'leader'
-
-
 @dataclasses.dataclass(frozen=True)
 class MemberSettings:
     """Settings of a member of the control group; times in seconds.
@@ -88,7 +80,7 @@
 
     member_id: ids.MemberId
     group: str
-    role: Role
+    role: _core_types.Role
     term: ids.Term
     leader: ids.MemberId | None
     first_index: int
--- /dev/null
+++ b/fulmarseam/consensus/_runtime_peers.py
@@ -0,0 +1,109 @@
+"""Requests to the other members."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+
+import logbook
+
+from fulmarseam import errors
+from fulmarseam import ids
+from fulmarseam import telemetry
+from fulmarseam import transport
+from fulmarseam import wire
+
+# Enough for a full window of appends and the heartbeats of one timeout.
+MAX_PENDING_REQUESTS = 64
+
+_log = logbook.Logger('consensus')
+
+Deliver = Callable[[ids.MemberId, wire.ReplicaResponse], None]
+
+
+@dataclasses.dataclass
+class _Peer:
+    address: str
+    store: str
+    client: transport.RpcClient
+    tasks: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
+    reachable: bool = True
+
+
+class Peers:
+    """One client for each other member; answers go to `deliver`.
+
+    Requests beyond `MAX_PENDING_REQUESTS` for a peer are dropped, as a
+    network may drop them; the replica sends again.
+    """
+
+    def __init__(
+        self, me: ids.MemberId, timeout_s: float, deliver: Deliver
+    ) -> None:
+        self._me = me
+        self._timeout_s = timeout_s
+        self._deliver = deliver
+        self._peers: dict[ids.MemberId, _Peer] = {}
+
+    def update(self, places: dict[ids.MemberId, tuple[str, str]]) -> None:
+        """Keep a client for each member of `places`: (address, store)."""
+        for member, peer in list(self._peers.items()):
+            if places.get(member) != (peer.address, peer.store):
+                peer.client.close()
+                del self._peers[member]
+        for member, (address, store) in places.items():
+            if member not in self._peers:
+                client = transport.RpcClient(address)
+                client.open()
+                self._peers[member] = _Peer(address, store, client)
+
+    def send(
+        self, group: str, to: ids.MemberId, body: wire.ReplicaRequest
+    ) -> None:
+        """Start a request to a member."""
+        peer = self._peers.get(to)
+        if peer is None or len(peer.tasks) >= MAX_PENDING_REQUESTS:
+            return
+        request = wire.MemberRequest(
+            group=group, sender=self._me, store=peer.store, body=body
+        )
+        task = asyncio.create_task(self._call(to, peer, request))
+        peer.tasks.add(task)
+        task.add_done_callback(peer.tasks.discard)
+
+    async def _call(
+        self, to: ids.MemberId, peer: _Peer, request: wire.MemberRequest
+    ) -> None:
+        try:
+            answer = await peer.client.call(request, self._timeout_s)
+        except errors.FulmarseamError as error:
+            self._note_reachable(to, peer, error.detail)
+            return
+        if isinstance(answer, wire.MemberResponse) and answer.sender == to:
+            self._note_reachable(to, peer, None)
+            self._deliver(to, answer.body)
+        else:
+            detail = getattr(answer, 'detail', type(answer).__name__)
+            self._note_reachable(to, peer, detail)
+
+    def _note_reachable(
+        self, member: ids.MemberId, peer: _Peer, problem: str | None
+    ) -> None:
+        """Log when a peer stops or starts to answer."""
+        reachable = problem is None
+        if reachable == peer.reachable:
+            return
+        peer.reachable = reachable
+        event = 'peer_reachable' if reachable else 'peer_unreachable'
+        _log.info(
+            telemetry.format_event(event, member=member, reason=problem or '')
+        )
+
+    async def close(self) -> None:
+        """Close all clients and end the pending requests."""
+        tasks = [task for peer in self._peers.values() for task in peer.tasks]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for peer in self._peers.values():
+            peer.client.close()
+        self._peers.clear()
--- /dev/null
+++ b/fulmarseam/consensus/_storage_frames.py
@@ -0,0 +1,105 @@
+"""Frames of the log file: length, CRC-32 and payload.
+
+One frame is written and synced at a time, so only the last frame of a file
+can be incomplete after a crash. A damaged frame with data after it is
+refused instead of truncated.
+"""
+
+from collections.abc import Iterator
+import os
+import pathlib
+import struct
+import zlib
+
+from fulmarseam import errors
+
+REMEDY = (
+    'restore the data directory from a copy, or remove this member from the '
+    'group and start it with an empty directory, a new member_id and '
+    'join: true'
+)
+HEADER = struct.Struct('<II')
+# A checksum that starts at 0 would accept a run of zero bytes as frames.
+_CHECKSUM_START = 0x66756C6D
+
+
+def make_frame(payload: bytes) -> bytes:
+    """Return length, CRC-32 and payload; the checksum covers both others."""
+    length = len(payload)
+    return HEADER.pack(length, _compute_checksum(length, payload)) + payload
+
+
+def _compute_checksum(length: int, payload: bytes | memoryview) -> int:
+    start = zlib.crc32(length.to_bytes(4, 'little'), _CHECKSUM_START)
+    return zlib.crc32(payload, start)
+
+
+def read_frame(data: memoryview, offset: int) -> memoryview | None:
+    """Return the payload of the frame at `offset`, or None if damaged."""
+    if len(data) - offset < HEADER.size:
+        return None
+    length, checksum = HEADER.unpack_from(data, offset)
+    start = offset + HEADER.size
+    if not 0 < length <= len(data) - start:
+        return None
+    payload = data[start : start + length]
+    return payload if _compute_checksum(length, payload) == checksum else None
+
+
+def _is_torn_tail(data: memoryview, offset: int) -> bool:
+    """Return whether the bad frame at `offset` can be an unfinished write.
+
+    It cannot when a whole frame follows, or when its length ends inside
+    the file and other than zero bytes follow.
+    """
+    for later in range(offset + 1, len(data) - HEADER.size):
+        if read_frame(data, later) is not None:
+            return False
+    if len(data) - offset < HEADER.size:
+        return True
+    length, _ = HEADER.unpack_from(data, offset)
+    end = offset + HEADER.size + length
+    return length == 0 or not any(data[end:])
+
+
+def read_frames(
+    path: pathlib.Path, data: memoryview
+) -> Iterator[tuple[int, memoryview]]:
+    """Yield offset and payload of each frame up to a torn tail.
+
+    The first frame is written together with the file, so it cannot be
+    torn. Raises `errors.DamagedDataError`.
+    """
+    offset = 0
+    while offset < len(data) or offset == 0:
+        payload = read_frame(data, offset)
+        if payload is None:
+            if offset > 0 and _is_torn_tail(data, offset):
+                return
+            raise describe_damage(path, offset, 'the checksum does not match')
+        yield offset, payload
+        offset += HEADER.size + len(payload)
+
+
+def read_file(path: pathlib.Path) -> bytes:
+    """Return the content of a file; raises `errors.DamagedDataError`."""
+    try:
+        return path.read_bytes()
+    except OSError as error:
+        raise describe_damage(path, 0, str(error.strerror)) from error
+
+
+def write_all(file: int, data: bytes) -> None:
+    """Write all of `data`; raises `OSError`."""
+    view = memoryview(data)
+    while view:
+        view = view[os.write(file, view) :]
+
+
+def describe_damage(
+    path: pathlib.Path, offset: int, reason: str
+) -> errors.DamagedDataError:
+    """Return the error that names the file, the offset and the remedy."""
+    return errors.DamagedDataError(
+        f'{path}: offset {offset}: {reason}; {REMEDY}'
+    )
--- a/fulmarseam/wire/__init__.py
+++ b/fulmarseam/wire/__init__.py
@@ -15,7 +15,6 @@
 from fulmarseam.wire._consensus import AppendResponse
 from fulmarseam.wire._consensus import EntryType
 from fulmarseam.wire._consensus import Founding
-from fulmarseam.wire._consensus import FoundRequest
 from fulmarseam.wire._consensus import GroupMembers
 from fulmarseam.wire._consensus import IdentityRequest
 from fulmarseam.wire._consensus import IdentityResponse
@@ -70,7 +69,6 @@
     'EntryRow',
     'EntryType',
     'Failure',
-    'FoundRequest',
     'Founding',
     'GroupMembers',
     'IdentityRequest',
--- a/fulmarseam/wire/_codec.py
+++ b/fulmarseam/wire/_codec.py
@@ -16,7 +16,6 @@
     | _consensus.MemberResponse
     | _consensus.IdentityRequest
     | _consensus.IdentityResponse
-    | _consensus.FoundRequest
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/fulmarseam/wire/_consensus.py
+++ b/fulmarseam/wire/_consensus.py
@@ -190,18 +190,11 @@
     """A member's id and data directory.
 
     `group` is empty while the member belongs to no group. `members` is the
-    group as the member knows it.
+    group as the member knows it now, and `founding` as it was founded.
     """
 
     member: ids.MemberId
     store: str
     group: str
     members: GroupMembers
-
-
-class FoundRequest(
-    msgspec.Struct, tag='found_request', frozen=True, kw_only=True
-):
-    """Tells a new member of the group it belongs to."""
-
-    founding: Founding
+    founding: Founding | None = None
