--- a/fulmarseam/consensus/_core_election.py
+++ b/fulmarseam/consensus/_core_election.py
@@ -21,7 +21,7 @@
     """Ask for pre-votes when no leader was heard in time."""
     if now < state.election_at:
         return
-    if not state.is_voter:
+    if not state.may_campaign:
         _core_state.postpone_election(state, now)
         return
     state.role = _core_types.Role.CANDIDATE
--- a/fulmarseam/consensus/_core_leader.py
+++ b/fulmarseam/consensus/_core_leader.py
@@ -135,9 +135,11 @@
     """Send what the peer lacks and can take; return if anything was sent."""
     sent = False
     while _can_take(state, peer):
-        if state.log.term_at(peer.next_index - 1) is None:
+        in_transfer = peer.mode is _core_state.PeerMode.SNAPSHOT
+        if not in_transfer and _needs_snapshot(state, peer):
             _core_transfer.start(state, peer)
-        if peer.mode is _core_state.PeerMode.SNAPSHOT:
+            in_transfer = True
+        if in_transfer:
             _core_transfer.send_chunk(state, now, member, peer, effects)
         else:
             _send_entries(state, now, member, peer, effects)
@@ -154,6 +156,12 @@
     )
 
 
+def _needs_snapshot(
+    state: _core_state.State, peer: _core_state.Peer
+) -> bool:
+    return state.log.term_at(peer.next_index - 1) is None
+
+
 def _send_entries(
     state: _core_state.State,
     now: float,
--- a/fulmarseam/consensus/_core_state.py
+++ b/fulmarseam/consensus/_core_state.py
@@ -116,9 +116,18 @@
         return self.role is _core_types.Role.LEADER
 
     @property
-    def is_voter(self) -> bool:
-        """Return whether this member is a voter."""
-        return self.me in _core_members.list_voters(self.members)
+    def may_campaign(self) -> bool:
+        """Return whether this member is a voter, or was until just now.
+
+        A member whose own removal is in its log but not committed may be
+        the only one whose log is complete enough to lead.
+        """
+        committed = self.history.at(self.commit_index)
+        voters = [
+            *_core_members.list_voters(self.members),
+            *_core_members.list_voters(committed),
+        ]
+        return self.me in voters
 
 
 def load_state(
