--- a/fulmarseam/consensus/_core_change.py
+++ b/fulmarseam/consensus/_core_change.py
@@ -74,7 +74,7 @@
         voter=False,
     )
     changed = wire.GroupMembers([*members.members, learner], members.retired)
-    _append_change(state, changed, effects)
+    effects.first_index = _append_change(state, changed, effects)
 
 
 def remove_member(
@@ -105,7 +105,7 @@
             f'majority of the voters ({", ".join(voters) or "none"}) can '
             'be reached'
         )
-    _append_change(state, changed, effects)
+    effects.first_index = _append_change(state, changed, effects)
 
 
 def _list_reachable(
@@ -157,7 +157,8 @@
     state: _core_state.State,
     members: wire.GroupMembers,
     effects: _core_types.Effects,
-) -> None:
+) -> int:
+    """Append a member set and return its index."""
     entry = wire.LogEntry(
         state.log.last_index + 1,
         state.term,
@@ -165,8 +166,8 @@
         _core_members.encode_members(members),
     )
     _core_state.append_entries(state, [entry], effects)
-    effects.first_index = entry.index
     follow_members(state)
+    return entry.index
 
 
 def has_left(state: _core_state.State) -> bool:
--- a/fulmarseam/consensus/_runtime_peers.py
+++ b/fulmarseam/consensus/_runtime_peers.py
@@ -43,13 +43,16 @@
         self._timeout_s = timeout_s
         self._deliver = deliver
         self._peers: dict[ids.MemberId, _Peer] = {}
+        self._ending: set[asyncio.Task[None]] = set()
 
     def update(self, places: dict[ids.MemberId, tuple[str, str]]) -> None:
         """Keep a client for each member of `places`: (address, store)."""
         for member, peer in list(self._peers.items()):
             if places.get(member) != (peer.address, peer.store):
-                peer.client.close()
                 del self._peers[member]
+                task = asyncio.create_task(_end_peer(peer))
+                self._ending.add(task)
+                task.add_done_callback(self._ending.discard)
         for member, (address, store) in places.items():
             if member not in self._peers:
                 client = transport.RpcClient(address)
@@ -100,10 +103,16 @@
 
     async def close(self) -> None:
         """Close all clients and end the pending requests."""
-        tasks = [task for peer in self._peers.values() for task in peer.tasks]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
         for peer in self._peers.values():
-            peer.client.close()
+            await _end_peer(peer)
         self._peers.clear()
+        await asyncio.gather(*self._ending)
+
+
+async def _end_peer(peer: _Peer) -> None:
+    """End the pending requests first: each holds a part of the client."""
+    tasks = [*peer.tasks]
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    peer.client.close()
--- a/fulmarseam/consensus/_storage.py
+++ b/fulmarseam/consensus/_storage.py
@@ -72,7 +72,16 @@
                 f'data_dir: found {self._directory} ({error.strerror}), '
                 'expected a directory that this process may write to'
             ) from error
-        self._take_lock()
+        try:
+            self._take_lock()
+            return self._read_or_make_identity(new_store)
+        except BaseException:
+            self.close()
+            raise
+
+    def _read_or_make_identity(
+        self, new_store: str
+    ) -> _core_founding.Identity:
         if self._identity_path.exists():
             return self._read_identity()
         self._require_empty()
@@ -84,7 +93,6 @@
         try:
             fcntl.flock(self._lock_file, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError as error:
-            self.close()
             raise errors.FulmarseamError(
                 errors.ErrorKind.UNAVAILABLE,
                 f'data_dir: found {self._directory} in use by another '
--- /dev/null
+++ b/tests/test_consensus_member.py
@@ -0,0 +1,341 @@
+"""Tests of members that talk over loopback."""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+import os
+import pathlib
+import shutil
+import tempfile
+import unittest
+from unittest import mock
+
+from fulmarseam import consensus
+from fulmarseam import errors
+from fulmarseam import settings
+from fulmarseam import transport
+from fulmarseam import wire
+from fulmarseam.consensus import _storage
+from tests import test_transport
+
+WAIT_S = 10.0
+
+
+class Machine:
+    """Keeps the commands it has applied."""
+
+    def __init__(self) -> None:
+        self.commands: list[bytes] = []
+
+    def apply(self, command: bytes) -> bytes:
+        if command == b'raise':
+            raise ValueError('a fault of the machine')
+        self.commands.append(command)
+        return b'%d' % len(self.commands)
+
+    def snapshot(self) -> bytes:
+        return b'\n'.join(self.commands)
+
+    def restore(self, data: bytes) -> None:
+        self.commands = data.split(b'\n') if data else []
+
+
+class Host:
+    """One member with its server."""
+
+    def __init__(self, options: consensus.MemberSettings) -> None:
+        self.options = options
+        self.machine = Machine()
+        self.member = consensus.Member(options, self.machine)
+        self.exit = mock.Mock()
+        self.member._exit = self.exit
+        self._stack = contextlib.AsyncExitStack()
+        self.runs = False
+
+    async def start(self) -> None:
+        await self._stack.enter_async_context(self.member)
+        await self._stack.enter_async_context(
+            transport.RpcServer(self.options.address, self.member.handle)
+        )
+        self.runs = True
+
+    async def stop(self) -> None:
+        self.runs = False
+        await self._stack.aclose()
+
+
+class MemberTestCase(unittest.IsolatedAsyncioTestCase):
+    """Runs a group; `snapshot_every` is small to reach snapshots."""
+
+    size = 3
+
+    async def asyncSetUp(self) -> None:
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.directory = pathlib.Path(directory.name)
+        self.members = {
+            f'c{number}': settings.MemberAddress(
+                address=test_transport.find_free_address(), region='r'
+            )
+            for number in range(self.size)
+        }
+        self.hosts: dict[str, Host] = {}
+
+    async def asyncTearDown(self) -> None:
+        for host in self.hosts.values():
+            if host.runs:
+                await host.stop()
+
+    async def start(self, name: str) -> Host:
+        """Start a member; one that is not initial joins later."""
+        known = self.members.get(name)
+        address = (
+            known.address if known else test_transport.find_free_address()
+        )
+        host = Host(
+            consensus.MemberSettings(
+                member_id=name,
+                region='r',
+                address=address,
+                data_dir=str(self.directory / name),
+                members=self.members,
+                join=known is None,
+                heartbeat_s=0.05,
+                election_min_s=0.25,
+                election_max_s=0.5,
+                snapshot_every=50,
+            )
+        )
+        self.hosts[name] = host
+        await host.start()
+        return host
+
+    async def start_group(self) -> Host:
+        for name in self.members:
+            await self.start(name)
+        return await self.find_leader()
+
+    async def wait_until(self, condition: Callable[[], bool]) -> None:
+        async with asyncio.timeout(WAIT_S):
+            while True:
+                if condition():
+                    return
+                await asyncio.sleep(0.02)
+
+    def list_leaders(self) -> list[Host]:
+        return [
+            host
+            for host in self.hosts.values()
+            if host.runs and host.member.leadership_age() is not None
+        ]
+
+    async def find_leader(self) -> Host:
+        await self.wait_until(lambda: bool(self.list_leaders()))
+        return self.list_leaders()[0]
+
+    async def wait_for_voters(self, leader: Host, *names: str) -> None:
+        def have_changed() -> bool:
+            members = leader.member.status().members
+            voters = {info.member for info in members if info.voter}
+            return voters == set(names)
+
+        await self.wait_until(have_changed)
+
+    def list_followers(self, leader: Host) -> list[Host]:
+        return [host for host in self.hosts.values() if host is not leader]
+
+
+class GroupTest(MemberTestCase):
+    """Guards against a group that loses entries or its leader."""
+
+    async def test_commands_reach_all_machines_in_order(self) -> None:
+        leader = await self.start_group()
+        results = await asyncio.gather(
+            *(leader.member.propose(b'%d' % number) for number in range(200))
+        )
+        self.assertEqual([b'%d' % n for n in range(1, 201)], list(results))
+        machines = [host.machine for host in self.hosts.values()]
+        await self.wait_until(
+            lambda: all(len(machine.commands) == 200 for machine in machines)
+        )
+        for machine in machines:
+            self.assertEqual(leader.machine.commands, machine.commands)
+        self.assertGreaterEqual(leader.member.status().snapshot_index, 50)
+
+    async def test_follower_names_the_leader(self) -> None:
+        leader = await self.start_group()
+        follower = self.list_followers(leader)[0]
+        with self.assertRaises(errors.NotLeaderError) as caught:
+            await follower.member.propose(b'x')
+        self.assertEqual(leader.options.member_id, caught.exception.leader)
+        with self.assertRaises(errors.NotLeaderError):
+            await follower.member.confirm_leadership()
+        self.assertIsNone(follower.member.leadership_age())
+
+    async def test_new_leader_has_every_accepted_command(self) -> None:
+        old = await self.start_group()
+        for number in range(20):
+            await old.member.propose(b'%d' % number)
+        await old.stop()
+        self.assertIsNone(old.member.leading_term())
+        new = await self.find_leader()
+        self.assertEqual(20, len(new.machine.commands))
+        await self.start(old.options.member_id)
+        await new.member.propose(b'last')
+        await new.member.confirm_leadership()
+
+    async def test_leadership_changes_are_reported(self) -> None:
+        leader = await self.start_group()
+        term = await leader.member.wait_leadership_change(None)
+        self.assertEqual(leader.member.status().term, term)
+        for follower in self.list_followers(leader):
+            await follower.stop()
+        async with asyncio.timeout(WAIT_S):
+            ended = await leader.member.wait_leadership_change(term)
+        self.assertIsNone(ended)
+
+    async def test_proposal_without_a_majority_is_uncertain(self) -> None:
+        leader = await self.start_group()
+        for follower in self.list_followers(leader):
+            await follower.stop()
+        confirmation = asyncio.create_task(leader.member.confirm_leadership())
+        with self.assertRaises(errors.ProposalUncertainError):
+            async with asyncio.timeout(WAIT_S):
+                await leader.member.propose(b'x')
+        with self.assertRaises(errors.NotLeaderError):
+            await confirmation
+        self.assertIsNone(leader.member.leadership_age())
+
+    async def test_restarted_group_keeps_its_state(self) -> None:
+        leader = await self.start_group()
+        for number in range(70):
+            await leader.member.propose(b'%d' % number)
+        for host in self.hosts.values():
+            await host.stop()
+        leader = await self.start_group()
+        self.assertEqual(70, len(leader.machine.commands))
+
+    async def test_first_start_waits_for_all_initial_members(self) -> None:
+        for name in ('c0', 'c1'):
+            await self.start(name)
+        await asyncio.sleep(1.0)
+        self.assertEqual('', self.hosts['c0'].member.status().group)
+        await self.start('c2')
+        await self.find_leader()
+
+    async def test_other_messages_are_refused(self) -> None:
+        leader = await self.start_group()
+        with self.assertRaises(errors.WireError):
+            await leader.member.handle(wire.Ok())
+        request = wire.MemberRequest(
+            group='other',
+            sender='c9',
+            store='other',
+            body=wire.VoteRequest(
+                term=99, last_index=99, last_term=99, pre_vote=False
+            ),
+        )
+        with self.assertRaises(errors.FulmarseamError):
+            await leader.member.handle(request)
+        self.assertLess(leader.member.status().term, 99)
+
+    async def test_too_large_command_is_refused(self) -> None:
+        leader = await self.start_group()
+        with self.assertRaises(errors.FulmarseamError) as caught:
+            await leader.member.propose(bytes(5 * 1024 * 1024))
+        self.assertIs(errors.ErrorKind.BODY_TOO_LARGE, caught.exception.kind)
+
+
+class ReplacementTest(MemberTestCase):
+    """Guards against members that count although they lost their state."""
+
+    async def test_wiped_member_never_votes(self) -> None:
+        leader = await self.start_group()
+        first, second = self.list_followers(leader)
+        await first.stop()
+        await leader.member.propose(b'x')
+        shutil.rmtree(first.options.data_dir)
+        await second.stop()
+        wiped = await self.start(first.options.member_id)
+        with self.assertRaises(errors.DamagedDataError) as caught:
+            async with asyncio.timeout(WAIT_S):
+                await wiped.member.wait_failed()
+        self.assertIn('new member_id', caught.exception.detail)
+        await asyncio.sleep(1.5)
+        self.assertIsNone(leader.member.leading_term())
+        await self.start(second.options.member_id)
+        self.assertIn(b'x', (await self.find_leader()).machine.commands)
+
+    async def test_all_wiped_but_one_do_not_found_a_new_group(self) -> None:
+        leader = await self.start_group()
+        followers = self.list_followers(leader)
+        for host in followers:
+            await host.stop()
+            shutil.rmtree(host.options.data_dir)
+        for host in followers:
+            wiped = await self.start(host.options.member_id)
+            with self.assertRaises(errors.DamagedDataError):
+                async with asyncio.timeout(WAIT_S):
+                    await wiped.member.wait_failed()
+
+    async def test_new_member_catches_up_by_snapshot_and_votes(self) -> None:
+        leader = await self.start_group()
+        for number in range(220):
+            await leader.member.propose(b'%d' % number)
+        gone = self.list_followers(leader)[0]
+        await gone.stop()
+        await leader.member.remove_member(gone.options.member_id)
+        newcomer = await self.start('c3')
+        await leader.member.add_member('c3', newcomer.options.address, 'r')
+        left = set(self.members) - {gone.options.member_id}
+        await self.wait_for_voters(leader, *left, 'c3')
+        self.assertGreater(newcomer.member.status().first_index, 1)
+        await leader.stop()
+        new = await self.find_leader()
+        self.assertEqual(220, len(new.machine.commands))
+        await newcomer.stop()
+        again = await self.start('c3')
+        await self.wait_until(lambda: len(again.machine.commands) == 220)
+
+    async def test_wrong_newcomers_are_refused(self) -> None:
+        leader = await self.start_group()
+        other = self.list_followers(leader)[0]
+        newcomer = await self.start('c3')
+        cases = (('c4', newcomer), ('c3', other))
+        for name, host in cases:
+            with self.subTest(name=name):
+                with self.assertRaises(errors.FulmarseamError) as caught:
+                    await leader.member.add_member(
+                        name, host.options.address, 'r'
+                    )
+                self.assertIs(
+                    errors.ErrorKind.INVALID_EDIT, caught.exception.kind
+                )
+
+
+class ProcessEndTest(MemberTestCase):
+    """Guards against members that go on after a failure."""
+
+    size = 1
+
+    async def test_failed_sync_ends_the_process(self) -> None:
+        host = await self.start_group()
+        failure = OSError(5, 'Input/output error')
+        with mock.patch.object(os, 'fdatasync', side_effect=failure):
+            with self.assertRaises(errors.FulmarseamError):
+                await host.member.propose(b'x')
+        host.exit.assert_called_once_with(1)
+        self.assertEqual([], host.machine.commands)
+
+    async def test_fault_of_the_machine_ends_the_process(self) -> None:
+        host = await self.start_group()
+        with self.assertRaises(errors.FulmarseamError):
+            await host.member.propose(b'raise')
+        host.exit.assert_called_once_with(1)
+
+    async def test_failed_first_write_ends_the_process(self) -> None:
+        failure = OSError(28, 'No space left on device')
+        with mock.patch.object(os, 'fsync', side_effect=failure):
+            with self.assertRaises(_storage.StorageFailedError):
+                await self.start('c0')
+        self.hosts['c0'].exit.assert_called_once_with(1)
