Add admin messages and the incarnations of record holders

The tables need a wire form for edits, exports and their results, and fulmarseam-ctl needs status and fleet requests. A record group row names the incarnations of its holders and whether the backup has a full copy, because a restarted or half-copied holder must not count as a survivor. All new fields have defaults, so existing messages decode.

--- a/fulmarseam/wire/__init__.py
+++ b/fulmarseam/wire/__init__.py
@@ -6,6 +6,24 @@
     message = wire.decode(data)
 """
 
+from fulmarseam.wire._admin import Edit
+from fulmarseam.wire._admin import EditResult
+from fulmarseam.wire._admin import EntryProgress
+from fulmarseam.wire._admin import Export
+from fulmarseam.wire._admin import FleetRequest
+from fulmarseam.wire._admin import FleetResponse
+from fulmarseam.wire._admin import MemberAdd
+from fulmarseam.wire._admin import MemberRemove
+from fulmarseam.wire._admin import MemberRow
+from fulmarseam.wire._admin import QuarantineRequest
+from fulmarseam.wire._admin import QuarantineResponse
+from fulmarseam.wire._admin import QuarantineRow
+from fulmarseam.wire._admin import Restore
+from fulmarseam.wire._admin import StatusRequest
+from fulmarseam.wire._admin import StatusResponse
+from fulmarseam.wire._admin import TablesRequest
+from fulmarseam.wire._admin import TablesResponse
+from fulmarseam.wire._admin import TargetProgress
 from fulmarseam.wire._codec import decode
 from fulmarseam.wire._codec import encode
 from fulmarseam.wire._codec import Message
@@ -29,6 +47,7 @@
 from fulmarseam.wire._sync import LinkDemand
 from fulmarseam.wire._sync import LinkRate
 from fulmarseam.wire._sync import PoolDemand
+from fulmarseam.wire._sync import RecordCopy
 from fulmarseam.wire._sync import SlotGrant
 from fulmarseam.wire._sync import SlotUse
 from fulmarseam.wire._sync import SyncRequest
@@ -44,27 +63,46 @@
     'Drain',
     'DrainScope',
     'DrainState',
+    'Edit',
+    'EditResult',
     'EntryInfo',
+    'EntryProgress',
     'EntryRow',
+    'Export',
     'Failure',
+    'FleetRequest',
+    'FleetResponse',
     'Link',
     'LinkDemand',
     'LinkRate',
+    'MemberAdd',
+    'MemberRemove',
+    'MemberRow',
     'Message',
     'Ok',
     'Pool',
     'PoolDemand',
+    'QuarantineRequest',
+    'QuarantineResponse',
+    'QuarantineRow',
+    'RecordCopy',
     'RecordGroup',
+    'Restore',
     'Route',
     'Row',
     'Shift',
     'ShiftState',
     'SlotGrant',
     'SlotUse',
+    'StatusRequest',
+    'StatusResponse',
     'SyncRequest',
     'SyncResponse',
     'TableName',
+    'TablesRequest',
+    'TablesResponse',
     'TargetLoad',
+    'TargetProgress',
     'TargetReport',
     'TargetRow',
     'TargetState',
--- /dev/null
+++ b/fulmarseam/wire/_admin.py
@@ -0,0 +1,200 @@
+"""Messages between an operator's tool and a control member."""
+
+import msgspec
+
+from fulmarseam import ids
+from fulmarseam.wire import _rows
+from fulmarseam.wire import _sync
+
+
+class Edit(msgspec.Struct, tag='edit', frozen=True, kw_only=True):
+    """Changes to tables, accepted as a whole or not at all.
+
+    `base` holds, for each table changed, the version of the table that the
+    edit was made against. An edit may be sent again under the same id.
+    """
+
+    edit_id: ids.EditId
+    base: dict[_rows.TableName, int]
+    changes: list[_rows.Change]
+
+
+class Export(msgspec.Struct, tag='export', frozen=True, kw_only=True):
+    """All rows of the tables at a revision."""
+
+    revision: int
+    changes: list[_rows.Change]
+
+
+class Restore(msgspec.Struct, tag='restore', frozen=True, kw_only=True):
+    """Asks for exported rows as a new edit on top of the current tables."""
+
+    edit_id: ids.EditId
+    export: Export
+
+
+class EditResult(
+    msgspec.Struct, tag='edit_result', frozen=True, kw_only=True
+):
+    """The first result of an edit.
+
+    `kind` is nothing when the edit was accepted, else the value of an
+    `errors.ErrorKind`. `revision` is the revision of the accepted edit, or
+    on a version conflict the revision that won; `winner` is the edit id
+    that won. `problems` holds one line for each reason of a refusal.
+    """
+
+    edit_id: ids.EditId
+    revision: int
+    kind: str | None = None
+    winner: ids.EditId | None = None
+    problems: list[str] = []
+
+
+class TablesRequest(
+    msgspec.Struct, tag='tables_request', frozen=True, kw_only=True
+):
+    """Asks the leader for the rows of some tables; none means all."""
+
+    tables: list[_rows.TableName] = []
+
+
+class TablesResponse(
+    msgspec.Struct, tag='tables_response', frozen=True, kw_only=True
+):
+    """Rows of tables and the version of each table."""
+
+    revision: int
+    versions: dict[_rows.TableName, int]
+    changes: list[_rows.Change]
+
+
+class StatusRequest(
+    msgspec.Struct, tag='status_request', frozen=True, kw_only=True
+):
+    """Asks any control member how it sees the group."""
+
+
+class MemberRow(msgspec.Struct, frozen=True, kw_only=True):
+    """A control member as the answering member knows it."""
+
+    member: ids.MemberId
+    address: str
+    region: str = ''
+    voter: bool = True
+
+
+class StatusResponse(
+    msgspec.Struct, tag='status_response', frozen=True, kw_only=True
+):
+    """How a control member sees the group.
+
+    `leadership_age_ms` is nothing unless the member leads with a valid
+    leadership age.
+    """
+
+    member: ids.MemberId
+    leader: ids.MemberId | None
+    term: int
+    revision: int
+    leadership_age_ms: int | None
+    members: list[MemberRow]
+    applied_index: int = 0
+    last_index: int = 0
+
+
+class FleetRequest(
+    msgspec.Struct, tag='fleet_request', frozen=True, kw_only=True
+):
+    """Asks the leader for the entries and targets that it knows."""
+
+
+class EntryProgress(msgspec.Struct, frozen=True, kw_only=True):
+    """An entry and the revision that it has in force.
+
+    `silent_ms` is the time since its last sync request. `in_flight` counts
+    its requests at targets.
+    """
+
+    row: _sync.EntryRow
+    revision: int
+    silent_ms: int
+    in_flight: int
+
+
+class TargetProgress(msgspec.Struct, frozen=True, kw_only=True):
+    """A target with the slots granted and the requests in flight there."""
+
+    row: _sync.TargetRow
+    granted: int
+    in_flight: int
+
+
+class FleetResponse(
+    msgspec.Struct, tag='fleet_response', frozen=True, kw_only=True
+):
+    """The entries and targets that the leader knows."""
+
+    revision: int
+    entries: list[EntryProgress]
+    targets: list[TargetProgress]
+
+
+class QuarantineRequest(
+    msgspec.Struct, tag='quarantine_request', frozen=True, kw_only=True
+):
+    """Asks an entry for the request fingerprints that it quarantines."""
+
+
+class QuarantineRow(msgspec.Struct, frozen=True, kw_only=True):
+    """A quarantined or suspected fingerprint and the targets it broke.
+
+    `left_ms` is the time until the entry forgets it.
+    """
+
+    fingerprint: str
+    targets: list[ids.TargetId]
+    quarantined: bool
+    left_ms: int
+
+
+class QuarantineResponse(
+    msgspec.Struct, tag='quarantine_response', frozen=True, kw_only=True
+):
+    """The fingerprints that an entry quarantines or suspects."""
+
+    rows: list[QuarantineRow]
+
+
+class MemberAdd(msgspec.Struct, tag='member_add', frozen=True, kw_only=True):
+    """Asks the leader to add a control member as a learner, then voter."""
+
+    member: ids.MemberId
+    address: str
+    region: ids.RegionName
+
+
+class MemberRemove(
+    msgspec.Struct, tag='member_remove', frozen=True, kw_only=True
+):
+    """Asks the leader to remove a control member."""
+
+    member: ids.MemberId
+
+
+AdminMessage = (
+    Edit
+    | Export
+    | Restore
+    | EditResult
+    | TablesRequest
+    | TablesResponse
+    | StatusRequest
+    | StatusResponse
+    | FleetRequest
+    | FleetResponse
+    | QuarantineRequest
+    | QuarantineResponse
+    | MemberAdd
+    | MemberRemove
+)
--- a/fulmarseam/wire/_codec.py
+++ b/fulmarseam/wire/_codec.py
@@ -3,10 +3,17 @@
 import msgspec
 
 from fulmarseam import errors
+from fulmarseam.wire import _admin
 from fulmarseam.wire import _common
 from fulmarseam.wire import _sync
 
-Message = _common.Ok | _common.Failure | _sync.SyncRequest | _sync.SyncResponse
+Message = (
+    _common.Ok
+    | _common.Failure
+    | _sync.SyncRequest
+    | _sync.SyncResponse
+    | _admin.AdminMessage
+)
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
--- a/fulmarseam/wire/_rows.py
+++ b/fulmarseam/wire/_rows.py
@@ -150,7 +150,10 @@
 ):
     """The two entries that hold the at-most-once records of a region.
 
-    Records of generations below `lost_before` may have been lost.
+    Records of generations below `lost_before` may have been lost. A holder
+    is one incarnation of an entry, since a restarted entry has lost what it
+    held in memory. `backup_ready` is true once the backup is known to hold
+    a full copy; before that it does not count as a survivor.
     """
 
     name: ids.RegionName
@@ -158,6 +161,9 @@
     primary: ids.EntryId
     backup: ids.EntryId | None = None
     lost_before: int = 0
+    primary_incarnation: int = 0
+    backup_incarnation: int = 0
+    backup_ready: bool = False
 
 
 Row = Route | Pool | Link | Block | Drain | Shift | RecordGroup
--- a/fulmarseam/wire/_sync.py
+++ b/fulmarseam/wire/_sync.py
@@ -120,13 +120,21 @@
     bytes_per_s: int
 
 
+class RecordCopy(msgspec.Struct, frozen=True, kw_only=True):
+    """A full copy of the records of a region up to a generation."""
+
+    region: ids.RegionName
+    generation: int
+
+
 class SyncRequest(
     msgspec.Struct, tag='sync_request', frozen=True, kw_only=True
 ):
     """An entry's report to the leader and its request for news.
 
     `ack_term` and `ack_sequence` name the last grants applied. The answer
-    may be held back for `wait_ms` when there is no news.
+    may be held back for `wait_ms` when there is no news. `record_copies`
+    names the record groups of which the entry holds a full copy.
     """
 
     info: EntryInfo
@@ -142,6 +150,7 @@
     announcements: list[TargetReport]
     announcement_ages_ms: list[int]
     wait_ms: int
+    record_copies: list[RecordCopy] = []
 
 
 class SyncResponse(
