Add the replicated tables as a pure state machine

The leader's own steps carry the rows they expect, so they neither raise the version that operators edit against nor undo what a newer leader did. Nothing measured.

--- a/fulmarseam/store/__init__.py
+++ b/fulmarseam/store/__init__.py
@@ -1,1 +1,49 @@
-"""The replicated tables as a pure state machine."""
+"""The replicated tables as a pure state machine.
+
+`Machine` applies the commands of the replicated log. `Tables` holds the
+rows at one revision and is what an entry keeps as well::
+
+    machine = store.Machine()
+    result = wire.decode(machine.apply(store.encode_command(edit)))
+    difference = machine.tables.changes_since(7)
+"""
+
+from fulmarseam.store._commands import Command
+from fulmarseam.store._commands import decode_command
+from fulmarseam.store._commands import encode_command
+from fulmarseam.store._commands import RowStep
+from fulmarseam.store._commands import Step
+from fulmarseam.store._journal import Journal
+from fulmarseam.store._journal import JournalEntry
+from fulmarseam.store._machine import Machine
+from fulmarseam.store._machine import TableVersion
+from fulmarseam.store._results import EditResults
+from fulmarseam.store._rows import DictRows
+from fulmarseam.store._rows import RowTable
+from fulmarseam.store._schema import EDITABLE
+from fulmarseam.store._schema import make_change
+from fulmarseam.store._schema import ROW_TYPES
+from fulmarseam.store._schema import TABLE_NAMES
+from fulmarseam.store._tables import Difference
+from fulmarseam.store._tables import Tables
+
+__all__ = [
+    'EDITABLE',
+    'ROW_TYPES',
+    'TABLE_NAMES',
+    'Command',
+    'Difference',
+    'DictRows',
+    'EditResults',
+    'Journal',
+    'JournalEntry',
+    'Machine',
+    'RowStep',
+    'RowTable',
+    'Step',
+    'TableVersion',
+    'Tables',
+    'decode_command',
+    'encode_command',
+    'make_change',
+]
--- /dev/null
+++ b/fulmarseam/store/_machine.py
@@ -0,0 +1,299 @@
+"""The state machine that the replicated log drives."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+
+import msgspec
+
+from fulmarseam import errors
+from fulmarseam import ids
+from fulmarseam import wire
+from fulmarseam.store import _commands
+from fulmarseam.store import _journal
+from fulmarseam.store import _restoring
+from fulmarseam.store import _results
+from fulmarseam.store import _rows
+from fulmarseam.store import _schema
+from fulmarseam.store import _tables
+from fulmarseam.store import _transitions
+from fulmarseam.store import _validation
+
+MAX_EDIT_ID_LENGTH = 128
+_NO_EDIT = ids.EditId('')
+
+
+class TableVersion(msgspec.Struct, frozen=True):
+    """The revision and edit id of the last edit of a table."""
+
+    revision: int
+    edit_id: ids.EditId
+
+
+class _Snapshot(msgspec.Struct, frozen=True, kw_only=True):
+    """The whole replicated state."""
+
+    revision: int
+    changes: list[wire.Change]
+    versions: list[tuple[wire.TableName, TableVersion]]
+    results: list[_results.StoredResult]
+    journal: list[_journal.JournalEntry]
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(_Snapshot)
+
+
+class Machine:
+    """Applies the commands of the replicated log to the tables.
+
+    Applying is deterministic: members that apply the same commands hold
+    the same state. `notify` is called after each change of the tables.
+    """
+
+    def __init__(
+        self,
+        notify: Callable[[], None] = lambda: None,
+        make_blocks: Callable[[], _rows.RowTable] = _rows.DictRows,
+        results: _results.EditResults | None = None,
+    ) -> None:
+        self.tables = _tables.Tables(make_blocks)
+        self.results = results or _results.EditResults()
+        self._versions: dict[wire.TableName, TableVersion] = {}
+        self._notify = notify
+
+    def version(self, table: wire.TableName) -> int:
+        """Return the version of a table, to base an edit on.
+
+        It is the revision of the last edit of the table; steps of the
+        leader do not change it.
+        """
+        found = self._versions.get(table)
+        return found.revision if found else 0
+
+    def apply(self, command: bytes) -> bytes:
+        """Apply one command and return an encoded `wire.EditResult`.
+
+        A command that cannot be decoded is answered as malformed and
+        changes nothing.
+        """
+        return wire.encode(self._apply(command))
+
+    def _apply(self, data: bytes) -> wire.EditResult:
+        try:
+            command = _commands.decode_command(data)
+        except errors.WireError as error:
+            return self._refuse(
+                _NO_EDIT, errors.ErrorKind.MALFORMED_MESSAGE, [error.detail]
+            )
+        if isinstance(command, _commands.Step):
+            return self._apply_step(command)
+        return self._apply_once(command)
+
+    def _apply_once(self, edit: wire.Edit | wire.Restore) -> wire.EditResult:
+        """Apply an edit, or return its first result if it was applied."""
+        if not 0 < len(edit.edit_id) <= MAX_EDIT_ID_LENGTH:
+            return self._refuse(
+                _NO_EDIT,
+                errors.ErrorKind.INVALID_EDIT,
+                [
+                    f'edit_id: found {len(edit.edit_id)} characters, '
+                    f'expected 1 to {MAX_EDIT_ID_LENGTH}'
+                ],
+            )
+        digest = _commands.digest_content(edit)
+        stored = self.results.find(edit.edit_id)
+        if stored is not None:
+            if stored.digest == digest:
+                return stored.result
+            return self._refuse(
+                edit.edit_id,
+                errors.ErrorKind.EDIT_ID_CONFLICT,
+                [
+                    f'edit_id: found {edit.edit_id} with other content than '
+                    f'its first use, expected a new edit id'
+                ],
+            )
+        if isinstance(edit, wire.Restore):
+            result = self._apply_restore(edit)
+        else:
+            result = self._apply_edit(edit)
+        self.results.add(digest, result)
+        return result
+
+    def _apply_edit(self, edit: wire.Edit) -> wire.EditResult:
+        problems = list(_check_shape(edit))
+        if problems:
+            return self._refuse_edit(edit.edit_id, problems)
+        conflict = self._find_conflict(edit)
+        if conflict is not None:
+            return conflict
+        changes: list[wire.Change] = []
+        for change in edit.changes:
+            current = self.tables.find(change.table, change.key)
+            merged = change
+            if change.row is not None:
+                row = _transitions.merge_edit(current, change.row)
+                merged = wire.Change(change.table, change.key, row)
+            problems.extend(_transitions.check_edit(merged, current))
+            if merged.row != current:
+                changes.append(merged)
+        return self._accept(edit.edit_id, changes, problems)
+
+    def _apply_restore(self, restore: wire.Restore) -> wire.EditResult:
+        shape = wire.Edit(
+            edit_id=restore.edit_id,
+            base=dict.fromkeys(wire.TableName, 0),
+            changes=restore.export.changes,
+        )
+        problems = list(_check_rows(shape))
+        changes = _restoring.plan_restore(self.tables, restore.export)
+        # Entries never go back to a lower revision, so rows restored into
+        # an empty group need a revision above the exported one.
+        floor = max(0, restore.export.revision)
+        return self._accept(restore.edit_id, changes, problems, floor)
+
+    def _find_conflict(self, edit: wire.Edit) -> wire.EditResult | None:
+        for table in wire.TableName:
+            found = self._versions.get(table)
+            if table not in edit.base or edit.base[table] == (
+                found.revision if found else 0
+            ):
+                continue
+            winner = found or TableVersion(0, _NO_EDIT)
+            return wire.EditResult(
+                edit_id=edit.edit_id,
+                revision=winner.revision,
+                kind=errors.ErrorKind.VERSION_CONFLICT.value,
+                winner=winner.edit_id,
+                problems=[
+                    f'{table.value}: found version {winner.revision} by edit '
+                    f'{winner.edit_id or "none"}, expected '
+                    f'{edit.base[table]} on which the edit is based'
+                ],
+            )
+        return None
+
+    def _accept(
+        self,
+        edit_id: ids.EditId,
+        changes: list[wire.Change],
+        problems: list[str],
+        floor: int = 0,
+    ) -> wire.EditResult:
+        """Change the rows if the tables are valid afterwards."""
+        undo = [
+            wire.Change(
+                change.table,
+                change.key,
+                self.tables.find(change.table, change.key),
+            )
+            for change in changes
+        ]
+        self.tables.change_rows(changes)
+        found = _validation.validate(self.tables, changes)
+        problems.extend(line for line in found if line not in problems)
+        self.tables.change_rows(undo)
+        if problems:
+            return self._refuse_edit(edit_id, problems)
+        if changes or floor > self.tables.revision:
+            revision = max(self.tables.revision, floor) + 1
+            self._commit(revision, changes)
+            for table in {change.table for change in changes}:
+                self._versions[table] = TableVersion(revision, edit_id)
+        return wire.EditResult(edit_id=edit_id, revision=self.tables.revision)
+
+    def _commit(self, revision: int, changes: list[wire.Change]) -> None:
+        self.tables.apply_changes(revision, changes, full=False)
+        self._notify()
+
+    def _apply_step(self, step: _commands.Step) -> wire.EditResult:
+        changes = []
+        for item in step.rows:
+            change = _schema.make_change(item.row)
+            current = self.tables.find(change.table, change.key)
+            if current != item.expected or not _transitions.check_step(
+                current, item.row
+            ):
+                return self._refuse(
+                    _NO_EDIT,
+                    errors.ErrorKind.VERSION_CONFLICT,
+                    [
+                        f'{change.table.value}.{change.key}: found another '
+                        f'row than the step expects'
+                    ],
+                )
+            if current != item.row:
+                changes.append(change)
+        return self._accept(_NO_EDIT, changes, [])
+
+    def _refuse_edit(
+        self, edit_id: ids.EditId, problems: list[str]
+    ) -> wire.EditResult:
+        return self._refuse(edit_id, errors.ErrorKind.INVALID_EDIT, problems)
+
+    def _refuse(
+        self, edit_id: ids.EditId, kind: errors.ErrorKind, problems: list[str]
+    ) -> wire.EditResult:
+        return wire.EditResult(
+            edit_id=edit_id,
+            revision=self.tables.revision,
+            kind=kind.value,
+            problems=_results.bound_problems(problems),
+        )
+
+    def snapshot(self) -> bytes:
+        """Return the whole state in a form for `restore`."""
+        return _encoder.encode(
+            _Snapshot(
+                revision=self.tables.revision,
+                changes=self.tables.dump(),
+                versions=sorted(
+                    self._versions.items(), key=lambda item: item[0].value
+                ),
+                results=self.results.dump(),
+                journal=self.tables.journal.entries(),
+            )
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state by a snapshot.
+
+        Raises `errors.DamagedDataError` when it cannot be decoded.
+        """
+        try:
+            found = _decoder.decode(data)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            raise errors.DamagedDataError(
+                f'snapshot of the tables: {error}'
+            ) from error
+        self.tables.load(found.revision, found.changes, found.journal)
+        self._versions = dict(found.versions)
+        self.results.load(found.results)
+        self._notify()
+
+
+def _check_shape(edit: wire.Edit) -> Iterator[str]:
+    """Report changes that no operator's edit may hold."""
+    for table in sorted({change.table.value for change in edit.changes}):
+        name = wire.TableName(table)
+        if name not in _schema.EDITABLE:
+            yield f'{table}: is maintained by the control leader'
+        elif name not in edit.base:
+            yield f'{table}: found no base version, expected one'
+    yield from _check_rows(edit)
+
+
+def _check_rows(edit: wire.Edit) -> Iterator[str]:
+    seen: set[tuple[wire.TableName, str]] = set()
+    for change in edit.changes:
+        name = f'{change.table.value}.{change.key}'
+        if (change.table, change.key) in seen:
+            yield f'{name}: found twice in the edit, expected once'
+        seen.add((change.table, change.key))
+        if change.row is None:
+            continue
+        expected = _schema.ROW_TYPES[change.table]
+        if type(change.row) is not expected:
+            yield f'{name}: found a row of another table'
+        elif change.row.name != change.key:
+            yield f'{name}: found name {change.row.name!r}, expected its key'
--- /dev/null
+++ b/fulmarseam/store/_schema.py
@@ -0,0 +1,22 @@
+"""The row type of each table, and which tables operators may edit."""
+
+from fulmarseam import wire
+
+ROW_TYPES: dict[wire.TableName, type[wire.Row]] = {
+    wire.TableName.ROUTES: wire.Route,
+    wire.TableName.POOLS: wire.Pool,
+    wire.TableName.LINKS: wire.Link,
+    wire.TableName.BLOCKS: wire.Block,
+    wire.TableName.DRAINS: wire.Drain,
+    wire.TableName.SHIFTS: wire.Shift,
+    wire.TableName.RECORD_GROUPS: wire.RecordGroup,
+}
+TABLE_NAMES: dict[type[wire.Row], wire.TableName] = {
+    row_type: table for table, row_type in ROW_TYPES.items()
+}
+EDITABLE = frozenset(ROW_TYPES) - {wire.TableName.RECORD_GROUPS}
+
+
+def make_change(row: wire.Row) -> wire.Change:
+    """Return the change that sets a row."""
+    return wire.Change(TABLE_NAMES[type(row)], row.name, row)
--- /dev/null
+++ b/fulmarseam/store/_tables.py
@@ -0,0 +1,145 @@
+"""The tables with their revision and recent changes."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Sequence
+from typing import cast
+from typing import NamedTuple
+from typing import TypeVar
+
+from fulmarseam import wire
+from fulmarseam.store import _journal
+from fulmarseam.store import _rows
+from fulmarseam.store import _schema
+
+RowT = TypeVar('RowT', bound=wire.Row)
+
+
+class Difference(NamedTuple):
+    """What brings a reader to `revision`.
+
+    With `full` the changes replace all rows of the reader.
+    """
+
+    revision: int
+    full: bool
+    changes: list[wire.Change]
+
+
+class Tables:
+    """All replicated rows at one revision.
+
+    The control members change them through the log. An entry keeps a copy
+    and applies the differences that the leader sends::
+
+        difference = leader_tables.changes_since(entry_tables.revision)
+        entry_tables.apply_changes(
+            difference.revision, difference.changes, difference.full
+        )
+
+    `make_blocks` builds the storage of the blocks table.
+    """
+
+    def __init__(
+        self,
+        make_blocks: Callable[[], _rows.RowTable] = _rows.DictRows,
+        journal: _journal.Journal | None = None,
+    ) -> None:
+        self.revision = 0
+        self.journal = journal or _journal.Journal()
+        self._tables: dict[wire.TableName, _rows.RowTable] = {
+            table: (
+                make_blocks()
+                if table is wire.TableName.BLOCKS
+                else _rows.DictRows()
+            )
+            for table in wire.TableName
+        }
+
+    def table(self, name: wire.TableName) -> _rows.RowTable:
+        """Return the storage of one table."""
+        return self._tables[name]
+
+    def get(self, row_type: type[RowT], key: str) -> RowT | None:
+        """Return the row of a type with a key."""
+        table = self._tables[_schema.TABLE_NAMES[row_type]]
+        return cast('RowT | None', table.get(key))
+
+    def rows(self, row_type: type[RowT]) -> Iterator[RowT]:
+        """Return the rows of a type in the order of their keys."""
+        table = self._tables[_schema.TABLE_NAMES[row_type]]
+        return cast('Iterator[RowT]', table.rows())
+
+    def find(self, table: wire.TableName, key: str) -> wire.Row | None:
+        """Return the row of a table with a key."""
+        return self._tables[table].get(key)
+
+    def dump(
+        self, names: Iterable[wire.TableName] = wire.TableName
+    ) -> list[wire.Change]:
+        """Return changes that set all rows of the named tables."""
+        return [
+            wire.Change(name, row.name, row)
+            for name in names
+            for row in self._tables[name].rows()
+        ]
+
+    def changes_since(self, revision: int) -> Difference:
+        """Return what brings a reader from its revision to the current.
+
+        A reader ahead of these tables gets nothing, so that it never goes
+        back.
+        """
+        if revision > self.revision:
+            return Difference(self.revision, False, [])
+        changes = self.journal.changes_after(revision, self.revision)
+        if changes is None:
+            return Difference(self.revision, True, self.dump())
+        return Difference(self.revision, False, changes)
+
+    def apply_changes(
+        self, revision: int, changes: Sequence[wire.Change], full: bool
+    ) -> bool:
+        """Move to a higher revision; return whether anything was applied.
+
+        Changes for the current or an older revision are ignored.
+        """
+        if revision <= self.revision:
+            return False
+        if full:
+            for table in self._tables.values():
+                table.clear()
+        self.change_rows(changes)
+        if full or revision != self.revision + 1:
+            # The changes of the revisions in between are not known one by
+            # one, so the journal starts anew.
+            self.journal.clear()
+        else:
+            self.journal.append(revision, changes)
+        self.revision = revision
+        return True
+
+    def load(
+        self,
+        revision: int,
+        changes: Iterable[wire.Change],
+        journal: Iterable[_journal.JournalEntry],
+    ) -> None:
+        """Replace rows, revision and journal by those of a snapshot."""
+        for table in self._tables.values():
+            table.clear()
+        self.change_rows(changes)
+        self.revision = revision
+        self.journal.clear()
+        for entry in journal:
+            self.journal.append(entry.revision, entry.changes)
+
+    def change_rows(self, changes: Iterable[wire.Change]) -> None:
+        """Set and remove rows without a new revision."""
+        for change in changes:
+            table = self._tables[change.table]
+            if change.row is None:
+                table.remove(change.key)
+            else:
+                table.put(change.row)
--- a/fulmarseam/wire/_admin.py
+++ b/fulmarseam/wire/_admin.py
@@ -33,9 +33,7 @@
     export: Export
 
 
-class EditResult(
-    msgspec.Struct, tag='edit_result', frozen=True, kw_only=True
-):
+class EditResult(msgspec.Struct, tag='edit_result', frozen=True, kw_only=True):
     """The first result of an edit.
 
     `kind` is nothing when the edit was accepted, else the value of an
