--- a/fulmarseam/store/_checks.py
+++ b/fulmarseam/store/_checks.py
@@ -6,11 +6,11 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
-import ipaddress
 import re
 from typing import Any
 from typing import cast
 
+from fulmarseam import blocks
 from fulmarseam import wire
 from fulmarseam.store import _schema
 
@@ -90,9 +90,11 @@
 def _check_block(row: wire.Block) -> Iterator[str]:
     yield from _names(row, 'region')
     try:
-        network = ipaddress.ip_network(row.name)
+        network = blocks.check_block(row.name)
     except ValueError:
-        yield describe(row, 'name', 'a CIDR block without host bits')
+        yield describe(
+            row, 'name', 'a CIDR block without host bits, IPv6 up to /64'
+        )
         return
     if str(network) != row.name:
         yield describe(row, 'name', f'the CIDR block written as {network}')
--- a/fulmarseam/store/_commands.py
+++ b/fulmarseam/store/_commands.py
@@ -28,7 +28,6 @@
 Command = wire.Edit | wire.Restore | Step
 
 _encoder = msgspec.msgpack.Encoder()
-_content_encoder = msgspec.msgpack.Encoder(order='deterministic')
 _decoder: msgspec.msgpack.Decoder[Command] = msgspec.msgpack.Decoder(Command)
 
 
@@ -50,5 +49,11 @@
 
 def digest_content(command: wire.Edit | wire.Restore) -> bytes:
     """Return a digest of what an edit asks for, to tell resends apart."""
-    content = _content_encoder.encode(command)
+    if isinstance(command, wire.Restore):
+        content = _encoder.encode(command.export)
+    elif command.content:
+        content = command.content.encode('utf-8', 'surrogatepass')
+    else:
+        base = sorted((key.value, item) for key, item in command.base.items())
+        content = _encoder.encode([base, command.changes])
     return hashlib.blake2b(content, digest_size=16).digest()
--- a/fulmarseam/store/_machine.py
+++ b/fulmarseam/store/_machine.py
@@ -8,11 +8,11 @@
 from fulmarseam import errors
 from fulmarseam import ids
 from fulmarseam import wire
+from fulmarseam.store import _checks
 from fulmarseam.store import _commands
 from fulmarseam.store import _journal
 from fulmarseam.store import _restoring
 from fulmarseam.store import _results
-from fulmarseam.store import _rows
 from fulmarseam.store import _schema
 from fulmarseam.store import _tables
 from fulmarseam.store import _transitions
@@ -33,7 +33,7 @@
     """The whole replicated state."""
 
     revision: int
-    changes: list[wire.Change]
+    tables: list[tuple[wire.TableName, bytes]]
     versions: list[tuple[wire.TableName, TableVersion]]
     results: list[_results.StoredResult]
     journal: list[_journal.JournalEntry]
@@ -53,11 +53,10 @@
     def __init__(
         self,
         notify: Callable[[], None] = lambda: None,
-        make_blocks: Callable[[], _rows.RowTable] = _rows.DictRows,
         results: _results.EditResults | None = None,
     ) -> None:
-        self.tables = _tables.Tables(make_blocks)
-        self.results = results or _results.EditResults()
+        self.tables = _tables.Tables()
+        self.results = _results.EditResults() if results is None else results
         self._versions: dict[wire.TableName, TableVersion] = {}
         self._notify = notify
 
@@ -181,6 +180,16 @@
         floor: int = 0,
     ) -> wire.EditResult:
         """Change the rows if the tables are valid afterwards."""
+        blocks = [
+            line
+            for change in changes
+            if isinstance(change.row, wire.Block)
+            for line in _checks.check_row(change.row)
+        ]
+        if blocks:
+            # The block table holds valid blocks only, so the rest of the
+            # edit is not tried.
+            return self._refuse_edit(edit_id, problems + blocks)
         undo = [
             wire.Change(
                 change.table,
@@ -198,10 +207,18 @@
         if changes or floor > self.tables.revision:
             revision = max(self.tables.revision, floor) + 1
             self._commit(revision, changes)
-            for table in {change.table for change in changes}:
-                self._versions[table] = TableVersion(revision, edit_id)
+            self._set_versions(revision, edit_id, changes)
         return wire.EditResult(edit_id=edit_id, revision=self.tables.revision)
 
+    def _set_versions(
+        self, revision: int, edit_id: ids.EditId, changes: list[wire.Change]
+    ) -> None:
+        """Note the edit in the tables changed; steps are no edits."""
+        if edit_id == _NO_EDIT:
+            return
+        for table in {change.table for change in changes}:
+            self._versions[table] = TableVersion(revision, edit_id)
+
     def _commit(self, revision: int, changes: list[wire.Change]) -> None:
         self.tables.apply_changes(revision, changes, full=False)
         self._notify()
@@ -246,7 +263,7 @@
         return _encoder.encode(
             _Snapshot(
                 revision=self.tables.revision,
-                changes=self.tables.dump(),
+                tables=self.tables.dump_tables(),
                 versions=sorted(
                     self._versions.items(), key=lambda item: item[0].value
                 ),
@@ -262,11 +279,13 @@
         """
         try:
             found = _decoder.decode(data)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            self.tables.load_tables(
+                found.revision, found.tables, found.journal
+            )
+        except ValueError as error:
             raise errors.DamagedDataError(
                 f'snapshot of the tables: {error}'
             ) from error
-        self.tables.load(found.revision, found.changes, found.journal)
         self._versions = dict(found.versions)
         self.results.load(found.results)
         self._notify()
--- a/fulmarseam/store/_rows.py
+++ b/fulmarseam/store/_rows.py
@@ -3,8 +3,14 @@
 from collections.abc import Iterator
 from typing import Protocol
 
+import msgspec
+
+from fulmarseam import blocks
 from fulmarseam import wire
 
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(list[wire.Row])
+
 
 class RowTable(Protocol):
     """The rows of one table by key.
@@ -26,7 +32,16 @@
         """Remove all rows."""
 
     def rows(self) -> Iterator[wire.Row]:
-        """Return all rows in the order of their keys."""
+        """Return all rows in an order that depends on the rows only."""
+
+    def dump(self) -> bytes:
+        """Return all rows in a form for `load`."""
+
+    def load(self, data: bytes) -> None:
+        """Replace all rows.
+
+        Raises `ValueError` when the data is damaged.
+        """
 
     def __len__(self) -> int:
         """Return the number of rows."""
@@ -59,5 +74,68 @@
         for key in sorted(self._rows):
             yield self._rows[key]
 
+    def dump(self) -> bytes:
+        """Return all rows in a form for `load`."""
+        return _encoder.encode(list(self.rows()))
+
+    def load(self, data: bytes) -> None:
+        """Replace all rows.
+
+        Raises `ValueError` when the data is damaged.
+        """
+        self._rows = {row.name: row for row in _decoder.decode(data)}
+
     def __len__(self) -> int:
         return len(self._rows)
+
+
+class BlockRows:
+    """Rows of the blocks table in compact arrays."""
+
+    def __init__(self) -> None:
+        self.blocks = blocks.BlockTable()
+
+    def get(self, key: str) -> wire.Row | None:
+        """Return the row with a key."""
+        try:
+            region = self.blocks.get(key)
+        except ValueError:
+            return None
+        return None if region is None else wire.Block(name=key, region=region)
+
+    def put(self, row: wire.Row) -> None:
+        """Set the region of a block.
+
+        Raises `ValueError` when the block is not valid.
+        """
+        if not isinstance(row, wire.Block):
+            raise TypeError(f'found {type(row).__name__}, expected Block')
+        self.blocks.set(row.name, row.region)
+
+    def remove(self, key: str) -> None:
+        """Remove the row with a key, if there is one."""
+        if self.get(key) is not None:
+            self.blocks.remove(key)
+
+    def clear(self) -> None:
+        """Remove all rows."""
+        self.blocks = blocks.BlockTable()
+
+    def rows(self) -> Iterator[wire.Row]:
+        """Return all rows by IP version, prefix length and network."""
+        for name, region in self.blocks.items():
+            yield wire.Block(name=name, region=region)
+
+    def dump(self) -> bytes:
+        """Return all rows in a form for `load`."""
+        return self.blocks.dump()
+
+    def load(self, data: bytes) -> None:
+        """Replace all rows.
+
+        Raises `ValueError` when the data is damaged.
+        """
+        self.blocks.restore(data)
+
+    def __len__(self) -> int:
+        return len(self.blocks)
--- a/fulmarseam/store/_schema.py
+++ b/fulmarseam/store/_schema.py
@@ -1,5 +1,7 @@
 """The row type of each table, and which tables operators may edit."""
 
+from typing import Any
+
 from fulmarseam import wire
 
 ROW_TYPES: dict[wire.TableName, type[wire.Row]] = {
@@ -11,7 +13,7 @@
     wire.TableName.SHIFTS: wire.Shift,
     wire.TableName.RECORD_GROUPS: wire.RecordGroup,
 }
-TABLE_NAMES: dict[type[wire.Row], wire.TableName] = {
+TABLE_NAMES: dict[type[Any], wire.TableName] = {
     row_type: table for table, row_type in ROW_TYPES.items()
 }
 EDITABLE = frozenset(ROW_TYPES) - {wire.TableName.RECORD_GROUPS}
--- a/fulmarseam/store/_tables.py
+++ b/fulmarseam/store/_tables.py
@@ -1,6 +1,5 @@
 """The tables with their revision and recent changes."""
 
-from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Sequence
@@ -8,6 +7,7 @@
 from typing import NamedTuple
 from typing import TypeVar
 
+from fulmarseam import ids
 from fulmarseam import wire
 from fulmarseam.store import _journal
 from fulmarseam.store import _rows
@@ -38,24 +38,24 @@
             difference.revision, difference.changes, difference.full
         )
 
-    `make_blocks` builds the storage of the blocks table.
+    `find_region` looks up addresses in the blocks table.
     """
 
-    def __init__(
-        self,
-        make_blocks: Callable[[], _rows.RowTable] = _rows.DictRows,
-        journal: _journal.Journal | None = None,
-    ) -> None:
+    def __init__(self, journal: _journal.Journal | None = None) -> None:
         self.revision = 0
         self.journal = journal or _journal.Journal()
+        self._blocks = _rows.BlockRows()
         self._tables: dict[wire.TableName, _rows.RowTable] = {
-            table: (
-                make_blocks()
-                if table is wire.TableName.BLOCKS
-                else _rows.DictRows()
-            )
-            for table in wire.TableName
+            table: _rows.DictRows() for table in wire.TableName
         }
+        self._tables[wire.TableName.BLOCKS] = self._blocks
+
+    def find_region(self, address: str) -> ids.RegionName | None:
+        """Return the region of the longest block that holds an address.
+
+        Raises `ValueError` when the address is not valid.
+        """
+        return self._blocks.blocks.find(address)
 
     def table(self, name: wire.TableName) -> _rows.RowTable:
         """Return the storage of one table."""
@@ -120,16 +120,24 @@
         self.revision = revision
         return True
 
-    def load(
+    def dump_tables(self) -> list[tuple[wire.TableName, bytes]]:
+        """Return all rows in a compact form for `load_tables`."""
+        return [(name, table.dump()) for name, table in self._tables.items()]
+
+    def load_tables(
         self,
         revision: int,
-        changes: Iterable[wire.Change],
+        tables: Iterable[tuple[wire.TableName, bytes]],
         journal: Iterable[_journal.JournalEntry],
     ) -> None:
-        """Replace rows, revision and journal by those of a snapshot."""
+        """Replace rows, revision and journal by those of a snapshot.
+
+        Raises `ValueError` when the data is damaged.
+        """
         for table in self._tables.values():
             table.clear()
-        self.change_rows(changes)
+        for name, data in tables:
+            self._tables[name].load(data)
         self.revision = revision
         self.journal.clear()
         for entry in journal:
--- a/fulmarseam/store/_transitions.py
+++ b/fulmarseam/store/_transitions.py
@@ -36,8 +36,8 @@
         wire.ShiftState.HELD,
     }
 )
-_DRAIN_PLAN = ('scope', 'subject', 'start')
-_SHIFT_PLAN = ('pool', 'from_region', 'to_region', 'start')
+_DRAIN_PLAN: tuple[str, ...] = ('scope', 'subject', 'start')
+_SHIFT_PLAN: tuple[str, ...] = ('pool', 'from_region', 'to_region', 'start')
 
 
 def merge_edit(current: wire.Row | None, new: wire.Row) -> wire.Row:
--- a/fulmarseam/wire/_admin.py
+++ b/fulmarseam/wire/_admin.py
@@ -12,11 +12,15 @@
 
     `base` holds, for each table changed, the version of the table that the
     edit was made against. An edit may be sent again under the same id.
+    `content` names what the operator asked for. A resend is known by it,
+    since the changes that lead there depend on the tables at the time;
+    without it the changes themselves must be the same.
     """
 
     edit_id: ids.EditId
     base: dict[_rows.TableName, int]
     changes: list[_rows.Change]
+    content: str = ''
 
 
 class Export(msgspec.Struct, tag='export', frozen=True, kw_only=True):
--- a/tests/test_blocks.py
+++ b/tests/test_blocks.py
@@ -58,7 +58,11 @@
         table = blocks.BlockTable()
         table.set('10.0.0.0/8', 'ost')
         image = table.dump()
-        for damaged in (image[:-1], b'', image.replace(b'\x91\xa3ost', b'\x90')):
+        for damaged in (
+            image[:-1],
+            b'',
+            image.replace(b'\x91\xa3ost', b'\x90'),
+        ):
             with self.subTest(damaged=damaged):
                 with self.assertRaises(ValueError):
                     table.restore(damaged)
