--- /dev/null
+++ b/fulmarseam/steering/_routes.py
@@ -0,0 +1,99 @@
+"""Matching of requests to routes."""
+
+from collections.abc import Iterable
+import dataclasses
+from typing import NamedTuple
+
+from fulmarseam import errors
+from fulmarseam import wire
+
+ANY_HOST = '*'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteIndex:
+    """Routes by host and path prefix, as made by `compile_routes`."""
+
+    hosts: dict[str, dict[str, tuple[wire.Route, ...]]]
+
+
+class RouteMatch(NamedTuple):
+    """The route of a request, or the kind of the refusal.
+
+    `methods` lists the methods that the path allows when the method of the
+    request does not match.
+    """
+
+    route: wire.Route | None
+    kind: errors.ErrorKind | None = None
+    methods: tuple[str, ...] = ()
+
+
+def compile_routes(routes: Iterable[wire.Route]) -> RouteIndex:
+    """Return the index of the routes in force."""
+    hosts: dict[str, dict[str, list[wire.Route]]] = {}
+    for route in routes:
+        prefixes = hosts.setdefault(route.host.lower(), {})
+        prefixes.setdefault(_normalize(route.path_prefix), []).append(route)
+    return RouteIndex(
+        {
+            host: {prefix: tuple(rows) for prefix, rows in prefixes.items()}
+            for host, prefixes in hosts.items()
+        }
+    )
+
+
+def match_route(
+    index: RouteIndex, host: str, path: str, method: str
+) -> RouteMatch:
+    """Return the route with the longest path prefix that takes the method.
+
+    A prefix matches whole path segments: `/a` matches `/a` and `/a/b` but
+    not `/ab`. Routes of the exact host come before those of host `*`. The
+    host is compared without its port and case, the path without its query.
+    A retired route is returned like any other.
+    """
+    name = _strip_port(host).lower()
+    plain_path = path.partition('?')[0]
+    allowed: list[str] = []
+    for prefixes in (index.hosts.get(name), index.hosts.get(ANY_HOST)):
+        if prefixes is None:
+            continue
+        route = _match_path(prefixes, plain_path, method, allowed)
+        if route is not None:
+            return RouteMatch(route)
+    if allowed:
+        return RouteMatch(
+            None,
+            errors.ErrorKind.METHOD_NOT_ALLOWED,
+            tuple(sorted(set(allowed))),
+        )
+    return RouteMatch(None, errors.ErrorKind.NO_ROUTE)
+
+
+def _match_path(
+    prefixes: dict[str, tuple[wire.Route, ...]],
+    path: str,
+    method: str,
+    allowed: list[str],
+) -> wire.Route | None:
+    prefix = _normalize(path)
+    while True:
+        for route in prefixes.get(prefix, ()):
+            if not route.methods or method in route.methods:
+                return route
+            allowed.extend(route.methods)
+        if not prefix:
+            return None
+        prefix = prefix[: prefix.rfind('/')] if '/' in prefix else ''
+
+
+def _normalize(path: str) -> str:
+    """Return the path without trailing slashes; the root is empty."""
+    return path.rstrip('/')
+
+
+def _strip_port(host: str) -> str:
+    if host.startswith('['):
+        return host.partition(']')[0] + ']'
+    return host.partition(':')[0]
--- /dev/null
+++ b/fulmarseam/steering/_slots.py
@@ -0,0 +1,145 @@
+"""An entry's grants and what it has in flight."""
+
+import dataclasses
+
+from fulmarseam import ids
+from fulmarseam import wire
+
+CLOCK_DRIFT = 0.01
+
+
+@dataclasses.dataclass(slots=True)
+class _Held:
+    slots: int = 0
+    connections: int = 0
+    until: float = 0.0
+    in_flight: int = 0
+
+
+class SlotBook:
+    """Slots that an entry holds on targets and their use.
+
+    A grant ends `grant_ttl_ms`, less the clock drift, after the entry sent
+    the request, or with the lease of its target. Requests in flight go on
+    after that; no new one starts. `ack_term` and `ack_sequence` name the
+    grants applied last and belong in the next sync request, together with
+    `uses` taken at the same moment.
+    """
+
+    def __init__(self, drift: float = CLOCK_DRIFT) -> None:
+        self.ack_term = 0
+        self.ack_sequence = 0
+        self._drift = drift
+        self._held: dict[ids.TargetId, _Held] = {}
+
+    def apply(self, sent_at: float, response: wire.SyncResponse) -> bool:
+        """Replace the grants by those of an answer.
+
+        `sent_at` is when the request was sent. Return False and change
+        nothing when the answer is not newer than the last one applied.
+        """
+        order = response.term, response.grant_sequence
+        if order <= (self.ack_term, self.ack_sequence):
+            return False
+        self.ack_term, self.ack_sequence = order
+        granted = {grant.target: grant for grant in response.grants}
+        for target in list(self._held):
+            if target not in granted:
+                self._withdraw(target)
+        ttl_s = response.grant_ttl_ms / 1_000
+        for grant in response.grants:
+            self._renew(sent_at, ttl_s, grant)
+        return True
+
+    def take(self, now: float, target: ids.TargetId) -> bool:
+        """Start a request on the target if a slot is free.
+
+        Every True must be followed by one `release`.
+        """
+        held = self._held.get(target)
+        if (
+            held is None
+            or held.until <= now
+            or held.in_flight >= min(held.slots, held.connections)
+        ):
+            return False
+        held.in_flight += 1
+        return True
+
+    def release(self, target: ids.TargetId) -> None:
+        """End a request that `take` started."""
+        held = self._held[target]
+        held.in_flight -= 1
+        if not held.in_flight and not held.slots and not held.connections:
+            del self._held[target]
+
+    def free(self, now: float, target: ids.TargetId) -> int:
+        """Return the slots that could be taken now."""
+        held = self._held.get(target)
+        if held is None or held.until <= now:
+            return 0
+        return max(0, min(held.slots, held.connections) - held.in_flight)
+
+    def allowance(self, now: float, target: ids.TargetId) -> int:
+        """Return the slots granted and not expired, in use or free."""
+        held = self._held.get(target)
+        return 0 if held is None or held.until <= now else held.slots
+
+    def in_flight(self, target: ids.TargetId) -> int:
+        """Return the number of requests running on the target."""
+        held = self._held.get(target)
+        return 0 if held is None else held.in_flight
+
+    def connection_share(self, now: float, target: ids.TargetId) -> int:
+        """Return how many connections to the target may be open.
+
+        Idle ones above the share must be closed. A request in flight always
+        keeps its connection.
+        """
+        held = self._held.get(target)
+        if held is None:
+            return 0
+        share = 0 if held.until <= now else held.connections
+        return max(share, held.in_flight)
+
+    def total_in_flight(self) -> int:
+        """Return the number of requests running on all targets."""
+        return sum(held.in_flight for held in self._held.values())
+
+    def uses(self, now: float) -> list[wire.SlotUse]:
+        """Return what is held and in flight, for a sync request.
+
+        An expired grant is reported as nothing held: the leader may have
+        given its slots away.
+        """
+        return [
+            wire.SlotUse(
+                target=target,
+                allowance=held.slots if held.until > now else 0,
+                in_flight=held.in_flight,
+                connections=held.connections if held.until > now else 0,
+            )
+            for target, held in self._held.items()
+            if held.in_flight or held.until > now
+        ]
+
+    def _withdraw(self, target: ids.TargetId) -> None:
+        held = self._held[target]
+        if not held.in_flight:
+            del self._held[target]
+            return
+        held.slots = 0
+        held.connections = 0
+        held.until = 0.0
+
+    def _renew(
+        self, sent_at: float, ttl_s: float, grant: wire.SlotGrant
+    ) -> None:
+        held = self._held.setdefault(grant.target, _Held())
+        lease_s = min(ttl_s, grant.lease_ms / 1_000)
+        until = sent_at + lease_s * (1.0 - self._drift)
+        if grant.lease_ms > 0:
+            # Leases only grow, so an older answer cannot have allowed less.
+            held.until = max(held.until, until)
+        held.slots = grant.slots
+        held.connections = grant.connections
--- a/fulmarseam/wire/_sync.py
+++ b/fulmarseam/wire/_sync.py
@@ -78,20 +78,32 @@
     alive: bool
 
 
-class SlotUse(msgspec.Struct, frozen=True, kw_only=True):
-    """What an entry holds on a target and has in flight there."""
+class SlotUse(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """What an entry holds on a target and has in flight there.
+
+    `allowance` and `connections` are what it may use now: zero once its
+    grant has expired. Array form keeps a sync with 44 targets small.
+    """
 
     target: ids.TargetId
     allowance: int
     in_flight: int
+    connections: int = 0
 
 
-class SlotGrant(msgspec.Struct, frozen=True, kw_only=True):
-    """Slots and connections that an entry may use on a target."""
+class SlotGrant(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Slots and connections that an entry may use on a target.
+
+    `lease_ms` is the time left of the target's lease at the moment of the
+    answer; the grant ends with the lease. Zero means that the leader has
+    not heard of the target yet and that the entry must not extend what it
+    holds. Array form keeps a sync with 44 targets small.
+    """
 
     target: ids.TargetId
     slots: int
     connections: int
+    lease_ms: int = 0
 
 
 class PoolDemand(msgspec.Struct, frozen=True, kw_only=True):
