--- /dev/null
+++ b/fulmarseam/control/_admin.py
@@ -0,0 +1,158 @@
+"""Answers to an operator's tool."""
+
+from collections.abc import Callable
+import time
+
+from fulmarseam import consensus
+from fulmarseam import errors
+from fulmarseam import store
+from fulmarseam import wire
+from fulmarseam.control import _leadership
+from fulmarseam.control import _sync
+
+ADMIN_REQUESTS = (
+    wire.Edit,
+    wire.Restore,
+    wire.TablesRequest,
+    wire.StatusRequest,
+    wire.FleetRequest,
+    wire.MemberAdd,
+    wire.MemberRemove,
+)
+
+
+class AdminService:
+    """Answers admin messages; all but status need the leader."""
+
+    def __init__(
+        self,
+        member: consensus.Member,
+        machine: store.Machine,
+        find_leadership: _sync.FindLeadership,
+        report_edit: Callable[[wire.EditResult, float], None],
+    ) -> None:
+        self._member = member
+        self._machine = machine
+        self._find_leadership = find_leadership
+        self._report_edit = report_edit
+
+    async def answer(self, message: wire.Message) -> wire.Message:
+        """Return the answer to one of `ADMIN_REQUESTS`.
+
+        Raises `errors.NotLeaderError`, `errors.ProposalUncertainError` and
+        what the change of members raises.
+        """
+        match message:
+            case wire.Edit() | wire.Restore():
+                return await self._propose(message)
+            case wire.TablesRequest():
+                return await self._show_tables(message)
+            case wire.StatusRequest():
+                return self._show_status()
+            case wire.FleetRequest():
+                return self._show_fleet()
+            case wire.MemberAdd():
+                await self._member.add_member(
+                    message.member, message.address, message.region
+                )
+                return wire.Ok()
+            case wire.MemberRemove():
+                await self._member.remove_member(message.member)
+                return wire.Ok()
+        raise errors.WireError(f'{type(message).__name__}: no admin request')
+
+    async def _propose(self, edit: wire.Edit | wire.Restore) -> wire.Message:
+        started = time.monotonic()
+        data = await self._member.propose(store.encode_command(edit))
+        result = wire.decode(data)
+        if isinstance(result, wire.EditResult):
+            self._report_edit(result, time.monotonic() - started)
+        return result
+
+    async def _show_tables(
+        self, request: wire.TablesRequest
+    ) -> wire.TablesResponse:
+        await self._member.confirm_leadership()
+        if self._member.leadership_age() is None:
+            raise errors.NotLeaderError(self._member.leader())
+        tables = self._machine.tables
+        names = request.tables or list(wire.TableName)
+        return wire.TablesResponse(
+            revision=tables.revision,
+            versions={name: self._machine.version(name) for name in names},
+            changes=tables.dump(names),
+        )
+
+    def _show_status(self) -> wire.StatusResponse:
+        status = self._member.status()
+        age = self._member.leadership_age()
+        return wire.StatusResponse(
+            member=status.member_id,
+            leader=status.leader,
+            term=status.term,
+            revision=self._machine.tables.revision,
+            leadership_age_ms=(
+                None if age is None else _sync.round_up_ms(age)
+            ),
+            members=[
+                wire.MemberRow(
+                    member=info.member,
+                    address=info.address,
+                    region=info.region,
+                    voter=info.voter,
+                    match_index=status.match_indexes.get(info.member),
+                )
+                for info in status.members
+            ],
+            applied_index=status.commit_index,
+            last_index=status.last_index,
+        )
+
+    def _show_fleet(self) -> wire.FleetResponse:
+        leadership = self._find_leadership()
+        if leadership is None or self._member.leadership_age() is None:
+            raise errors.NotLeaderError(self._member.leader())
+        now = time.monotonic()
+        return wire.FleetResponse(
+            revision=self._machine.tables.revision,
+            entries=_list_entries(leadership, now),
+            targets=_list_targets(leadership, now),
+        )
+
+
+def _list_entries(
+    leadership: _leadership.Leadership, now: float
+) -> list[wire.EntryProgress]:
+    found = []
+    for row in leadership.entries.rows():
+        report = leadership.reports[row.info.entry]
+        found.append(
+            wire.EntryProgress(
+                row=row,
+                revision=report.request.revision,
+                silent_ms=int((now - report.heard_at) * _sync.MILLISECONDS),
+                in_flight=report.in_flight,
+            )
+        )
+    return found
+
+
+def _list_targets(
+    leadership: _leadership.Leadership, now: float
+) -> list[wire.TargetProgress]:
+    granted: dict[str, int] = {}
+    in_flight: dict[str, int] = {}
+    for report in leadership.live_reports(now):
+        for use in report.request.uses:
+            target = use.target
+            granted[target] = granted.get(target, 0) + use.allowance
+            in_flight[target] = in_flight.get(target, 0) + use.in_flight
+    rows = leadership.targets.news_since(now, 0).rows
+    return [
+        wire.TargetProgress(
+            row=row,
+            granted=granted.get(row.report.target, 0),
+            in_flight=in_flight.get(row.report.target, 0),
+        )
+        for row in sorted(rows, key=lambda row: row.report.target)
+    ]
--- /dev/null
+++ b/fulmarseam/control/_sync.py
@@ -0,0 +1,154 @@
+"""Answers to the sync requests of entries."""
+
+from collections.abc import Callable
+import time
+
+from fulmarseam import consensus
+from fulmarseam import errors
+from fulmarseam import settings
+from fulmarseam import store
+from fulmarseam import wire
+from fulmarseam.control import _leadership
+from fulmarseam.control import _signal
+
+MILLISECONDS = 1_000
+
+FindLeadership = Callable[[], _leadership.Leadership | None]
+
+
+class SyncService:
+    """Answers sync requests while this member leads.
+
+    `find_leadership` returns the state of the current term, or None when
+    this member does not lead.
+    """
+
+    def __init__(
+        self,
+        options: settings.ControlSettings,
+        member: consensus.Member,
+        tables: store.Tables,
+        find_leadership: FindLeadership,
+        signal: _signal.Signal,
+    ) -> None:
+        self._options = options
+        self._member = member
+        self._tables = tables
+        self._find_leadership = find_leadership
+        self._signal = signal
+
+    async def answer(self, request: wire.SyncRequest) -> wire.SyncResponse:
+        """Return the news for an entry, at once or when there is some.
+
+        Raises `errors.NotLeaderError` when this member does not lead with
+        a valid leadership age, and `errors.FulmarseamError` when a newer
+        incarnation of the entry is known.
+        """
+        leadership, _ = self._require_leadership()
+        now = time.monotonic()
+        known = leadership.entries.version
+        if not leadership.record(now, request):
+            raise errors.FulmarseamError(
+                errors.ErrorKind.VERSION_CONFLICT,
+                f'{request.info.entry}: a newer incarnation is known',
+            )
+        wants_more = _wants_more(request)
+        leadership.allocate_if_due(now, wants_more)
+        if leadership.entries.version != known or request.announcements:
+            self._signal.notify()
+        elif wants_more:
+            # Other entries may hold slots that this one wants.
+            self._signal.notify()
+        await self._wait_for_news(leadership, request, now)
+        return self._make_answer(leadership, request)
+
+    def _require_leadership(self) -> tuple[_leadership.Leadership, float]:
+        leadership = self._find_leadership()
+        age = self._member.leadership_age()
+        if (
+            leadership is None
+            or age is None
+            or leadership.term != self._member.leading_term()
+        ):
+            raise errors.NotLeaderError(self._member.leader())
+        return leadership, age
+
+    async def _wait_for_news(
+        self,
+        leadership: _leadership.Leadership,
+        request: wire.SyncRequest,
+        started: float,
+    ) -> None:
+        hold_ms = min(request.wait_ms, self._options.sync_hold_ms)
+        deadline = started + hold_ms / MILLISECONDS
+        entries_version = leadership.entries.version
+        while True:
+            now = time.monotonic()
+            if (
+                now >= deadline
+                or leadership is not self._find_leadership()
+                or entries_version != leadership.entries.version
+                or self._has_news(leadership, request, now)
+            ):
+                return
+            await self._signal.wait(deadline - now)
+
+    def _has_news(
+        self,
+        leadership: _leadership.Leadership,
+        request: wire.SyncRequest,
+        now: float,
+    ) -> bool:
+        info = request.info
+        return (
+            bool(request.announcements)
+            or request.revision < self._tables.revision
+            or request.targets_term != leadership.term
+            or request.targets_version != leadership.targets.version
+            or leadership.allocator.has_news(now, info.entry, info.incarnation)
+        )
+
+    def _make_answer(
+        self, leadership: _leadership.Leadership, request: wire.SyncRequest
+    ) -> wire.SyncResponse:
+        found, age = self._require_leadership()
+        if found is not leadership:
+            raise errors.NotLeaderError(self._member.leader())
+        now = time.monotonic()
+        leadership.allocate_if_due(now, wants_more=False)
+        info = request.info
+        grants = leadership.allocator.grants_for(
+            now, info.entry, info.incarnation
+        )
+        version = request.targets_version
+        if request.targets_term != leadership.term:
+            version = 0
+        targets = leadership.targets.news_since(now, version)
+        tables = self._tables.changes_since(request.revision)
+        return wire.SyncResponse(
+            term=leadership.term,
+            leadership_age_ms=round_up_ms(age),
+            revision=tables.revision,
+            full=tables.full,
+            changes=tables.changes,
+            targets_version=targets.version,
+            targets_full=targets.full,
+            targets=targets.rows,
+            targets_removed=targets.removed,
+            entries=leadership.entries.rows(),
+            grant_sequence=grants.sequence,
+            grant_ttl_ms=self._options.grant_ttl_ms,
+            grants=grants.slots,
+            links=grants.links,
+        )
+
+
+def round_up_ms(seconds: float) -> int:
+    """Return whole milliseconds that are not less than `seconds`."""
+    return -int(-seconds * MILLISECONDS // 1)
+
+
+def _wants_more(request: wire.SyncRequest) -> bool:
+    wanted = sum(demand.wanted for demand in request.demand)
+    held = sum(use.allowance for use in request.uses)
+    return wanted > held
--- a/fulmarseam/wire/_admin.py
+++ b/fulmarseam/wire/_admin.py
@@ -78,12 +78,17 @@
 
 
 class MemberRow(msgspec.Struct, frozen=True, kw_only=True):
-    """A control member as the answering member knows it."""
+    """A control member as the answering member knows it.
+
+    `match_index` is the last log index known to be on the member; only the
+    leader knows it.
+    """
 
     member: ids.MemberId
     address: str
     region: str = ''
     voter: bool = True
+    match_index: int | None = None
 
 
 class StatusResponse(
