Add the allocator and the choice of target

Grants are charged by (entry, incarnation) with the highest of the report and every unacknowledged issue; a plan by pool places demand and part of the spare slots. SlotBook refuses the first answer of a new term when it applied grants after sending the request, because the new leader renews what the request reported.

--- a/fulmarseam/steering/__init__.py
+++ b/fulmarseam/steering/__init__.py
@@ -16,6 +16,7 @@
 from fulmarseam.steering._choice import PoolView
 from fulmarseam.steering._links import LinkTokens
 from fulmarseam.steering._lookups import order_entries
+from fulmarseam.steering._outcomes import Judgement
 from fulmarseam.steering._outcomes import OutcomeTable
 from fulmarseam.steering._queue import Admission
 from fulmarseam.steering._queue import RequestQueue
@@ -38,6 +39,7 @@
     'AllocatorOptions',
     'Choice',
     'Grants',
+    'Judgement',
     'LinkTokens',
     'OutcomeTable',
     'Place',
--- /dev/null
+++ b/fulmarseam/steering/_demand.py
@@ -0,0 +1,186 @@
+"""The rows that a plan works on, made from reports and tables."""
+
+from collections.abc import Collection
+from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Mapping
+from collections.abc import Sequence
+import math
+
+from fulmarseam import ids
+from fulmarseam import membership
+from fulmarseam import wire
+from fulmarseam.steering import _ledger
+from fulmarseam.steering import _plan
+
+# Idle connections that an entry may keep above its slots on a target, so
+# that a connection closed after a timeout does not cost a slot.
+IDLE_CONNECTIONS = 4
+
+DrainSet = frozenset[tuple[wire.DrainScope, str]]
+
+
+def list_in_force(drains: Iterable[wire.Drain]) -> DrainSet:
+    """Return the scopes and subjects of the drains in force."""
+    return frozenset(
+        (drain.scope, drain.subject)
+        for drain in drains
+        if drain.state in (wire.DrainState.ACTIVE, wire.DrainState.DONE)
+    )
+
+
+def is_entry_drained(holder: _ledger.Holder, drains: DrainSet) -> bool:
+    """Return whether an entry gets no more than it uses."""
+    info = holder.info
+    return (
+        holder.draining
+        or (wire.DrainScope.ENTRY, info.entry) in drains
+        or (wire.DrainScope.DOMAIN, info.failure_domain) in drains
+        or (wire.DrainScope.REGION, info.region) in drains
+    )
+
+
+def is_usable(now: float, target: membership.Target, drains: DrainSet) -> bool:
+    """Return whether a target may get new work."""
+    report = target.report
+    return (
+        report.state is wire.TargetState.READY
+        and target.lease_until > now
+        and (wire.DrainScope.TARGET, report.target) not in drains
+        and (wire.DrainScope.DOMAIN, report.failure_domain) not in drains
+        and (wire.DrainScope.REGION, report.region) not in drains
+    )
+
+
+def usable_slots(pool: wire.Pool, slots: int, ready_for_s: float) -> int:
+    """Return the slots of a target that is ready for some seconds.
+
+    A cold target starts with `cold_factor` of its slots, at least one, and
+    grows evenly to all of them over `slow_start_s`.
+    """
+    if ready_for_s >= pool.slow_start_s or slots <= 1:
+        return slots
+    warm = max(0.0, ready_for_s) / pool.slow_start_s
+    share = pool.cold_factor + (1.0 - pool.cold_factor) * warm
+    return min(slots, max(1, int(slots * share)))
+
+
+def wanted_connections(report: wire.TargetReport, slots: int) -> int:
+    """Return the connections that go with some slots of a target.
+
+    Every slot has the same part of the connections, so an entry cannot
+    take those that the slots of another need.
+    """
+    if slots <= 0:
+        return 0
+    each = report.connections // max(1, report.slots)
+    return max(slots, min(slots * each, slots + IDLE_CONNECTIONS))
+
+
+def make_seat(
+    now: float, pool: wire.Pool, target: membership.Target
+) -> _plan.Seat:
+    """Return the row of a target that is usable."""
+    report = target.report
+    ready_for_s = 0.0
+    if target.ready_since is not None:
+        ready_for_s = now - target.ready_since
+    slots = min(report.slots, report.connections)
+    return _plan.Seat(
+        report.target,
+        report.region,
+        report.failure_domain,
+        usable_slots(pool, slots, ready_for_s),
+    )
+
+
+def make_claimant(
+    holder: _ledger.Holder,
+    pool: wire.Pool,
+    members: Collection[ids.TargetId],
+    draining: bool,
+    shifts: Sequence[wire.Shift],
+) -> _plan.Claimant:
+    """Return the row of an entry for one pool.
+
+    `members` are the usable targets of the pool.
+    """
+    info = holder.info
+    held: dict[ids.TargetId, int] = {}
+    busy: dict[ids.TargetId, int] = {}
+    for target, use in holder.uses.items():
+        if target not in members:
+            continue
+        if use.in_flight:
+            busy[target] = use.in_flight
+        if holder.issued is None:
+            held[target] = use.allowance
+    if holder.issued is not None:
+        for target, amount in holder.issued.amounts.items():
+            if target in members:
+                held[target] = amount.slots
+    return _plan.Claimant(
+        key=(info.entry, info.incarnation),
+        region=info.region,
+        domain=info.failure_domain,
+        wanted=max(
+            math.ceil(holder.wanted.get(pool.name, 0.0)), sum(busy.values())
+        ),
+        draining=draining,
+        held=held,
+        busy=busy,
+        moves=_list_moves(info, pool, shifts),
+    )
+
+
+def split_pool(
+    pool: wire.Pool,
+    claimants: Sequence[_plan.Claimant],
+    seats: Sequence[_plan.Seat],
+) -> Iterator[tuple[list[_plan.Claimant], list[_plan.Seat]]]:
+    """Yield the parts of a pool that are planned apart.
+
+    Only a pool that is `local_only` has more than one, one for a region.
+    """
+    if not pool.local_only:
+        yield list(claimants), list(seats)
+        return
+    for region in sorted({claimant.region for claimant in claimants}):
+        yield (
+            [row for row in claimants if row.region == region],
+            [seat for seat in seats if seat.region == region],
+        )
+
+
+def plan_links(
+    holders: Iterable[_ledger.Holder], links: Mapping[str, int]
+) -> None:
+    """Plan the bytes/s of every link for the entries at its ends.
+
+    Demand is met max-min fair; what is left over is shared evenly.
+    """
+    rows = list(holders)
+    for holder in rows:
+        holder.links_planned = {}
+    for name, total in links.items():
+        ends = name.split('>')
+        users = [row for row in rows if row.info.region in ends]
+        if not users:
+            continue
+        wanted = [row.links_wanted.get(name, 0) for row in users]
+        shares = _plan.share_fairly(wanted, wanted, total)
+        spare = (total - sum(shares)) // len(users)
+        for row, share in zip(users, shares, strict=True):
+            row.links_planned[name] = share + spare
+
+
+def _list_moves(
+    info: wire.EntryInfo, pool: wire.Pool, shifts: Sequence[wire.Shift]
+) -> tuple[tuple[ids.RegionName, float], ...]:
+    return tuple(
+        (shift.to_region, shift.percent / 100.0)
+        for shift in shifts
+        if shift.pool == pool.name
+        and shift.from_region == info.region
+        and shift.state in (wire.ShiftState.ACTIVE, wire.ShiftState.HELD)
+    )
--- a/fulmarseam/steering/_links.py
+++ b/fulmarseam/steering/_links.py
@@ -39,7 +39,8 @@
     ) -> bool:
         """Replace the rates by those of an answer.
 
-        Return False and change nothing when the answer is not newer than
+        Call it only for answers that `SlotBook.apply` has accepted. Return
+        False and change nothing when the answer is not newer than
         the last one applied.
         """
         order = response.term, response.grant_sequence
--- a/fulmarseam/steering/_outcomes.py
+++ b/fulmarseam/steering/_outcomes.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 import dataclasses
 import math
+from typing import NamedTuple
 
 from fulmarseam import ids
 
@@ -22,16 +23,29 @@
     """Recent outcomes on a target.
 
     `latency_s` and `failure` are exponentially weighted; `weight` is the
-    number of recent outcomes, halved each half-life.
+    number of recent outcomes, halved each half-life. `seen_at` is the time
+    of the last outcome and `decayed_at` that of the last decay.
     """
 
     latency_s: float = 0.0
     failure: float = 0.0
     weight: float = 0.0
     seen_at: float = 0.0
+    decayed_at: float = 0.0
     ejected_until: float = 0.0
 
 
+class Judgement(NamedTuple):
+    """What own outcomes say about the targets of a pool.
+
+    With `is_suspect`, so many targets look bad that the fault is more
+    likely in the measurement or the path; load is then spread evenly.
+    """
+
+    ejected: frozenset[ids.TargetId]
+    is_suspect: bool
+
+
 class OutcomeTable:
     """Exponentially weighted latency and failures of targets."""
 
@@ -65,23 +79,20 @@
         """Drop what was seen, after the target left or restarted."""
         self._outcomes.pop(target, None)
 
-    def find_ejected(
-        self, now: float, targets: Sequence[ids.TargetId]
-    ) -> frozenset[ids.TargetId]:
-        """Return the targets of a pool to leave out for a while.
+    def judge(self, now: float, targets: Sequence[ids.TargetId]) -> Judgement:
+        """Return which targets of a pool to leave out for a while.
 
         At most a third of the pool is left out, the worst first. When more
-        than half look bad, the fault is more likely in the measurement or
-        in the path, and nothing is left out.
+        than half look bad, nothing is.
         """
         bad = [target for target in targets if self._is_bad(now, target)]
         if 2 * len(bad) > len(targets):
-            return frozenset()
+            return Judgement(frozenset(), True)
         limit = math.floor(len(targets) * MAX_EJECTED_SHARE)
         bad.sort(
             key=lambda target: self._outcomes[target].failure, reverse=True
         )
-        return frozenset(bad[:limit])
+        return Judgement(frozenset(bad[:limit]), False)
 
     def _is_bad(self, now: float, target: ids.TargetId) -> bool:
         seen = self._outcomes.get(target)
@@ -102,17 +113,18 @@
     def _advance(self, now: float, target: ids.TargetId) -> Outcomes:
         seen = self._outcomes.get(target)
         if seen is None:
-            seen = self._outcomes[target] = Outcomes(seen_at=now)
+            seen = self._outcomes[target] = Outcomes(decayed_at=now)
         _decay(now, seen)
         seen.weight += 1.0
+        seen.seen_at = now
         return seen
 
 
 def _decay(now: float, seen: Outcomes) -> None:
-    elapsed = now - seen.seen_at
+    elapsed = now - seen.decayed_at
     if elapsed <= 0.0:
         return
     factor = 0.5 ** (elapsed / HALF_LIFE_S)
     seen.weight *= factor
     seen.failure *= factor
-    seen.seen_at = now
+    seen.decayed_at = now
--- /dev/null
+++ b/fulmarseam/steering/_plan.py
@@ -0,0 +1,261 @@
+"""The plan of slots of one pool over entries.
+
+Entities are `Claimant` rows (entries) and `Seat` rows (targets). The plan
+says who should have what; the ledger decides what may be given now.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
+import math
+
+from fulmarseam import ids
+from fulmarseam.steering import _ledger
+
+# Share of the slots that nobody asks for which is handed out at once. The
+# rest stays with the leader for entries whose demand grows.
+SPARE_SHARE = 0.75
+# An entry keeps this many slots more than its part of the spare ones, so
+# that small changes of demand move nothing.
+SPARE_SLACK = 1
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Seat:
+    """A target; `room` is what the plan has not given away."""
+
+    target: ids.TargetId
+    region: ids.RegionName
+    domain: ids.DomainName
+    room: int
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Claimant:
+    """An entry that claims slots of the pool.
+
+    `busy` counts its requests in flight and `held` the slots it may use.
+    `quota` is its part of the demand and `placed` what the plan gives it.
+    `moves` is the region that a shift sends part of its requests to.
+    """
+
+    key: _ledger.HolderKey
+    region: ids.RegionName
+    domain: ids.DomainName
+    wanted: int
+    draining: bool
+    held: Mapping[ids.TargetId, int]
+    busy: Mapping[ids.TargetId, int]
+    moves: tuple[tuple[ids.RegionName, float], ...] = ()
+    quota: int = 0
+    placed: int = 0
+    plan: dict[ids.TargetId, int] = dataclasses.field(default_factory=dict)
+
+
+LinkCheck = Callable[[ids.RegionName, ids.RegionName], bool]
+
+
+def plan_pool(
+    claimants: Sequence[Claimant],
+    seats: Sequence[Seat],
+    has_link: LinkCheck,
+) -> None:
+    """Fill the plans of the claimants.
+
+    Slots in use stay where they are, then demand is placed in the own
+    failure domain, the own region and other regions. Part of what is left
+    over goes to the entries of the region.
+    """
+    _set_quotas(claimants, sum(seat.room for seat in seats))
+    by_region = _group_by_region(seats)
+    _keep_busy(claimants, {seat.target: seat for seat in seats})
+    _place_moves(claimants, by_region)
+    _place_near(claimants, by_region, {c.key: c.quota for c in claimants})
+    _place_far(claimants, by_region, has_link)
+    _place_spare(claimants, by_region)
+
+
+def share_fairly(
+    wanted: Sequence[int], held: Sequence[int], total: int
+) -> list[int]:
+    """Return max-min fair whole shares of `total`.
+
+    What cannot be divided goes to those that hold most, to move nothing.
+    """
+    shares = [0] * len(wanted)
+    order = sorted(range(len(wanted)), key=wanted.__getitem__)
+    left = total
+    for position, index in enumerate(order):
+        share = min(wanted[index], left // (len(order) - position))
+        shares[index] = share
+        left -= share
+    unmet = [index for index in order if shares[index] < wanted[index]]
+    unmet.sort(key=lambda index: held[index] - shares[index], reverse=True)
+    for index in unmet[:left]:
+        shares[index] += 1
+    return shares
+
+
+def _set_quotas(claimants: Sequence[Claimant], total: int) -> None:
+    shares = share_fairly(
+        [claimant.wanted for claimant in claimants],
+        [sum(claimant.held.values()) for claimant in claimants],
+        total,
+    )
+    for claimant, share in zip(claimants, shares, strict=True):
+        claimant.quota = share
+
+
+def _group_by_region(
+    seats: Iterable[Seat],
+) -> dict[ids.RegionName, list[Seat]]:
+    grouped: dict[ids.RegionName, list[Seat]] = {}
+    for seat in seats:
+        grouped.setdefault(seat.region, []).append(seat)
+    return grouped
+
+
+def _keep_busy(
+    claimants: Sequence[Claimant], seats: Mapping[ids.TargetId, Seat]
+) -> None:
+    for claimant in claimants:
+        for target, count in claimant.busy.items():
+            seat = seats.get(target)
+            if seat is not None:
+                kept = min(count, claimant.held.get(target, 0))
+                _place(claimant, seat, min(kept, _need(claimant)))
+
+
+def _place_moves(
+    claimants: Sequence[Claimant],
+    by_region: Mapping[ids.RegionName, list[Seat]],
+) -> None:
+    """Place the part of the demand that shifts send elsewhere."""
+    for claimant in claimants:
+        for region, share in claimant.moves:
+            seats = by_region.get(region, [])
+            there = sum(claimant.plan.get(seat.target, 0) for seat in seats)
+            wanted = math.ceil(share * claimant.quota) - there
+            limit = claimant.placed + min(wanted, _need(claimant))
+            _keep(claimant, seats, limit)
+            _spread(claimant, seats, limit)
+
+
+def _place_near(
+    claimants: Sequence[Claimant],
+    by_region: Mapping[ids.RegionName, list[Seat]],
+    limits: Mapping[_ledger.HolderKey, int],
+) -> None:
+    """Place in the own failure domain, then in the own region."""
+    domains = {
+        claimant.key: [
+            seat
+            for seat in by_region.get(claimant.region, ())
+            if seat.domain == claimant.domain
+        ]
+        for claimant in claimants
+    }
+    regions = {
+        claimant.key: by_region.get(claimant.region, [])
+        for claimant in claimants
+    }
+    for seats in (domains, regions):
+        for place in (_keep, _spread):
+            for claimant in claimants:
+                limit = limits[claimant.key]
+                if claimant.placed < limit:
+                    place(claimant, seats[claimant.key], limit)
+
+
+def _place_far(
+    claimants: Sequence[Claimant],
+    by_region: Mapping[ids.RegionName, list[Seat]],
+    has_link: LinkCheck,
+) -> None:
+    """Place the demand that the own region has no room for."""
+    for place in (_keep, _spread):
+        for claimant in claimants:
+            if not _need(claimant):
+                continue
+            seats = [
+                seat
+                for region, group in by_region.items()
+                if region != claimant.region
+                and has_link(claimant.region, region)
+                for seat in group
+            ]
+            place(claimant, seats, claimant.quota)
+
+
+def _place_spare(
+    claimants: Sequence[Claimant],
+    by_region: Mapping[ids.RegionName, list[Seat]],
+) -> None:
+    """Hand out part of the slots that nobody asks for."""
+    for region, seats in by_region.items():
+        near = [
+            claimant
+            for claimant in claimants
+            if claimant.region == region and not claimant.draining
+        ]
+        spare = int(SPARE_SHARE * sum(seat.room for seat in seats))
+        if not near or not spare:
+            continue
+        parts = _divide(spare, [claimant.quota + 1 for claimant in near])
+        limits = {
+            claimant.key: claimant.placed + part
+            for claimant, part in zip(near, parts, strict=True)
+        }
+        for claimant in near:
+            _keep(claimant, seats, limits[claimant.key] + SPARE_SLACK)
+        _place_near(near, {region: seats}, limits)
+
+
+def _divide(total: int, weights: Sequence[int]) -> list[int]:
+    """Return whole parts of `total` in proportion to the weights."""
+    whole = sum(weights)
+    parts = [total * weight // whole for weight in weights]
+    rests = [total * weight % whole for weight in weights]
+    order = sorted(range(len(weights)), key=rests.__getitem__, reverse=True)
+    for index in order[: total - sum(parts)]:
+        parts[index] += 1
+    return parts
+
+
+def _need(claimant: Claimant) -> int:
+    return claimant.quota - claimant.placed
+
+
+def _place(claimant: Claimant, seat: Seat, count: int) -> None:
+    count = min(count, seat.room)
+    if count <= 0:
+        return
+    seat.room -= count
+    claimant.placed += count
+    planned = claimant.plan.get(seat.target, 0)
+    claimant.plan[seat.target] = planned + count
+
+
+def _keep(claimant: Claimant, seats: Sequence[Seat], limit: int) -> None:
+    """Place where the claimant holds slots already."""
+    held = claimant.held
+    for seat in seats:
+        need = limit - claimant.placed
+        if need <= 0:
+            return
+        if seat.target in held:
+            kept = held[seat.target] - claimant.plan.get(seat.target, 0)
+            _place(claimant, seat, min(kept, need))
+
+
+def _spread(claimant: Claimant, seats: Sequence[Seat], limit: int) -> None:
+    """Place one slot a turn on the targets with most room."""
+    while claimant.placed < limit:
+        open_seats = [seat for seat in seats if seat.room > 0]
+        if not open_seats:
+            return
+        open_seats.sort(key=lambda seat: seat.room, reverse=True)
+        for seat in open_seats[: limit - claimant.placed]:
+            _place(claimant, seat, 1)
--- a/fulmarseam/steering/_slots.py
+++ b/fulmarseam/steering/_slots.py
@@ -1,6 +1,7 @@
 """An entry's grants and what it has in flight."""
 
 import dataclasses
+import math
 
 from fulmarseam import ids
 from fulmarseam import wire
@@ -30,18 +31,27 @@
         self.ack_term = 0
         self.ack_sequence = 0
         self._drift = drift
+        self._applied_at = -math.inf
         self._held: dict[ids.TargetId, _Held] = {}
 
-    def apply(self, sent_at: float, response: wire.SyncResponse) -> bool:
+    def apply(
+        self, now: float, sent_at: float, response: wire.SyncResponse
+    ) -> bool:
         """Replace the grants by those of an answer.
 
         `sent_at` is when the request was sent. Return False and change
-        nothing when the answer is not newer than the last one applied.
+        nothing when the answer is not newer than the last one applied. The
+        first answer of a new term is refused, too, when grants were applied
+        after its request was sent: a new leader renews what the request
+        reported, and that may have been withdrawn since.
         """
         order = response.term, response.grant_sequence
         if order <= (self.ack_term, self.ack_sequence):
             return False
+        if response.term != self.ack_term and sent_at < self._applied_at:
+            return False
         self.ack_term, self.ack_sequence = order
+        self._applied_at = now
         granted = {grant.target: grant for grant in response.grants}
         for target in list(self._held):
             if target not in granted:
@@ -85,6 +95,15 @@
         held = self._held.get(target)
         return 0 if held is None or held.until <= now else held.slots
 
+    def use_of(self, now: float, target: ids.TargetId) -> tuple[int, int]:
+        """Return the usable slots, taken ones included, and those taken."""
+        held = self._held.get(target)
+        if held is None:
+            return 0, 0
+        if held.until <= now:
+            return 0, held.in_flight
+        return min(held.slots, held.connections), held.in_flight
+
     def in_flight(self, target: ids.TargetId) -> int:
         """Return the number of requests running on the target."""
         held = self._held.get(target)
