--- a/fulmarseam/control/_leadership.py
+++ b/fulmarseam/control/_leadership.py
@@ -15,6 +15,7 @@
 from fulmarseam import wire
 
 MILLISECONDS = 1_000
+ENTRY_LEASE_S = 3.0
 # Entries at this number of demands per second would otherwise each start an
 # allocation over all targets.
 MIN_ALLOCATION_INTERVAL_S = 0.01
@@ -59,7 +60,7 @@
         self.targets = membership.TargetTable(
             options.target_lease_ms / MILLISECONDS
         )
-        self.entries = membership.EntryTable(now)
+        self.entries = membership.EntryTable(now, ENTRY_LEASE_S)
         self.allocator = steering.Allocator(
             now,
             term,
@@ -138,4 +139,4 @@
 
     def is_settled(self, now: float) -> bool:
         """Return whether every live entry has had time to report."""
-        return now - self.started > 2 * membership.ENTRY_LEASE_S
+        return now - self.started > 2 * ENTRY_LEASE_S
