--- a/fulmarseam/settings/__init__.py
+++ b/fulmarseam/settings/__init__.py
@@ -8,6 +8,7 @@
 
 from fulmarseam.settings._control import ControlSettings
 from fulmarseam.settings._control import MemberAddress
+from fulmarseam.settings._ctl import CtlSettings
 from fulmarseam.settings._entry import EntrySettings
 from fulmarseam.settings._loading import load_settings
 from fulmarseam.settings._loading import read_settings
@@ -29,6 +30,7 @@
 __all__ = [
     'Check',
     'ControlSettings',
+    'CtlSettings',
     'EntrySettings',
     'InvalidValueError',
     'MemberAddress',
