--- a/fulmarseam/control/_groups.py
+++ b/fulmarseam/control/_groups.py
@@ -134,8 +134,10 @@
         return _promote(row, live)
     primary = _find(live, row.primary)
     if primary is None:
-        # A primary that drains hands over to a backup that is ready.
-        if not backup_lost and row.backup_ready and _find(live, row.backup):
+        known = leadership.entries.get(row.primary)
+        is_draining = known is not None and known.alive
+        can_take_over = row.backup_ready and _find(live, row.backup)
+        if is_draining and not backup_lost and can_take_over:
             return _promote(row, live)
         return row
     wanted = _choose_backup(row.name, primary, live)
@@ -257,10 +259,7 @@
             backup_incarnation=0,
             backup_ready=False,
         )
-    others = [holder for holder in live if holder.entry != row.primary]
-    return _set_holders(
-        newer, backup, _choose_backup(row.name, backup, others)
-    )
+    return _set_holders(newer, backup, _choose_backup(row.name, backup, live))
 
 
 def _restart(row: wire.RecordGroup, live: list[Holder]) -> wire.RecordGroup:
