--- a/fulmarseam/http/__init__.py
+++ b/fulmarseam/http/__init__.py
@@ -1,1 +1,65 @@
-"""Streaming HTTP/1.1 server and client."""
+"""Streaming HTTP/1.1 server and client over h11.
+
+A server calls its handler once for each request::
+
+    async def handle(request, caller):
+        caller.answer(200, [], b'hello')
+
+    async with http.Server('127.0.0.1:8000', handle, answer_error):
+        ...
+
+A client takes a connection from the pool of its target. Requests and
+responses are polled, and one `Signal` wakes the task for either side, so
+that a proxied request needs one task::
+
+    pool = pools.get('127.0.0.1:9000', limit=8)
+    connection = pool.take_idle(signal) or await pool.open(signal)
+    try:
+        connection.send_head(b'GET', b'/', [(b'host', b'example')])
+        connection.end_request()
+        ...
+    finally:
+        pool.release(connection)
+"""
+
+from fulmarseam.http._caller import CallerConnection
+from fulmarseam.http._caller import Request
+from fulmarseam.http._failures import CallerGoneError
+from fulmarseam.http._failures import Progress
+from fulmarseam.http._failures import Reason
+from fulmarseam.http._failures import TargetError
+from fulmarseam.http._framing import drop_hop_by_hop
+from fulmarseam.http._framing import find_header
+from fulmarseam.http._framing import Headers
+from fulmarseam.http._limits import BUFFER_BYTES
+from fulmarseam.http._limits import Limits
+from fulmarseam.http._pool import TargetPool
+from fulmarseam.http._pool import TargetPools
+from fulmarseam.http._server import OwnAnswer
+from fulmarseam.http._server import Server
+from fulmarseam.http._server import split_address
+from fulmarseam.http._signal import Signal
+from fulmarseam.http._target import Response
+from fulmarseam.http._target import TargetConnection
+
+__all__ = [
+    'BUFFER_BYTES',
+    'CallerConnection',
+    'CallerGoneError',
+    'Headers',
+    'Limits',
+    'OwnAnswer',
+    'Progress',
+    'Reason',
+    'Request',
+    'Response',
+    'Server',
+    'Signal',
+    'TargetConnection',
+    'TargetError',
+    'TargetPool',
+    'TargetPools',
+    'drop_hop_by_hop',
+    'find_header',
+    'split_address',
+]
--- /dev/null
+++ b/fulmarseam/http/_server.py
@@ -0,0 +1,249 @@
+"""An HTTP/1.1 server."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import NamedTuple
+from typing import Self
+
+import logbook
+
+from fulmarseam import errors
+from fulmarseam.http import _caller
+from fulmarseam.http import _failures
+from fulmarseam.http import _limits
+
+Handler = Callable[
+    [_caller.Request, _caller.CallerConnection], Awaitable[None]
+]
+
+LISTEN_BACKLOG = 1_024
+# Shortest and longest time between two looks for expired connections.
+SWEEP_MIN_S = 0.01
+SWEEP_MAX_S = 1.0
+# A caller that still sends while it is refused gets this long to read the
+# answer; an earlier close would reset the connection and drop the answer.
+LINGER_S = 1.0
+LINGER_BYTES = 1024 * 1024
+
+_log = logbook.Logger('http')
+
+
+class OwnAnswer(NamedTuple):
+    """An answer made by the server itself."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
+AnswerError = Callable[[errors.FulmarseamError], OwnAnswer]
+
+
+class Server:
+    """Serves callers on one address until the context ends.
+
+    `handler` runs once for each request, in the connection's task. A
+    `FulmarseamError` from it, or for a request that is refused, is
+    answered by what `answer_error` returns.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        handler: Handler,
+        answer_error: AnswerError,
+        limits: _limits.Limits | None = None,
+    ) -> None:
+        self._address = address
+        self._handler = handler
+        self._answer_error = answer_error
+        self._limits = limits or _limits.Limits()
+        self._listener: asyncio.Server | None = None
+        self._sweeper: asyncio.Task[None] | None = None
+        self._tasks: dict[asyncio.Task[None], _caller.CallerConnection] = {}
+        self._busy = 0
+        self._draining = False
+
+    @property
+    def busy(self) -> int:
+        """Return the number of requests being handled."""
+        return self._busy
+
+    @property
+    def connections(self) -> int:
+        """Return the number of open connections."""
+        return len(self._tasks)
+
+    async def __aenter__(self) -> Self:
+        """Listen on the address.
+
+        Raises `errors.FulmarseamError` when the address cannot be used.
+        """
+        host, port = split_address(self._address)
+        loop = asyncio.get_running_loop()
+        try:
+            self._listener = await loop.create_server(
+                self._accept, host, port, backlog=LISTEN_BACKLOG
+            )
+        except OSError as error:
+            raise errors.FulmarseamError(
+                errors.ErrorKind.UNAVAILABLE,
+                f'cannot listen on {self._address}: {error.strerror}',
+            ) from error
+        self._sweeper = asyncio.create_task(self._sweep())
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        self.close_listener()
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def close_listener(self) -> None:
+        """Accept no new connections."""
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+
+    def start_draining(self) -> None:
+        """Close each connection after the answer in progress.
+
+        Idle connections are closed at once.
+        """
+        self._draining = True
+        for connection in self._tasks.values():
+            connection.closing = True
+            if connection.is_idle():
+                connection.expire()
+
+    async def wait_until_idle(self, poll_s: float = 0.01) -> None:
+        """Return when no connection is left."""
+        while self._tasks:
+            await asyncio.sleep(poll_s)
+
+    def _accept(self) -> _caller.CallerConnection:
+        connection = _caller.CallerConnection(self._limits)
+        connection.closing = self._draining
+        connection.on_made = self._start
+        return connection
+
+    def _start(self, connection: _caller.CallerConnection) -> None:
+        if len(self._tasks) >= self._limits.max_connections:
+            _log.warning(
+                'event=connection_refused limit={}',
+                self._limits.max_connections,
+            )
+            connection.abort()
+            return
+        task = asyncio.create_task(self._serve(connection))
+        self._tasks[task] = connection
+        task.add_done_callback(self._forget)
+
+    def _forget(self, task: asyncio.Task[None]) -> None:
+        self._tasks.pop(task, None)
+        if not task.cancelled() and task.exception() is not None:
+            _log.error('event=connection_failed error={!r}', task.exception())
+
+    async def _serve(self, connection: _caller.CallerConnection) -> None:
+        try:
+            try:
+                await self._serve_requests(connection)
+            except errors.FulmarseamError as error:
+                self._refuse(connection, error)
+            if connection.response_done and not connection.ended:
+                await linger(connection)
+        except _failures.CallerGoneError:
+            connection.abort()
+        finally:
+            if connection.response_started and not connection.response_done:
+                connection.abort()
+            connection.close()
+
+    async def _serve_requests(
+        self, connection: _caller.CallerConnection
+    ) -> None:
+        while True:
+            request = await connection.read_request()
+            if request is None:
+                return
+            await self._handle(request, connection)
+            if not connection.finish_cycle():
+                return
+
+    async def _handle(
+        self, request: _caller.Request, connection: _caller.CallerConnection
+    ) -> None:
+        self._busy += 1
+        try:
+            await self._handler(request, connection)
+        except errors.FulmarseamError as error:
+            if connection.response_started:
+                raise
+            answer = self._answer_error(error)
+            connection.answer(*answer)
+        except (_failures.CallerGoneError, asyncio.CancelledError):
+            raise
+        except Exception:
+            _log.exception('event=handler_failed')
+            raise errors.FulmarseamError(errors.ErrorKind.INTERNAL) from None
+        finally:
+            self._busy -= 1
+
+    def _refuse(
+        self,
+        connection: _caller.CallerConnection,
+        error: errors.FulmarseamError,
+    ) -> None:
+        if connection.ended:
+            return
+        if connection.response_started and not connection.response_done:
+            connection.abort()
+            return
+        connection.refuse(*self._answer_error(error))
+
+    async def _sweep(self) -> None:
+        shortest = min(
+            self._limits.header_timeout_s, self._limits.idle_timeout_s
+        )
+        interval = min(max(shortest / 4, SWEEP_MIN_S), SWEEP_MAX_S)
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(interval)
+            now = loop.time()
+            for connection in list(self._tasks.values()):
+                if connection.expires_at <= now:
+                    connection.expire()
+
+
+async def linger(connection: _caller.CallerConnection) -> None:
+    """Close a connection whose caller may still be sending.
+
+    The sending side is closed first; what still arrives is dropped until
+    the caller closes, within bounds.
+    """
+    if connection.transport.is_closing():
+        return
+    connection.expired = False
+    connection.expires_at = asyncio.get_running_loop().time() + LINGER_S
+    if connection.transport.can_write_eof():
+        connection.transport.write_eof()
+    assert connection.signal is not None
+    dropped = 0
+    while not connection.ended and not connection.expired:
+        piece = connection.take_piece()
+        if piece is None:
+            await connection.signal.wait()
+            continue
+        dropped += len(piece)
+        if dropped > LINGER_BYTES:
+            return
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the IP address and the port of IP:PORT."""
+    host, _, port = address.rpartition(':')
+    return host.removeprefix('[').removesuffix(']'), int(port)
