--- /dev/null
+++ b/fulmarseam/commands/entry.py
@@ -0,0 +1,33 @@
+"""The program `fulmarseam-entry`."""
+
+import asyncio
+import gc
+
+from fulmarseam import entry
+from fulmarseam import settings
+from fulmarseam import telemetry
+from fulmarseam.commands import _launcher
+
+# Objects made between two young collections. The default of 700 runs a
+# collection every few requests; one that hits the oldest generation stops
+# all requests for milliseconds.
+GC_THRESHOLD = 50_000
+
+
+def serve(options: settings.EntrySettings) -> None:
+    """Run an entry until it is told to stop."""
+    with (
+        telemetry.open_log(options.log_file, options.log_level),
+        telemetry.open_traces(
+            options.trace_file, options.entry_id, options.trace_ratio
+        ) as tracer,
+    ):
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(GC_THRESHOLD)
+        asyncio.run(entry.run_entry(options, tracer))
+
+
+def main() -> None:
+    """Run the program."""
+    _launcher.launch_daemon(settings.EntrySettings, serve)
--- /dev/null
+++ b/fulmarseam/entry/_api.py
@@ -0,0 +1,157 @@
+"""The entry's api listener: look-ups, announcements, metrics, status."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+import urllib.parse
+
+import msgspec
+
+from fulmarseam import errors
+from fulmarseam import http
+from fulmarseam import telemetry
+from fulmarseam import wire
+from fulmarseam.entry import _announcements
+from fulmarseam.entry import _lookups
+
+MAX_BODY_BYTES = 64 * 1024
+JSON_HEADERS = [(b'content-type', b'application/json')]
+TEXT_HEADERS = [(b'content-type', b'text/plain; charset=utf-8')]
+
+_Answer = Callable[
+    [http.Request, http.CallerConnection], Awaitable[http.OwnAnswer]
+]
+_report_decoder = msgspec.json.Decoder(wire.TargetReport)
+
+
+class Api:
+    """Answers the requests of the api listener.
+
+    `announce` is called with each valid announcement and returns the event
+    that is set once the leader has it. `describe` returns the status.
+    """
+
+    def __init__(
+        self,
+        lookups: _lookups.Lookups,
+        metrics: telemetry.Metrics,
+        announce: Callable[[wire.TargetReport], asyncio.Event],
+        describe: Callable[[], dict[str, Any]],
+    ) -> None:
+        self._lookups = lookups
+        self._metrics = metrics
+        self._announce = announce
+        self._describe = describe
+        self._answers: dict[tuple[bytes, bytes], _Answer] = {
+            (b'GET', b'/v1/lookup'): self._look_up,
+            (b'GET', b'/v1/status'): self._show_status,
+            (b'GET', b'/metrics'): self._show_metrics,
+            (b'POST', b'/v1/announce'): self._take_announcement,
+        }
+
+    async def handle(
+        self, request: http.Request, caller: http.CallerConnection
+    ) -> None:
+        """Answer one request."""
+        path = request.target.partition(b'?')[0]
+        method = b'GET' if request.method == b'HEAD' else request.method
+        answer = self._answers.get((method, path))
+        if answer is None:
+            raise self._refuse(path)
+        caller.answer(*await answer(request, caller))
+
+    def _refuse(self, path: bytes) -> errors.FulmarseamError:
+        kind = errors.ErrorKind.NOT_FOUND
+        if any(path == known for _, known in self._answers):
+            kind = errors.ErrorKind.METHOD_NOT_ALLOWED
+        return errors.FulmarseamError(kind, path.decode('latin-1'))
+
+    async def _look_up(
+        self, request: http.Request, caller: http.CallerConnection
+    ) -> http.OwnAnswer:
+        query = request.target.partition(b'?')[2].decode('latin-1')
+        fields = dict(urllib.parse.parse_qsl(query)) if query else {}
+        address = fields.get('address') or caller.remote_address
+        tag = http.find_header(request.headers, b'if-none-match')
+        return self._lookups.answer(fields.get('region'), address, tag)
+
+    async def _show_status(
+        self, request: http.Request, caller: http.CallerConnection
+    ) -> http.OwnAnswer:
+        body = msgspec.json.encode(self._describe())
+        return http.OwnAnswer(200, JSON_HEADERS, body + b'\n')
+
+    async def _show_metrics(
+        self, request: http.Request, caller: http.CallerConnection
+    ) -> http.OwnAnswer:
+        body = self._metrics.render().encode()
+        return http.OwnAnswer(200, TEXT_HEADERS, body)
+
+    async def _take_announcement(
+        self, request: http.Request, caller: http.CallerConnection
+    ) -> http.OwnAnswer:
+        body = await read_body(caller)
+        try:
+            report = _report_decoder.decode(body)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            raise errors.FulmarseamError(
+                errors.ErrorKind.MALFORMED_MESSAGE, str(error)
+            ) from error
+        check_report(report)
+        event = self._announce(report)
+        await _announcements.wait_until_acknowledged(event)
+        return http.OwnAnswer(200, JSON_HEADERS, b'{}\n')
+
+
+async def read_body(caller: http.CallerConnection) -> bytes:
+    """Return the whole body of a small request.
+
+    Raises `errors.FulmarseamError` when it is too large.
+    """
+    assert caller.signal is not None
+    pieces: list[bytes] = []
+    size = 0
+    while True:
+        piece = caller.poll_body()
+        if piece == b'':
+            caller.stop_body_timeout()
+            return b''.join(pieces)
+        if piece is None:
+            caller.start_body_timeout()
+            await caller.signal.wait()
+            continue
+        pieces.append(piece)
+        size += len(piece)
+        if size > MAX_BODY_BYTES:
+            raise errors.FulmarseamError(
+                errors.ErrorKind.BODY_TOO_LARGE,
+                f'the body exceeds {MAX_BODY_BYTES} bytes',
+            )
+
+
+def check_report(report: wire.TargetReport) -> None:
+    """Refuse an announcement with values that cannot be.
+
+    Raises `errors.FulmarseamError` with all problems.
+    """
+    problems = []
+    for name in ('target', 'pool', 'region', 'failure_domain'):
+        if not getattr(report, name):
+            problems.append(f'{name}: found nothing, expected a name')
+    for name in ('slots', 'connections'):
+        value = getattr(report, name)
+        if not 1 <= value <= 1_000_000:
+            problems.append(f'{name}: found {value}, expected 1 or more')
+    try:
+        _, port = http.split_address(report.address)
+    except ValueError:
+        port = 0
+    if not 1 <= port <= 65_535:
+        problems.append(
+            f'address: found {report.address!r}, expected IP:PORT'
+        )
+    if problems:
+        raise errors.FulmarseamError(
+            errors.ErrorKind.MALFORMED_MESSAGE, '; '.join(problems)
+        )
--- /dev/null
+++ b/fulmarseam/entry/_attempts.py
@@ -0,0 +1,278 @@
+"""One attempt to run a request on a target."""
+
+import asyncio
+
+from fulmarseam import errors
+from fulmarseam import http
+from fulmarseam import steering
+from fulmarseam.entry import _answers
+from fulmarseam.entry import _pacing
+from fulmarseam.entry import _records
+from fulmarseam.entry import _requests
+
+NOT_RUN = errors.Outcome.NOT_RUN.value.encode()
+ANSWERED = errors.Outcome.ANSWERED.value.encode()
+TRACEPARENT_HEADER = b'traceparent'
+SHED_STATUS = 503
+
+# Headers that the entry sets itself or answers for.
+_REPLACED_IN_REQUEST = frozenset(
+    (b'expect', _requests.DEADLINE_HEADER, TRACEPARENT_HEADER)
+)
+_REPLACED_IN_RESPONSE = frozenset(
+    (_answers.OUTCOME_HEADER, _answers.KIND_HEADER)
+)
+
+
+class TargetShedError(Exception):
+    """The target declared that it has not run the request."""
+
+
+class Attempt:
+    """Runs a request on one target and passes the answer to the caller.
+
+    One task runs both directions: it moves what can be moved and then
+    waits for the signal that both connections share.
+    """
+
+    def __init__(
+        self,
+        job: _requests.Job,
+        choice: steering.Choice,
+        pool: http.TargetPool,
+        pacers: tuple[_pacing.Pacer, _pacing.Pacer] | None,
+    ) -> None:
+        self._job = job
+        self._caller = job.caller
+        self._choice = choice
+        self._pool = pool
+        self._pacers = pacers
+        self._loop = asyncio.get_running_loop()
+        self._connection: http.TargetConnection | None = None
+        self._uploading = True
+        self.progress = http.Progress.NOT_SENT
+        self.answer_bytes = 0
+        self.keep_answer = False
+        self.kept_answer: _records.StoredAnswer | None = None
+        self._kept_body: list[bytes] = []
+
+    async def run(self) -> int:
+        """Run the request and return the status of the target's answer.
+
+        Raises `http.TargetError`, `TargetShedError`,
+        `http.CallerGoneError`, or `errors.FulmarseamError` for a request
+        body to be refused. `progress` then says how far the request got.
+        """
+        signal = self._caller.signal
+        assert signal is not None
+        while True:
+            connection = self._pool.take_idle(signal)
+            reused = connection is not None
+            if connection is None:
+                connection = await self._open(signal)
+            try:
+                self._connection = connection
+                self._send_request(connection)
+            except http.TargetError:
+                self._pool.release(connection)
+                if reused and connection.progress is http.Progress.NOT_SENT:
+                    continue
+                raise
+            break
+        try:
+            return await self._run_on(connection)
+        finally:
+            self.progress = connection.progress
+            self._pool.release(connection)
+            self._caller.stop_body_timeout()
+
+    async def _open(self, signal: http.Signal) -> http.TargetConnection:
+        left_s = self._job.deadline - self._loop.time()
+        if left_s <= 0.0:
+            raise self._time_out()
+        return await self._pool.open(signal, left_s)
+
+    async def _run_on(self, connection: http.TargetConnection) -> int:
+        response = await self._wait_for_response(connection)
+        if is_shed(response):
+            raise TargetShedError(f'{self._choice.target} shed the request')
+        self._start_response(response)
+        await self._pass_body(connection)
+        if self.keep_answer:
+            self._keep(response)
+        return response.status
+
+    # Request
+
+    def _send_request(self, connection: http.TargetConnection) -> None:
+        connection.send_head(
+            self._job.request.method,
+            self._job.path.encode('latin-1'),
+            self._make_request_headers(),
+        )
+        for piece in self._job.kept:
+            connection.send_data(piece)
+            self._charge(0, len(piece))
+        if self._caller.body_done:
+            connection.end_request()
+            self._uploading = False
+        else:
+            connection.flush()
+
+    def _make_request_headers(self) -> http.Headers:
+        job = self._job
+        headers = [
+            item
+            for item in http.drop_hop_by_hop(job.request.headers)
+            if item[0] not in _REPLACED_IN_REQUEST
+        ]
+        if job.request.length is None:
+            headers.append((b'transfer-encoding', b'chunked'))
+        left_ms = int((job.deadline - self._loop.time()) * 1_000)
+        headers.append(
+            (_requests.DEADLINE_HEADER, b'%d' % max(left_ms, 0))
+        )
+        if job.traceparent is not None:
+            headers.append((TRACEPARENT_HEADER, job.traceparent.encode()))
+        return headers
+
+    def _upload(self, connection: http.TargetConnection) -> None:
+        """Pass on what has arrived of the request body."""
+        while self._uploading and not connection.write_paused:
+            if not self._is_ready(0):
+                return
+            piece = self._caller.poll_body()
+            if piece is None:
+                self._caller.start_body_timeout()
+                return
+            if not piece:
+                connection.end_request()
+                self._uploading = False
+                self._caller.stop_body_timeout()
+                return
+            self._job.keep(piece)
+            self._charge(0, len(piece))
+            connection.send_data(piece)
+            connection.flush()
+
+    # Response
+
+    async def _wait_for_response(
+        self, connection: http.TargetConnection
+    ) -> http.Response:
+        while True:
+            response = connection.poll_response()
+            if response is not None:
+                return response
+            self._upload(connection)
+            await self._wait()
+
+    def _start_response(self, response: http.Response) -> None:
+        headers = [
+            item
+            for item in http.drop_hop_by_hop(response.headers)
+            if item[0] not in _REPLACED_IN_RESPONSE
+        ]
+        if response.status == 204:
+            headers = [
+                item for item in headers if item[0] != b'content-length'
+            ]
+        headers.append((_answers.OUTCOME_HEADER, ANSWERED))
+        self._caller.start_response(response.status, headers, response.reason)
+
+    async def _pass_body(self, connection: http.TargetConnection) -> None:
+        queued = 0
+        while True:
+            piece = None
+            if self._is_ready(1):
+                piece = connection.poll_body()
+            if piece:
+                self._caller.send_data(piece)
+                self._count_answer(piece)
+                queued += len(piece)
+                if queued < http.BUFFER_BYTES:
+                    continue
+            elif piece is not None:
+                self._caller.end_response()
+                return
+            self._caller.flush()
+            queued = 0
+            if piece is None or self._caller.write_paused:
+                await self._wait_for_either(connection)
+
+    def _count_answer(self, piece: bytes) -> None:
+        self.answer_bytes += len(piece)
+        self._charge(1, len(piece))
+        if self.keep_answer and (
+            self.answer_bytes <= _records.KEPT_BODY_BYTES
+        ):
+            self._kept_body.append(piece)
+
+    async def _wait_for_either(
+        self, connection: http.TargetConnection
+    ) -> None:
+        """Wait while the caller reads slowly or the target is not done."""
+        while True:
+            self._upload_rest(connection)
+            await self._wait()
+            if not self._caller.write_paused:
+                return
+
+    def _upload_rest(self, connection: http.TargetConnection) -> None:
+        """Go on with the upload beside an answer that has begun.
+
+        A target that answers early may refuse the rest of the body; its
+        answer counts nevertheless.
+        """
+        if not self._uploading:
+            return
+        try:
+            self._upload(connection)
+        except http.TargetError:
+            self._uploading = False
+
+    def _keep(self, response: http.Response) -> None:
+        fits = self.answer_bytes <= _records.KEPT_BODY_BYTES
+        self.kept_answer = _records.StoredAnswer(
+            response.status,
+            [
+                item
+                for item in http.drop_hop_by_hop(response.headers)
+                if item[0] not in _REPLACED_IN_RESPONSE
+                and item[0] != b'content-length'
+            ],
+            b''.join(self._kept_body) if fits else None,
+        )
+
+    # Waiting
+
+    async def _wait(self) -> None:
+        assert self._caller.signal is not None
+        await self._caller.signal.wait()
+        if self._caller.gone:
+            raise http.CallerGoneError('the caller has left')
+        if self._loop.time() >= self._job.deadline:
+            raise self._time_out()
+
+    def _time_out(self) -> http.TargetError:
+        progress = http.Progress.NOT_SENT
+        if self._connection is not None:
+            progress = self._connection.progress
+        return http.TargetError(
+            http.Reason.TIMED_OUT, progress, 'the deadline passed'
+        )
+
+    def _charge(self, direction: int, size: int) -> None:
+        if self._pacers is not None:
+            self._pacers[direction].charge(size)
+
+    def _is_ready(self, direction: int) -> bool:
+        return self._pacers is None or self._pacers[direction].is_ready()
+
+
+def is_shed(response: http.Response) -> bool:
+    """Return whether a target declares that it ran nothing."""
+    if response.status != SHED_STATUS:
+        return False
+    value = http.find_header(response.headers, _answers.OUTCOME_HEADER)
+    return value == NOT_RUN
--- /dev/null
+++ b/fulmarseam/entry/_claims.py
@@ -0,0 +1,177 @@
+"""Claims of requests that may run at most once."""
+
+import asyncio
+from collections.abc import Coroutine
+import enum
+import re
+from typing import Any
+
+import logbook
+
+from fulmarseam import errors
+from fulmarseam import http
+from fulmarseam import telemetry
+from fulmarseam.entry import _answers
+from fulmarseam.entry import _attempts
+from fulmarseam.entry import _records
+from fulmarseam.entry import _requests
+
+CLAIM_TIMEOUT_S = 1.0
+_KEY = re.compile(r'[a-z0-9][a-z0-9_-]{0,62}\.[0-9]{1,18}\.[!-~]{8,200}')
+
+_log = logbook.Logger('entry')
+
+
+class _Phase(enum.Enum):
+    NEW = 'new'
+    HELD = 'held'
+    ENDED = 'ended'
+
+
+class Claim:
+    """The right to run one request, asked for just before dispatch."""
+
+    def __init__(
+        self, claims: 'Claims', job: _requests.Job, attempt: str
+    ) -> None:
+        self._claims = claims
+        self._job = job
+        self._attempt = attempt
+        self._phase = _Phase.NEW
+
+    @property
+    def held(self) -> bool:
+        """Return whether the request may run."""
+        return self._phase is _Phase.HELD
+
+    async def acquire(self) -> bool:
+        """Ask for the right; False when the caller has its answer.
+
+        Raises `errors.FulmarseamError` when the request may not run.
+        """
+        assert self._job.request_id is not None
+        left_s = self._job.deadline - asyncio.get_running_loop().time()
+        try:
+            result = await self._claims.keeper.claim(
+                self._job.request_id,
+                self._job.print_content(),
+                self._attempt,
+                max(left_s, 0.0),
+            )
+        except BaseException:
+            # The claim may have landed although its answer was lost.
+            self._phase = _Phase.HELD
+            self.close()
+            raise
+        if result.verdict is _records.Verdict.FRESH:
+            self._phase = _Phase.HELD
+            if self._job.caller.gone:
+                raise http.CallerGoneError('the caller has left')
+            return True
+        self._phase = _Phase.ENDED
+        self._answer_repeat(result)
+        return False
+
+    def _answer_repeat(self, result: _records.ClaimResult) -> None:
+        kinds = {
+            _records.Verdict.IN_PROGRESS: errors.ErrorKind.REQUEST_IN_PROGRESS,
+            _records.Verdict.UNKNOWN: errors.ErrorKind.OUTCOME_UNKNOWN,
+            _records.Verdict.CONFLICT: errors.ErrorKind.REQUEST_ID_CONFLICT,
+        }
+        kind = kinds.get(result.verdict)
+        if kind is not None:
+            raise errors.FulmarseamError(
+                kind, f'request id {self._job.request_id}'
+            )
+        stored = result.stored
+        if stored is None or stored.body is None:
+            raise errors.FulmarseamError(
+                errors.ErrorKind.OUTCOME_NOT_KEPT,
+                'the request ran; its answer was too large to keep',
+            )
+        headers = [
+            *stored.headers,
+            (_answers.OUTCOME_HEADER, _attempts.ANSWERED),
+        ]
+        self._job.caller.answer(stored.status, headers, stored.body)
+
+    def finish(self, answer: _records.StoredAnswer | None) -> None:
+        """Store the answer, or with None that the outcome is unknown."""
+        if self._phase is not _Phase.HELD:
+            return
+        self._phase = _Phase.ENDED
+        assert self._job.request_id is not None
+        self._claims.spawn(
+            self._claims.keeper.finish(
+                self._job.request_id, self._attempt, answer
+            )
+        )
+
+    def close(self) -> None:
+        """Release the right unless the request has run or may have."""
+        if self._phase is not _Phase.HELD:
+            return
+        self._phase = _Phase.ENDED
+        assert self._job.request_id is not None
+        self._claims.spawn(
+            self._claims.keeper.release(self._job.request_id, self._attempt)
+        )
+
+
+class Claims:
+    """Makes claims; stores their results in the background."""
+
+    def __init__(
+        self, keeper: _records.RecordKeeper, attempt_prefix: str
+    ) -> None:
+        self.keeper = keeper
+        self._prefix = attempt_prefix
+        self._count = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def check_key(self, job: _requests.Job) -> None:
+        """Refuse a request that lacks the key that its route requires."""
+        if job.route.idempotent:
+            return
+        if job.request_id is None:
+            if job.route.request_id_required:
+                raise errors.FulmarseamError(
+                    errors.ErrorKind.REQUEST_ID_REQUIRED,
+                    'Idempotency-Key: found nothing, expected a key made '
+                    'from a look-up answer',
+                )
+            return
+        if not _KEY.fullmatch(job.request_id):
+            raise errors.FulmarseamError(
+                errors.ErrorKind.REQUEST_ID_REQUIRED,
+                f'Idempotency-Key: found {job.request_id!r}, expected '
+                'HOME.GENERATION.RANDOM',
+            )
+
+    def prepare(self, job: _requests.Job) -> Claim | None:
+        """Return the claim that a job needs, if any."""
+        if job.route.idempotent or job.request_id is None:
+            return None
+        self._count += 1
+        return Claim(self, job, f'{self._prefix}.{self._count}')
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run a call to the record holder in the background."""
+        task = asyncio.create_task(self._run(work))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _run(self, work: Coroutine[Any, Any, None]) -> None:
+        try:
+            await work
+        except errors.FulmarseamError as error:
+            _log.warning(
+                telemetry.format_event(
+                    'record_update_failed', error=error.detail
+                )
+            )
+
+    async def flush(self) -> None:
+        """Wait until all results are stored."""
+        while self._tasks:
+            await asyncio.wait(self._tasks)
--- /dev/null
+++ b/fulmarseam/entry/_peers.py
@@ -0,0 +1,155 @@
+"""Notices between entries."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
+from typing import Self
+
+import logbook
+
+from fulmarseam import errors
+from fulmarseam import ids
+from fulmarseam import settings
+from fulmarseam import telemetry
+from fulmarseam import transport
+from fulmarseam import wire
+from fulmarseam.entry import _state
+from fulmarseam.entry import _suspects
+
+# An answer to a caller waits at most this long for strikes to be known.
+STRIKE_TIMEOUT_S = 0.3
+NOTICE_TIMEOUT_S = 1.0
+NOTICE_ATTEMPTS = 3
+
+_log = logbook.Logger('entry')
+
+
+class Peers:
+    """Sends notices to the other entries; a context manager."""
+
+    def __init__(
+        self, options: settings.EntrySettings, state: _state.SharedState
+    ) -> None:
+        self._options = options
+        self._state = state
+        self._clients: dict[ids.EntryId, transport.RpcClient] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for client in self._clients.values():
+            client.close()
+
+    def client(self, entry: ids.EntryId) -> transport.RpcClient | None:
+        """Return the client of a peer, or None when it is not known."""
+        row = self._state.entries.get(entry)
+        if row is None:
+            return None
+        address = self._options.peer_overrides.get(entry, row.info.rpc)
+        known = self._clients.get(entry)
+        if known is not None and known.address == address:
+            return known
+        if known is not None:
+            known.close()
+        client = self._clients[entry] = transport.RpcClient(address)
+        client.open()
+        return client
+
+    def _list_live(self) -> list[transport.RpcClient]:
+        clients = [
+            self.client(entry)
+            for entry, row in self._state.entries.items()
+            if row.alive and entry != self._options.entry_id
+        ]
+        return [client for client in clients if client is not None]
+
+    def announce(self, message: wire.Message) -> None:
+        """Send a notice to all peers in the background, with repeats."""
+        for client in self._list_live():
+            self._spawn(_send(client, message, NOTICE_ATTEMPTS))
+
+    async def announce_strike(self, strike: wire.StrikeNotice) -> None:
+        """Send a strike and wait a bounded time until peers have it."""
+        calls = [_send(client, strike, 1) for client in self._list_live()]
+        if not calls:
+            return
+        tasks = [asyncio.create_task(call) for call in calls]
+        for task in tasks:
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        await asyncio.wait(tasks, timeout=STRIKE_TIMEOUT_S)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+async def _send(
+    client: transport.RpcClient, message: wire.Message, attempts: int
+) -> None:
+    for _ in range(attempts):
+        try:
+            await client.call(message, NOTICE_TIMEOUT_S)
+        except errors.FulmarseamError as error:
+            _log.debug(
+                telemetry.format_event(
+                    'notice_unanswered',
+                    peer=client.address,
+                    error=error.detail,
+                )
+            )
+        else:
+            return
+
+
+RecordHandler = Callable[[wire.Message], Awaitable[wire.Message | None]]
+
+
+class PeerHandler:
+    """Answers the calls of peers.
+
+    `handle_record` gets the messages that are no notice and returns None
+    for a message it does not know either.
+    """
+
+    def __init__(
+        self,
+        state: _state.SharedState,
+        suspects: _suspects.Suspects,
+        on_change: Callable[[], None],
+        handle_record: RecordHandler | None = None,
+    ) -> None:
+        self._state = state
+        self._suspects = suspects
+        self._on_change = on_change
+        self._handle_record = handle_record
+        self._loop = asyncio.get_running_loop()
+
+    async def handle(self, message: wire.Message) -> wire.Message:
+        """Answer one call."""
+        if isinstance(message, wire.LeaveNotice):
+            self._state.targets.record_leave(self._loop.time(), message.report)
+            self._on_change()
+            return wire.Ok()
+        if isinstance(message, wire.StrikeNotice):
+            self._suspects.take_notice(message)
+            return wire.Ok()
+        if isinstance(message, wire.DrainNotice):
+            self._state.record_entry_drain(message.entry, message.incarnation)
+            return wire.Ok()
+        answer = None
+        if self._handle_record is not None:
+            answer = await self._handle_record(message)
+        if answer is None:
+            raise errors.WireError(
+                f'found {type(message).__name__}, expected a call of a peer'
+            )
+        return answer
--- /dev/null
+++ b/fulmarseam/entry/_proxying.py
@@ -0,0 +1,444 @@
+"""The path of a caller's request through an entry."""
+
+import asyncio
+from typing import NamedTuple
+
+import logbook
+
+from fulmarseam import errors
+from fulmarseam import http
+from fulmarseam import ids
+from fulmarseam import steering
+from fulmarseam import telemetry
+from fulmarseam import wire
+from fulmarseam.entry import _answers
+from fulmarseam.entry import _attempts
+from fulmarseam.entry import _claims
+from fulmarseam.entry import _pacing
+from fulmarseam.entry import _peers
+from fulmarseam.entry import _pools
+from fulmarseam.entry import _requests
+from fulmarseam.entry import _state
+from fulmarseam.entry import _suspects
+
+MAX_ATTEMPTS = 3
+# Callers of retired routes are counted one by one up to this number.
+MAX_RETIRED_CALLERS = 1_000
+
+_log = logbook.Logger('entry')
+
+
+class Services(NamedTuple):
+    """What the proxy path uses."""
+
+    state: _state.SharedState
+    pools: _pools.PoolBook
+    connections: http.TargetPools
+    suspects: _suspects.Suspects
+    peers: _peers.Peers
+    claims: _claims.Claims
+    metrics: telemetry.Metrics
+    tracer: telemetry.Tracer
+    region: ids.RegionName
+
+
+class _FailedAttempt(NamedTuple):
+    """Why an attempt failed and whether another one is allowed."""
+
+    error: errors.FulmarseamError
+    may_repeat: bool
+
+
+class Proxy:
+    """Runs callers' requests on targets."""
+
+    def __init__(self, services: Services) -> None:
+        self._services = services
+        self._state = services.state
+        self._pools = services.pools
+        self._loop = asyncio.get_running_loop()
+        self._retired_callers: set[tuple[str, str]] = set()
+
+    async def handle(
+        self, request: http.Request, caller: http.CallerConnection
+    ) -> None:
+        """Handle one request; the handler of the callers' server."""
+        started = self._loop.time()
+        route = ''
+        kind = ''
+        try:
+            job = self._admit(request, caller, started)
+            route = job.route.name
+            await self._run(job)
+        except errors.FulmarseamError as error:
+            kind = error.kind.value
+            raise
+        except http.CallerGoneError:
+            kind = errors.ErrorKind.CALLER_GONE.value
+            raise
+        finally:
+            metrics = self._services.metrics
+            metrics.add('requests_total', route=route, kind=kind)
+            if not kind:
+                elapsed = self._loop.time() - started
+                metrics.record('request_seconds', elapsed, route=route)
+
+    def _admit(
+        self, request: http.Request, caller: http.CallerConnection, now: float
+    ) -> _requests.Job:
+        """Return the job of a request that may run, or refuse it."""
+        if not self._state.is_current(now):
+            raise errors.FulmarseamError(
+                errors.ErrorKind.CONFIG_STALE,
+                'the configuration is not confirmed by the control leader',
+            )
+        job = _requests.Job(request, caller, now)
+        job.route = self._match(job)
+        key = http.find_header(request.headers, _requests.KEY_HEADER)
+        if key is not None:
+            job.request_id = key.decode('latin-1')
+        self._services.claims.check_key(job)
+        pool = self._pools.get(job.route.pool)
+        job.deadline = now + self._find_time_ms(job, pool.pool) / 1_000
+        pool.arrivals += 1
+        pool.budget.count_request()
+        self._state.shifts.arrive(job.route.pool)
+        return job
+
+    def _match(self, job: _requests.Job) -> wire.Route:
+        match = steering.match_route(
+            self._state.routes, job.host, job.path, job.method
+        )
+        if match.route is None:
+            if match.methods:
+                raise _answers.AllowError(match.methods)
+            raise errors.FulmarseamError(
+                match.kind or errors.ErrorKind.NO_ROUTE,
+                f'no route for {job.host} {job.path}',
+            )
+        if match.route.retired:
+            self._count_retired(match.route, job.caller.remote_address)
+            raise errors.FulmarseamError(
+                errors.ErrorKind.ROUTE_RETIRED,
+                f'route {match.route.name} was retired',
+            )
+        return match.route
+
+    def _count_retired(self, route: wire.Route, address: str) -> None:
+        metrics = self._services.metrics
+        metrics.add('retired_requests_total', route=route.name)
+        known = (route.name, address)
+        if known not in self._retired_callers:
+            if len(self._retired_callers) >= MAX_RETIRED_CALLERS:
+                address = 'other'
+            else:
+                self._retired_callers.add(known)
+        metrics.add(
+            'retired_caller_requests_total', route=route.name, caller=address
+        )
+
+    def _find_time_ms(self, job: _requests.Job, pool: wire.Pool) -> int:
+        allowed = min(job.route.deadline_ms, pool.max_deadline_ms)
+        stated = _requests.read_deadline_ms(job.request)
+        if stated == 0:
+            raise errors.FulmarseamError(
+                errors.ErrorKind.DEADLINE_UNREACHABLE, 'no time left'
+            )
+        return allowed if stated is None else min(allowed, stated)
+
+    async def _run(self, job: _requests.Job) -> None:
+        """Run a job with its deadline, its claim and its span."""
+        signal = job.caller.signal
+        assert signal is not None
+        timer = self._loop.call_at(job.deadline, signal.notify)
+        parent = http.find_header(
+            job.request.headers, _attempts.TRACEPARENT_HEADER
+        )
+        span = self._services.tracer.start_span(
+            'request',
+            None if parent is None else parent.decode('latin-1'),
+            {'route': job.route.name, 'method': job.method},
+        )
+        try:
+            with span:
+                job.traceparent = span.traceparent()
+                if not job.caller.body_done:
+                    await job.read_prefix()
+                self._refuse_quarantined(job)
+                claim = self._services.claims.prepare(job)
+                try:
+                    await self._run_claimed(job, claim)
+                finally:
+                    if claim is not None:
+                        claim.close()
+        finally:
+            timer.cancel()
+
+    def _refuse_quarantined(self, job: _requests.Job) -> None:
+        suspects = self._services.suspects
+        if not suspects.may_exist():
+            return
+        state = suspects.table.state(self._loop.time(), job.fingerprint())
+        if state is steering.SuspectState.QUARANTINED:
+            raise _quarantine_error()
+
+    async def _run_claimed(
+        self, job: _requests.Job, claim: _claims.Claim | None
+    ) -> None:
+        """Attempt a job until it is answered or may not be repeated."""
+        avoided: frozenset[ids.TargetId] = frozenset()
+        pool = self._pools.get(job.route.pool)
+        # Without a claim nothing bounds how often the request may run.
+        is_guarded = job.route.idempotent or claim is not None
+        attempts = MAX_ATTEMPTS if is_guarded else 1
+        for left in range(attempts - 1, -1, -1):
+            placement = await self._place(job, pool, avoided)
+            failed = await self._attempt(job, placement, claim)
+            if failed is None:
+                return
+            avoided |= {placement.choice.target}
+            if not left or not failed.may_repeat or not pool.budget.take():
+                raise failed.error
+            self._services.metrics.add('retries_total', pool=pool.pool.name)
+
+    async def _place(
+        self,
+        job: _requests.Job,
+        pool: _pools.PoolState,
+        avoided: frozenset[ids.TargetId],
+    ) -> _pools.Placement:
+        """Wait for a slot; the pool's queue decides who is next."""
+        signal = job.caller.signal
+        assert signal is not None
+        suspects = self._services.suspects
+        if suspects.may_exist():
+            avoided |= suspects.table.occupied()
+        waiter = _pools.Waiter(signal.notify, avoided)
+        ticket = self._pools.start(
+            self._loop.time(), pool, waiter, job.route.priority, job.deadline
+        )
+        try:
+            while waiter.placement is None and waiter.refusal is None:
+                await job.wait()
+        except BaseException:
+            if ticket is not None:
+                self._pools.cancel(self._loop.time(), pool, ticket)
+            raise
+        if waiter.placement is None:
+            assert waiter.refusal is not None
+            raise errors.FulmarseamError(
+                waiter.refusal, f'no slot of pool {pool.pool.name} in time'
+            )
+        return waiter.placement
+
+    async def _attempt(
+        self,
+        job: _requests.Job,
+        placement: _pools.Placement,
+        claim: _claims.Claim | None,
+    ) -> _FailedAttempt | None:
+        """Use a placement; None when the caller has its answer."""
+        target = placement.choice.target
+        attempt = None
+        is_checked = False
+        try:
+            if claim is not None and not claim.held:
+                if not await claim.acquire():
+                    return None
+            is_checked = self._services.suspects.may_exist()
+            if is_checked and not self._start_suspect(job, target):
+                return _refuse_suspect()
+            attempt = self._make_attempt(job, placement)
+            return await self._forward(job, placement, attempt, claim)
+        finally:
+            if is_checked:
+                table = self._services.suspects.table
+                table.finish(job.fingerprint(), target)
+            unsent = attempt is None or (
+                attempt.progress is http.Progress.NOT_SENT
+            )
+            self._pools.release(self._loop.time(), placement, refund=unsent)
+
+    def _start_suspect(
+        self, job: _requests.Job, target: ids.TargetId
+    ) -> bool:
+        return self._services.suspects.table.start(
+            self._loop.time(), job.fingerprint(), target
+        )
+
+    async def _forward(
+        self,
+        job: _requests.Job,
+        placement: _pools.Placement,
+        attempt: _attempts.Attempt,
+        claim: _claims.Claim | None,
+    ) -> _FailedAttempt | None:
+        """Run one attempt and settle its claim."""
+        attempt.keep_answer = claim is not None
+        started = self._loop.time()
+        try:
+            status = await attempt.run()
+        except (http.TargetError, _attempts.TargetShedError) as error:
+            failed = await self._judge(job, placement, attempt, error)
+            settle(claim, attempt, error)
+            return failed
+        except errors.FulmarseamError as error:
+            settle(claim, attempt, error)
+            if attempt.progress is http.Progress.NOT_SENT:
+                raise
+            raise errors.FulmarseamError(
+                errors.ErrorKind.TARGET_FAILED,
+                f'the request body broke off: {error.detail}',
+            ) from error
+        except BaseException as error:
+            settle(claim, attempt, error)
+            raise
+        self._record_answer(job, placement, status, started)
+        if claim is not None:
+            claim.finish(attempt.kept_answer)
+        return None
+
+    def _make_attempt(
+        self, job: _requests.Job, placement: _pools.Placement
+    ) -> _attempts.Attempt:
+        services = self._services
+        choice = placement.choice
+        now = self._loop.time()
+        share = self._state.book.connection_share(now, choice.target)
+        pool = services.connections.get(choice.address, share)
+        pacers = None
+        if choice.is_remote:
+            pacers = self._make_pacers(job, choice.region)
+        return _attempts.Attempt(job, choice, pool, pacers)
+
+    def _make_pacers(
+        self, job: _requests.Job, region: ids.RegionName
+    ) -> tuple[_pacing.Pacer, _pacing.Pacer]:
+        own = self._services.region
+        signal = job.caller.signal
+        assert signal is not None
+        links = self._state.links
+        return (
+            _pacing.Pacer(links, f'{own}>{region}', signal.notify),
+            _pacing.Pacer(links, f'{region}>{own}', signal.notify),
+        )
+
+    def _record_answer(
+        self,
+        job: _requests.Job,
+        placement: _pools.Placement,
+        status: int,
+        started: float,
+    ) -> None:
+        now = self._loop.time()
+        target = placement.choice.target
+        outcomes = self._pools.outcomes
+        if status >= 500:
+            outcomes.record_failure(now, target)
+        else:
+            outcomes.record_success(now, target, now - started)
+        self._pools.get(placement.pool).record_service(now - started)
+        suspects = self._services.suspects
+        if suspects.may_exist() and suspects.table.clear(job.fingerprint()):
+            self._services.peers.announce(
+                wire.StrikeNotice(
+                    fingerprint=job.fingerprint(), target=target, cleared=True
+                )
+            )
+
+    async def _judge(
+        self,
+        job: _requests.Job,
+        placement: _pools.Placement,
+        attempt: _attempts.Attempt,
+        error: http.TargetError | _attempts.TargetShedError,
+    ) -> _FailedAttempt:
+        """Count a failed attempt and decide on what the caller learns."""
+        target = placement.choice.target
+        if isinstance(error, http.TargetError) and (
+            error.reason is http.Reason.NO_CONNECTION_LEFT
+        ):
+            return self._fail(job, errors.ErrorKind.NO_CAPACITY, error, True)
+        self._pools.outcomes.record_failure(self._loop.time(), target)
+        if isinstance(error, _attempts.TargetShedError):
+            return self._fail(job, errors.ErrorKind.TARGET_SHED, error, True)
+        if attempt.progress is http.Progress.NOT_SENT:
+            kind = errors.ErrorKind.NO_TARGET
+            if error.reason is http.Reason.TIMED_OUT:
+                kind = errors.ErrorKind.DEADLINE_UNREACHABLE
+            return self._fail(job, kind, error, True)
+        if error.reason is http.Reason.TIMED_OUT:
+            return self._fail(
+                job, errors.ErrorKind.TARGET_TIMEOUT, error, False
+            )
+        state = steering.SuspectState.CLEAR
+        if error.reason is http.Reason.BROKEN:
+            state = await self._strike(job, target)
+        if state is steering.SuspectState.QUARANTINED:
+            return _FailedAttempt(_quarantine_error(), False)
+        return self._fail(
+            job,
+            errors.ErrorKind.TARGET_FAILED,
+            error,
+            job.route.idempotent,
+        )
+
+    async def _strike(
+        self, job: _requests.Job, target: ids.TargetId
+    ) -> steering.SuspectState:
+        fingerprint = job.fingerprint()
+        state = self._services.suspects.strike(fingerprint, target)
+        await self._services.peers.announce_strike(
+            wire.StrikeNotice(fingerprint=fingerprint, target=target)
+        )
+        return state
+
+    def _fail(
+        self,
+        job: _requests.Job,
+        kind: errors.ErrorKind,
+        error: Exception,
+        may_repeat: bool,
+    ) -> _FailedAttempt:
+        repeatable = (
+            may_repeat
+            and job.replayable
+            and not job.caller.response_started
+            and not job.caller.gone
+            and self._loop.time() < job.deadline
+        )
+        return _FailedAttempt(
+            errors.FulmarseamError(kind, str(error)), repeatable
+        )
+
+
+def _refuse_suspect() -> _FailedAttempt:
+    return _FailedAttempt(
+        errors.FulmarseamError(
+            errors.ErrorKind.NO_CAPACITY,
+            'another suspect runs on the target',
+        ),
+        may_repeat=True,
+    )
+
+
+def settle(
+    claim: _claims.Claim | None,
+    attempt: _attempts.Attempt,
+    error: BaseException,
+) -> None:
+    """End the claim of a failed attempt by what is known about it."""
+    if claim is None:
+        return
+    if isinstance(error, _attempts.TargetShedError):
+        return
+    if attempt.progress is http.Progress.NOT_SENT:
+        return
+    claim.finish(None)
+
+
+def _quarantine_error() -> errors.FulmarseamError:
+    return errors.FulmarseamError(
+        errors.ErrorKind.QUARANTINED,
+        'two targets failed while they ran this request',
+    )
--- /dev/null
+++ b/fulmarseam/entry/_reports.py
@@ -0,0 +1,130 @@
+"""What an entry reports: sync requests and its status page."""
+
+import asyncio
+import time
+from typing import Any
+
+from fulmarseam import settings
+from fulmarseam import wire
+from fulmarseam.entry import _announcements
+from fulmarseam.entry import _pools
+from fulmarseam.entry import _state
+
+# Link bytes/s asked for a pool with remote targets, as requests/s, so that
+# a first remote request finds tokens.
+BASE_REMOTE_REQUESTS = 1.0
+
+
+class Reporter:
+    """Makes sync requests and status pages from the present state."""
+
+    def __init__(
+        self,
+        options: settings.EntrySettings,
+        state: _state.SharedState,
+        pools: _pools.PoolBook,
+        announcements: _announcements.AnnouncementBook,
+    ) -> None:
+        self._options = options
+        self._state = state
+        self._pools = pools
+        self._announcements = announcements
+        self._clock = asyncio.get_running_loop().time
+        self.incarnation = time.time_ns() // 1_000_000
+        self.draining = False
+
+    def info(self) -> wire.EntryInfo:
+        """Return the identity and the addresses of this entry."""
+        options = self._options
+        return wire.EntryInfo(
+            entry=options.entry_id,
+            incarnation=self.incarnation,
+            region=options.region,
+            failure_domain=options.failure_domain,
+            listen=options.advertise_listen or options.listen,
+            api=options.advertise_api or options.api,
+            rpc=options.advertise_rpc or options.rpc,
+            has_disk=options.data_dir is not None,
+        )
+
+    def make_request(self, wait_ms: int) -> wire.SyncRequest:
+        """Return a sync request that reports the present."""
+        now = self._clock()
+        state = self._state
+        reports, ages = self._announcements.collect(now)
+        return wire.SyncRequest(
+            info=self.info(),
+            draining=self.draining,
+            revision=state.tables.revision,
+            targets_term=state.targets_term,
+            targets_version=state.targets_version,
+            ack_term=state.book.ack_term,
+            ack_sequence=state.book.ack_sequence,
+            uses=state.book.uses(now),
+            demand=self._list_demand(),
+            links=state.links.demand(now, self._find_link_demand()),
+            announcements=reports,
+            announcement_ages_ms=ages,
+            wait_ms=wait_ms,
+        )
+
+    def _list_demand(self) -> list[wire.PoolDemand]:
+        demand = []
+        for pool in self._pools.all():
+            pool.reported_wanted = pool.wanted
+            if pool.wanted or pool.arrivals_per_s >= 0.01:
+                demand.append(
+                    wire.PoolDemand(
+                        pool=pool.pool.name,
+                        wanted=pool.wanted,
+                        arrivals_per_s=round(pool.arrivals_per_s, 2),
+                    )
+                )
+        return demand
+
+    def _find_link_demand(self) -> dict[str, int]:
+        """Return the bytes/s wanted on each link.
+
+        A pool that may use other regions asks for what its waiting
+        requests and the recent remote ones need, spread over the regions.
+        """
+        own = self._options.region
+        wanted: dict[str, float] = {}
+        for pool in self._pools.all():
+            for region in pool.regions:
+                rate = BASE_REMOTE_REQUESTS + pool.remote_rate(region)
+                rate += len(pool.queue) / len(pool.regions)
+                there, back = f'{own}>{region}', f'{region}>{own}'
+                row = pool.pool
+                wanted[there] = wanted.get(there, 0) + rate * row.request_bytes
+                wanted[back] = wanted.get(back, 0) + rate * row.response_bytes
+        return {name: int(rate) for name, rate in wanted.items()}
+
+    def describe(self) -> dict[str, Any]:
+        """Return the status page."""
+        now = self._clock()
+        state = self._state
+        age = state.confirmation_age(now)
+        return {
+            'entry': self._options.entry_id,
+            'incarnation': self.incarnation,
+            'region': self._options.region,
+            'failure_domain': self._options.failure_domain,
+            'draining': self.draining,
+            'takes_work': state.is_current(now),
+            'revision': state.tables.revision,
+            'confirmed_s_ago': None if age is None else round(age, 3),
+            'term': state.term,
+            'targets': len(state.targets.ready()),
+            'entries': sorted(state.entries),
+            'in_flight': state.book.total_in_flight(),
+            'pools': {
+                pool.pool.name: {
+                    'in_flight': pool.in_flight,
+                    'queued': len(pool.queue),
+                    'arrivals_per_s': round(pool.arrivals_per_s, 2),
+                    'service_s': round(pool.service_s, 4),
+                }
+                for pool in self._pools.all()
+            },
+        }
--- /dev/null
+++ b/fulmarseam/entry/_requests.py
@@ -0,0 +1,172 @@
+"""A caller's request on its way through an entry."""
+
+import asyncio
+import re
+
+from fulmarseam import errors
+from fulmarseam import http
+from fulmarseam import steering
+from fulmarseam import wire
+
+DEADLINE_HEADER = b'fulmarseam-deadline-ms'
+KEY_HEADER = b'idempotency-key'
+MAX_DEADLINE_DIGITS = 9
+# The beginning of a body that fingerprints cover, read before dispatch.
+PREFIX_BYTES = 16 * 1024
+# A request is sent again only if its body up to this size was kept.
+REPLAY_BYTES = 64 * 1024
+
+_DOT_SEGMENT = re.compile(rb'/(\.|%2[eE]){1,2}(/|\?|$)')
+_ABSOLUTE_FORM = re.compile(rb'https?://([^/?]*)([/?].*)?', re.IGNORECASE)
+
+
+class Job:
+    """One request: its head, its deadline and the body kept for replay.
+
+    `deadline` is in seconds of the event loop's clock.
+    """
+
+    __slots__ = (
+        'arrived_at',
+        'caller',
+        'deadline',
+        'host',
+        'kept',
+        'kept_bytes',
+        'method',
+        'path',
+        'prefix',
+        'replayable',
+        'request',
+        'request_id',
+        'route',
+        'traceparent',
+        '_fingerprint',
+    )
+
+    def __init__(
+        self, request: http.Request, caller: http.CallerConnection, now: float
+    ) -> None:
+        self.request = request
+        self.caller = caller
+        self.arrived_at = now
+        self.deadline = now
+        self.method = request.method.decode('ascii')
+        self.host, self.path = find_host_and_path(request)
+        self.route: wire.Route
+        self.request_id: str | None = None
+        self.traceparent: str | None = None
+        self.kept: list[bytes] = []
+        self.kept_bytes = 0
+        self.prefix = b''
+        self.replayable = True
+        self._fingerprint: str | None = None
+
+    def keep(self, piece: bytes) -> None:
+        """Keep a piece sent after the prefix while all fits the bound."""
+        self.kept_bytes += len(piece)
+        if self.kept_bytes > REPLAY_BYTES:
+            self.replayable = False
+            self.kept = []
+        elif self.replayable:
+            self.kept.append(piece)
+
+    def fingerprint(self) -> str:
+        """Return the text that names this request when it is repeated."""
+        if self._fingerprint is None:
+            self._fingerprint = steering.compute_fingerprint(
+                self.request_id,
+                self.method,
+                self.host,
+                self.path,
+                self.prefix,
+            )
+        return self._fingerprint
+
+    def print_content(self) -> str:
+        """Return the text that tells contents under one key apart."""
+        return steering.compute_fingerprint(
+            None,
+            self.method,
+            self.host,
+            f'{self.path} {self.request.length}',
+            self.prefix,
+        )
+
+    async def read_prefix(self) -> None:
+        """Read the beginning of the body.
+
+        Raises `http.CallerGoneError` and `errors.FulmarseamError` like
+        `poll_body`, and `deadline_unreachable` at the deadline.
+        """
+        caller = self.caller
+        while not caller.body_done and self.kept_bytes < PREFIX_BYTES:
+            piece = caller.poll_body()
+            if piece:
+                self.kept.append(piece)
+                self.kept_bytes += len(piece)
+            elif piece is None:
+                caller.start_body_timeout()
+                await self.wait()
+        caller.stop_body_timeout()
+        self.prefix = b''.join(self.kept)[:PREFIX_BYTES]
+
+    async def wait(self) -> None:
+        """Wait for news of either side.
+
+        Raises `http.CallerGoneError` when the caller has left, and
+        `errors.FulmarseamError` with `deadline_unreachable` when the
+        deadline has passed.
+        """
+        assert self.caller.signal is not None
+        await self.caller.signal.wait()
+        if self.caller.gone:
+            raise http.CallerGoneError('the caller has left')
+        if asyncio.get_running_loop().time() >= self.deadline:
+            raise errors.FulmarseamError(
+                errors.ErrorKind.DEADLINE_UNREACHABLE,
+                'the deadline passed before the request was sent',
+            )
+
+
+def find_host_and_path(request: http.Request) -> tuple[str, str]:
+    """Return the host and the path with its query.
+
+    Raises `errors.FulmarseamError` for a path that a target could resolve
+    to another route.
+    """
+    target = request.target
+    host = http.find_header(request.headers, b'host') or b''
+    if not target.startswith(b'/'):
+        match = _ABSOLUTE_FORM.fullmatch(target)
+        if match is None:
+            raise _refuse(f'request target {target!r}')
+        host = match[1]
+        target = match[2] or b'/'
+        if target.startswith(b'?'):
+            target = b'/' + target
+    if b'/.' in target or b'/%2' in target:
+        if _DOT_SEGMENT.search(target.partition(b'?')[0]):
+            raise _refuse('dot segment in the path')
+    if b'#' in target:
+        raise _refuse('fragment in the request target')
+    return host.decode('latin-1'), target.decode('latin-1')
+
+
+def read_deadline_ms(request: http.Request) -> int | None:
+    """Return the time left as the caller states it, in milliseconds.
+
+    Raises `errors.FulmarseamError` when the header is malformed.
+    """
+    value = http.find_header(request.headers, DEADLINE_HEADER)
+    if value is None:
+        return None
+    if not value.isdigit() or len(value) > MAX_DEADLINE_DIGITS:
+        raise _refuse(
+            f'Fulmarseam-Deadline-Ms: found {value!r}, expected milliseconds'
+        )
+    return int(value)
+
+
+def _refuse(detail: str) -> errors.FulmarseamError:
+    return errors.FulmarseamError(errors.ErrorKind.MALFORMED_REQUEST, detail)
--- a/fulmarseam/http/_pool.py
+++ b/fulmarseam/http/_pool.py
@@ -155,6 +155,12 @@
             pool.set_limit(limit)
         return pool
 
+    def limit(self, address: str, limit: int) -> None:
+        """Change the limit of a target if it has a pool."""
+        pool = self._pools.get(address)
+        if pool is not None and pool.limit != limit:
+            pool.set_limit(limit)
+
     async def _sweep(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
--- a/fulmarseam/http/_server.py
+++ b/fulmarseam/http/_server.py
@@ -109,14 +109,19 @@
             self._listener.close()
             self._listener = None
 
+    def announce_close(self) -> None:
+        """Close each connection after its next answer."""
+        self._draining = True
+        for connection in self._tasks.values():
+            connection.closing = True
+
     def start_draining(self) -> None:
         """Close each connection after the answer in progress.
 
         Idle connections are closed at once.
         """
-        self._draining = True
-        for connection in self._tasks.values():
-            connection.closing = True
+        self.announce_close()
+        for connection in list(self._tasks.values()):
             if connection.is_idle():
                 connection.expire()
 
--- a/fulmarseam/wire/__init__.py
+++ b/fulmarseam/wire/__init__.py
@@ -29,6 +29,9 @@
 from fulmarseam.wire._codec import Message
 from fulmarseam.wire._common import Failure
 from fulmarseam.wire._common import Ok
+from fulmarseam.wire._peers import DrainNotice
+from fulmarseam.wire._peers import LeaveNotice
+from fulmarseam.wire._peers import StrikeNotice
 from fulmarseam.wire._rows import Block
 from fulmarseam.wire._rows import Change
 from fulmarseam.wire._rows import Drain
@@ -61,6 +64,7 @@
     'Block',
     'Change',
     'Drain',
+    'DrainNotice',
     'DrainScope',
     'DrainState',
     'Edit',
@@ -72,6 +76,7 @@
     'Failure',
     'FleetRequest',
     'FleetResponse',
+    'LeaveNotice',
     'Link',
     'LinkDemand',
     'LinkRate',
@@ -96,6 +101,7 @@
     'SlotUse',
     'StatusRequest',
     'StatusResponse',
+    'StrikeNotice',
     'SyncRequest',
     'SyncResponse',
     'TableName',
--- a/fulmarseam/wire/_codec.py
+++ b/fulmarseam/wire/_codec.py
@@ -5,6 +5,7 @@
 from fulmarseam import errors
 from fulmarseam.wire import _admin
 from fulmarseam.wire import _common
+from fulmarseam.wire import _peers
 from fulmarseam.wire import _sync
 
 Message = (
@@ -13,6 +14,7 @@
     | _sync.SyncRequest
     | _sync.SyncResponse
     | _admin.AdminMessage
+    | _peers.PeerMessage
 )
 
 _encoder = msgspec.msgpack.Encoder()
