--- a/fulmarseam/entry/_pools.py
+++ b/fulmarseam/entry/_pools.py
@@ -169,13 +169,13 @@
         for ticket in pool.queue.refuse_late(now, pool.service_s):
             ticket.item.refusal = errors.ErrorKind.DEADLINE_UNREACHABLE
             ticket.item.notify()
-        while (ticket := pool.queue.peek()) is not None:
-            placement = self._place_now(now, pool, ticket.item.avoided)
+        while (first := pool.queue.peek()) is not None:
+            placement = self._place_now(now, pool, first.item.avoided)
             if placement is None:
                 return
             pool.queue.pop()
-            ticket.item.placement = placement
-            ticket.item.notify()
+            first.item.placement = placement
+            first.item.notify()
 
     def _refuse_all(self, pool: PoolState) -> None:
         while (ticket := pool.queue.pop()) is not None:
--- a/fulmarseam/entry/_state.py
+++ b/fulmarseam/entry/_state.py
@@ -67,7 +67,7 @@
         if response.entries:
             self.entries = {row.info.entry: row for row in response.entries}
             self._forget_finished_drains()
-        self.book.apply(sent_at, response)
+        self.book.apply(now, sent_at, response)
         self.links.apply(now, sent_at, response)
         confirmed = sent_at - response.leadership_age_ms / 1_000
         if self.tables.revision >= response.revision:
--- a/fulmarseam/http/_server.py
+++ b/fulmarseam/http/_server.py
@@ -125,10 +125,10 @@
             if connection.is_idle():
                 connection.expire()
 
-    async def wait_until_idle(self, poll_s: float = 0.01) -> None:
+    async def wait_until_idle(self) -> None:
         """Return when no connection is left."""
         while self._tasks:
-            await asyncio.sleep(poll_s)
+            await asyncio.wait(list(self._tasks))
 
     def _accept(self) -> _caller.CallerConnection:
         connection = _caller.CallerConnection(self._limits)
--- a/fulmarseam/wire/_admin.py
+++ b/fulmarseam/wire/_admin.py
@@ -12,11 +12,15 @@
 
     `base` holds, for each table changed, the version of the table that the
     edit was made against. An edit may be sent again under the same id.
+    `content` names what the operator asked for. A resend is known by it,
+    since the changes that lead there depend on the tables at the time;
+    without it the changes themselves must be the same.
     """
 
     edit_id: ids.EditId
     base: dict[_rows.TableName, int]
     changes: list[_rows.Change]
+    content: str = ''
 
 
 class Export(msgspec.Struct, tag='export', frozen=True, kw_only=True):
@@ -74,12 +78,17 @@
 
 
 class MemberRow(msgspec.Struct, frozen=True, kw_only=True):
-    """A control member as the answering member knows it."""
+    """A control member as the answering member knows it.
+
+    `match_index` is the last log index known to be on the member; only the
+    leader knows it.
+    """
 
     member: ids.MemberId
     address: str
     region: str = ''
     voter: bool = True
+    match_index: int | None = None
 
 
 class StatusResponse(
