--- a/fulmarseam/entry/_announcements.py
+++ b/fulmarseam/entry/_announcements.py
@@ -40,9 +40,7 @@
         self._pending[report.target] = _Pending(report, now, event)
         return event
 
-    def collect(
-        self, now: float
-    ) -> tuple[list[wire.TargetReport], list[int]]:
+    def collect(self, now: float) -> tuple[list[wire.TargetReport], list[int]]:
         """Return the reports to send and their ages in milliseconds."""
         pending = list(self._pending.values())
         reports = [item.report for item in pending]
--- a/fulmarseam/entry/_api.py
+++ b/fulmarseam/entry/_api.py
@@ -148,9 +148,7 @@
     except ValueError:
         port = 0
     if not 1 <= port <= 65_535:
-        problems.append(
-            f'address: found {report.address!r}, expected IP:PORT'
-        )
+        problems.append(f'address: found {report.address!r}, expected IP:PORT')
     if problems:
         raise errors.FulmarseamError(
             errors.ErrorKind.MALFORMED_MESSAGE, '; '.join(problems)
--- a/fulmarseam/entry/_attempts.py
+++ b/fulmarseam/entry/_attempts.py
@@ -129,9 +129,7 @@
         if job.request.length is None:
             headers.append((b'transfer-encoding', b'chunked'))
         left_ms = int((job.deadline - self._loop.time()) * 1_000)
-        headers.append(
-            (_requests.DEADLINE_HEADER, b'%d' % max(left_ms, 0))
-        )
+        headers.append((_requests.DEADLINE_HEADER, b'%d' % max(left_ms, 0)))
         if job.traceparent is not None:
             headers.append((TRACEPARENT_HEADER, job.traceparent.encode()))
         return headers
--- a/fulmarseam/entry/_lookups.py
+++ b/fulmarseam/entry/_lookups.py
@@ -31,9 +31,7 @@
         """Drop the kept answers, after a change of entries or tables."""
         self._kept.clear()
 
-    def find_region(
-        self, region: str | None, address: str
-    ) -> ids.RegionName:
+    def find_region(self, region: str | None, address: str) -> ids.RegionName:
         """Return the region of a caller: as named, else by its address.
 
         Raises `errors.FulmarseamError` for an address that is not valid.
--- a/fulmarseam/entry/_pools.py
+++ b/fulmarseam/entry/_pools.py
@@ -270,9 +270,7 @@
         self._state.book.release(placement.choice.target)
         pool = self._pools.get(placement.pool)
         if refund:
-            self._state.shifts.refund(
-                placement.pool, placement.choice.region
-            )
+            self._state.shifts.refund(placement.pool, placement.choice.region)
         if pool is None:
             return
         pool.in_flight -= 1
--- a/fulmarseam/entry/_proxying.py
+++ b/fulmarseam/entry/_proxying.py
@@ -259,9 +259,7 @@
             )
             self._pools.release(self._loop.time(), placement, refund=unsent)
 
-    def _start_suspect(
-        self, job: _requests.Job, target: ids.TargetId
-    ) -> bool:
+    def _start_suspect(self, job: _requests.Job, target: ids.TargetId) -> bool:
         return self._services.suspects.table.start(
             self._loop.time(), job.fingerprint(), target
         )
--- a/fulmarseam/entry/_state.py
+++ b/fulmarseam/entry/_state.py
@@ -94,8 +94,10 @@
         news = response.term, response.targets_version
         if news < known:
             return
-        if response.targets_full or response.targets or (
-            response.targets_removed
+        if (
+            response.targets_full
+            or response.targets
+            or (response.targets_removed)
         ):
             self.targets.apply(now, response)
         self.targets_term, self.targets_version = news
@@ -106,9 +108,7 @@
             if row is None or row.info.incarnation > incarnation:
                 del self.draining_entries[entry]
 
-    def record_entry_drain(
-        self, entry: ids.EntryId, incarnation: int
-    ) -> None:
+    def record_entry_drain(self, entry: ids.EntryId, incarnation: int) -> None:
         """Note that an entry announced its shutdown by itself."""
         self.draining_entries[entry] = incarnation
 
