--- a/fulmarseam/entry/_daemon.py
+++ b/fulmarseam/entry/_daemon.py
@@ -65,6 +65,7 @@
             self.state,
             self.announcements,
             self.reporter.make_request,
+            self.reporter.raise_incarnation,
         )
         self.peers = _peers.Peers(options, self.state)
         self.claims = _claims.Claims(
--- a/fulmarseam/entry/_proxying.py
+++ b/fulmarseam/entry/_proxying.py
@@ -197,10 +197,22 @@
             if failed is None:
                 return
             avoided |= {placement.choice.target}
-            if not left or not failed.may_repeat or not pool.budget.take():
+            if not left or not failed.may_repeat:
+                raise failed.error
+            if not self._has_other(pool, avoided) or not pool.budget.take():
                 raise failed.error
             self._services.metrics.add('retries_total', pool=pool.pool.name)
 
+    def _has_other(
+        self, pool: _pools.PoolState, avoided: frozenset[ids.TargetId]
+    ) -> bool:
+        """Return whether the pool has a target that was not tried."""
+        return any(
+            row.report.pool == pool.pool.name
+            and row.report.target not in avoided
+            for row in self._state.targets.ready()
+        )
+
     async def _place(
         self,
         job: _requests.Job,
--- a/fulmarseam/entry/_reports.py
+++ b/fulmarseam/entry/_reports.py
@@ -4,7 +4,10 @@
 import time
 from typing import Any
 
+import logbook
+
 from fulmarseam import settings
+from fulmarseam import telemetry
 from fulmarseam import wire
 from fulmarseam.entry import _announcements
 from fulmarseam.entry import _pools
@@ -13,6 +16,10 @@
 # Link bytes/s asked for a pool with remote targets, as requests/s, so that
 # a first remote request finds tokens.
 BASE_REMOTE_REQUESTS = 1.0
+# First step of the incarnation after the leader has refused it.
+INCARNATION_STEP_MS = 60_000
+
+_log = logbook.Logger('entry')
 
 
 class Reporter:
@@ -32,6 +39,22 @@
         self._clock = asyncio.get_running_loop().time
         self.incarnation = time.time_ns() // 1_000_000
         self.draining = False
+        self._incarnation_step = INCARNATION_STEP_MS
+
+    def raise_incarnation(self) -> None:
+        """Pass the incarnation that the leader knows of this entry.
+
+        The wall clock may have stepped back between two starts, so that
+        the new incarnation is below the last one. The step doubles until
+        the leader accepts it.
+        """
+        self.incarnation += self._incarnation_step
+        self._incarnation_step *= 2
+        _log.warning(
+            telemetry.format_event(
+                'incarnation_raised', incarnation=self.incarnation
+            )
+        )
 
     def info(self) -> wire.EntryInfo:
         """Return the identity and the addresses of this entry."""
--- a/fulmarseam/entry/_syncing.py
+++ b/fulmarseam/entry/_syncing.py
@@ -88,11 +88,13 @@
         state: _state.SharedState,
         announcements: _announcements.AnnouncementBook,
         make_request: MakeRequest,
+        raise_incarnation: Callable[[], None],
     ) -> None:
         self._finder = LeaderFinder(members)
         self._state = state
         self._announcements = announcements
         self._make_request = make_request
+        self._raise_incarnation = raise_incarnation
         self._loop = asyncio.get_running_loop()
         self._next_urgent_at = 0.0
         self._timer: asyncio.TimerHandle | None = None
@@ -168,8 +170,17 @@
             return self._finder.advance(member)
         if isinstance(answer, wire.SyncResponse):
             return self._take(sent_at, request, answer)
-        hint = answer.leader if isinstance(answer, wire.Failure) else None
-        return self._finder.advance(member, hint)
+        return self._take_failure(member, answer)
+
+    def _take_failure(
+        self, member: ids.MemberId, answer: wire.Message
+    ) -> bool:
+        if not isinstance(answer, wire.Failure):
+            return self._finder.advance(member)
+        if answer.kind == errors.ErrorKind.VERSION_CONFLICT.value:
+            self._raise_incarnation()
+            return False
+        return self._finder.advance(member, answer.leader)
 
     def _take(
         self,
--- a/fulmarseam/http/_caller.py
+++ b/fulmarseam/http/_caller.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
+import http
 import math
 from typing import Any
 from typing import NamedTuple
@@ -19,6 +20,7 @@
 Headers = list[tuple[bytes, bytes]]
 
 NEVER = math.inf
+REASONS = {status.value: status.phrase.encode() for status in http.HTTPStatus}
 
 
 class Request(NamedTuple):
@@ -291,7 +293,11 @@
         if not self.body_done or self.closing:
             fields.append((b'connection', b'close'))
         self.response_started = True
-        event = h11.Response(status_code=status, headers=fields, reason=reason)
+        event = h11.Response(
+            status_code=status,
+            headers=fields,
+            reason=reason or REASONS.get(status, b''),
+        )
         self._out.append(self._send_event(event))
 
     def send_data(self, data: bytes) -> None:
