--- a/fulmarseam/http/_channel.py
+++ b/fulmarseam/http/_channel.py
@@ -93,6 +93,11 @@
         """Return whether received bytes wait to be taken."""
         return bool(self._pieces)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the number of received bytes that wait to be taken."""
+        return self._buffered
+
     def close(self) -> None:
         """Close after all written bytes have been sent."""
         if self.transport is not None:
--- a/fulmarseam/http/_target.py
+++ b/fulmarseam/http/_target.py
@@ -143,11 +143,14 @@
         return False
 
     def _check_partial_head(self) -> None:
-        if len(self._head) > MAX_RESPONSE_HEADER_BYTES:
+        self._check_head_size(len(self._head))
+        self._check_framing(self._head, complete=False)
+
+    def _check_head_size(self, size: int) -> None:
+        if size > MAX_RESPONSE_HEADER_BYTES:
             raise self._fail(
                 _failures.Reason.MALFORMED, 'response headers too large'
             )
-        self._check_framing(self._head, complete=False)
 
     def _feed_head(self, length: int) -> None:
         head = bytes(self._head[:length])
@@ -155,6 +158,7 @@
         self._head.clear()
         if rest:
             self.put_back(rest)
+        self._check_head_size(length)
         self._check_framing(head, complete=True)
         self._h11.receive_data(head)
         self._head_done = True
--- /dev/null
+++ b/tests/test_http_server.py
@@ -0,0 +1,421 @@
+"""Tests of the HTTP server over raw sockets."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import unittest
+
+from fulmarseam import errors
+from fulmarseam import http
+from tests import fakes
+
+TIMEOUT_S = 5.0
+GET = b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
+LAST_GET = b'GET /last HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n'
+
+
+def answer_error(error: errors.FulmarseamError) -> http.OwnAnswer:
+    """Return a plain answer for an error."""
+    return http.OwnAnswer(
+        error.answer.status, [(b'x-kind', error.kind.value.encode())], b''
+    )
+
+
+async def read_whole_body(caller: http.CallerConnection) -> bytes:
+    """Return the body of a request."""
+    assert caller.signal is not None
+    body = b''
+    while (piece := caller.poll_body()) != b'':
+        if piece is None:
+            caller.start_body_timeout()
+            await caller.signal.wait()
+        else:
+            body += piece
+    return body
+
+
+class ServerCase(unittest.IsolatedAsyncioTestCase):
+    """Runs a server whose handler answers with what it was sent."""
+
+    limits = http.Limits(header_timeout_s=5.0, idle_timeout_s=5.0)
+
+    async def asyncSetUp(self) -> None:
+        self.handled: list[bytes] = []
+        self.handler: Callable[
+            [http.Request, http.CallerConnection], Awaitable[None]
+        ] = self.echo
+        self.address = fakes.find_free_address()
+        self.server = http.Server(
+            self.address, self.handle, answer_error, self.limits
+        )
+        await self.server.__aenter__()
+        self.addAsyncCleanup(self.server.__aexit__)
+
+    async def handle(
+        self, request: http.Request, caller: http.CallerConnection
+    ) -> None:
+        self.handled.append(request.target)
+        await self.handler(request, caller)
+
+    async def echo(
+        self, request: http.Request, caller: http.CallerConnection
+    ) -> None:
+        body = await read_whole_body(caller)
+        caller.answer(200, [], request.target + b' ' + body)
+
+    async def connect(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        host, port = self.address.split(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def exchange(self, data: bytes) -> bytes:
+        """Send bytes and return all that comes back until the close."""
+        reader, writer = await self.connect()
+        writer.write(data)
+        async with asyncio.timeout(TIMEOUT_S):
+            return await reader.read()
+
+
+def make_post(headers: bytes, body: bytes) -> bytes:
+    """Return a request followed by one that would be smuggled."""
+    head = b'POST / HTTP/1.1\r\nHost: a\r\n' + headers + b'\r\n\r\n'
+    return head + body + LAST_GET
+
+
+class AmbiguousFramingTest(ServerCase):
+    """Guards against request smuggling by messages with two readings."""
+
+    async def test_ambiguous_heads_are_refused(self) -> None:
+        heads = {
+            'length and coding': (
+                b'Content-Length: 4\r\nTransfer-Encoding: chunked'
+            ),
+            'coding and length': (
+                b'Transfer-Encoding: chunked\r\nContent-Length: 4'
+            ),
+            'equal lengths': b'Content-Length: 0\r\nContent-Length: 0',
+            'two lengths': b'Content-Length: 0\r\nContent-Length: 9',
+            'list of lengths': b'Content-Length: 0, 0',
+            'signed length': b'Content-Length: +1',
+            'negative length': b'Content-Length: -1',
+            'hexadecimal length': b'Content-Length: 0x4',
+            'space before colon': b'Content-Length : 4',
+            'unknown coding': b'Transfer-Encoding: xchunked',
+            'repeated coding': b'Transfer-Encoding: chunked, chunked',
+            'two codings': (
+                b'Transfer-Encoding: chunked\r\nTransfer-Encoding: identity'
+            ),
+            'folded coding': b'Transfer-Encoding:\r\n chunked',
+            'folded header': b'X: a\r\n\tContent-Length: 4',
+            'NUL': b'X: a\0b',
+            'bare line feed': b'X: a\nContent-Length: 4',
+            'bare carriage return': b'X: a\rContent-Length: 4',
+            'second host': b'Host: b',
+        }
+        for name, headers in heads.items():
+            with self.subTest(name):
+                answer = await self.exchange(make_post(headers, b'0\r\n\r\n'))
+                self.assertTrue(answer.startswith(b'HTTP/1.1 400 '), answer)
+                self.assertEqual(1, answer.count(b'HTTP/1.1'))
+                self.assertIn(b'connection: close', answer.lower())
+        self.assertEqual([], self.handled)
+
+    async def test_malformed_requests_are_refused(self) -> None:
+        requests = {
+            'line feeds only': b'GET / HTTP/1.1\nHost: a\n\n',
+            'no host': b'GET / HTTP/1.1\r\n\r\n',
+            'no version': b'GET /\r\n\r\n',
+            'coding in 1.0': (
+                b'POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n'
+            ),
+            'other protocol': b'\x16\x03\x01\x02\x00\x01\r\n\r\n',
+        }
+        for name, data in requests.items():
+            with self.subTest(name):
+                answer = await self.exchange(data)
+                self.assertTrue(answer.startswith(b'HTTP/1.1 400 '), answer)
+        self.assertEqual([], self.handled)
+
+    async def test_bad_chunks_are_refused(self) -> None:
+        bodies = {
+            'negative size': b'-1\r\n\r\n',
+            'prefixed size': b'0x1\r\na\r\n0\r\n\r\n',
+            'two sizes': b'1 1\r\na\r\n0\r\n\r\n',
+            'size too long': b'1' * 30 + b'\r\na\r\n',
+            'empty size': b'\r\na\r\n',
+            'line feed after size': b'1\na\r\n0\r\n\r\n',
+            'data longer than size': b'1\r\nabc\r\n0\r\n\r\n',
+            'line feed at the end': b'0\r\n\n',
+            'line feed in trailers': b'0\r\nX: a\n\r\n',
+        }
+        for name, body in bodies.items():
+            with self.subTest(name):
+                self.handled.clear()
+                answer = await self.exchange(
+                    make_post(b'Transfer-Encoding: chunked', body)
+                )
+                self.assertTrue(answer.startswith(b'HTTP/1.1 400 '), answer)
+                self.assertEqual(1, answer.count(b'HTTP/1.1'))
+                self.assertEqual([b'/'], self.handled)
+
+    async def test_second_request_is_checked_like_the_first(self) -> None:
+        bad = make_post(b'Content-Length: 0\r\nContent-Length: 0', b'')
+        answer = await self.exchange(GET + bad)
+        self.assertEqual(1, answer.count(b'HTTP/1.1 200 '))
+        self.assertEqual(1, answer.count(b'HTTP/1.1 400 '))
+        self.assertEqual([b'/'], self.handled)
+
+
+class BodyTest(ServerCase):
+    """Guards against bodies and pipelined requests that get mixed up."""
+
+    async def test_pipelined_requests_are_answered_in_order(self) -> None:
+        chunked = (
+            b'POST /b HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked'
+            b'\r\n\r\n2;x=y\r\nde\r\n1\r\nf\r\n0\r\nX: y\r\n\r\n'
+        )
+        data = (
+            b'POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc'
+            + chunked
+            + b'\r\n'
+            + LAST_GET
+        )
+        whole = await self.exchange(data)
+        reader, writer = await self.connect()
+        for position in range(len(data)):
+            writer.write(data[position : position + 1])
+            await writer.drain()
+            await asyncio.sleep(0)
+        split = await reader.read()
+        for answer in (whole, split):
+            bodies = [
+                part.partition(b'\r\n\r\n')[2]
+                for part in answer.split(b'HTTP/1.1 200 OK')[1:]
+            ]
+            self.assertEqual([b'/a abc', b'/b def', b'/last '], bodies)
+
+    async def test_answers_without_body(self) -> None:
+        async def answer(
+            request: http.Request, caller: http.CallerConnection
+        ) -> None:
+            status = int(request.target[1:] or b'200')
+            caller.answer(status, [], b'' if status == 204 else b'abc')
+
+        self.handler = answer
+        data = (
+            b'HEAD / HTTP/1.1\r\nHost: a\r\n\r\n'
+            b'GET /204 HTTP/1.1\r\nHost: a\r\n\r\n'
+            b'GET /304 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n'
+        )
+        received = await self.exchange(data)
+        self.assertEqual(3, received.count(b'HTTP/1.1'))
+        self.assertNotIn(b'abc', received)
+        self.assertIn(b'content-length: 3', received.lower())
+
+    async def test_continue_is_sent_only_when_the_body_is_wanted(
+        self,
+    ) -> None:
+        head = (
+            b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n'
+            b'Expect: 100-continue\r\nConnection: close\r\n\r\n'
+        )
+        reader, writer = await self.connect()
+        writer.write(head)
+        self.assertEqual(
+            b'HTTP/1.1 100 Continue\r\n\r\n',
+            await reader.readuntil(b'\r\n\r\n'),
+        )
+        writer.write(b'abc')
+        self.assertIn(b'/ abc', await reader.read())
+
+        async def refuse(
+            request: http.Request, caller: http.CallerConnection
+        ) -> None:
+            raise errors.FulmarseamError(errors.ErrorKind.NO_ROUTE)
+
+        self.handler = refuse
+        answer = await self.exchange(head.replace(b'Connection: close', b'X:'))
+        self.assertTrue(answer.startswith(b'HTTP/1.1 404 '), answer)
+        self.assertNotIn(b'100 Continue', answer)
+
+    async def test_unread_body_is_not_taken_for_a_request(self) -> None:
+        async def answer_early(
+            request: http.Request, caller: http.CallerConnection
+        ) -> None:
+            caller.answer(200, [], b'early')
+
+        self.handler = answer_early
+        body = LAST_GET
+        head = (
+            b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n'
+            % len(body)
+        )
+        received = await self.exchange(head + body)
+        self.assertEqual(1, received.count(b'HTTP/1.1'))
+        self.assertEqual([b'/'], self.handled)
+
+
+class LimitTest(ServerCase):
+    """Guards against callers that take memory or connections for ever."""
+
+    limits = http.Limits(
+        max_header_bytes=2_048,
+        max_body_bytes=100_000,
+        max_connections=3,
+        header_timeout_s=0.2,
+        idle_timeout_s=0.3,
+    )
+
+    async def test_oversized_headers_are_refused(self) -> None:
+        header = b'X: ' + b'a' * 3_000
+        for data in (
+            b'GET / HTTP/1.1\r\nHost: a\r\n' + header,
+            b'GET / HTTP/1.1\r\nHost: a\r\n' + header + b'\r\n\r\n',
+        ):
+            answer = await self.exchange(data)
+            self.assertTrue(answer.startswith(b'HTTP/1.1 431 '), answer)
+        self.assertEqual([], self.handled)
+
+    async def test_slow_headers_are_refused(self) -> None:
+        answer = await self.exchange(b'GET / HTTP/1.1\r\nHos')
+        self.assertTrue(answer.startswith(b'HTTP/1.1 408 '), answer)
+
+    async def test_idle_connections_are_closed_without_answer(self) -> None:
+        self.assertEqual(b'', await self.exchange(b''))
+        answer = await self.exchange(GET)
+        self.assertEqual(1, answer.count(b'HTTP/1.1'))
+
+    async def test_stalled_body_is_refused(self) -> None:
+        answer = await self.exchange(
+            b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nabc'
+        )
+        self.assertTrue(answer.startswith(b'HTTP/1.1 408 '), answer)
+
+    async def test_oversized_bodies_are_refused(self) -> None:
+        declared = b'Content-Length: 100001'
+        answer = await self.exchange(make_post(declared, b''))
+        self.assertTrue(answer.startswith(b'HTTP/1.1 413 '), answer)
+        self.assertEqual([], self.handled)
+        chunk = b'ffff\r\n' + b'a' * 0xFFFF + b'\r\n'
+        answer = await self.exchange(
+            make_post(b'Transfer-Encoding: chunked', 3 * chunk)
+        )
+        self.assertTrue(answer.startswith(b'HTTP/1.1 413 '), answer)
+
+    async def test_connections_above_the_limit_are_closed(self) -> None:
+        for _ in range(3):
+            await self.connect()
+        await asyncio.sleep(0.05)
+        self.assertEqual(3, self.server.connections)
+        reader, _ = await self.connect()
+        with contextlib.suppress(ConnectionError):
+            async with asyncio.timeout(0.1):
+                self.assertEqual(b'', await reader.read())
+        self.assertEqual(3, self.server.connections)
+
+
+class FlowTest(ServerCase):
+    """Guards against memory that grows with a slow or absent peer."""
+
+    async def test_slow_reader_stops_the_handler(self) -> None:
+        sizes: list[int] = []
+
+        async def stream(
+            request: http.Request, caller: http.CallerConnection
+        ) -> None:
+            caller.start_response(200, [])
+            assert caller.signal is not None
+            for _ in range(1_000):
+                caller.send_data(b'a' * 65_536)
+                caller.flush()
+                sizes.append(caller.transport.get_write_buffer_size())
+                while caller.write_paused and not caller.gone:
+                    await caller.signal.wait()
+                if caller.gone:
+                    raise http.CallerGoneError
+            caller.end_response()
+
+        self.handler = stream
+        reader, writer = await self.connect()
+        writer.write(GET)
+        await asyncio.sleep(0.3)
+        self.assertLess(len(sizes), 500)
+        self.assertLess(max(sizes), 4 * 65_536)
+        writer.transport.abort()
+        await asyncio.sleep(0.05)
+        self.assertEqual(0, self.server.busy)
+
+    async def test_unread_upload_is_stopped(self) -> None:
+        connections: list[http.CallerConnection] = []
+        done = asyncio.Event()
+
+        async def ignore(
+            request: http.Request, caller: http.CallerConnection
+        ) -> None:
+            connections.append(caller)
+            await done.wait()
+            body = await read_whole_body(caller)
+            caller.answer(200, [], b'%d' % len(body))
+
+        self.handler = ignore
+        size = 32 * 1024 * 1024
+        reader, writer = await self.connect()
+        writer.write(
+            b'POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n'
+            b'Content-Length: %d\r\n\r\n' % size
+        )
+        writer.write(b'a' * size)
+        await asyncio.sleep(0.2)
+        held = connections[0].buffered_bytes
+        done.set()
+        self.assertIn(b'%d' % size, await reader.read())
+        self.assertLessEqual(held, 2 * http.BUFFER_BYTES)
+
+    async def test_caller_that_leaves_is_noticed(self) -> None:
+        noticed = asyncio.Event()
+
+        async def wait(
+            request: http.Request, caller: http.CallerConnection
+        ) -> None:
+            assert caller.signal is not None
+            while not caller.gone:
+                await caller.signal.wait()
+            noticed.set()
+            raise http.CallerGoneError
+
+        self.handler = wait
+        _, writer = await self.connect()
+        writer.write(GET)
+        await asyncio.sleep(0.05)
+        writer.close()
+        async with asyncio.timeout(TIMEOUT_S):
+            await noticed.wait()
+            await self.server.wait_until_idle()
+
+    async def test_draining_finishes_requests_and_closes(self) -> None:
+        release = asyncio.Event()
+
+        async def wait(
+            request: http.Request, caller: http.CallerConnection
+        ) -> None:
+            await release.wait()
+            caller.answer(200, [], b'done')
+
+        self.handler = wait
+        idle_reader, _ = await self.connect()
+        reader, writer = await self.connect()
+        writer.write(GET)
+        await asyncio.sleep(0.05)
+        self.server.close_listener()
+        self.server.start_draining()
+        async with asyncio.timeout(TIMEOUT_S):
+            self.assertEqual(b'', await idle_reader.read())
+            release.set()
+            answer = await reader.read()
+            await self.server.wait_until_idle()
+        self.assertIn(b'done', answer)
+        self.assertIn(b'connection: close', answer.lower())
