--- /dev/null
+++ b/fulmarseam/client/_caller.py
@@ -0,0 +1,210 @@
+"""Calls through the entries."""
+
+import asyncio
+from collections.abc import Sequence
+import secrets
+import time
+from typing import NamedTuple
+from typing import Self
+
+from fulmarseam import errors
+from fulmarseam import ids
+from fulmarseam.client import _exchange
+from fulmarseam.client import _lookup
+
+RANDOM_BYTES = 16
+# The entry ends a request at its deadline; the caller waits a little longer
+# for the answer that says so.
+ANSWER_GRACE_S = 1.0
+
+
+class Attempt(NamedTuple):
+    """One attempt of a call at one entry.
+
+    Times are seconds of the monotonic clock. `status` is 0 when there was
+    no whole answer, `detail` then says why. `opened` and `started` are as
+    in `ExchangeError`.
+    """
+
+    entry: str
+    sent: float
+    ended: float
+    outcome: errors.Outcome
+    status: int = 0
+    kind: str = ''
+    detail: str = ''
+    opened: bool = True
+    started: bool = True
+
+
+class Result(NamedTuple):
+    """What is known of a call after its last attempt.
+
+    `reply` is nothing when the last attempt got no whole answer.
+    """
+
+    outcome: errors.Outcome
+    reply: _exchange.Reply | None
+    request_id: ids.RequestId | None
+    attempts: Sequence[Attempt]
+
+
+class Caller:
+    """Sends calls through the entries that look-ups name.
+
+    A call goes to the next entry only when the attempt is known not to
+    have run. All attempts of a call carry the same request id::
+
+        async with Caller(['127.0.0.1:8001'], 'ost') as caller:
+            result = await caller.call(request, deadline_ms=2000, once=True)
+    """
+
+    def __init__(self, apis: Sequence[str], region: str) -> None:
+        self._exchanger = _exchange.Exchanger()
+        self._lookup = _lookup.Lookup(apis, region, self._exchanger)
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        self._exchanger.close()
+
+    async def mint_request_id(self) -> ids.RequestId:
+        """Return a new request id, HOME.GENERATION.RANDOM.
+
+        Raises `errors.FulmarseamError` when no entry answers a look-up or
+        the answer names no record home.
+        """
+        answer = await self._lookup.get()
+        home = answer.record_home
+        if home is None:
+            raise errors.FulmarseamError(
+                errors.ErrorKind.UNAVAILABLE,
+                'the look-up answer names no record home',
+            )
+        token = secrets.token_hex(RANDOM_BYTES)
+        return ids.RequestId(f'{home.region}.{home.generation}.{token}')
+
+    async def look_up(self) -> _lookup.LookupAnswer:
+        """Return the current look-up answer.
+
+        Raises `errors.FulmarseamError` when no entry has ever answered.
+        """
+        return await self._lookup.get()
+
+    async def call(
+        self,
+        request: _exchange.Request,
+        deadline_ms: int,
+        once: bool = False,
+        request_id: ids.RequestId | None = None,
+    ) -> Result:
+        """Send a request and return what is known of it.
+
+        With `once` the request carries a request id, a new one unless the
+        id of an earlier call is given. Raises `errors.FulmarseamError`
+        when no entry answers a look-up; nothing was sent then.
+        """
+        deadline = time.monotonic() + deadline_ms / 1_000
+        answer = await self._lookup.get()
+        if once and request_id is None:
+            request_id = await self.mint_request_id()
+        attempts: list[Attempt] = []
+        reply: _exchange.Reply | None = None
+        for entry in answer.entries:
+            left_s = deadline - time.monotonic()
+            if left_s <= 0:
+                break
+            attempt, reply = await self._attempt(
+                entry.listen, _stamp(request, request_id, left_s), left_s
+            )
+            attempts.append(attempt)
+            if not _may_go_on(attempt):
+                break
+        outcome = errors.Outcome.NOT_RUN
+        if attempts:
+            outcome = attempts[-1].outcome
+        return Result(outcome, reply, request_id, attempts)
+
+    async def _attempt(
+        self, address: str, request: _exchange.Request, left_s: float
+    ) -> tuple[Attempt, _exchange.Reply | None]:
+        sent = time.monotonic()
+        try:
+            reply = await self._exchanger.send(
+                address, request, left_s + ANSWER_GRACE_S
+            )
+        except _exchange.ExchangeError as error:
+            attempt = Attempt(
+                entry=address,
+                sent=sent,
+                ended=time.monotonic(),
+                outcome=error.outcome,
+                detail=str(error),
+                opened=error.opened,
+                started=error.started,
+            )
+            return attempt, None
+        outcome = read_outcome(reply)
+        kind = reply.headers.get('fulmarseam-kind', '')
+        ended = time.monotonic()
+        attempt = Attempt(address, sent, ended, outcome, reply.status, kind)
+        return attempt, reply
+
+
+def read_outcome(reply: _exchange.Reply) -> errors.Outcome:
+    """Return the outcome that an answer declares, by default answered."""
+    declared = reply.headers.get('fulmarseam-outcome')
+    if declared is None:
+        return errors.Outcome.ANSWERED
+    try:
+        return errors.Outcome(declared)
+    except ValueError:
+        return errors.Outcome.UNKNOWN
+
+
+def _may_go_on(attempt: Attempt) -> bool:
+    """Return whether the next entry may be asked."""
+    if attempt.outcome is not errors.Outcome.NOT_RUN:
+        return False
+    if not attempt.kind:
+        return True
+    try:
+        kind = errors.ErrorKind(attempt.kind)
+    except ValueError:
+        return False
+    return errors.ANSWERS[kind].retry is errors.Retry.OTHER_ENTRY
+
+
+def _stamp(
+    request: _exchange.Request,
+    request_id: ids.RequestId | None,
+    left_s: float,
+) -> _exchange.Request:
+    headers = dict(request.headers)
+    headers['Fulmarseam-Deadline-Ms'] = str(max(1, int(left_s * 1_000)))
+    if request_id is not None:
+        headers['Idempotency-Key'] = request_id
+    return request._replace(headers=headers)
+
+
+async def call_repeatedly(
+    caller: Caller,
+    request: _exchange.Request,
+    deadline_ms: int,
+    tries: int,
+    pause_s: float,
+) -> list[Result]:
+    """Repeat an at-most-once call with its id until it is not unknown.
+
+    Returns the results of all tries in order.
+    """
+    results: list[Result] = []
+    request_id = await caller.mint_request_id()
+    for _ in range(tries):
+        result = await caller.call(request, deadline_ms, True, request_id)
+        results.append(result)
+        if result.outcome is not errors.Outcome.UNKNOWN:
+            break
+        await asyncio.sleep(pause_s)
+    return results
--- /dev/null
+++ b/fulmarseam/commands/load.py
@@ -0,0 +1,20 @@
+"""The program `fulmarseam-load`."""
+
+import asyncio
+
+from fulmarseam import settings
+from fulmarseam import standin
+from fulmarseam import telemetry
+from fulmarseam.commands import _launcher
+
+
+def serve(options: settings.LoadSettings) -> None:
+    """Run the load and print one line for each route."""
+    with telemetry.open_log(options.log_file, options.log_level):
+        for summary in asyncio.run(standin.run_load(options)):
+            print(summary.format())
+
+
+def main() -> None:
+    """Run the program."""
+    _launcher.launch_daemon(settings.LoadSettings, serve)
--- a/fulmarseam/settings/__init__.py
+++ b/fulmarseam/settings/__init__.py
@@ -9,6 +9,11 @@
 from fulmarseam.settings._control import ControlSettings
 from fulmarseam.settings._control import MemberAddress
 from fulmarseam.settings._entry import EntrySettings
+from fulmarseam.settings._faultproxy import FaultProxySettings
+from fulmarseam.settings._faultproxy import Forward
+from fulmarseam.settings._load import LoadPhase
+from fulmarseam.settings._load import LoadRoute
+from fulmarseam.settings._load import LoadSettings
 from fulmarseam.settings._loading import load_settings
 from fulmarseam.settings._loading import read_settings
 from fulmarseam.settings._options import address
@@ -25,13 +30,22 @@
 from fulmarseam.settings._options import optional
 from fulmarseam.settings._options import section
 from fulmarseam.settings._options import text
+from fulmarseam.settings._target import ServiceTime
+from fulmarseam.settings._target import TargetSettings
 
 __all__ = [
     'Check',
     'ControlSettings',
     'EntrySettings',
+    'FaultProxySettings',
+    'Forward',
     'InvalidValueError',
+    'LoadPhase',
+    'LoadRoute',
+    'LoadSettings',
     'MemberAddress',
+    'ServiceTime',
+    'TargetSettings',
     'address',
     'boolean',
     'choice',
--- a/fulmarseam/standin/__init__.py
+++ b/fulmarseam/standin/__init__.py
@@ -1,1 +1,47 @@
-"""Stand-in target, load generator and fault proxy."""
+"""Stand-ins for tests and measurements: target, load and fault proxy.
+
+The target serves marked requests: `Standin-Mark` names the request in the
+journals, `Standin-Action` asks for "crash" or "truncate",
+`Standin-Service-Ms` sets the service time and `Standin-Response-Bytes` the
+size of the answer.
+"""
+
+from fulmarseam.standin._journal import AttemptRecord
+from fulmarseam.standin._journal import CallRecord
+from fulmarseam.standin._journal import Journal
+from fulmarseam.standin._journal import read_journal
+from fulmarseam.standin._journal import RunEvent
+from fulmarseam.standin._journal import RunRecord
+from fulmarseam.standin._journal import RunResult
+from fulmarseam.standin._load import RouteSummary
+from fulmarseam.standin._load import run_load
+from fulmarseam.standin._load import schedule_arrivals
+from fulmarseam.standin._proxy import Action
+from fulmarseam.standin._proxy import Direction
+from fulmarseam.standin._proxy import LinkStatus
+from fulmarseam.standin._proxy import ProxyCommand
+from fulmarseam.standin._proxy import run_faultproxy
+from fulmarseam.standin._reports import Reporter
+from fulmarseam.standin._target import run_target
+from fulmarseam.standin._target import TargetCommand
+
+__all__ = [
+    'Action',
+    'AttemptRecord',
+    'CallRecord',
+    'Direction',
+    'Journal',
+    'LinkStatus',
+    'ProxyCommand',
+    'Reporter',
+    'RouteSummary',
+    'RunEvent',
+    'RunRecord',
+    'RunResult',
+    'TargetCommand',
+    'read_journal',
+    'run_faultproxy',
+    'run_load',
+    'run_target',
+    'schedule_arrivals',
+]
--- /dev/null
+++ b/fulmarseam/standin/_load.py
@@ -0,0 +1,260 @@
+"""Open-loop load: requests start by schedule, whatever the answers do."""
+
+import asyncio
+from collections.abc import Iterator
+import itertools
+import random
+import time
+from typing import Any
+from typing import NamedTuple
+from typing import Protocol
+
+from hdrh import histogram
+import logbook
+
+from fulmarseam import client
+from fulmarseam import errors
+from fulmarseam import settings
+from fulmarseam import telemetry
+from fulmarseam.standin import _journal
+
+# Latencies in microseconds, from 1 us to 10 minutes.
+LOWEST_US = 1
+HIGHEST_US = 600_000_000
+SIGNIFICANT_DIGITS = 3
+START_DELAY_S = 0.2
+
+_log = logbook.Logger('load')
+
+
+class Arrival(NamedTuple):
+    """A request that is due `offset_s` after the start."""
+
+    offset_s: float
+    route: settings.LoadRoute
+
+
+class Sender(Protocol):
+    """Sends one call and returns what is known of it."""
+
+    async def __call__(
+        self, request: client.Request, route: settings.LoadRoute
+    ) -> client.Result: ...
+
+
+def schedule_arrivals(
+    options: settings.LoadSettings, rng: random.Random
+) -> Iterator[Arrival]:
+    """Yield all arrivals in order of time."""
+    weights = [route.weight for route in options.routes]
+    phase_start = 0.0
+    for phase in options.phases:
+        gap_s = 1 / phase.rate_per_s
+        offset = 0.0
+        while True:
+            if options.arrivals == 'poisson':
+                offset += rng.expovariate(phase.rate_per_s)
+            else:
+                offset += gap_s
+            if offset >= phase.duration_s:
+                break
+            route = rng.choices(options.routes, weights)[0]
+            yield Arrival(phase_start + offset, route)
+        phase_start += phase.duration_s
+
+
+class RouteSummary:
+    """Counts and latencies of one route."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.outcomes = dict.fromkeys(errors.Outcome, 0)
+        self.good = 0
+        self._latencies: Any = histogram.HdrHistogram(
+            LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS
+        )
+
+    def add(self, call: _journal.CallRecord) -> None:
+        """Count one call; latencies are those of good answers."""
+        self.outcomes[errors.Outcome(call.outcome)] += 1
+        if call.outcome == errors.Outcome.ANSWERED.value:
+            if 200 <= call.status < 300:
+                self.good += 1
+                taken_us = int((call.ended - call.intended) * 1e6)
+                self._latencies.record_value(max(LOWEST_US, taken_us))
+
+    def read_percentile_ms(self, percentile: float) -> float:
+        """Return a latency in milliseconds; 0 without answers."""
+        if not self.good:
+            return 0.0
+        value = self._latencies.get_value_at_percentile(percentile)
+        return float(value) / 1_000
+
+    def format(self) -> str:
+        """Return one line of key=value pairs."""
+        return telemetry.format_event(
+            'route_summary',
+            route=self.name,
+            good=self.good,
+            answered=self.outcomes[errors.Outcome.ANSWERED],
+            not_run=self.outcomes[errors.Outcome.NOT_RUN],
+            unknown=self.outcomes[errors.Outcome.UNKNOWN],
+            p50_ms=self.read_percentile_ms(50),
+            p99_ms=self.read_percentile_ms(99),
+            p999_ms=self.read_percentile_ms(99.9),
+        )
+
+
+class Load:
+    """Runs one schedule of calls and keeps their summaries."""
+
+    def __init__(self, options: settings.LoadSettings, send: Sender) -> None:
+        self._options = options
+        self._send = send
+        self._journal = _journal.Journal(options.journal)
+        self._numbers = itertools.count()
+        self._run = f'{options.caller}-{time.monotonic_ns():x}'
+        self.summaries = {
+            route.name: RouteSummary(route.name) for route in options.routes
+        }
+        self.skipped = 0
+
+    async def run(self) -> None:
+        """Send all calls and wait for their ends."""
+        rng = random.Random(self._options.seed or None)
+        start = time.monotonic() + START_DELAY_S
+        calls: set[asyncio.Task[None]] = set()
+        try:
+            for arrival in schedule_arrivals(self._options, rng):
+                intended = start + arrival.offset_s
+                await asyncio.sleep(max(0, intended - time.monotonic()))
+                if len(calls) >= self._options.max_in_flight:
+                    self.skipped += 1
+                    continue
+                call = asyncio.create_task(self._call(arrival.route, intended))
+                calls.add(call)
+                call.add_done_callback(calls.discard)
+            await asyncio.gather(*calls)
+        finally:
+            for call in calls:
+                call.cancel()
+            self._journal.close()
+
+    async def _call(self, route: settings.LoadRoute, intended: float) -> None:
+        mark = f'{self._run}-{next(self._numbers)}'
+        request = client.Request(
+            route.method,
+            route.host,
+            route.path,
+            {**route.headers, 'Standin-Mark': mark},
+            b'b' * route.body_bytes,
+        )
+        try:
+            result = await self._send(request, route)
+        except errors.FulmarseamError as error:
+            _log.debug('event=call_not_sent error={!r}', error.detail)
+            result = client.Result(errors.Outcome.NOT_RUN, None, None, [])
+        record = make_record(
+            mark, self._options, route, intended, time.monotonic(), result
+        )
+        self._journal.append(record)
+        self.summaries[route.name].add(record)
+
+
+def make_record(
+    mark: str,
+    options: settings.LoadSettings,
+    route: settings.LoadRoute,
+    intended: float,
+    ended: float,
+    result: client.Result,
+) -> _journal.CallRecord:
+    """Return the journal line of one call."""
+    headers = result.reply.headers if result.reply else {}
+    last = result.attempts[-1] if result.attempts else None
+    return _journal.CallRecord(
+        mark=mark,
+        caller=options.caller,
+        route=route.name,
+        region=options.region,
+        once=route.once,
+        intended=intended,
+        ended=ended,
+        outcome=result.outcome.value,
+        status=last.status if last else 0,
+        kind=last.kind if last else '',
+        request_id=result.request_id or '',
+        action=route.headers.get('Standin-Action', ''),
+        mark_seen=headers.get('standin-mark', ''),
+        target_seen=headers.get('standin-target', ''),
+        body_bytes=len(result.reply.body) if result.reply else 0,
+        body_expected=int(headers.get('standin-response-bytes', -1)),
+        attempts=[
+            _journal.AttemptRecord(
+                **{**attempt._asdict(), 'outcome': attempt.outcome.value}
+            )
+            for attempt in result.attempts
+        ],
+    )
+
+
+def make_direct_sender(
+    addresses: list[str], exchanger: client.Exchanger
+) -> Sender:
+    """Return a sender that uses the addresses in turn."""
+    turns = itertools.cycle(addresses)
+
+    async def send(
+        request: client.Request, route: settings.LoadRoute
+    ) -> client.Result:
+        address = next(turns)
+        sent = time.monotonic()
+        try:
+            reply = await exchanger.send(
+                address, request, route.deadline_ms / 1_000
+            )
+        except client.ExchangeError as error:
+            attempt = client.Attempt(
+                address,
+                sent,
+                time.monotonic(),
+                error.outcome,
+                detail=str(error),
+                opened=error.opened,
+                started=error.started,
+            )
+            return client.Result(error.outcome, None, None, [attempt])
+        outcome = client.read_outcome(reply)
+        attempt = client.Attempt(
+            address, sent, time.monotonic(), outcome, reply.status
+        )
+        return client.Result(outcome, reply, None, [attempt])
+
+    return send
+
+
+def make_caller_sender(caller: client.Caller) -> Sender:
+    """Return a sender that calls through the entries."""
+
+    async def send(
+        request: client.Request, route: settings.LoadRoute
+    ) -> client.Result:
+        return await caller.call(request, route.deadline_ms, route.once)
+
+    return send
+
+
+async def run_load(options: settings.LoadSettings) -> list[RouteSummary]:
+    """Run a schedule of calls and return the summary of each route."""
+    if options.direct:
+        exchanger = client.Exchanger()
+        load = Load(options, make_direct_sender(options.direct, exchanger))
+        await load.run()
+        exchanger.close()
+    else:
+        async with client.Caller(options.entries, options.region) as caller:
+            load = Load(options, make_caller_sender(caller))
+            await load.run()
+    if load.skipped:
+        _log.warn('event=calls_skipped count={}', load.skipped)
+    return list(load.summaries.values())
--- /dev/null
+++ b/fulmarseam/standin/_proxy.py
@@ -0,0 +1,246 @@
+"""The fault proxy: TCP forwards with faults, changed at run time."""
+
+import asyncio
+import contextlib
+import enum
+import fnmatch
+import signal
+import socket
+import struct
+from typing import Self
+
+import logbook
+import msgspec
+
+from fulmarseam import settings
+from fulmarseam.standin import _pipe
+from fulmarseam.standin import _server
+
+CONNECT_RETRY_S = 0.05
+
+_log = logbook.Logger('faultproxy')
+
+
+class Action(enum.Enum):
+    """What a command does to links.
+
+    HOLD keeps all bytes back without closing anything. HEAL_LATE delivers
+    the held bytes, HEAL_RESET drops them and resets their connections. CUT
+    resets all connections and refuses new ones until a heal. SHAPE sets
+    the delay and the rate.
+    """
+
+    HOLD = 'hold'
+    HEAL_LATE = 'heal-late'
+    HEAL_RESET = 'heal-reset'
+    CUT = 'cut'
+    SHAPE = 'shape'
+    SHOW = 'show'
+
+
+class Direction(enum.Enum):
+    """Ways of a link; THERE leads from the dialler to the listener."""
+
+    THERE = 'there'
+    BACK = 'back'
+    BOTH = 'both'
+
+
+class ProxyCommand(msgspec.Struct, frozen=True, kw_only=True):
+    """A command to all links whose names match one of the patterns."""
+
+    action: Action
+    links: list[str]
+    direction: Direction = Direction.BOTH
+    delay_ms: float = 0.0
+    bytes_per_s: int = 0
+
+
+class LinkStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """The state of one link."""
+
+    name: str
+    connections: int
+    held_there: bool
+    held_back: bool
+    cut: bool
+    bytes_there: int
+    bytes_back: int
+
+
+class _Link:
+    """One forward with its connections."""
+
+    def __init__(self, forward: settings.Forward) -> None:
+        delay_s = forward.delay_ms / 1_000
+        self.forward = forward
+        self.there = _pipe.LineState(delay_s, forward.bytes_per_s)
+        self.back = _pipe.LineState(delay_s, forward.bytes_per_s)
+        self.cut = False
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def listen(self) -> None:
+        host, _, port = self.forward.listen.rpartition(':')
+        self._server = await asyncio.start_server(
+            self._serve, host.strip('[]'), int(port), backlog=1_024
+        )
+
+    async def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        await self.reset()
+
+    async def reset(self) -> None:
+        """Reset all connections and drop the bytes that they hold."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def select(self, direction: Direction) -> list[_pipe.LineState]:
+        if direction is Direction.THERE:
+            return [self.there]
+        if direction is Direction.BACK:
+            return [self.back]
+        return [self.there, self.back]
+
+    def show(self) -> LinkStatus:
+        return LinkStatus(
+            name=self.forward.name,
+            connections=len(self._tasks),
+            held_there=self.there.held,
+            held_back=self.back.held,
+            cut=self.cut,
+            bytes_there=self.there.forwarded_bytes,
+            bytes_back=self.back.forwarded_bytes,
+        )
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        writers = [writer]
+        try:
+            if self.cut:
+                return
+            await self.there.wait_open()
+            far_reader, far_writer = await self._connect()
+            writers.append(far_writer)
+            async with asyncio.TaskGroup() as group:
+                there = _pipe.Pipe(self.there, reader, far_writer)
+                back = _pipe.Pipe(self.back, far_reader, writer)
+                group.create_task(there.run())
+                group.create_task(back.run())
+            for end in writers:
+                end.close()
+        except (OSError, ExceptionGroup, asyncio.CancelledError):
+            # A fault of one side, or a command, ends both sides.
+            pass
+        finally:
+            self._tasks.discard(task)
+            for end in writers:
+                _reset_connection(end)
+
+    async def _connect(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        host, _, port = self.forward.to.rpartition(':')
+        return await asyncio.open_connection(host.strip('[]'), int(port))
+
+
+def _reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a reset, unless it is closed already."""
+    if writer.is_closing():
+        return
+    linger_none = struct.pack('ii', 1, 0)
+    with contextlib.suppress(OSError):
+        writer.get_extra_info('socket').setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, linger_none
+        )
+    writer.transport.abort()
+
+
+class FaultProxy:
+    """Forwards TCP connections until the context ends."""
+
+    def __init__(self, options: settings.FaultProxySettings) -> None:
+        self._links = [_Link(forward) for forward in options.forwards]
+        self._control = _server.Server(options.control, self._handle)
+
+    async def __aenter__(self) -> Self:
+        for link in self._links:
+            await link.listen()
+        await self._control.__aenter__()
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self._control.__aexit__(*exc_info)
+        for link in self._links:
+            await link.close()
+
+    async def _handle(
+        self, request: _server.ServerRequest
+    ) -> _server.ServerResponse:
+        try:
+            command = msgspec.json.decode(request.body, type=ProxyCommand)
+        except msgspec.MsgspecError as error:
+            return _server.ServerResponse(400, {}, str(error).encode())
+        links = self._match(command.links)
+        for link in links:
+            await _apply(link, command)
+        _log.info(
+            'event=command action={} direction={} links={}',
+            command.action.value,
+            command.direction.value,
+            len(links),
+        )
+        body = msgspec.json.encode([link.show() for link in links])
+        return _server.ServerResponse(200, {}, body)
+
+    def _match(self, patterns: list[str]) -> list[_Link]:
+        return [
+            link
+            for link in self._links
+            if any(
+                fnmatch.fnmatchcase(link.forward.name, pattern)
+                for pattern in patterns
+            )
+        ]
+
+
+async def _apply(link: _Link, command: ProxyCommand) -> None:
+    lines = link.select(command.direction)
+    if command.action is Action.HOLD:
+        for line in lines:
+            line.hold()
+    elif command.action is Action.CUT:
+        link.cut = True
+        await link.reset()
+    elif command.action is Action.HEAL_LATE:
+        link.cut = False
+        for line in lines:
+            line.release()
+    elif command.action is Action.HEAL_RESET:
+        link.cut = False
+        if any(line.held for line in lines):
+            await link.reset()
+        for line in lines:
+            line.release()
+    elif command.action is Action.SHAPE:
+        for line in lines:
+            line.delay_s = command.delay_ms / 1_000
+            line.bytes_per_s = command.bytes_per_s
+
+
+async def run_faultproxy(options: settings.FaultProxySettings) -> None:
+    """Run the fault proxy until SIGTERM or SIGINT."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    async with FaultProxy(options):
+        _log.info('event=listening control={}', options.control)
+        await stop.wait()
--- /dev/null
+++ b/tests/test_client.py
@@ -0,0 +1,183 @@
+"""Tests of the caller and target helpers."""
+
+import json
+import unittest
+
+from fulmarseam import client
+from fulmarseam import errors
+from fulmarseam import wire
+from fulmarseam.standin import _server
+from tests import _loopback
+
+REQUEST = client.Request('POST', 'shop.example', '/order', {}, b'one')
+
+
+def make_report() -> wire.TargetReport:
+    """Return a report that lacks its number."""
+    return wire.TargetReport(
+        target='t1',
+        pool='katalog',
+        address='127.0.0.1:9',
+        region='ost',
+        failure_domain='ost-a',
+        slots=4,
+        connections=10,
+        incarnation=1,
+        sequence=0,
+        state=wire.TargetState.READY,
+    )
+
+
+class FakeEntry:
+    """An entry whose answers to calls are given; it records requests."""
+
+    def __init__(self, responses: list[_server.ServerResponse]) -> None:
+        self.address = _loopback.find_free_address()
+        self.responses = responses
+        self.requests: list[_server.ServerRequest] = []
+        self.lookups = 0
+        self.named: list[str] = [self.address]
+        self.announce_status = 200
+        self.server = _server.Server(self.address, self.handle)
+
+    async def handle(
+        self, request: _server.ServerRequest
+    ) -> _server.ServerResponse:
+        if request.path.startswith('/v1/lookup'):
+            self.lookups += 1
+            return _server.ServerResponse(200, {}, self.make_lookup())
+        self.requests.append(request)
+        if request.path == '/v1/announce':
+            return _server.ServerResponse(self.announce_status, {})
+        return self.responses.pop(0)
+
+    def make_lookup(self) -> bytes:
+        entries = [
+            {'entry': f'e{number}', 'listen': address}
+            for number, address in enumerate(self.named)
+        ]
+        home = {'region': 'ost', 'generation': 7}
+        answer = {
+            'entries': entries,
+            'lifetime_ms': 5_000,
+            'record_home': home,
+        }
+        return json.dumps(answer).encode()
+
+
+def decline(kind: str, outcome: str) -> _server.ServerResponse:
+    """Return an entry's own answer."""
+    headers = {'Fulmarseam-Kind': kind, 'Fulmarseam-Outcome': outcome}
+    return _server.ServerResponse(503, headers)
+
+
+class CallerTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a caller that repeats what may have run."""
+
+    async def call(self, first: FakeEntry, second: FakeEntry) -> client.Result:
+        first.named = [first.address, second.address]
+        async with first.server, second.server:
+            async with client.Caller([first.address], 'ost') as caller:
+                return await caller.call(REQUEST, 2_000, once=True)
+
+    async def test_not_run_goes_on_with_the_same_request_id(self) -> None:
+        first = FakeEntry([decline('no_capacity', 'not-run')])
+        second = FakeEntry([_server.ServerResponse(200, {}, b'done')])
+        result = await self.call(first, second)
+        self.assertEqual(errors.Outcome.ANSWERED, result.outcome)
+        sent = [
+            entry.requests[0].headers['idempotency-key']
+            for entry in (first, second)
+        ]
+        self.assertEqual([result.request_id] * 2, sent)
+        self.assertRegex(sent[0], r'^ost\.7\.[0-9a-f]{32}$')
+
+    async def test_unknown_is_not_sent_to_another_entry(self) -> None:
+        first = FakeEntry([decline('target_failed', 'unknown')])
+        second = FakeEntry([])
+        result = await self.call(first, second)
+        self.assertEqual(errors.Outcome.UNKNOWN, result.outcome)
+        self.assertEqual([], second.requests)
+
+    async def test_not_run_for_good_is_not_sent_on(self) -> None:
+        first = FakeEntry([decline('route_retired', 'not-run')])
+        second = FakeEntry([])
+        result = await self.call(first, second)
+        self.assertEqual(errors.Outcome.NOT_RUN, result.outcome)
+        self.assertEqual([], second.requests)
+
+    async def test_connection_that_cannot_open_goes_on(self) -> None:
+        second = FakeEntry([_server.ServerResponse(200, {}, b'done')])
+        second.named = [_loopback.find_free_address(), second.address]
+        async with second.server:
+            async with client.Caller([second.address], 'ost') as caller:
+                result = await caller.call(REQUEST, 2_000, once=True)
+        opened = [attempt.opened for attempt in result.attempts]
+        self.assertEqual([False, True], opened)
+        self.assertEqual(errors.Outcome.ANSWERED, result.outcome)
+
+    async def test_truncated_answer_is_not_an_answer(self) -> None:
+        body = b'x' * 1_000
+        first = FakeEntry([_server.ServerResponse(200, {}, body, True)])
+        result = await self.call(first, FakeEntry([]))
+        self.assertEqual(errors.Outcome.UNKNOWN, result.outcome)
+        self.assertIsNone(result.reply)
+        self.assertTrue(result.attempts[-1].started)
+
+    async def test_lookup_is_kept_for_its_lifetime(self) -> None:
+        done = _server.ServerResponse(200, {}, b'done')
+        entry = FakeEntry([done] * 5)
+        async with entry.server:
+            async with client.Caller([entry.address], 'ost') as caller:
+                for _ in range(5):
+                    await caller.call(REQUEST, 2_000)
+        self.assertEqual(1, entry.lookups)
+
+    async def test_repeated_call_keeps_its_request_id(self) -> None:
+        unknown = decline('target_failed', 'unknown')
+        done = _server.ServerResponse(200, {}, b'done')
+        entry = FakeEntry([unknown, done])
+        async with entry.server:
+            async with client.Caller([entry.address], 'ost') as caller:
+                results = await client.call_repeatedly(
+                    caller, REQUEST, 2_000, tries=3, pause_s=0
+                )
+        sent = [
+            request.headers['idempotency-key'] for request in entry.requests
+        ]
+        self.assertEqual(2, len(results))
+        self.assertEqual(1, len(set(sent)))
+
+
+class AnnouncerTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against lost or reordered announcements."""
+
+    async def test_next_entry_is_told_with_a_higher_number(self) -> None:
+        first, second = FakeEntry([]), FakeEntry([])
+        first.announce_status = 503
+        announcer = client.Announcer(
+            [first.address, second.address], make_report, 0.75
+        )
+        async with first.server, second.server:
+            taken = await announcer.announce()
+            announcer.close()
+        sent = [
+            json.loads(entry.requests[0].body)['sequence']
+            for entry in (first, second)
+        ]
+        self.assertTrue(taken)
+        self.assertEqual([1, 2], sent)
+
+    async def test_leave_goes_to_all_entries(self) -> None:
+        entries = [FakeEntry([]), FakeEntry([])]
+        announcer = client.Announcer(
+            [entry.address for entry in entries], make_report, 0.75
+        )
+        async with entries[0].server, entries[1].server:
+            taken = await announcer.leave()
+            announcer.close()
+        states = [
+            json.loads(entry.requests[0].body)['state'] for entry in entries
+        ]
+        self.assertTrue(taken)
+        self.assertEqual(['leaving', 'leaving'], states)
