--- a/fulmarseam/wire/_sync.py
+++ b/fulmarseam/wire/_sync.py
@@ -78,20 +78,32 @@
     alive: bool
 
 
-class SlotUse(msgspec.Struct, frozen=True, kw_only=True):
-    """What an entry holds on a target and has in flight there."""
+class SlotUse(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """What an entry holds on a target and has in flight there.
+
+    `allowance` and `connections` are what it may use now: zero once its
+    grant has expired. Array form keeps a sync with 44 targets small.
+    """
 
     target: ids.TargetId
     allowance: int
     in_flight: int
+    connections: int = 0
 
 
-class SlotGrant(msgspec.Struct, frozen=True, kw_only=True):
-    """Slots and connections that an entry may use on a target."""
+class SlotGrant(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Slots and connections that an entry may use on a target.
+
+    `lease_ms` is the time left of the target's lease at the moment of the
+    answer; the grant ends with the lease. Zero means that the leader has
+    not heard of the target yet and that the entry must not extend what it
+    holds. Array form keeps a sync with 44 targets small.
+    """
 
     target: ids.TargetId
     slots: int
     connections: int
+    lease_ms: int = 0
 
 
 class PoolDemand(msgspec.Struct, frozen=True, kw_only=True):
@@ -120,13 +132,21 @@
     bytes_per_s: int
 
 
+class RecordCopy(msgspec.Struct, frozen=True, kw_only=True):
+    """A full copy of the records of a region up to a generation."""
+
+    region: ids.RegionName
+    generation: int
+
+
 class SyncRequest(
     msgspec.Struct, tag='sync_request', frozen=True, kw_only=True
 ):
     """An entry's report to the leader and its request for news.
 
     `ack_term` and `ack_sequence` name the last grants applied. The answer
-    may be held back for `wait_ms` when there is no news.
+    may be held back for `wait_ms` when there is no news. `record_copies`
+    names the record groups of which the entry holds a full copy.
     """
 
     info: EntryInfo
@@ -142,6 +162,7 @@
     announcements: list[TargetReport]
     announcement_ages_ms: list[int]
     wait_ms: int
+    record_copies: list[RecordCopy] = []
 
 
 class SyncResponse(
