--- a/fulmarseam/http/_caller.py
+++ b/fulmarseam/http/_caller.py
@@ -123,9 +123,7 @@
             if not self._head:
                 # One empty line before a request is allowed.
                 piece = piece.removeprefix(b'\r\n')
-                self.expires_at = (
-                    self._clock() + self._limits.header_timeout_s
-                )
+                self.expires_at = self._clock() + self._limits.header_timeout_s
             start = max(0, len(self._head) - 3)
             self._head += piece
             end = self._head.find(_framing.HEAD_END, start)
@@ -293,9 +291,7 @@
         if not self.body_done or self.closing:
             fields.append((b'connection', b'close'))
         self.response_started = True
-        event = h11.Response(
-            status_code=status, headers=fields, reason=reason
-        )
+        event = h11.Response(status_code=status, headers=fields, reason=reason)
         self._out.append(self._send_event(event))
 
     def send_data(self, data: bytes) -> None:
--- a/fulmarseam/standin/_journal.py
+++ b/fulmarseam/standin/_journal.py
@@ -17,10 +17,16 @@
 
 
 class RunEvent(enum.Enum):
-    """What a target records."""
+    """What a target records.
+
+    WAIT is an arrival that found no free slot, GONE its end without a
+    start.
+    """
 
     UP = 'up'
     LEAVING = 'leaving'
+    WAIT = 'wait'
+    GONE = 'gone'
     START = 'start'
     END = 'end'
     SHED = 'shed'
--- a/fulmarseam/standin/_work.py
+++ b/fulmarseam/standin/_work.py
@@ -122,11 +122,7 @@
         self.present += 1
         arrived = time.monotonic()
         try:
-            try:
-                async with asyncio.timeout(job.deadline_s):
-                    await self._slots.acquire()
-            except TimeoutError:
-                self.record(_journal.RunEvent.SHED, job)
+            if not await self._take_slot(job):
                 return _decline('deadline passed before the start')
             try:
                 return await self._run_in_slot(job, arrived)
@@ -136,6 +132,21 @@
             self.present -= 1
             self._changed.set()
 
+    async def _take_slot(self, job: Job) -> bool:
+        if not self._slots.locked():
+            return await self._slots.acquire()
+        self.record(_journal.RunEvent.WAIT, job)
+        taken = False
+        try:
+            async with asyncio.timeout(job.deadline_s):
+                taken = await self._slots.acquire()
+        except TimeoutError:
+            pass
+        finally:
+            if not taken:
+                self.record(_journal.RunEvent.GONE, job)
+        return taken
+
     async def _run_in_slot(
         self, job: Job, arrived: float
     ) -> _server.ServerResponse:
