--- a/fulmarseam/client/_caller.py
+++ b/fulmarseam/client/_caller.py
@@ -83,7 +83,7 @@
                 'the look-up answer names no record home',
             )
         token = secrets.token_hex(RANDOM_BYTES)
-        return ids.RequestId(f'{home.region}.{home.generation}.{token}')
+        return ids.RequestId(f'{home.home}.{home.generation}.{token}')
 
     async def look_up(self) -> _lookup.LookupAnswer:
         """Return the current look-up answer.
@@ -116,7 +116,7 @@
             if left_s <= 0:
                 break
             attempt, reply = await self._attempt(
-                entry.listen, _stamp(request, request_id, left_s), left_s
+                entry.address, _stamp(request, request_id, left_s), left_s
             )
             attempts.append(attempt)
             if not _may_go_on(attempt):
--- a/fulmarseam/client/_lookup.py
+++ b/fulmarseam/client/_lookup.py
@@ -17,19 +17,20 @@
 class LookupEntry(msgspec.Struct, frozen=True, kw_only=True):
     """An entry named by a look-up answer.
 
-    `listen` is where callers send requests.
+    `address` is where callers send requests.
     """
 
     entry: ids.EntryId
-    listen: str
+    address: str
     api: str = ''
     region: ids.RegionName = ids.RegionName('')
+    failure_domain: ids.DomainName = ids.DomainName('')
 
 
 class RecordHome(msgspec.Struct, frozen=True, kw_only=True):
     """The home of new request ids: a region and its generation."""
 
-    region: ids.RegionName
+    home: ids.RegionName
     generation: int
 
 
@@ -37,7 +38,7 @@
     """The entries to use, best first, and the home of new request ids."""
 
     entries: list[LookupEntry]
-    lifetime_ms: int
+    ttl_ms: int
     record_home: RecordHome | None = None
 
 
@@ -97,6 +98,6 @@
             raise msgspec.ValidationError(f'look-up status {reply.status}')
         answer = msgspec.json.decode(reply.body, type=LookupAnswer)
         self._answer = answer
-        self._expires = asked + answer.lifetime_ms / 1_000
-        used = {entry.listen for entry in answer.entries}
+        self._expires = asked + answer.ttl_ms / 1_000
+        used = {entry.address for entry in answer.entries}
         self._exchanger.close_others(used | set(self._apis))
