--- a/fulmarseam/bench/__init__.py
+++ b/fulmarseam/bench/__init__.py
@@ -1,1 +1,56 @@
-"""Scenarios, checker and plots."""
+"""Scenarios on real processes, the checker of promises, and plots."""
+
+from collections.abc import Sequence
+import pathlib
+
+from fulmarseam.bench import _checker
+from fulmarseam.bench import _demo
+from fulmarseam.bench import _results
+from fulmarseam.bench import _run
+from fulmarseam.bench import _scenarios
+
+DEMO = 'demo'
+ALL = 'all'
+NAMES = (DEMO, ALL, *_scenarios.SCENARIOS)
+POLICIES = ('ours', 'random', 'least-outstanding')
+
+
+async def run_scenarios(
+    name: str, policies: Sequence[str], plots: pathlib.Path | None
+) -> int:
+    """Run scenarios and print their figures; return the broken promises.
+
+    With `plots` PNG files are written to that folder.
+    """
+    if name == DEMO:
+        return await _demo.run_demo()
+    names = list(_scenarios.SCENARIOS) if name == ALL else [name]
+    broken = 0
+    for scenario in names:
+        for policy in policies:
+            figures = await _run_scenario(scenario, policy, plots)
+            broken += figures.broken_promises
+    return broken
+
+
+async def _run_scenario(
+    name: str, policy: str, plots: pathlib.Path | None
+) -> _results.Figures:
+    scenario = _scenarios.SCENARIOS[name]
+    plan = _scenarios.make_plan(scenario, policy)
+    async with _run.Run(plan) as run:
+        await _scenarios.run_scenario(run, scenario)
+        facts = run.collect()
+    figures = _results.compute_figures(name, policy, facts)
+    print(figures.format(), flush=True)
+    for violation in _checker.find_violations(facts):
+        print(f'broken: {violation.promise} {violation.detail}')
+    if plots is not None:
+        # Matplotlib takes a second to load; only plots need it.
+        from fulmarseam.bench import _plots
+
+        _plots.plot_run(f'{name}-{policy}', facts, plots)
+    return figures
+
+
+__all__ = ['ALL', 'DEMO', 'NAMES', 'POLICIES', 'run_scenarios']
--- /dev/null
+++ b/fulmarseam/bench/_plots.py
@@ -0,0 +1,74 @@
+"""Plots of a run as PNG files."""
+
+import collections
+from collections.abc import Sequence
+import pathlib
+from typing import Any
+
+import matplotlib
+
+matplotlib.use('Agg')
+
+from matplotlib import pyplot  # noqa: E402
+
+from fulmarseam import standin  # noqa: E402
+from fulmarseam.bench import _checker  # noqa: E402
+from fulmarseam.bench import _results  # noqa: E402
+
+PERCENTILES = (10, 25, 50, 75, 90, 95, 99, 99.5, 99.9)
+SIZE_INCHES = (8, 4.5)
+
+
+def plot_traffic(facts: _checker.Facts, path: pathlib.Path) -> None:
+    """Plot the runs a second at the targets of each region over time."""
+    starts = [run for run in facts.runs if run.event is standin.RunEvent.START]
+    begin = min((run.time for run in starts), default=0.0)
+    counts: dict[str, collections.Counter[int]] = collections.defaultdict(
+        collections.Counter
+    )
+    for run in starts:
+        counts[run.region][int(run.time - begin)] += 1
+    figure, axes = pyplot.subplots(figsize=SIZE_INCHES)
+    for region in sorted(counts):
+        seconds = range(max(counts[region]) + 1)
+        rates = [counts[region][second] for second in seconds]
+        axes.plot(list(seconds), rates, label=region)
+    _finish(figure, axes, 'time (s)', 'runs a second', path)
+
+
+def plot_latencies(facts: _checker.Facts, path: pathlib.Path) -> None:
+    """Plot the latency percentiles of each route."""
+    figure, axes = pyplot.subplots(figsize=SIZE_INCHES)
+    ticks = list(range(len(PERCENTILES)))
+    for route in sorted({call.route for call in facts.calls}):
+        latencies = _results.Latencies(
+            call for call in facts.calls if call.route == route
+        )
+        values = [latencies.read_ms(part) for part in PERCENTILES]
+        axes.plot(ticks, values, marker='o', label=route)
+    axes.set_xticks(ticks, [f'p{part:g}' for part in PERCENTILES])
+    axes.set_yscale('log')
+    _finish(figure, axes, 'percentile', 'latency (ms)', path)
+
+
+def _finish(
+    figure: Any, axes: Any, across: str, up: str, path: pathlib.Path
+) -> None:
+    axes.set_xlabel(across)
+    axes.set_ylabel(up)
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(path)
+    pyplot.close(figure)
+
+
+def plot_run(
+    name: str, facts: _checker.Facts, folder: pathlib.Path
+) -> Sequence[pathlib.Path]:
+    """Write the plots of a run and return their files."""
+    folder.mkdir(parents=True, exist_ok=True)
+    traffic = folder / f'{name}-traffic.png'
+    latencies = folder / f'{name}-latencies.png'
+    plot_traffic(facts, traffic)
+    plot_latencies(facts, latencies)
+    return traffic, latencies
--- /dev/null
+++ b/fulmarseam/bench/_run.py
@@ -0,0 +1,268 @@
+"""One run of a scenario: a cluster, its loads and what is known of it."""
+
+import asyncio
+from collections.abc import Sequence
+import contextlib
+import functools
+import time
+from typing import Any
+from typing import Self
+
+from fulmarseam import client
+from fulmarseam import errors
+from fulmarseam import standin
+from fulmarseam import wire
+from fulmarseam.bench import _checker
+from fulmarseam.bench import _cluster
+from fulmarseam.bench import _plan
+from fulmarseam.bench import _processes
+from fulmarseam.bench import _waiting
+
+LOAD_MARGIN_S = 30.0
+
+
+class RouteLoad(dict[str, Any]):
+    """Settings of one route of a load."""
+
+
+def make_route_load(
+    pool: str, once: bool = False, weight: float = 1.0, **more: Any
+) -> RouteLoad:
+    """Return the load of one of the routes made by `make_rows`."""
+    return RouteLoad(
+        name=f'once-{pool}' if once else pool,
+        host=f'once.{pool}.example' if once else f'{pool}.example',
+        method='POST' if once else 'GET',
+        body_bytes=100 if once else 0,
+        once=once,
+        weight=weight,
+        **more,
+    )
+
+
+class Run:
+    """A cluster under load, with the facts for the checker."""
+
+    def __init__(self, plan: _plan.Plan) -> None:
+        self.cluster = _cluster.Cluster(plan)
+        self._loads: list[str] = []
+        self.stops: list[_checker.GracefulStop] = []
+        self.retirements: list[_checker.Retirement] = []
+        self.drains: list[_checker.TargetDrain] = []
+        self.shifts: list[_checker.ShiftCap] = []
+        self.began = 0.0
+
+    async def __aenter__(self) -> Self:
+        await self.cluster.__aenter__()
+        try:
+            await self.warm_up()
+        except BaseException:
+            await self.cluster.__aexit__()
+            raise
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self.cluster.__aexit__(*exc_info)
+
+    async def warm_up(self) -> None:
+        """Wait until each entry has answered a call for each pool."""
+        pools = [
+            row.name
+            for row in self.cluster.plan.rows
+            if isinstance(row, wire.Pool)
+        ]
+        for number, entry in enumerate(self.cluster.plan.entries):
+            address = self.cluster.find_entry_address(entry.name)
+            for pool in pools:
+                await self._wait_answer(f'warm-{number}', pool, address)
+
+    async def _wait_answer(self, name: str, pool: str, address: str) -> None:
+        exchanger = client.Exchanger()
+        request = client.Request('GET', f'{pool}.example', f'/{name}')
+
+        async def is_answered() -> bool:
+            try:
+                reply = await exchanger.send(address, request, 2.0)
+            except client.ExchangeError:
+                return False
+            return reply.status == 200
+
+        with contextlib.closing(exchanger):
+            await _waiting.wait_until(
+                is_answered, 10.0, f'{address} answers for {pool}'
+            )
+
+    def start_load(
+        self,
+        region: str,
+        routes: Sequence[RouteLoad],
+        phases: Sequence[tuple[float, float]],
+        seed: int = 1,
+    ) -> str:
+        """Start a load process and return its name.
+
+        Each phase has a rate a second and a duration in seconds.
+        """
+        name = f'load-{region}-{len(self._loads)}'
+        options = {
+            'entries': [
+                *self.cluster.list_apis(region),
+                *[
+                    api
+                    for api in self.cluster.list_apis()
+                    if api not in self.cluster.list_apis(region)
+                ],
+            ],
+            'region': region,
+            'routes': [dict(route) for route in routes],
+            'phases': [
+                {'rate_per_s': rate, 'duration_s': span}
+                for rate, span in phases
+            ],
+            'seed': seed + len(self._loads),
+            'caller': name,
+            'journal': str(self.cluster.find_journal(name)),
+        }
+        self.cluster.add('load', name, options)
+        self.cluster.processes[name].start()
+        self._loads.append(name)
+        self.began = self.began or time.monotonic()
+        return name
+
+    async def wait_loads(self, timeout_s: float) -> None:
+        """Wait until all loads have ended; raises when one failed."""
+        for name in self._loads:
+            process = self.cluster.processes[name]
+            await _waiting.wait_until(
+                functools.partial(_has_ended, process),
+                timeout_s + LOAD_MARGIN_S,
+                f'{name} ended',
+            )
+            if process.exit_code != 0:
+                raise errors.FulmarseamError(
+                    errors.ErrorKind.INTERNAL,
+                    f'{name} failed: {process.read_output()}',
+                )
+
+    async def put(self, *rows: wire.Row) -> wire.EditResult:
+        """Make an edit that must be accepted, and note what it promises."""
+        result = await self.cluster.operator.put(rows)
+        if result.kind is not None:
+            raise errors.FulmarseamError(
+                errors.ErrorKind(result.kind), '; '.join(result.problems)
+            )
+        accepted = time.monotonic()
+        for row in rows:
+            if isinstance(row, wire.Route) and row.retired:
+                item = _checker.Retirement(row.name, accepted)
+                self.retirements.append(item)
+            if isinstance(row, wire.Shift):
+                self.shifts.append(
+                    _checker.ShiftCap(
+                        row.pool,
+                        row.from_region,
+                        row.to_region,
+                        row.cap_percent,
+                        accepted,
+                        float('inf'),
+                    )
+                )
+        return result
+
+    async def drain_target(self, name: str) -> None:
+        """Announce a drain of a target that starts now."""
+        await self.put(
+            wire.Drain(
+                name=f'drain-{name}',
+                scope=wire.DrainScope.TARGET,
+                subject=name,
+                start=time.time(),
+            )
+        )
+
+        async def is_active() -> bool:
+            row = await self.cluster.operator.read_row(
+                wire.Drain, f'drain-{name}'
+            )
+            return row is not None and row.state is not (
+                wire.DrainState.PLANNED
+            )
+
+        await _waiting.wait_until(is_active, 5.0, f'drain of {name} active')
+        self.drains.append(_checker.TargetDrain(name, time.monotonic()))
+
+    def kill_target(self, name: str) -> None:
+        """Kill a target and note its end in its journal."""
+        self.cluster.processes[name].kill()
+        plan = next(
+            target
+            for target in self.cluster.plan.targets
+            if target.name == name
+        )
+        journal = standin.Journal(str(self.cluster.find_journal(name)))
+        journal.append(
+            standin.RunRecord(
+                time=time.monotonic(),
+                event=standin.RunEvent.DOWN,
+                target=name,
+                pool=plan.pool,
+                region=plan.region,
+                incarnation=0,
+                slots=plan.slots,
+                busy=0,
+            )
+        )
+        journal.close()
+
+    async def stop_entry(self, name: str) -> float:
+        """Stop an entry gracefully; return the seconds that took."""
+        begin = time.monotonic()
+        taken = await self.cluster.stop(name)
+        self.stops.append(
+            _checker.GracefulStop(
+                self.cluster.find_entry_address(name),
+                begin,
+                time.monotonic(),
+            )
+        )
+        return taken
+
+    def collect(self) -> _checker.Facts:
+        """Return the facts recorded so far."""
+        plan = self.cluster.plan
+        calls = [
+            call
+            for name in self._loads
+            for call in self.cluster.read_calls(name)
+        ]
+        return _checker.Facts(
+            calls=calls,
+            runs=self.cluster.read_runs(),
+            entry_regions={
+                self.cluster.find_entry_address(entry.name): entry.region
+                for entry in plan.entries
+            },
+            route_pools={
+                row.name: row.pool
+                for row in plan.rows
+                if isinstance(row, wire.Route)
+            },
+            link_bytes_per_s={
+                row.name: row.bytes_per_s
+                for row in plan.rows
+                if isinstance(row, wire.Link)
+            },
+            stops=self.stops,
+            retirements=self.retirements,
+            drains=self.drains,
+            shifts=self.shifts,
+        )
+
+
+def _has_ended(process: _processes.Process) -> bool:
+    return process.exit_code is not None
+
+
+async def wait_until_moment(run: Run, offset_s: float) -> None:
+    """Wait until a moment after the start of the first load."""
+    await asyncio.sleep(max(0.0, run.began + offset_s - time.monotonic()))
--- /dev/null
+++ b/fulmarseam/commands/bench.py
@@ -0,0 +1,42 @@
+"""The program `fulmarseam-bench`."""
+
+import asyncio
+import pathlib
+
+from absl import flags
+
+from fulmarseam import bench
+from fulmarseam import errors
+from fulmarseam.commands import _launcher
+
+_SCENARIO = flags.DEFINE_enum(
+    'scenario', bench.DEMO, list(bench.NAMES), 'The scenario to run.'
+)
+_POLICY = flags.DEFINE_enum(
+    'policy',
+    bench.POLICIES[0],
+    [*bench.POLICIES, bench.ALL],
+    'How entries choose targets.',
+)
+_PLOT = flags.DEFINE_string(
+    'plot', None, 'A folder that plots are written to as PNG files.'
+)
+
+
+def run(arguments: list[str]) -> int:
+    """Run the scenario of the flags; return 1 if a promise was broken."""
+    if arguments:
+        raise errors.UsageError(
+            f'found argument {arguments[0]!r}, expected only flags'
+        )
+    policies = [_POLICY.value]
+    if _POLICY.value == bench.ALL:
+        policies = list(bench.POLICIES)
+    plots = pathlib.Path(_PLOT.value) if _PLOT.value else None
+    broken = asyncio.run(bench.run_scenarios(_SCENARIO.value, policies, plots))
+    return 1 if broken else 0
+
+
+def main() -> None:
+    """Run the program."""
+    _launcher.launch(run)
