--- a/fulmarseam/wire/__init__.py
+++ b/fulmarseam/wire/__init__.py
@@ -29,6 +29,26 @@
 from fulmarseam.wire._codec import Message
 from fulmarseam.wire._common import Failure
 from fulmarseam.wire._common import Ok
+from fulmarseam.wire._consensus import AppendRequest
+from fulmarseam.wire._consensus import AppendResponse
+from fulmarseam.wire._consensus import EntryType
+from fulmarseam.wire._consensus import Founding
+from fulmarseam.wire._consensus import FoundRequest
+from fulmarseam.wire._consensus import GroupMembers
+from fulmarseam.wire._consensus import IdentityRequest
+from fulmarseam.wire._consensus import IdentityResponse
+from fulmarseam.wire._consensus import LogEntry
+from fulmarseam.wire._consensus import MemberInfo
+from fulmarseam.wire._consensus import MemberRequest
+from fulmarseam.wire._consensus import MemberResponse
+from fulmarseam.wire._consensus import ReplicaMessage
+from fulmarseam.wire._consensus import ReplicaRequest
+from fulmarseam.wire._consensus import ReplicaResponse
+from fulmarseam.wire._consensus import SnapshotChunk
+from fulmarseam.wire._consensus import SnapshotMeta
+from fulmarseam.wire._consensus import SnapshotResponse
+from fulmarseam.wire._consensus import VoteRequest
+from fulmarseam.wire._consensus import VoteResponse
 from fulmarseam.wire._rows import Block
 from fulmarseam.wire._rows import Change
 from fulmarseam.wire._rows import Drain
@@ -58,6 +78,8 @@
 from fulmarseam.wire._sync import TargetState
 
 __all__ = [
+    'AppendRequest',
+    'AppendResponse',
     'Block',
     'Change',
     'Drain',
@@ -68,15 +90,25 @@
     'EntryInfo',
     'EntryProgress',
     'EntryRow',
+    'EntryType',
     'Export',
     'Failure',
     'FleetRequest',
     'FleetResponse',
+    'FoundRequest',
+    'Founding',
+    'GroupMembers',
+    'IdentityRequest',
+    'IdentityResponse',
     'Link',
     'LinkDemand',
     'LinkRate',
+    'LogEntry',
     'MemberAdd',
+    'MemberInfo',
     'MemberRemove',
+    'MemberRequest',
+    'MemberResponse',
     'MemberRow',
     'Message',
     'Ok',
@@ -87,6 +119,9 @@
     'QuarantineRow',
     'RecordCopy',
     'RecordGroup',
+    'ReplicaMessage',
+    'ReplicaRequest',
+    'ReplicaResponse',
     'Restore',
     'Route',
     'Row',
@@ -94,6 +129,9 @@
     'ShiftState',
     'SlotGrant',
     'SlotUse',
+    'SnapshotChunk',
+    'SnapshotMeta',
+    'SnapshotResponse',
     'StatusRequest',
     'StatusResponse',
     'SyncRequest',
@@ -106,6 +144,8 @@
     'TargetReport',
     'TargetRow',
     'TargetState',
+    'VoteRequest',
+    'VoteResponse',
     'decode',
     'encode',
 ]
--- a/fulmarseam/wire/_codec.py
+++ b/fulmarseam/wire/_codec.py
@@ -5,6 +5,7 @@
 from fulmarseam import errors
 from fulmarseam.wire import _admin
 from fulmarseam.wire import _common
+from fulmarseam.wire import _consensus
 from fulmarseam.wire import _sync
 
 Message = (
@@ -13,6 +14,11 @@
     | _sync.SyncRequest
     | _sync.SyncResponse
     | _admin.AdminMessage
+    | _consensus.MemberRequest
+    | _consensus.MemberResponse
+    | _consensus.IdentityRequest
+    | _consensus.IdentityResponse
+    | _consensus.FoundRequest
 )
 
 _encoder = msgspec.msgpack.Encoder()
