--- a/fulmarseam/wire/__init__.py
+++ b/fulmarseam/wire/__init__.py
@@ -33,7 +33,6 @@
 from fulmarseam.wire._consensus import AppendResponse
 from fulmarseam.wire._consensus import EntryType
 from fulmarseam.wire._consensus import Founding
-from fulmarseam.wire._consensus import FoundRequest
 from fulmarseam.wire._consensus import GroupMembers
 from fulmarseam.wire._consensus import IdentityRequest
 from fulmarseam.wire._consensus import IdentityResponse
@@ -95,7 +94,6 @@
     'Failure',
     'FleetRequest',
     'FleetResponse',
-    'FoundRequest',
     'Founding',
     'GroupMembers',
     'IdentityRequest',
