--- a/fulmarseam/http/_server.py
+++ b/fulmarseam/http/_server.py
@@ -109,21 +109,26 @@
             self._listener.close()
             self._listener = None
 
+    def announce_close(self) -> None:
+        """Close each connection after its next answer."""
+        self._draining = True
+        for connection in self._tasks.values():
+            connection.closing = True
+
     def start_draining(self) -> None:
         """Close each connection after the answer in progress.
 
         Idle connections are closed at once.
         """
-        self._draining = True
-        for connection in self._tasks.values():
-            connection.closing = True
+        self.announce_close()
+        for connection in list(self._tasks.values()):
             if connection.is_idle():
                 connection.expire()
 
-    async def wait_until_idle(self, poll_s: float = 0.01) -> None:
+    async def wait_until_idle(self) -> None:
         """Return when no connection is left."""
         while self._tasks:
-            await asyncio.sleep(poll_s)
+            await asyncio.wait(list(self._tasks))
 
     def _accept(self) -> _caller.CallerConnection:
         connection = _caller.CallerConnection(self._limits)
--- a/fulmarseam/wire/__init__.py
+++ b/fulmarseam/wire/__init__.py
@@ -48,6 +48,9 @@
 from fulmarseam.wire._consensus import SnapshotResponse
 from fulmarseam.wire._consensus import VoteRequest
 from fulmarseam.wire._consensus import VoteResponse
+from fulmarseam.wire._peers import DrainNotice
+from fulmarseam.wire._peers import LeaveNotice
+from fulmarseam.wire._peers import StrikeNotice
 from fulmarseam.wire._rows import Block
 from fulmarseam.wire._rows import Change
 from fulmarseam.wire._rows import Drain
@@ -82,6 +85,7 @@
     'Block',
     'Change',
     'Drain',
+    'DrainNotice',
     'DrainScope',
     'DrainState',
     'Edit',
@@ -98,6 +102,7 @@
     'GroupMembers',
     'IdentityRequest',
     'IdentityResponse',
+    'LeaveNotice',
     'Link',
     'LinkDemand',
     'LinkRate',
@@ -132,6 +137,7 @@
     'SnapshotResponse',
     'StatusRequest',
     'StatusResponse',
+    'StrikeNotice',
     'SyncRequest',
     'SyncResponse',
     'TableName',
--- a/fulmarseam/wire/_codec.py
+++ b/fulmarseam/wire/_codec.py
@@ -6,6 +6,7 @@
 from fulmarseam.wire import _admin
 from fulmarseam.wire import _common
 from fulmarseam.wire import _consensus
+from fulmarseam.wire import _peers
 from fulmarseam.wire import _sync
 
 Message = (
@@ -14,6 +15,7 @@
     | _sync.SyncRequest
     | _sync.SyncResponse
     | _admin.AdminMessage
+    | _peers.PeerMessage
     | _consensus.MemberRequest
     | _consensus.MemberResponse
     | _consensus.IdentityRequest
