Register entries in the log before their first grant

Cause: a new leader could not know whether entries it had not heard still held grants, so it kept every unconfirmed slot back for 12.8 s after each change of leader and at the first start; the demo timed out on its first request. Change: a replicated registration of each incarnation before its first grant; a new leader that has heard all of them allocates at once.

--- a/fulmarseam/control/_leadership.py
+++ b/fulmarseam/control/_leadership.py
@@ -68,6 +68,7 @@
                 grant_ttl_s=options.grant_ttl_ms / MILLISECONDS,
                 drift=options.clock_drift,
             ),
+            former=list_registered(tables),
         )
         self.reports: dict[ids.EntryId, EntryReport] = {}
         self.places: dict[ids.TargetId, Place] = {}
@@ -124,6 +125,12 @@
         ):
             self.allocate(now)
 
+    def grants_for(self, now: float, info: wire.EntryInfo) -> steering.Grants:
+        """Return the grants of an entry; none before it is registered."""
+        if (info.entry, info.incarnation) not in list_registered(self._tables):
+            return steering.Grants(0, [], [])
+        return self.allocator.grants_for(now, info.entry, info.incarnation)
+
     def live_reports(self, now: float) -> Iterator[EntryReport]:
         """Yield the reports of entries that may still run requests.
 
@@ -140,3 +147,12 @@
     def is_settled(self, now: float) -> bool:
         """Return whether every live entry has had time to report."""
         return now - self.started > 2 * ENTRY_LEASE_S
+
+
+def list_registered(tables: store.Tables) -> set[tuple[ids.EntryId, int]]:
+    """Return the incarnations of entries that may hold grants."""
+    return {
+        (row.name, incarnation)
+        for row in tables.rows(wire.Registration)
+        for incarnation in row.incarnations
+    }
--- a/fulmarseam/control/_planner.py
+++ b/fulmarseam/control/_planner.py
@@ -12,6 +12,7 @@
 from fulmarseam.control import _drains
 from fulmarseam.control import _groups
 from fulmarseam.control import _leadership
+from fulmarseam.control import _registrations
 from fulmarseam.control import _shifts
 
 _log = logbook.Logger('control')
@@ -42,6 +43,7 @@
         leadership = self._leadership
         tables = self._tables
         return [
+            *_registrations.plan_registrations(now, leadership, tables),
             *self._drains.plan(now, wall_time, leadership, tables),
             *self._shifts.plan(now, wall_time, leadership, tables),
             *self._groups.plan(now, leadership, tables),
@@ -100,4 +102,6 @@
                 'backup': row.backup,
                 'backup_ready': row.backup_ready,
             }
+        case wire.Registration():
+            return {'incarnations': len(row.incarnations)}
     return {}
--- /dev/null
+++ b/fulmarseam/control/_registrations.py
@@ -0,0 +1,35 @@
+"""Registration of the entries that may hold grants."""
+
+from collections.abc import Iterator
+
+from fulmarseam import store
+from fulmarseam import wire
+from fulmarseam.control import _leadership
+
+
+def plan_registrations(
+    now: float, leadership: _leadership.Leadership, tables: store.Tables
+) -> Iterator[store.RowStep]:
+    """Yield the steps that register entries or forget old incarnations.
+
+    An entry gets its first grant only after its registration is in the
+    log. An incarnation is forgotten when its grants have expired and its
+    last request must have ended.
+    """
+    rows = {row.name: row for row in tables.rows(wire.Registration)}
+    for entry in sorted(rows.keys() | leadership.reports.keys()):
+        row = rows.get(entry)
+        known = [] if row is None else row.incarnations
+        wanted = {
+            incarnation
+            for incarnation in known
+            if leadership.allocator.may_hold(now, entry, incarnation)
+        }
+        report = leadership.reports.get(entry)
+        if report is not None:
+            wanted.add(report.request.info.incarnation)
+        if wanted != set(known):
+            yield store.RowStep(
+                row,
+                wire.Registration(name=entry, incarnations=sorted(wanted)),
+            )
--- a/fulmarseam/control/_sync.py
+++ b/fulmarseam/control/_sync.py
@@ -116,10 +116,7 @@
             raise errors.NotLeaderError(self._member.leader())
         now = time.monotonic()
         leadership.allocate_if_due(now, wants_more=False)
-        info = request.info
-        grants = leadership.allocator.grants_for(
-            now, info.entry, info.incarnation
-        )
+        grants = leadership.grants_for(now, request.info)
         version = request.targets_version
         if request.targets_term != leadership.term:
             version = 0
--- a/fulmarseam/steering/_allocator.py
+++ b/fulmarseam/steering/_allocator.py
@@ -52,10 +52,12 @@
         allocator.allocate(now, targets, pools, links, drains, shifts)
         grants = allocator.grants_for(now, entry, incarnation)
 
-    Until the grants of the former leader have expired, entries only get
-    renewed what they report to hold. After that, what no entry has
-    confirmed to hold is kept back until the requests of entries that were
-    never heard must have ended.
+    `former` names the incarnations of entries that may hold grants of a
+    former leader. Until all of them have reported or the grants of the
+    former leader have expired, entries only get renewed what they report
+    to hold. After that, what no entry has confirmed to hold is kept back
+    until the requests of entries that were never heard must have ended.
+    Without `former` any number of unknown entries is assumed.
     """
 
     def __init__(
@@ -63,8 +65,10 @@
         now: float,
         term: int,
         options: AllocatorOptions | None = None,
+        former: Collection[_ledger.HolderKey] | None = None,
     ) -> None:
         self.term = term
+        self._unheard = None if former is None else set(former)
         self._options = options or AllocatorOptions()
         self._sequence = 0
         lifetime_s = self._options.grant_ttl_s * (1.0 + self._options.drift)
@@ -83,7 +87,9 @@
         Reports that are older than the last acknowledgement of the entry
         or of an older incarnation change nothing.
         """
-        self._ledger.report(now, request)
+        holder = self._ledger.report(now, request)
+        if holder is not None and self._unheard is not None:
+            self._unheard.discard(_key_of(holder))
 
     def allocate(
         self,
@@ -192,6 +198,14 @@
             if planned > _slots_in(issued, target)
         )
 
+    def may_hold(
+        self, now: float, entry: ids.EntryId, incarnation: int
+    ) -> bool:
+        """Return whether an incarnation may hold grants or run requests."""
+        if (entry, incarnation) in self._ledger.holders:
+            return True
+        return now < self._window_end + self._ledger.longest_deadline()
+
     def charged_slots(self, target: ids.TargetId) -> int:
         """Return the sum of the slots charged on a target."""
         return self._ledger.slots[target]
@@ -244,7 +258,7 @@
             self._make_grant(now, holder, target, planned)
             for target, planned in holder.planned.items()
         ]
-        if now < self._window_end:
+        if self._is_renewing(now):
             grants += [
                 wire.SlotGrant(
                     target=use.target,
@@ -288,7 +302,7 @@
         total = self._targets[target].report.slots
         own = holder.charges.get(target, _ledger.NOTHING).slots
         others = self._ledger.slots[target] - own
-        if now < self._window_end:
+        if self._is_renewing(now):
             use = holder.uses.get(target)
             return min(total - others, 0 if use is None else use.allowance)
         confirmed = self._ledger.confirmed.get(target, _ledger.NOTHING)
@@ -303,7 +317,7 @@
         total = self._targets[target].report.connections
         own = holder.charges.get(target, _ledger.NOTHING).connections
         others = self._ledger.connections[target] - own
-        if now < self._window_end:
+        if self._is_renewing(now):
             use = holder.uses.get(target)
             return min(total - others, 0 if use is None else use.connections)
         confirmed = self._ledger.confirmed.get(target, _ledger.NOTHING)
@@ -319,7 +333,7 @@
     ) -> int:
         total = self._links[name]
         others = self._ledger.links[name] - holder.link_charges.get(name, 0)
-        if now < self._window_end:
+        if self._is_renewing(now):
             held = holder.links_held.get(name, 0)
             return max(0, min(total - others, held))
         held_back = self._held_back(
@@ -329,11 +343,18 @@
         )
         return max(0, total - others - held_back)
 
+    def _is_renewing(self, now: float) -> bool:
+        """Return whether entries not heard may hold unexpired grants."""
+        return now < self._window_end and not self._has_heard_all()
+
+    def _has_heard_all(self) -> bool:
+        return self._unheard is not None and not self._unheard
+
     def _held_back(
         self, now: float, deadline_s: float, unconfirmed: int
     ) -> int:
         """Return what entries that were never heard may still use."""
-        if now >= self._window_end + deadline_s:
+        if self._has_heard_all() or now >= self._window_end + deadline_s:
             return 0
         return max(0, unconfirmed)
 
--- a/fulmarseam/store/_restoring.py
+++ b/fulmarseam/store/_restoring.py
@@ -22,13 +22,14 @@
 
     Routes, pools, links and blocks become those of the export. Drains and
     shifts keep the state that they have now, and those that are not final
-    stay although the export lacks them. Record groups never go back: the
-    current rows stay, and a group that exists only in the export returns
-    under a new generation as if its records were lost.
+    stay although the export lacks them. Registrations are not restored.
+    Record groups never go back: the current rows stay, and a group that
+    exists only in the export returns under a new generation as if its
+    records were lost.
     """
     wanted: dict[tuple[wire.TableName, str], wire.Row] = {}
     for change in export.changes:
-        if change.row is None:
+        if change.row is None or isinstance(change.row, wire.Registration):
             continue
         current = tables.find(change.table, change.key)
         wanted[change.table, change.key] = _restore_row(current, change.row)
@@ -53,7 +54,7 @@
 
 
 def _may_remove(row: wire.Row) -> bool:
-    if isinstance(row, wire.RecordGroup):
+    if isinstance(row, (wire.RecordGroup, wire.Registration)):
         return False
     if isinstance(row, (wire.Drain, wire.Shift)):
         return row.state in _FINAL
--- a/fulmarseam/store/_schema.py
+++ b/fulmarseam/store/_schema.py
@@ -12,11 +12,15 @@
     wire.TableName.DRAINS: wire.Drain,
     wire.TableName.SHIFTS: wire.Shift,
     wire.TableName.RECORD_GROUPS: wire.RecordGroup,
+    wire.TableName.REGISTRATIONS: wire.Registration,
 }
 TABLE_NAMES: dict[type[Any], wire.TableName] = {
     row_type: table for table, row_type in ROW_TYPES.items()
 }
-EDITABLE = frozenset(ROW_TYPES) - {wire.TableName.RECORD_GROUPS}
+EDITABLE = frozenset(ROW_TYPES) - {
+    wire.TableName.RECORD_GROUPS,
+    wire.TableName.REGISTRATIONS,
+}
 
 
 def make_change(row: wire.Row) -> wire.Change:
--- a/fulmarseam/store/_transitions.py
+++ b/fulmarseam/store/_transitions.py
@@ -129,6 +129,8 @@
         return same and (current.state, new.state) in _DRAIN_STEPS
     if isinstance(new, wire.Shift) and isinstance(current, wire.Shift):
         return _check_shift_step(current, new)
+    if isinstance(new, wire.Registration):
+        return True
     if isinstance(new, wire.RecordGroup):
         if current is None:
             return True
--- a/fulmarseam/wire/__init__.py
+++ b/fulmarseam/wire/__init__.py
@@ -59,6 +59,7 @@
 from fulmarseam.wire._rows import Link
 from fulmarseam.wire._rows import Pool
 from fulmarseam.wire._rows import RecordGroup
+from fulmarseam.wire._rows import Registration
 from fulmarseam.wire._rows import Route
 from fulmarseam.wire._rows import Row
 from fulmarseam.wire._rows import Shift
@@ -123,6 +124,7 @@
     'QuarantineRow',
     'RecordCopy',
     'RecordGroup',
+    'Registration',
     'ReplicaMessage',
     'ReplicaRequest',
     'ReplicaResponse',
--- a/fulmarseam/wire/_rows.py
+++ b/fulmarseam/wire/_rows.py
@@ -17,6 +17,7 @@
     DRAINS = 'drains'
     SHIFTS = 'shifts'
     RECORD_GROUPS = 'record_groups'
+    REGISTRATIONS = 'registrations'
 
 
 class Route(msgspec.Struct, tag='route', frozen=True, kw_only=True):
@@ -166,7 +167,21 @@
     backup_ready: bool = False
 
 
-Row = Route | Pool | Link | Block | Drain | Shift | RecordGroup
+class Registration(
+    msgspec.Struct, tag='registration', frozen=True, kw_only=True
+):
+    """The incarnations of an entry that may hold grants.
+
+    The leader registers an incarnation before it gives it the first grant,
+    so a new leader knows from whom it has to hear before it may share out
+    what nobody reports to hold.
+    """
+
+    name: ids.EntryId
+    incarnations: list[int]
+
+
+Row = Route | Pool | Link | Block | Drain | Shift | RecordGroup | Registration
 
 
 class Change(msgspec.Struct, frozen=True):
