Test the registration of entries

Cause: slots that an unheard entry still uses must not be given away. Change: four tests on a leader and its successor.

--- /dev/null
+++ b/tests/test_control_registrations.py
@@ -0,0 +1,99 @@
+"""Tests of the registration of entries by the control leader."""
+
+from fulmarseam import ids
+from fulmarseam import store
+from fulmarseam import wire
+from fulmarseam.control import _leadership
+from fulmarseam.control import _registrations
+from tests import control_fixtures as fixtures
+from tests import test_control_steps
+
+SLOTS = 4
+# The grants have expired after 2.8 s and the last request must have ended
+# 10 s later, both with 1% drift.
+LAPSED_S = 13.0
+
+
+class RegistrationTest(test_control_steps.LeaderCase):
+    """Guards against slots given away that an unheard entry still uses."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.edit(wire.Pool(name=ids.PoolName('katalog'), slow_start_s=0.0))
+        self.e1 = fixtures.make_info('e1')
+        self.e2 = fixtures.make_info('e2')
+
+    def plan(self, now: float) -> None:
+        steps = list(
+            _registrations.plan_registrations(
+                now, self.leadership, self.tables
+            )
+        )
+        for row in steps:
+            self.apply(store.Step(rows=[row]))
+
+    def request(self, info: wire.EntryInfo) -> wire.SyncRequest:
+        return fixtures.make_request(
+            info,
+            announcements=[fixtures.make_target(slots=SLOTS)],
+            wanted=SLOTS,
+        )
+
+    def grant(self, now: float, info: wire.EntryInfo) -> int:
+        self.sync(now, self.request(info))
+        self.leadership.allocate(now)
+        grants = self.leadership.grants_for(now, info)
+        return sum(grant.slots for grant in grants.slots)
+
+    def change_leader(self, now: float) -> None:
+        [content] = fixtures.make_group_settings('/nowhere', 1)
+        self.leadership = _leadership.Leadership(
+            now, ids.Term(2), fixtures.read_control(content), self.tables
+        )
+
+    def test_no_grant_before_the_registration_is_in_the_log(self) -> None:
+        self.assertEqual(0, self.grant(0.0, self.e1))
+        self.plan(0.0)
+        self.assertEqual(SLOTS, self.grant(0.1, self.e1))
+
+    def test_new_leader_waits_for_an_entry_that_it_has_not_heard(self) -> None:
+        self.grant(0.0, self.e1)
+        self.plan(0.0)
+        self.assertEqual(SLOTS, self.grant(0.1, self.e1))
+        self.change_leader(1.0)
+        for name, now, slots in (
+            ('e2', 1.1, 0),
+            ('e3', 1.0 + LAPSED_S - 0.2, 0),
+            ('e4', 1.0 + LAPSED_S, SLOTS),
+        ):
+            info = fixtures.make_info(name)
+            self.sync(now, self.request(info))
+            self.plan(now)
+            self.assertEqual(slots, self.grant(now, info), name)
+
+    def test_new_leader_allocates_when_it_has_heard_all(self) -> None:
+        self.sync(0.0, self.request(self.e1))
+        self.plan(0.0)
+        self.change_leader(1.0)
+        self.sync(1.0, fixtures.make_request(self.e1))
+        self.sync(1.0, self.request(self.e2))
+        self.plan(1.0)
+        self.assertEqual(SLOTS, self.grant(1.1, self.e2))
+
+    def test_old_incarnation_is_forgotten_only_after_its_requests(
+        self,
+    ) -> None:
+        self.sync(0.0, self.request(self.e1))
+        self.plan(0.0)
+        restarted = fixtures.make_info('e1', incarnation=2)
+        self.sync(1.0, self.request(restarted))
+        self.plan(1.0)
+        row = self.tables.get(wire.Registration, 'e1')
+        assert row is not None
+        self.assertEqual([1, 2], row.incarnations)
+        self.leadership.allocate(1.0 + LAPSED_S)
+        self.sync(1.0 + LAPSED_S, self.request(restarted))
+        self.plan(1.0 + LAPSED_S)
+        row = self.tables.get(wire.Registration, 'e1')
+        assert row is not None
+        self.assertEqual([2], row.incarnations)
