--- a/tests/test_control_registrations.py
+++ b/tests/test_control_registrations.py
@@ -20,6 +20,7 @@
     def setUp(self) -> None:
         super().setUp()
         self.edit(wire.Pool(name=ids.PoolName('katalog'), slow_start_s=0.0))
+        self.sequence = 0
         self.e1 = fixtures.make_info('e1')
         self.e2 = fixtures.make_info('e2')
 
@@ -33,9 +34,11 @@
             self.apply(store.Step(rows=[row]))
 
     def request(self, info: wire.EntryInfo) -> wire.SyncRequest:
+        self.sequence += 1
+        target = fixtures.make_target(slots=SLOTS, sequence=self.sequence)
         return fixtures.make_request(
             info,
-            announcements=[fixtures.make_target(slots=SLOTS)],
+            announcements=[target],
             wanted=SLOTS,
         )
 
@@ -64,7 +67,7 @@
         for name, now, slots in (
             ('e2', 1.1, 0),
             ('e3', 1.0 + LAPSED_S - 0.2, 0),
-            ('e4', 1.0 + LAPSED_S, SLOTS),
+            ('e4', 1.0 + LAPSED_S, SLOTS // 2),
         ):
             info = fixtures.make_info(name)
             self.sync(now, self.request(info))
