--- a/fulmarseam/control/_leadership.py
+++ b/fulmarseam/control/_leadership.py
@@ -114,6 +114,7 @@
             tables.rows(wire.Pool),
             tables.rows(wire.Link),
             tables.rows(wire.Drain),
+            tables.rows(wire.Shift),
         )
 
     def allocate_if_due(self, now: float, wants_more: bool) -> None:
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,251 @@
+"""Tests of the control daemon, in one process over loopback."""
+
+import asyncio
+import contextlib
+import tempfile
+import time
+import unittest
+
+import msgspec
+
+from fulmarseam import control
+from fulmarseam import errors
+from fulmarseam import ids
+from fulmarseam import settings
+from fulmarseam import transport
+from fulmarseam import wire
+from tests import control_fixtures as fixtures
+
+START_TIMEOUT_S = 10.0
+
+
+class GroupCase(unittest.IsolatedAsyncioTestCase):
+    """A control group of daemons on one event loop."""
+
+    count = 1
+
+    async def asyncSetUp(self) -> None:
+        self.stack = contextlib.AsyncExitStack()
+        self.addAsyncCleanup(self.stack.aclose)
+        directory = self.stack.enter_context(tempfile.TemporaryDirectory())
+        self.clients: dict[str, transport.RpcClient] = {}
+        self.daemons: dict[str, control.Daemon] = {}
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.options: dict[str, settings.ControlSettings] = {}
+        for content in fixtures.make_group_settings(directory, self.count):
+            options = fixtures.read_control(content)
+            self.options[options.member_id] = options
+            self.clients[
+                options.member_id
+            ] = await self.stack.enter_async_context(
+                transport.RpcClient(options.listen)
+            )
+        self.stack.push_async_callback(self.stop_all)
+        for member in self.options:
+            self.start(member)
+        self.leader = await self.find_leader()
+
+    def start(self, member: str) -> None:
+        daemon = control.Daemon(self.options[member])
+        self.daemons[member] = daemon
+        self.tasks[member] = asyncio.create_task(daemon.run())
+
+    async def stop(self, member: str) -> None:
+        self.daemons[member].stop()
+        await self.tasks.pop(member)
+
+    async def stop_all(self) -> None:
+        for member in list(self.tasks):
+            await self.stop(member)
+
+    async def find_leader(self) -> str:
+        end = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < end:
+            for member in self.tasks:
+                if self.daemons[member].member.leadership_age() is not None:
+                    return member
+            await asyncio.sleep(0.02)
+        raise AssertionError('no leader was elected')
+
+    async def call(
+        self, message: wire.Message, member: str | None = None
+    ) -> wire.Message:
+        return await self.clients[member or self.leader].call(message, 5.0)
+
+    async def sync(self, request: wire.SyncRequest) -> wire.SyncResponse:
+        answer = await self.call(request)
+        assert isinstance(answer, wire.SyncResponse), answer
+        return answer
+
+    async def edit(self, edit_id: str, queue_limit: int = 1) -> wire.Message:
+        pool = wire.Pool(
+            name=ids.PoolName('katalog'),
+            queue_limit=queue_limit,
+            max_deadline_ms=100,
+        )
+        table = wire.TableName.POOLS
+        found = await self.call(wire.TablesRequest(tables=[table]))
+        assert isinstance(found, wire.TablesResponse), found
+        return await self.call(
+            wire.Edit(
+                edit_id=ids.EditId(edit_id),
+                base=found.versions,
+                changes=[wire.Change(table, pool.name, pool)],
+            )
+        )
+
+
+class SyncTest(GroupCase):
+    """Guards against late, lost or reverted news for entries."""
+
+    async def test_entry_gets_tables_targets_and_grants(self) -> None:
+        await self.edit('a')
+        target = fixtures.make_target('t1', slots=4)
+        first = await self.sync(
+            fixtures.make_request(announcements=[target], wanted=2)
+        )
+        self.assertEqual((1, 1), (first.revision, len(first.changes)))
+        self.assertEqual([target], [row.report for row in first.targets])
+        self.assertEqual(['e1'], [row.info.entry for row in first.entries])
+        answer = first
+        end = time.monotonic() + 2 * first.grant_ttl_ms / 1_000
+        while not sum(grant.slots for grant in answer.grants):
+            # A new leader grants nothing until grants of others expired.
+            self.assertLess(time.monotonic(), end)
+            await asyncio.sleep(0.1)
+            target = msgspec.structs.replace(
+                target, sequence=target.sequence + 1
+            )
+            answer = await self.sync(
+                fixtures.make_request(
+                    answer=answer, announcements=[target], wanted=2
+                )
+            )
+        self.assertEqual(['t1'], [grant.target for grant in answer.grants])
+        self.assertLessEqual(answer.grants[0].slots, 4)
+
+    async def test_answer_is_held_without_news_and_sent_with_news(
+        self,
+    ) -> None:
+        await self.edit('a')
+        answer = await self.sync(fixtures.make_request())
+        started = time.monotonic()
+        held = await self.sync(fixtures.make_request(answer=answer))
+        self.assertGreater(time.monotonic() - started, 0.3)
+        self.assertEqual([], held.changes)
+        poll = asyncio.create_task(
+            self.sync(fixtures.make_request(answer=held))
+        )
+        await asyncio.sleep(0.05)
+        started = time.monotonic()
+        await self.edit('b', queue_limit=2)
+        woken = await poll
+        self.assertEqual((2, False), (woken.revision, woken.full))
+        self.assertLess(time.monotonic() - started, 0.3)
+
+    async def test_answer_carries_the_age_of_the_leadership(self) -> None:
+        answer = await self.sync(fixtures.make_request(wait_ms=0))
+        self.assertGreaterEqual(answer.leadership_age_ms, 0)
+        self.assertLess(answer.leadership_age_ms, 600)
+
+    async def test_older_incarnation_is_refused(self) -> None:
+        await self.sync(
+            fixtures.make_request(fixtures.make_info(incarnation=5), wait_ms=0)
+        )
+        answer = await self.call(
+            fixtures.make_request(fixtures.make_info(incarnation=4), wait_ms=0)
+        )
+        assert isinstance(answer, wire.Failure)
+        self.assertEqual('version_conflict', answer.kind)
+
+    async def test_entry_ahead_gets_no_older_tables(self) -> None:
+        await self.edit('a')
+        answer = await self.sync(fixtures.make_request(revision=9, wait_ms=0))
+        self.assertEqual((False, []), (answer.full, answer.changes))
+
+    async def test_unexpected_message_is_refused(self) -> None:
+        answer = await self.call(wire.Ok())
+        assert isinstance(answer, wire.Failure)
+        self.assertEqual('malformed_message', answer.kind)
+
+    async def test_fleet_shows_progress_of_entries(self) -> None:
+        await self.edit('a')
+        await self.sync(
+            fixtures.make_request(
+                uses=[fixtures.use('t1', 2, 1)],
+                announcements=[fixtures.make_target('t1')],
+                wait_ms=0,
+            )
+        )
+        fleet = await self.call(wire.FleetRequest())
+        assert isinstance(fleet, wire.FleetResponse)
+        self.assertEqual(
+            (0, 1), (fleet.entries[0].revision, fleet.entries[0].in_flight)
+        )
+        self.assertEqual(
+            (2, 1), (fleet.targets[0].granted, fleet.targets[0].in_flight)
+        )
+
+
+class ThreeMembersTest(GroupCase):
+    """Guards against answers of members that do not lead."""
+
+    count = 3
+
+    async def test_followers_name_the_leader(self) -> None:
+        follower = next(name for name in self.tasks if name != self.leader)
+        for message in (
+            fixtures.make_request(),
+            wire.TablesRequest(),
+            wire.FleetRequest(),
+        ):
+            with self.subTest(message=type(message).__name__):
+                answer = await self.call(message, follower)
+                assert isinstance(answer, wire.Failure)
+                self.assertEqual(
+                    (errors.ErrorKind.NOT_LEADER.value, self.leader),
+                    (answer.kind, answer.leader),
+                )
+
+    async def test_new_leader_builds_its_state_anew(self) -> None:
+        await self.edit('a')
+        target = fixtures.make_target('t1')
+        answer = await self.sync(fixtures.make_request(announcements=[target]))
+        poll = asyncio.create_task(
+            self.call(fixtures.make_request(answer=answer))
+        )
+        await asyncio.sleep(0.05)
+        former = self.leader
+        await self.stop(former)
+        with contextlib.suppress(errors.TransportError):
+            self.assertIsInstance(await poll, wire.Failure)
+        self.leader = await self.find_leader()
+        self.assertNotEqual(former, self.leader)
+        renewed = await self.sync(
+            fixtures.make_request(answer=answer, wait_ms=0)
+        )
+        self.assertGreater(renewed.term, answer.term)
+        self.assertTrue(renewed.targets_full)
+        self.assertEqual([], renewed.targets)
+        self.assertEqual((1, []), (renewed.revision, renewed.changes))
+
+    async def test_edit_survives_a_restart_of_all_members(self) -> None:
+        accepted = await self.edit('a', queue_limit=7)
+        await self.stop_all()
+        for member in self.options:
+            self.start(member)
+        self.leader = await self.find_leader()
+        answer = await self.sync(fixtures.make_request(wait_ms=0))
+        self.assertEqual(1, answer.revision)
+        table = wire.TableName.POOLS
+        pool = wire.Pool(
+            name=ids.PoolName('katalog'), queue_limit=7, max_deadline_ms=100
+        )
+        resent = await self.call(
+            wire.Edit(
+                edit_id=ids.EditId('a'),
+                base={table: 0},
+                changes=[wire.Change(table, pool.name, pool)],
+            )
+        )
+        self.assertEqual(accepted, resent)
