--- a/fulmarseam/steering/_allocator.py
+++ b/fulmarseam/steering/_allocator.py
@@ -156,7 +156,7 @@
             grant.target: _ledger.Amount(grant.slots, grant.connections)
             for grant in slots
         }
-        issue = _ledger.Issue(self._sequence, amounts, links, 0.0)
+        issue = _ledger.Issue(self._sequence, amounts, links)
         self._ledger.issue(now, holder, issue)
         rates = [
             wire.LinkRate(name=name, bytes_per_s=rate)
--- a/fulmarseam/steering/_ledger.py
+++ b/fulmarseam/steering/_ledger.py
@@ -32,12 +32,14 @@
     """Grants given to an entry under sequence numbers up to `last`.
 
     `expires_at` is when they have ended by every clock in bounds.
+    `waits_since` is when the entry began to owe an acknowledgement.
     """
 
     last: int
     amounts: dict[ids.TargetId, Amount]
     links: dict[str, int]
-    expires_at: float
+    expires_at: float = 0.0
+    waits_since: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -145,21 +147,21 @@
         holder.heard_at = now
         holder.expires_at = max(holder.expires_at, now + self._lifetime_s)
         holder.draining = request.draining
+        advanced = order > holder.order
         holder.order = order
         holder.uses = {use.target: use for use in request.uses}
         holder.links_held = {link.name: link.held for link in request.links}
         if request.ack_term == self._term:
-            holder.issues = [
-                issue
-                for issue in holder.issues
-                if issue.last > request.ack_sequence
-            ]
+            self._acknowledge(holder, request.ack_sequence)
+            if advanced and holder.issues:
+                holder.issues[0].waits_since = now
             self._confirm(holder)
         self._update_charges(holder)
         return holder
 
     def issue(self, now: float, holder: Holder, issue: Issue) -> None:
         """Charge a holder for grants that are sent now."""
+        issue.waits_since = now
         issue.expires_at = now + self._lifetime_s
         holder.expires_at = max(holder.expires_at, issue.expires_at)
         holder.issued = issue
@@ -196,17 +198,27 @@
                 del self.holders[key]
 
     def live(self, now: float) -> list[Holder]:
-        """Return the newest incarnations that have not fallen silent.
+        """Return the newest incarnations that can use grants.
 
-        A holder whose oldest unacknowledged issue has expired gets our
-        requests but not our answers; it cannot use grants.
+        A holder that has acknowledged nothing for the lifetime of a grant
+        gets none of our answers, though its requests arrive.
         """
         return [
             holder
             for (entry, incarnation), holder in self.holders.items()
             if incarnation == self._newest[entry]
             and holder.heard_at + self._lifetime_s > now
-            and not (holder.issues and holder.issues[0].expires_at <= now)
+            and not self._is_deaf(now, holder)
+        ]
+
+    def _is_deaf(self, now: float, holder: Holder) -> bool:
+        if not holder.issues:
+            return False
+        return holder.issues[0].waits_since + self._lifetime_s <= now
+
+    def _acknowledge(self, holder: Holder, sequence: int) -> None:
+        holder.issues = [
+            issue for issue in holder.issues if issue.last > sequence
         ]
 
     def _take_demand(
@@ -229,7 +241,7 @@
 
     def _confirm(self, holder: Holder) -> None:
         """Add what a holder has on its first acknowledgement."""
-        if holder.confirmed or not holder.order[1]:
+        if holder.confirmed:
             return
         holder.confirmed = True
         for use in holder.uses.values():
--- a/fulmarseam/steering/_slots.py
+++ b/fulmarseam/steering/_slots.py
@@ -157,8 +157,8 @@
         held = self._held.setdefault(grant.target, _Held())
         lease_s = min(ttl_s, grant.lease_ms / 1_000)
         until = sent_at + lease_s * (1.0 - self._drift)
-        if grant.lease_ms > 0:
-            # Leases only grow, so an older answer cannot have allowed less.
-            held.until = max(held.until, until)
+        # Leases only grow, so an older answer cannot have allowed more. A
+        # grant without a lease leaves the end as it is.
+        held.until = max(held.until, until)
         held.slots = grant.slots
         held.connections = grant.connections
