--- a/fulmarseam/wire/__init__.py
+++ b/fulmarseam/wire/__init__.py
@@ -6,11 +6,51 @@
     message = wire.decode(data)
 """
 
+from fulmarseam.wire._admin import Edit
+from fulmarseam.wire._admin import EditResult
+from fulmarseam.wire._admin import EntryProgress
+from fulmarseam.wire._admin import Export
+from fulmarseam.wire._admin import FleetRequest
+from fulmarseam.wire._admin import FleetResponse
+from fulmarseam.wire._admin import MemberAdd
+from fulmarseam.wire._admin import MemberRemove
+from fulmarseam.wire._admin import MemberRow
+from fulmarseam.wire._admin import QuarantineRequest
+from fulmarseam.wire._admin import QuarantineResponse
+from fulmarseam.wire._admin import QuarantineRow
+from fulmarseam.wire._admin import Restore
+from fulmarseam.wire._admin import StatusRequest
+from fulmarseam.wire._admin import StatusResponse
+from fulmarseam.wire._admin import TablesRequest
+from fulmarseam.wire._admin import TablesResponse
+from fulmarseam.wire._admin import TargetProgress
 from fulmarseam.wire._codec import decode
 from fulmarseam.wire._codec import encode
 from fulmarseam.wire._codec import Message
 from fulmarseam.wire._common import Failure
 from fulmarseam.wire._common import Ok
+from fulmarseam.wire._consensus import AppendRequest
+from fulmarseam.wire._consensus import AppendResponse
+from fulmarseam.wire._consensus import EntryType
+from fulmarseam.wire._consensus import Founding
+from fulmarseam.wire._consensus import GroupMembers
+from fulmarseam.wire._consensus import IdentityRequest
+from fulmarseam.wire._consensus import IdentityResponse
+from fulmarseam.wire._consensus import LogEntry
+from fulmarseam.wire._consensus import MemberInfo
+from fulmarseam.wire._consensus import MemberRequest
+from fulmarseam.wire._consensus import MemberResponse
+from fulmarseam.wire._consensus import ReplicaMessage
+from fulmarseam.wire._consensus import ReplicaRequest
+from fulmarseam.wire._consensus import ReplicaResponse
+from fulmarseam.wire._consensus import SnapshotChunk
+from fulmarseam.wire._consensus import SnapshotMeta
+from fulmarseam.wire._consensus import SnapshotResponse
+from fulmarseam.wire._consensus import VoteRequest
+from fulmarseam.wire._consensus import VoteResponse
+from fulmarseam.wire._peers import DrainNotice
+from fulmarseam.wire._peers import LeaveNotice
+from fulmarseam.wire._peers import StrikeNotice
 from fulmarseam.wire._rows import Block
 from fulmarseam.wire._rows import Change
 from fulmarseam.wire._rows import Drain
@@ -29,6 +69,7 @@
 from fulmarseam.wire._sync import LinkDemand
 from fulmarseam.wire._sync import LinkRate
 from fulmarseam.wire._sync import PoolDemand
+from fulmarseam.wire._sync import RecordCopy
 from fulmarseam.wire._sync import SlotGrant
 from fulmarseam.wire._sync import SlotUse
 from fulmarseam.wire._sync import SyncRequest
@@ -39,35 +80,77 @@
 from fulmarseam.wire._sync import TargetState
 
 __all__ = [
+    'AppendRequest',
+    'AppendResponse',
     'Block',
     'Change',
     'Drain',
+    'DrainNotice',
     'DrainScope',
     'DrainState',
+    'Edit',
+    'EditResult',
     'EntryInfo',
+    'EntryProgress',
     'EntryRow',
+    'EntryType',
+    'Export',
     'Failure',
+    'FleetRequest',
+    'FleetResponse',
+    'FoundRequest',
+    'Founding',
+    'GroupMembers',
+    'IdentityRequest',
+    'IdentityResponse',
+    'LeaveNotice',
     'Link',
     'LinkDemand',
     'LinkRate',
+    'LogEntry',
+    'MemberAdd',
+    'MemberInfo',
+    'MemberRemove',
+    'MemberRequest',
+    'MemberResponse',
+    'MemberRow',
     'Message',
     'Ok',
     'Pool',
     'PoolDemand',
+    'QuarantineRequest',
+    'QuarantineResponse',
+    'QuarantineRow',
+    'RecordCopy',
     'RecordGroup',
+    'ReplicaMessage',
+    'ReplicaRequest',
+    'ReplicaResponse',
+    'Restore',
     'Route',
     'Row',
     'Shift',
     'ShiftState',
     'SlotGrant',
     'SlotUse',
+    'SnapshotChunk',
+    'SnapshotMeta',
+    'SnapshotResponse',
+    'StatusRequest',
+    'StatusResponse',
+    'StrikeNotice',
     'SyncRequest',
     'SyncResponse',
     'TableName',
+    'TablesRequest',
+    'TablesResponse',
     'TargetLoad',
+    'TargetProgress',
     'TargetReport',
     'TargetRow',
     'TargetState',
+    'VoteRequest',
+    'VoteResponse',
     'decode',
     'encode',
 ]
--- a/fulmarseam/wire/_codec.py
+++ b/fulmarseam/wire/_codec.py
@@ -3,10 +3,24 @@
 import msgspec
 
 from fulmarseam import errors
+from fulmarseam.wire import _admin
 from fulmarseam.wire import _common
+from fulmarseam.wire import _consensus
+from fulmarseam.wire import _peers
 from fulmarseam.wire import _sync
 
-Message = _common.Ok | _common.Failure | _sync.SyncRequest | _sync.SyncResponse
+Message = (
+    _common.Ok
+    | _common.Failure
+    | _sync.SyncRequest
+    | _sync.SyncResponse
+    | _admin.AdminMessage
+    | _peers.PeerMessage
+    | _consensus.MemberRequest
+    | _consensus.MemberResponse
+    | _consensus.IdentityRequest
+    | _consensus.IdentityResponse
+)
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
