--- a/fulmarseam/bench/_demo.py
+++ b/fulmarseam/bench/_demo.py
@@ -44,6 +44,7 @@
             host='prospekt.example',
             path_prefix='/',
             pool=ids.PoolName(POOLS[0]),
+            deadline_ms=_plan.MAX_DEADLINE_MS,
         )
     )
     accepted = time.monotonic()
--- a/fulmarseam/bench/_plan.py
+++ b/fulmarseam/bench/_plan.py
@@ -70,6 +70,10 @@
         return [*self.controls, *self.entries, *self.targets]
 
 
+# A new control leader holds slots back for this long, see the design page.
+MAX_DEADLINE_MS = 2_000
+
+
 def make_rows(pools: Sequence[str]) -> list[wire.Row]:
     """Return a pool and two routes for each name.
 
@@ -78,13 +82,18 @@
     rows: list[wire.Row] = []
     for name in pools:
         pool = ids.PoolName(name)
-        rows.append(wire.Pool(name=pool, slow_start_s=0.0))
+        rows.append(
+            wire.Pool(
+                name=pool, slow_start_s=0.0, max_deadline_ms=MAX_DEADLINE_MS
+            )
+        )
         rows.append(
             wire.Route(
                 name=ids.RouteName(name),
                 host=f'{name}.example',
                 path_prefix='/',
                 pool=pool,
+                deadline_ms=MAX_DEADLINE_MS,
             )
         )
         rows.append(
@@ -93,6 +102,7 @@
                 host=f'once.{name}.example',
                 path_prefix='/',
                 pool=pool,
+                deadline_ms=MAX_DEADLINE_MS,
                 idempotent=False,
             )
         )
