Wait for acknowledged grants of the term before sharing out

Cause: an answer of the former leader may reach an entry after the entry has reported to the new leader, so the report alone does not bound what the entry holds. Change: an entry counts as heard when it has acknowledged grants of the own term, after which it refuses older answers. Clients count the bytes of control traffic; small rows are sent as arrays. Result: the changed test passes; nothing measured.

--- a/fulmarseam/entry/_daemon.py
+++ b/fulmarseam/entry/_daemon.py
@@ -67,6 +67,10 @@
             self.reporter.make_request,
             self.reporter.raise_incarnation,
         )
+        self.metrics.observe(
+            'control_bytes_total',
+            lambda: float(self.synchronizer.count_bytes()),
+        )
         self.peers = _peers.Peers(options, self.state)
         self.claims = _claims.Claims(
             _records.NoRecords(),
--- a/fulmarseam/entry/_syncing.py
+++ b/fulmarseam/entry/_syncing.py
@@ -64,6 +64,13 @@
         self._position = (self._position + 1) % len(self._order)
         return False
 
+    def count_bytes(self) -> int:
+        """Return the bytes sent and received by all clients."""
+        return sum(
+            client.bytes_sent + client.bytes_received
+            for client in self._clients.values()
+        )
+
     def open(self) -> None:
         """Start to connect to all members."""
         for client in self._clients.values():
@@ -101,6 +108,10 @@
         self._poll_task: asyncio.Task[None] | None = None
         self._urgent: set[asyncio.Task[bool]] = set()
 
+    def count_bytes(self) -> int:
+        """Return the bytes sent to and received from control members."""
+        return self._finder.count_bytes()
+
     @property
     def leader(self) -> ids.MemberId:
         """Return the member that is taken for the leader."""
--- a/fulmarseam/steering/_allocator.py
+++ b/fulmarseam/steering/_allocator.py
@@ -53,11 +53,12 @@
         grants = allocator.grants_for(now, entry, incarnation)
 
     `former` names the incarnations of entries that may hold grants of a
-    former leader. Until all of them have reported or the grants of the
-    former leader have expired, entries only get renewed what they report
-    to hold. After that, what no entry has confirmed to hold is kept back
-    until the requests of entries that were never heard must have ended.
-    Without `former` any number of unknown entries is assumed.
+    former leader. Until all of them have acknowledged grants of this term
+    or the grants of the former leader have expired, entries only get
+    renewed what they report to hold. After that, what no entry has
+    confirmed to hold is kept back until the requests of entries that were
+    never heard must have ended. Without `former` any number of unknown
+    entries is assumed.
     """
 
     def __init__(
@@ -88,7 +89,12 @@
         or of an older incarnation change nothing.
         """
         holder = self._ledger.report(now, request)
-        if holder is not None and self._unheard is not None:
+        if holder is None or self._unheard is None:
+            return
+        # An answer of the former leader may still be on its way to an
+        # entry. The entry refuses it once it has applied grants of this
+        # term.
+        if holder.confirmed:
             self._unheard.discard(_key_of(holder))
 
     def allocate(
--- a/fulmarseam/transport/_rpc.py
+++ b/fulmarseam/transport/_rpc.py
@@ -17,6 +17,8 @@
 
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 MAX_PENDING_CALLS = 4_096
+# The length and the request id that nng sends before each message.
+FRAME_BYTES = 12
 RECONNECT_MIN_MS = 20
 RECONNECT_MAX_MS = 200
 # Calls are repeated by their owner, which knows whether that is safe.
@@ -114,10 +116,13 @@
 
     Usable from one event loop. The connection is made in the background,
     so entering the context does not wait for the other process.
+    `bytes_sent` and `bytes_received` count messages with their frames.
     """
 
     def __init__(self, address: str) -> None:
         self.address = address
+        self.bytes_sent = 0
+        self.bytes_received = 0
         self._socket: Any = None
 
     async def __aenter__(self) -> Self:
@@ -156,7 +161,9 @@
         with contextlib.closing(self._socket.new_context()) as context:
             try:
                 async with asyncio.timeout(timeout_s):
-                    await context.asend(wire.encode(message))
+                    sent = wire.encode(message)
+                    self.bytes_sent += len(sent) + FRAME_BYTES
+                    await context.asend(sent)
                     data = await context.arecv()
             except TimeoutError:
                 raise errors.TransportError(
@@ -166,4 +173,5 @@
                 raise errors.TransportError(
                     f'{self.address}: {error}'
                 ) from error
+        self.bytes_received += len(data) + FRAME_BYTES
         return wire.decode(data)
--- a/fulmarseam/wire/_sync.py
+++ b/fulmarseam/wire/_sync.py
@@ -43,7 +43,7 @@
     load: TargetLoad | None = None
 
 
-class TargetRow(msgspec.Struct, frozen=True, kw_only=True):
+class TargetRow(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """A target as the leader knows it.
 
     `lease_ms` is the time left at the moment of the answer. `ready_ms` is
@@ -57,7 +57,7 @@
     load_age_ms: int
 
 
-class EntryInfo(msgspec.Struct, frozen=True, kw_only=True):
+class EntryInfo(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Identity and addresses of an entry."""
 
     entry: ids.EntryId
@@ -70,7 +70,7 @@
     has_disk: bool = False
 
 
-class EntryRow(msgspec.Struct, frozen=True, kw_only=True):
+class EntryRow(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """An entry as the leader knows it."""
 
     info: EntryInfo
@@ -106,7 +106,7 @@
     lease_ms: int = 0
 
 
-class PoolDemand(msgspec.Struct, frozen=True, kw_only=True):
+class PoolDemand(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Demand for a pool seen by an entry.
 
     `wanted` is the number of slots wanted now: in flight plus queued.
@@ -117,7 +117,7 @@
     arrivals_per_s: float = 0.0
 
 
-class LinkDemand(msgspec.Struct, frozen=True, kw_only=True):
+class LinkDemand(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Bytes/s that an entry holds on a link and would like to have."""
 
     name: str
@@ -125,7 +125,7 @@
     wanted: int
 
 
-class LinkRate(msgspec.Struct, frozen=True, kw_only=True):
+class LinkRate(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Bytes/s that an entry may send over a link."""
 
     name: str
--- a/tests/test_control_registrations.py
+++ b/tests/test_control_registrations.py
@@ -1,5 +1,7 @@
 """Tests of the registration of entries by the control leader."""
 
+import msgspec
+
 from fulmarseam import ids
 from fulmarseam import store
 from fulmarseam import wire
@@ -81,7 +83,17 @@
         self.sync(1.0, fixtures.make_request(self.e1))
         self.sync(1.0, self.request(self.e2))
         self.plan(1.0)
-        self.assertEqual(SLOTS, self.grant(1.1, self.e2))
+        self.assertEqual(0, self.grant(1.1, self.e2))
+        grants = self.leadership.grants_for(1.1, self.e1)
+        self.sync(
+            1.2,
+            msgspec.structs.replace(
+                fixtures.make_request(self.e1),
+                ack_term=2,
+                ack_sequence=grants.sequence,
+            ),
+        )
+        self.assertEqual(SLOTS, self.grant(1.3, self.e2))
 
     def test_old_incarnation_is_forgotten_only_after_its_requests(
         self,
