--- a/fulmarseam/wire/__init__.py
+++ b/fulmarseam/wire/__init__.py
@@ -6,6 +6,24 @@
     message = wire.decode(data)
 """
 
+from fulmarseam.wire._admin import Edit
+from fulmarseam.wire._admin import EditResult
+from fulmarseam.wire._admin import EntryProgress
+from fulmarseam.wire._admin import Export
+from fulmarseam.wire._admin import FleetRequest
+from fulmarseam.wire._admin import FleetResponse
+from fulmarseam.wire._admin import MemberAdd
+from fulmarseam.wire._admin import MemberRemove
+from fulmarseam.wire._admin import MemberRow
+from fulmarseam.wire._admin import QuarantineRequest
+from fulmarseam.wire._admin import QuarantineResponse
+from fulmarseam.wire._admin import QuarantineRow
+from fulmarseam.wire._admin import Restore
+from fulmarseam.wire._admin import StatusRequest
+from fulmarseam.wire._admin import StatusResponse
+from fulmarseam.wire._admin import TablesRequest
+from fulmarseam.wire._admin import TablesResponse
+from fulmarseam.wire._admin import TargetProgress
 from fulmarseam.wire._codec import decode
 from fulmarseam.wire._codec import encode
 from fulmarseam.wire._codec import Message
@@ -30,6 +48,9 @@
 from fulmarseam.wire._consensus import SnapshotResponse
 from fulmarseam.wire._consensus import VoteRequest
 from fulmarseam.wire._consensus import VoteResponse
+from fulmarseam.wire._peers import DrainNotice
+from fulmarseam.wire._peers import LeaveNotice
+from fulmarseam.wire._peers import StrikeNotice
 from fulmarseam.wire._rows import Block
 from fulmarseam.wire._rows import Change
 from fulmarseam.wire._rows import Drain
@@ -38,6 +59,7 @@
 from fulmarseam.wire._rows import Link
 from fulmarseam.wire._rows import Pool
 from fulmarseam.wire._rows import RecordGroup
+from fulmarseam.wire._rows import Registration
 from fulmarseam.wire._rows import Route
 from fulmarseam.wire._rows import Row
 from fulmarseam.wire._rows import Shift
@@ -48,6 +70,7 @@
 from fulmarseam.wire._sync import LinkDemand
 from fulmarseam.wire._sync import LinkRate
 from fulmarseam.wire._sync import PoolDemand
+from fulmarseam.wire._sync import RecordCopy
 from fulmarseam.wire._sync import SlotGrant
 from fulmarseam.wire._sync import SlotUse
 from fulmarseam.wire._sync import SyncRequest
@@ -63,31 +86,49 @@
     'Block',
     'Change',
     'Drain',
+    'DrainNotice',
     'DrainScope',
     'DrainState',
+    'Edit',
+    'EditResult',
     'EntryInfo',
+    'EntryProgress',
     'EntryRow',
     'EntryType',
+    'Export',
     'Failure',
+    'FleetRequest',
+    'FleetResponse',
+    'FoundRequest',
     'Founding',
     'GroupMembers',
     'IdentityRequest',
     'IdentityResponse',
+    'LeaveNotice',
     'Link',
     'LinkDemand',
     'LinkRate',
     'LogEntry',
+    'MemberAdd',
     'MemberInfo',
+    'MemberRemove',
     'MemberRequest',
     'MemberResponse',
+    'MemberRow',
     'Message',
     'Ok',
     'Pool',
     'PoolDemand',
+    'QuarantineRequest',
+    'QuarantineResponse',
+    'QuarantineRow',
+    'RecordCopy',
     'RecordGroup',
+    'Registration',
     'ReplicaMessage',
     'ReplicaRequest',
     'ReplicaResponse',
+    'Restore',
     'Route',
     'Row',
     'Shift',
@@ -97,10 +138,16 @@
     'SnapshotChunk',
     'SnapshotMeta',
     'SnapshotResponse',
+    'StatusRequest',
+    'StatusResponse',
+    'StrikeNotice',
     'SyncRequest',
     'SyncResponse',
     'TableName',
+    'TablesRequest',
+    'TablesResponse',
     'TargetLoad',
+    'TargetProgress',
     'TargetReport',
     'TargetRow',
     'TargetState',
--- a/fulmarseam/wire/_codec.py
+++ b/fulmarseam/wire/_codec.py
@@ -3,8 +3,10 @@
 import msgspec
 
 from fulmarseam import errors
+from fulmarseam.wire import _admin
 from fulmarseam.wire import _common
 from fulmarseam.wire import _consensus
+from fulmarseam.wire import _peers
 from fulmarseam.wire import _sync
 
 Message = (
@@ -12,6 +14,8 @@
     | _common.Failure
     | _sync.SyncRequest
     | _sync.SyncResponse
+    | _admin.AdminMessage
+    | _peers.PeerMessage
     | _consensus.MemberRequest
     | _consensus.MemberResponse
     | _consensus.IdentityRequest
--- a/fulmarseam/wire/_rows.py
+++ b/fulmarseam/wire/_rows.py
@@ -17,6 +17,7 @@
     DRAINS = 'drains'
     SHIFTS = 'shifts'
     RECORD_GROUPS = 'record_groups'
+    REGISTRATIONS = 'registrations'
 
 
 class Route(msgspec.Struct, tag='route', frozen=True, kw_only=True):
@@ -150,7 +151,10 @@
 ):
     """The two entries that hold the at-most-once records of a region.
 
-    Records of generations below `lost_before` may have been lost.
+    Records of generations below `lost_before` may have been lost. A holder
+    is one incarnation of an entry, since a restarted entry has lost what it
+    held in memory. `backup_ready` is true once the backup is known to hold
+    a full copy; before that it does not count as a survivor.
     """
 
     name: ids.RegionName
@@ -158,9 +162,26 @@
     primary: ids.EntryId
     backup: ids.EntryId | None = None
     lost_before: int = 0
+    primary_incarnation: int = 0
+    backup_incarnation: int = 0
+    backup_ready: bool = False
 
 
-Row = Route | Pool | Link | Block | Drain | Shift | RecordGroup
+class Registration(
+    msgspec.Struct, tag='registration', frozen=True, kw_only=True
+):
+    """The incarnations of an entry that may hold grants.
+
+    The leader registers an incarnation before it gives it the first grant,
+    so a new leader knows from whom it has to hear before it may share out
+    what nobody reports to hold.
+    """
+
+    name: ids.EntryId
+    incarnations: list[int]
+
+
+Row = Route | Pool | Link | Block | Drain | Shift | RecordGroup | Registration
 
 
 class Change(msgspec.Struct, frozen=True):
