--- a/fulmarseam/commands/_ctl_client.py
+++ b/fulmarseam/commands/_ctl_client.py
@@ -52,6 +52,8 @@
         """
         end = time.monotonic() + self._total_s
         problems: dict[str, errors.FulmarseamError] = {}
+        if self._leader is None:
+            await self._find_leader()
         while True:
             for member in list(self._list_members()):
                 left = end - time.monotonic()
@@ -86,15 +88,22 @@
         return dict(zip(members, answers, strict=True))
 
     async def call_address(
-        self, address: str, message: wire.Message
+        self,
+        address: str,
+        message: wire.Message,
+        timeout_s: float | None = None,
     ) -> wire.Message:
-        """Return the answer of the process at an address."""
+        """Return the answer of the process at an address.
+
+        The time-out of one attempt applies unless `timeout_s` is given.
+        """
         client = self._clients.get(address)
         if client is None:
             client = transport.RpcClient(address)
             await self._stack.enter_async_context(client)
             self._clients[address] = client
-        return _raise_failure(await client.call(message, self._attempt_s))
+        answer = await client.call(message, timeout_s or self._attempt_s)
+        return _raise_failure(answer)
 
     def _list_members(self) -> Iterator[str]:
         """Yield the members, the presumed leader first."""
@@ -107,8 +116,36 @@
     async def _call_member(
         self, member: str, message: wire.Message, left_s: float
     ) -> wire.Message:
-        async with asyncio.timeout(left_s):
-            return await self.call_address(self._addresses[member], message)
+        return await self.call_address(
+            self._addresses[member], message, min(left_s, self._attempt_s)
+        )
+
+    async def _find_leader(self) -> None:
+        """Ask all members at once and take the first leader named.
+
+        One after the other, each member that is down would cost the
+        time-out of an attempt.
+        """
+        calls = [
+            asyncio.create_task(
+                self._call_member(
+                    member, wire.StatusRequest(), self._attempt_s
+                )
+            )
+            for member in self._addresses
+        ]
+        try:
+            for call in asyncio.as_completed(calls):
+                with contextlib.suppress(errors.FulmarseamError):
+                    found = await call
+                    if isinstance(found, wire.StatusResponse) and found.leader:
+                        self._note_members(found)
+                        self._leader = found.leader
+                        return
+        finally:
+            for task in calls:
+                task.cancel()
+            await asyncio.gather(*calls, return_exceptions=True)
 
     async def _follow_hint(
         self, member: str, error: errors.FulmarseamError
@@ -139,8 +176,11 @@
         except errors.FulmarseamError:
             return
         if isinstance(found, wire.StatusResponse):
-            for row in found.members:
-                self._addresses.setdefault(row.member, row.address)
+            self._note_members(found)
+
+    def _note_members(self, status: wire.StatusResponse) -> None:
+        for row in status.members:
+            self._addresses.setdefault(row.member, row.address)
 
 
 def _raise_failure(answer: wire.Message) -> wire.Message:
--- a/fulmarseam/commands/_ctl_tables.py
+++ b/fulmarseam/commands/_ctl_tables.py
@@ -129,7 +129,9 @@
     if isinstance(value, str):
         if now is not None and value == 'now':
             return now
-        if now is not None and value.startswith('+'):
+        if value.startswith('+'):
+            if now is None:
+                raise ValueError(f'found {value!r}, expected {expected}')
             return now + float(value)
         try:
             return float(value)
