Register a new entry at once and hold its sync requests until then

Change: such a request makes the leader plan at once and is held until the registration is in the log.

--- a/fulmarseam/control/_daemon.py
+++ b/fulmarseam/control/_daemon.py
@@ -38,6 +38,7 @@
     def __init__(self, options: settings.ControlSettings) -> None:
         self._options = options
         self._signal = _signal.Signal()
+        self._plan_signal = _signal.Signal()
         self.metrics = telemetry.Metrics()
         self.machine = store.Machine(notify=self._signal.notify)
         self.member = consensus.Member(
@@ -50,6 +51,7 @@
             self.machine.tables,
             self.find_leadership,
             self._signal,
+            self._plan_signal.notify,
         )
         self._admin = _admin.AdminService(
             self.member,
@@ -164,7 +166,7 @@
                 planner = self._make_planner(leadership)
             if planner is not None:
                 await planner.run()
-            await asyncio.sleep(PLAN_TICK_S)
+            await self._plan_signal.wait(PLAN_TICK_S)
 
     def _make_planner(
         self, leadership: _leadership.Leadership | None
--- a/fulmarseam/control/_leadership.py
+++ b/fulmarseam/control/_leadership.py
@@ -128,10 +128,21 @@
 
     def grants_for(self, now: float, info: wire.EntryInfo) -> steering.Grants:
         """Return the grants of an entry; none before it is registered."""
-        if (info.entry, info.incarnation) not in list_registered(self._tables):
+        if not self.is_registered(info):
             return steering.Grants(0, [], [])
         return self.allocator.grants_for(now, info.entry, info.incarnation)
 
+    def is_registered(self, info: wire.EntryInfo) -> bool:
+        """Return whether the log names an incarnation of an entry."""
+        row = self._tables.get(wire.Registration, info.entry)
+        return row is not None and info.incarnation in row.incarnations
+
+    def has_grant_news(self, now: float, info: wire.EntryInfo) -> bool:
+        """Return whether an entry should get its grants at once."""
+        return self.is_registered(info) and self.allocator.has_news(
+            now, info.entry, info.incarnation
+        )
+
     def live_reports(self, now: float) -> Iterator[EntryReport]:
         """Yield the reports of entries that may still run requests.
 
--- a/fulmarseam/control/_sync.py
+++ b/fulmarseam/control/_sync.py
@@ -20,7 +20,8 @@
     """Answers sync requests while this member leads.
 
     `find_leadership` returns the state of the current term, or None when
-    this member does not lead.
+    this member does not lead. `request_plan` makes the leader plan its
+    steps now, which registers a new entry.
     """
 
     def __init__(
@@ -30,12 +31,14 @@
         tables: store.Tables,
         find_leadership: FindLeadership,
         signal: _signal.Signal,
+        request_plan: Callable[[], None],
     ) -> None:
         self._options = options
         self._member = member
         self._tables = tables
         self._find_leadership = find_leadership
         self._signal = signal
+        self._request_plan = request_plan
 
     async def answer(self, request: wire.SyncRequest) -> wire.SyncResponse:
         """Return the news for an entry, at once or when there is some.
@@ -52,6 +55,8 @@
                 errors.ErrorKind.VERSION_CONFLICT,
                 f'{request.info.entry}: a newer incarnation is known',
             )
+        if not leadership.is_registered(request.info):
+            self._request_plan()
         wants_more = _wants_more(request)
         leadership.allocate_if_due(now, wants_more)
         if leadership.entries.version != known or request.announcements:
@@ -99,13 +104,12 @@
         request: wire.SyncRequest,
         now: float,
     ) -> bool:
-        info = request.info
         return (
             bool(request.announcements)
             or request.revision < self._tables.revision
             or request.targets_term != leadership.term
             or request.targets_version != leadership.targets.version
-            or leadership.allocator.has_news(now, info.entry, info.incarnation)
+            or leadership.has_grant_news(now, request.info)
         )
 
     def _make_answer(
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -77,6 +77,19 @@
         assert isinstance(answer, wire.SyncResponse), answer
         return answer
 
+    async def register(self, *targets: wire.TargetReport) -> wire.SyncResponse:
+        """Sync until the leader has nothing new for the entry."""
+        answer = await self.sync(
+            fixtures.make_request(announcements=targets, wait_ms=0)
+        )
+        quiet = 0
+        while quiet < 2:
+            previous = answer
+            answer = await self.sync(fixtures.make_request(answer=answer))
+            same = answer.revision == previous.revision
+            quiet = quiet + 1 if same else 0
+        return answer
+
     async def edit(self, edit_id: str, queue_limit: int = 1) -> wire.Message:
         pool = wire.Pool(
             name=ids.PoolName('katalog'),
@@ -128,7 +141,7 @@
         self,
     ) -> None:
         await self.edit('a')
-        answer = await self.sync(fixtures.make_request())
+        answer = await self.register()
         started = time.monotonic()
         held = await self.sync(fixtures.make_request(answer=answer))
         self.assertGreater(time.monotonic() - started, 0.3)
@@ -138,9 +151,11 @@
         )
         await asyncio.sleep(0.05)
         started = time.monotonic()
-        await self.edit('b', queue_limit=2)
+        edited = await self.edit('b', queue_limit=2)
         woken = await poll
-        self.assertEqual((2, False), (woken.revision, woken.full))
+        assert isinstance(edited, wire.EditResult)
+        self.assertEqual(edited.revision, woken.revision)
+        self.assertEqual((False, 1), (woken.full, len(woken.changes)))
         self.assertLess(time.monotonic() - started, 0.3)
 
     async def test_answer_carries_the_age_of_the_leadership(self) -> None:
@@ -210,7 +225,7 @@
     async def test_new_leader_builds_its_state_anew(self) -> None:
         await self.edit('a')
         target = fixtures.make_target('t1')
-        answer = await self.sync(fixtures.make_request(announcements=[target]))
+        answer = await self.register(target)
         poll = asyncio.create_task(
             self.call(fixtures.make_request(answer=answer))
         )
@@ -227,7 +242,8 @@
         self.assertGreater(renewed.term, answer.term)
         self.assertTrue(renewed.targets_full)
         self.assertEqual([], renewed.targets)
-        self.assertEqual((1, []), (renewed.revision, renewed.changes))
+        self.assertEqual(answer.revision, renewed.revision)
+        self.assertEqual([], renewed.changes)
 
     async def test_edit_survives_a_restart_of_all_members(self) -> None:
         accepted = await self.edit('a', queue_limit=7)
