--- a/fulmarseam/control/_daemon.py
+++ b/fulmarseam/control/_daemon.py
@@ -11,6 +11,7 @@
 
 from fulmarseam import consensus
 from fulmarseam import errors
+from fulmarseam import http
 from fulmarseam import settings
 from fulmarseam import store
 from fulmarseam import telemetry
@@ -18,6 +19,7 @@
 from fulmarseam import wire
 from fulmarseam.control import _admin
 from fulmarseam.control import _leadership
+from fulmarseam.control import _page
 from fulmarseam.control import _planner
 from fulmarseam.control import _signal
 from fulmarseam.control import _sync
@@ -60,9 +62,14 @@
             self._report_edit,
         )
         self._stopping = asyncio.Event()
-        self.metrics.observe(
-            'revision', lambda: float(self.machine.tables.revision)
-        )
+        self._observe_state()
+
+    def _observe_state(self) -> None:
+        """Register the gauges of the metrics page."""
+        observe = self.metrics.observe
+        observe('revision', lambda: float(self.machine.tables.revision))
+        observe('leading', lambda: float(self._leadership is not None))
+        observe('term', lambda: float(self.member.status().term))
 
     def find_leadership(self) -> _leadership.Leadership | None:
         """Return the state of the term that this member leads, if any."""
@@ -78,7 +85,12 @@
         Raises `errors.DamagedDataError` and other errors of the member.
         """
         server = transport.RpcServer(self._options.listen, self.handle)
-        async with self.member, server:
+        page = http.Server(
+            self._options.api,
+            _page.Page(self.metrics).handle,
+            _page.make_answer,
+        )
+        async with self.member, server, page:
             self._log('control_started', listen=self._options.listen)
             await self._run_tasks()
             self._leadership = None
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -183,6 +183,24 @@
         assert isinstance(answer, wire.Failure)
         self.assertEqual('malformed_message', answer.kind)
 
+    async def test_metrics_page_counts_edits(self) -> None:
+        await self.edit('a')
+        page = await self.fetch('/metrics')
+        self.assertIn('fulmarseam_edits_total{kind="accepted"} 1', page)
+        self.assertIn('fulmarseam_leading 1', page)
+        self.assertIn('404', await self.fetch('/other'))
+
+    async def fetch(self, path: str) -> str:
+        host, _, port = self.options[self.leader].api.partition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            f'GET {path} HTTP/1.1\r\nhost: x\r\n'
+            f'connection: close\r\n\r\n'.encode()
+        )
+        page = await reader.read()
+        writer.close()
+        return page.decode()
+
     async def test_fleet_shows_progress_of_entries(self) -> None:
         await self.edit('a')
         await self.sync(
