--- a/fulmarseam/control/_daemon.py
+++ b/fulmarseam/control/_daemon.py
@@ -37,8 +37,13 @@
     await daemon.run()
     """
 
-    def __init__(self, options: settings.ControlSettings) -> None:
+    def __init__(
+        self,
+        options: settings.ControlSettings,
+        tracer: telemetry.Tracer | None = None,
+    ) -> None:
         self._options = options
+        self._tracer = tracer or telemetry.Tracer(None)
         self._signal = _signal.Signal()
         self._plan_signal = _signal.Signal()
         self.metrics = telemetry.Metrics()
@@ -105,7 +110,8 @@
         elif isinstance(message, consensus.PEER_MESSAGES):
             answer = await self.member.handle(message)
         elif isinstance(message, _admin.ADMIN_REQUESTS):
-            answer = await self._admin.answer(message)
+            with self._tracer.start_span(type(message).__name__):
+                answer = await self._admin.answer(message)
         else:
             raise errors.WireError(
                 f'found message {type(message).__name__}, expected a request '
@@ -206,9 +212,11 @@
         )
 
 
-async def run(options: settings.ControlSettings) -> None:
+async def run(
+    options: settings.ControlSettings, tracer: telemetry.Tracer
+) -> None:
     """Run the daemon until SIGTERM or SIGINT."""
-    daemon = Daemon(options)
+    daemon = Daemon(options, tracer)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, daemon.stop)
@@ -216,9 +224,16 @@
 
 
 def serve(options: settings.ControlSettings) -> None:
-    """Run the daemon with the log that the settings name."""
+    """Run the daemon with the log and the traces that the settings name."""
     with contextlib.ExitStack() as stack:
         stack.enter_context(
             telemetry.open_log(options.log_file, options.log_level)
         )
-        asyncio.run(run(options))
+        tracer = stack.enter_context(
+            telemetry.open_traces(
+                options.trace_file,
+                f'control.{options.member_id}',
+                options.trace_ratio,
+            )
+        )
+        asyncio.run(run(options, tracer))
