Send entry rows only when they changed

Cause: every sync answer carried the rows of all entries, which was most of it. Change: requests name the version of the rows that the entry has; the leader also answers at once when they changed between two requests, and plans grants every 250 ms instead of 100 ms when nothing is wanted.

--- a/fulmarseam/control/_daemon.py
+++ b/fulmarseam/control/_daemon.py
@@ -25,6 +25,9 @@
 from fulmarseam.control import _sync
 
 LEASE_TICK_S = 0.1
+# Requests that want more are planned for at once; the tick serves slow
+# starts and charges that end.
+ALLOCATION_TICK_S = 0.25
 PLAN_TICK_S = 0.2
 
 _log = logbook.Logger('control')
@@ -168,9 +171,10 @@
             leadership = self._leadership
             if leadership is not None:
                 now = time.monotonic()
-                leadership.expire(now)
-                leadership.allocate(now)
-                self._signal.notify()
+                ended = leadership.expire(now)
+                planned = leadership.allocate_on_tick(now, ALLOCATION_TICK_S)
+                if ended or planned:
+                    self._signal.notify()
             await asyncio.sleep(LEASE_TICK_S)
 
     async def _tick_plans(self) -> None:
--- a/fulmarseam/control/_leadership.py
+++ b/fulmarseam/control/_leadership.py
@@ -126,6 +126,13 @@
         ):
             self.allocate(now)
 
+    def allocate_on_tick(self, now: float, interval_s: float) -> bool:
+        """Plan anew after an interval; return whether it was done."""
+        if now - self._allocated_at < interval_s:
+            return False
+        self.allocate(now)
+        return True
+
     def grants_for(self, now: float, info: wire.EntryInfo) -> steering.Grants:
         """Return the grants of an entry; none before it is registered."""
         if not self.is_registered(info):
--- a/fulmarseam/control/_sync.py
+++ b/fulmarseam/control/_sync.py
@@ -86,7 +86,8 @@
     ) -> None:
         hold_ms = min(request.wait_ms, self._options.sync_hold_ms)
         deadline = started + hold_ms / MILLISECONDS
-        entries_version = leadership.entries.version
+        known = _known_entries(leadership, request)
+        entries_version = known or leadership.entries.version
         while True:
             now = time.monotonic()
             if (
@@ -126,6 +127,9 @@
             version = 0
         targets = leadership.targets.news_since(now, version)
         tables = self._tables.changes_since(request.revision)
+        entries = leadership.entries.rows()
+        if _known_entries(leadership, request) == leadership.entries.version:
+            entries = []
         return wire.SyncResponse(
             term=leadership.term,
             leadership_age_ms=round_up_ms(age),
@@ -136,7 +140,8 @@
             targets_full=targets.full,
             targets=targets.rows,
             targets_removed=targets.removed,
-            entries=leadership.entries.rows(),
+            entries=entries,
+            entries_version=leadership.entries.version,
             grant_sequence=grants.sequence,
             grant_ttl_ms=self._options.grant_ttl_ms,
             grants=grants.slots,
@@ -144,6 +149,15 @@
         )
 
 
+def _known_entries(
+    leadership: _leadership.Leadership, request: wire.SyncRequest
+) -> int:
+    """Return the version of the entry rows that an entry has, or 0."""
+    if request.targets_term != leadership.term:
+        return 0
+    return request.entries_version
+
+
 def round_up_ms(seconds: float) -> int:
     """Return whole milliseconds that are not less than `seconds`."""
     return -int(-seconds * MILLISECONDS // 1)
--- a/fulmarseam/entry/_reports.py
+++ b/fulmarseam/entry/_reports.py
@@ -89,6 +89,7 @@
             announcements=reports,
             announcement_ages_ms=ages,
             wait_ms=wait_ms,
+            entries_version=state.entries_version,
         )
 
     def _list_demand(self) -> list[wire.PoolDemand]:
--- a/fulmarseam/entry/_state.py
+++ b/fulmarseam/entry/_state.py
@@ -36,6 +36,8 @@
         self.term = 0
         self.targets_term = 0
         self.targets_version = 0
+        self.entries_version = 0
+        self._entries_term = 0
         self.draining_entries: dict[ids.EntryId, int] = {}
         self.on_change: Callable[[], None] = _ignore
         self._confirmed_at: float | None = None
@@ -64,9 +66,7 @@
         self.term = response.term
         self._apply_tables(response)
         self._apply_targets(now, response)
-        if response.entries:
-            self.entries = {row.info.entry: row for row in response.entries}
-            self._forget_finished_drains()
+        self._apply_entries(response)
         self.book.apply(now, sent_at, response)
         self.links.apply(now, sent_at, response)
         confirmed = sent_at - response.leadership_age_ms / 1_000
@@ -102,6 +102,15 @@
             self.targets.apply(now, response)
         self.targets_term, self.targets_version = news
 
+    def _apply_entries(self, response: wire.SyncResponse) -> None:
+        known = self._entries_term, self.entries_version
+        news = response.term, response.entries_version
+        if not response.entries or news < known:
+            return
+        self._entries_term, self.entries_version = news
+        self.entries = {row.info.entry: row for row in response.entries}
+        self._forget_finished_drains()
+
     def _forget_finished_drains(self) -> None:
         for entry, incarnation in list(self.draining_entries.items()):
             row = self.entries.get(entry)
--- a/fulmarseam/wire/_sync.py
+++ b/fulmarseam/wire/_sync.py
@@ -147,6 +147,8 @@
     `ack_term` and `ack_sequence` name the last grants applied. The answer
     may be held back for `wait_ms` when there is no news. `record_copies`
     names the record groups of which the entry holds a full copy.
+    `entries_version` is that of the entry rows it has, in the term
+    `targets_term`; 0 asks for the rows.
     """
 
     info: EntryInfo
@@ -163,6 +165,7 @@
     announcement_ages_ms: list[int]
     wait_ms: int
     record_copies: list[RecordCopy] = []
+    entries_version: int = 0
 
 
 class SyncResponse(
@@ -172,9 +175,10 @@
 
     `leadership_age_ms` is the time since a majority last confirmed the
     leader. `changes` brings the entry from its revision to `revision`;
-    with `full` they replace all tables. `grants` and `links` replace what
-    the entry held and are valid for `grant_ttl_ms` from the moment it sent
-    the request.
+    with `full` they replace all tables. `entries` replaces the rows of
+    entries; none means that they are as the request says. `grants` and
+    `links` replace what the entry held and are valid for `grant_ttl_ms`
+    from the moment it sent the request.
     """
 
     term: int
@@ -191,3 +195,4 @@
     grant_ttl_ms: int
     grants: list[SlotGrant]
     links: list[LinkRate]
+    entries_version: int = 0
--- a/tests/control_fixtures.py
+++ b/tests/control_fixtures.py
@@ -113,6 +113,7 @@
         announcement_ages_ms=[0] * len(reports),
         wait_ms=wait_ms,
         record_copies=list(copies),
+        entries_version=answer.entries_version if answer else 0,
     )
 
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -158,6 +158,24 @@
         self.assertEqual((False, 1), (woken.full, len(woken.changes)))
         self.assertLess(time.monotonic() - started, 0.3)
 
+    async def test_entry_rows_are_sent_only_when_they_changed(self) -> None:
+        answer = await self.register()
+        self.assertEqual([], answer.entries)
+        poll = asyncio.create_task(
+            self.sync(fixtures.make_request(answer=answer))
+        )
+        await asyncio.sleep(0.05)
+        await self.sync(
+            fixtures.make_request(fixtures.make_info('e2'), wait_ms=0)
+        )
+        for request in (
+            fixtures.make_request(answer=answer),
+            fixtures.make_request(wait_ms=0),
+        ):
+            changed = await self.sync(request)
+            self.assertEqual(2, len(changed.entries))
+        self.assertEqual(2, len((await poll).entries))
+
     async def test_answer_carries_the_age_of_the_leadership(self) -> None:
         answer = await self.sync(fixtures.make_request(wait_ms=0))
         self.assertGreaterEqual(answer.leadership_age_ms, 0)
