--- a/fulmarseam/entry/_suspects.py
+++ b/fulmarseam/entry/_suspects.py
@@ -47,6 +47,10 @@
         )
         return state
 
+    def rows(self) -> list[wire.QuarantineRow]:
+        """Return the suspects and what is quarantined, for operators."""
+        return self.table.rows(self._clock())
+
     def take_notice(self, notice: wire.StrikeNotice) -> None:
         """Take a strike of a peer, or the end of its strikes."""
         if notice.cleared:
--- a/fulmarseam/steering/_suspects.py
+++ b/fulmarseam/steering/_suspects.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from fulmarseam import ids
+from fulmarseam import wire
 
 # Strikes on two different targets quarantine a request.
 STRIKES_TO_QUARANTINE = 2
@@ -124,6 +125,19 @@
         """Return the targets on which a suspect runs."""
         return frozenset(self._running)
 
+    def rows(self, now: float) -> list[wire.QuarantineRow]:
+        """Return the suspects and what is quarantined, for operators."""
+        return [
+            wire.QuarantineRow(
+                fingerprint=fingerprint,
+                targets=sorted(suspect.targets),
+                quarantined=len(suspect.targets) >= STRIKES_TO_QUARANTINE,
+                left_ms=int((suspect.until - now) * 1_000),
+            )
+            for fingerprint, suspect in self._suspects.items()
+            if suspect.until > now
+        ]
+
     def expire(self, now: float) -> None:
         """Forget strikes that are older than the quarantine."""
         ended = [
