--- a/fulmarseam/control/_daemon.py
+++ b/fulmarseam/control/_daemon.py
@@ -11,6 +11,7 @@
 
 from fulmarseam import consensus
 from fulmarseam import errors
+from fulmarseam import http
 from fulmarseam import settings
 from fulmarseam import store
 from fulmarseam import telemetry
@@ -18,11 +19,15 @@
 from fulmarseam import wire
 from fulmarseam.control import _admin
 from fulmarseam.control import _leadership
+from fulmarseam.control import _page
 from fulmarseam.control import _planner
 from fulmarseam.control import _signal
 from fulmarseam.control import _sync
 
 LEASE_TICK_S = 0.1
+# Requests that want more are planned for at once; the tick serves slow
+# starts and charges that end.
+ALLOCATION_TICK_S = 0.25
 PLAN_TICK_S = 0.2
 
 _log = logbook.Logger('control')
@@ -35,9 +40,15 @@
     await daemon.run()
     """
 
-    def __init__(self, options: settings.ControlSettings) -> None:
+    def __init__(
+        self,
+        options: settings.ControlSettings,
+        tracer: telemetry.Tracer | None = None,
+    ) -> None:
         self._options = options
+        self._tracer = tracer or telemetry.Tracer(None)
         self._signal = _signal.Signal()
+        self._plan_signal = _signal.Signal()
         self.metrics = telemetry.Metrics()
         self.machine = store.Machine(notify=self._signal.notify)
         self.member = consensus.Member(
@@ -50,6 +61,7 @@
             self.machine.tables,
             self.find_leadership,
             self._signal,
+            self._plan_signal.notify,
         )
         self._admin = _admin.AdminService(
             self.member,
@@ -58,9 +70,14 @@
             self._report_edit,
         )
         self._stopping = asyncio.Event()
-        self.metrics.observe(
-            'revision', lambda: float(self.machine.tables.revision)
-        )
+        self._observe_state()
+
+    def _observe_state(self) -> None:
+        """Register the gauges of the metrics page."""
+        observe = self.metrics.observe
+        observe('revision', lambda: float(self.machine.tables.revision))
+        observe('leading', lambda: float(self._leadership is not None))
+        observe('term', lambda: float(self.member.status().term))
 
     def find_leadership(self) -> _leadership.Leadership | None:
         """Return the state of the term that this member leads, if any."""
@@ -76,7 +93,12 @@
         Raises `errors.DamagedDataError` and other errors of the member.
         """
         server = transport.RpcServer(self._options.listen, self.handle)
-        async with self.member, server:
+        page = http.Server(
+            self._options.api,
+            _page.Page(self.metrics).handle,
+            _page.make_answer,
+        )
+        async with self.member, server, page:
             self._log('control_started', listen=self._options.listen)
             await self._run_tasks()
             self._leadership = None
@@ -91,7 +113,8 @@
         elif isinstance(message, consensus.PEER_MESSAGES):
             answer = await self.member.handle(message)
         elif isinstance(message, _admin.ADMIN_REQUESTS):
-            answer = await self._admin.answer(message)
+            with self._tracer.start_span(type(message).__name__):
+                answer = await self._admin.answer(message)
         else:
             raise errors.WireError(
                 f'found message {type(message).__name__}, expected a request '
@@ -148,9 +171,10 @@
             leadership = self._leadership
             if leadership is not None:
                 now = time.monotonic()
-                leadership.expire(now)
-                leadership.allocate(now)
-                self._signal.notify()
+                ended = leadership.expire(now)
+                planned = leadership.allocate_on_tick(now, ALLOCATION_TICK_S)
+                if ended or planned:
+                    self._signal.notify()
             await asyncio.sleep(LEASE_TICK_S)
 
     async def _tick_plans(self) -> None:
@@ -164,7 +188,7 @@
                 planner = self._make_planner(leadership)
             if planner is not None:
                 await planner.run()
-            await asyncio.sleep(PLAN_TICK_S)
+            await self._plan_signal.wait(PLAN_TICK_S)
 
     def _make_planner(
         self, leadership: _leadership.Leadership | None
@@ -192,9 +216,11 @@
         )
 
 
-async def run(options: settings.ControlSettings) -> None:
+async def run(
+    options: settings.ControlSettings, tracer: telemetry.Tracer
+) -> None:
     """Run the daemon until SIGTERM or SIGINT."""
-    daemon = Daemon(options)
+    daemon = Daemon(options, tracer)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, daemon.stop)
@@ -202,9 +228,16 @@
 
 
 def serve(options: settings.ControlSettings) -> None:
-    """Run the daemon with the log that the settings name."""
+    """Run the daemon with the log and the traces that the settings name."""
     with contextlib.ExitStack() as stack:
         stack.enter_context(
             telemetry.open_log(options.log_file, options.log_level)
         )
-        asyncio.run(run(options))
+        tracer = stack.enter_context(
+            telemetry.open_traces(
+                options.trace_file,
+                f'control.{options.member_id}',
+                options.trace_ratio,
+            )
+        )
+        asyncio.run(run(options, tracer))
