--- /dev/null
+++ b/tests/test_entry_repeats.py
@@ -0,0 +1,397 @@
+"""Tests of retries, queues, quarantine and claims of an entry."""
+
+import asyncio
+from typing import ClassVar
+
+from fulmarseam import errors
+from fulmarseam import wire
+from fulmarseam.entry import _records
+from tests import entry_case
+from tests import fakes
+
+OK = entry_case.OK
+SHED = entry_case.SHED
+KEY = 'Idempotency-Key: ost.1.0123456789\r\n'
+
+
+async def crash(
+    target: fakes.FakeTarget,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Answer requests, but close on a path that contains "crash"."""
+    kept = bytearray()
+    target.received.append(kept)
+    while True:
+        request = await fakes.read_request(target, reader, kept)
+        if b'crash' in request:
+            return
+        writer.write(OK)
+
+
+class RetryTest(entry_case.EntryCase):
+    """Guards against repeats that could run a request twice (P5)."""
+
+    rows: ClassVar[list[wire.Row]] = [
+        wire.Pool(name=fakes.POOL, retry_ratio=0.1),
+        entry_case.make_route(),
+        entry_case.make_route(
+            name='once',
+            path_prefix='/once',
+            idempotent=False,
+            request_id_required=False,
+        ),
+    ]
+
+    def count_requests(self, *targets: fakes.FakeTarget) -> int:
+        """Return how many requests the targets received."""
+        return sum(item.received_bytes.count(b'HTTP/1.1') for item in targets)
+
+    async def test_idempotent_request_is_sent_to_another_target(self) -> None:
+        first = await self.start_target(crash, 't1')
+        second = await self.start_target(crash, 't2')
+        answer = await self.call('/crash', 'POST', b'abc')
+        # Both targets fail, so the request counts as a crash request.
+        self.assertEqual(422, answer.status)
+        self.assertEqual(2, self.count_requests(first, second))
+        self.assertEqual(
+            2, (first.received_bytes + second.received_bytes).count(b'abc')
+        )
+
+    async def test_request_without_key_is_sent_once(self) -> None:
+        targets = [
+            await self.start_target(crash, 't1'),
+            await self.start_target(crash, 't2'),
+        ]
+        answer = await self.call('/once/crash', 'POST', b'abc')
+        self.assertEqual('target_failed', answer.kind)
+        self.assertEqual('unknown', answer.outcome)
+        self.assertEqual(1, self.count_requests(*targets))
+
+    async def test_declared_not_run_is_retried_within_the_budget(
+        self,
+    ) -> None:
+        targets = [
+            await self.start_target(fakes.answer_always(SHED), 't1'),
+            await self.start_target(fakes.answer_always(SHED), 't2'),
+        ]
+        for number in range(20):
+            answer = await self.call(f'/{number}')
+            self.assertEqual('target_shed', answer.kind)
+        retries = self.count_requests(*targets) - 20
+        self.assertGreaterEqual(retries, 1)
+        self.assertLessEqual(retries, 3)
+
+    async def test_shed_request_is_answered_by_another_target(self) -> None:
+        await self.start_target(fakes.answer_always(SHED), 't1')
+        second = await self.start_target(fakes.answer_always(OK), 't2')
+        for _ in range(4):
+            answer = await self.call('/', 'POST', b'abc')
+            if answer.status == 200 and self.entry.metrics.counter(
+                'retries_total', pool=fakes.POOL
+            ):
+                break
+        self.assertEqual((200, b'ok'), (answer.status, answer.body))
+        self.assertIn(b'abc', second.received_bytes)
+
+
+class QueueTest(entry_case.EntryCase):
+    """Guards against more work on a target than the entry was granted."""
+
+    rows: ClassVar[list[wire.Row]] = [
+        wire.Pool(name=fakes.POOL, queue_limit=2),
+        entry_case.make_route(),
+        entry_case.make_route(name='first', path_prefix='/first', priority=0),
+    ]
+
+    async def start_gate(self, slots: int) -> asyncio.Event:
+        """Start a target that holds its answers back."""
+        gate = asyncio.Event()
+        self.running = 0
+        self.most = 0
+        self.order: list[bytes] = []
+
+        async def serve(
+            target: fakes.FakeTarget,
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            kept = bytearray()
+            while True:
+                request = await fakes.read_request(target, reader, kept)
+                self.order.append(request.split()[1])
+                self.running += 1
+                self.most = max(self.most, self.running)
+                await gate.wait()
+                self.running -= 1
+                writer.write(OK)
+
+        await self.start_target(serve, slots=slots)
+        return gate
+
+    async def test_waiting_requests_are_bounded_and_ordered(self) -> None:
+        gate = await self.start_gate(1)
+        first = asyncio.create_task(self.call('/a'))
+        await self.wait_until(lambda: self.running == 1)
+        later = asyncio.create_task(self.call('/b'))
+        await asyncio.sleep(0.05)
+        urgent = asyncio.create_task(self.call('/first'))
+        await asyncio.sleep(0.05)
+        refused = await self.call('/c')
+        self.assertEqual((503, 'queue_full', 'not-run'), refused.describe())
+        gate.set()
+        answers = await asyncio.gather(first, later, urgent)
+        self.assertEqual([200] * 3, [answer.status for answer in answers])
+        self.assertEqual([b'/a', b'/first', b'/b'], self.order)
+        self.assertEqual(1, self.most)
+
+    async def test_deadline_in_the_queue_is_not_run(self) -> None:
+        gate = await self.start_gate(1)
+        first = asyncio.create_task(self.call('/a'))
+        await self.wait_until(lambda: self.running == 1)
+        answer = await self.call(
+            '/b', headers='Fulmarseam-Deadline-Ms: 100\r\n'
+        )
+        self.assertEqual(
+            (504, 'deadline_unreachable', 'not-run'), answer.describe()
+        )
+        gate.set()
+        await first
+        self.assertEqual([b'/a'], self.order)
+
+    async def test_caller_that_leaves_the_queue_takes_no_slot(self) -> None:
+        gate = await self.start_gate(1)
+        first = asyncio.create_task(self.call('/a'))
+        await self.wait_until(lambda: self.running == 1)
+        _, writer = await self.connect(self.options.listen)
+        writer.write(b'GET /gone HTTP/1.1\r\nHost: a\r\n\r\n')
+        await self.wait_until(lambda: self.entry.callers.busy == 2)
+        writer.close()
+        await self.wait_until(lambda: self.entry.callers.busy == 1)
+        gate.set()
+        await first
+        answer = await self.call('/b')
+        self.assertEqual(200, answer.status)
+        self.assertEqual([b'/a', b'/b'], self.order)
+
+    async def test_queued_demand_is_reported_at_once(self) -> None:
+        gate = await self.start_gate(1)
+        first = asyncio.create_task(self.call('/a'))
+        await self.wait_until(lambda: self.running == 1)
+        second = asyncio.create_task(self.call('/b'))
+        await self.wait_until(
+            lambda: any(
+                demand.wanted == 2
+                for request in self.leader.requests
+                for demand in request.demand
+            )
+        )
+        self.leader.slots['t1'] = 2
+        self.entry.synchronizer.request_now()
+        await self.wait_until(lambda: self.running == 2)
+        gate.set()
+        await asyncio.gather(first, second)
+
+
+class QuarantineTest(entry_case.EntryCase):
+    """Guards against a request that takes down target after target (F11)."""
+
+    async def test_crash_request_reaches_two_targets_at_most(self) -> None:
+        targets = [
+            await self.start_target(crash, f't{number}') for number in range(4)
+        ]
+        answer = await self.call('/crash')
+        self.assertEqual((422, 'quarantined', 'unknown'), answer.describe())
+        for _ in range(3):
+            answer = await self.call('/crash')
+            self.assertEqual('quarantined', answer.kind)
+        hit = [
+            target for target in targets if b'crash' in target.received_bytes
+        ]
+        self.assertEqual(2, len(hit))
+        other = await self.call('/other')
+        self.assertEqual(200, other.status)
+
+    async def test_strike_of_a_peer_counts(self) -> None:
+        targets = [
+            await self.start_target(crash, f't{number}') for number in range(3)
+        ]
+        # The fingerprint of the request as a peer computes it.
+        await self.call('/other')
+        job_print = entry_case.compute_fingerprint('GET', 'a', '/crash')
+        self.entry.suspects.take_notice(
+            wire.StrikeNotice(fingerprint=job_print, target='t9')
+        )
+        answer = await self.call('/crash')
+        self.assertEqual('quarantined', answer.kind)
+        hit = [
+            target for target in targets if b'crash' in target.received_bytes
+        ]
+        self.assertEqual(1, len(hit))
+
+
+class FakeKeeper:
+    """A record holder with scripted verdicts."""
+
+    def __init__(self) -> None:
+        self.verdict: _records.ClaimResult | errors.FulmarseamError = (
+            _records.ClaimResult(_records.Verdict.FRESH)
+        )
+        self.calls: list[tuple[str, object]] = []
+
+    async def claim(
+        self, key: str, fingerprint: str, attempt: str, timeout_s: float
+    ) -> _records.ClaimResult:
+        self.calls.append(('claim', key))
+        if isinstance(self.verdict, errors.FulmarseamError):
+            raise self.verdict
+        return self.verdict
+
+    async def finish(
+        self, key: str, attempt: str, answer: _records.StoredAnswer | None
+    ) -> None:
+        self.calls.append(('finish', answer))
+
+    async def release(self, key: str, attempt: str) -> None:
+        self.calls.append(('release', key))
+
+
+class ClaimTest(entry_case.EntryCase):
+    """Guards against a request that runs twice or is lost in a claim."""
+
+    rows: ClassVar[list[wire.Row]] = [
+        wire.Pool(name=fakes.POOL),
+        entry_case.make_route(idempotent=False),
+    ]
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.keeper = FakeKeeper()
+        self.entry.claims.keeper = self.keeper
+
+    async def post(
+        self, headers: str = KEY, path: str = '/'
+    ) -> entry_case.Answer:
+        answer = await self.call(path, 'POST', b'abc', headers)
+        await self.entry.claims.flush()
+        return answer
+
+    async def test_missing_or_foreign_key_is_refused(self) -> None:
+        target = await self.start_target(fakes.answer_always(OK))
+        for headers in ('', 'Idempotency-Key: abc\r\n', KEY + KEY):
+            answer = await self.post(headers)
+            self.assertEqual((400, 'not-run'), (answer.status, answer.outcome))
+        self.assertEqual(b'', target.received_bytes)
+        self.assertEqual([], self.keeper.calls)
+
+    async def test_answer_is_stored(self) -> None:
+        await self.start_target(fakes.answer_always(OK))
+        answer = await self.post()
+        self.assertEqual(200, answer.status)
+        self.assertEqual(('claim', 'ost.1.0123456789'), self.keeper.calls[0])
+        name, stored = self.keeper.calls[1]
+        assert isinstance(stored, _records.StoredAnswer)
+        self.assertEqual(('finish', b'ok'), (name, stored.body))
+
+    async def test_large_answer_is_marked_as_not_kept(self) -> None:
+        body = b'a' * (_records.KEPT_BODY_BYTES + 1)
+        head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body)
+        await self.start_target(fakes.answer_always(head + body))
+        answer = await self.post()
+        self.assertEqual(body, answer.body)
+        _, stored = self.keeper.calls[1]
+        assert isinstance(stored, _records.StoredAnswer)
+        self.assertIsNone(stored.body)
+
+    async def test_repeats_do_not_run(self) -> None:
+        target = await self.start_target(fakes.answer_always(OK))
+        stored = _records.StoredAnswer(201, [(b'x-a', b'1')], b'kept')
+        verdict = _records.Verdict
+        cases = [
+            (
+                verdict.IN_PROGRESS,
+                None,
+                (409, 'request_in_progress', 'unknown'),
+            ),
+            (verdict.UNKNOWN, None, (409, 'outcome_unknown', 'unknown')),
+            (verdict.CONFLICT, None, (422, 'request_id_conflict', 'not-run')),
+            (
+                verdict.DONE,
+                stored._replace(body=None),
+                (409, 'outcome_not_kept', 'answered'),
+            ),
+            (verdict.DONE, stored, (201, '', 'answered')),
+        ]
+        for found, answer, expected in cases:
+            with self.subTest(found):
+                self.keeper.verdict = _records.ClaimResult(found, answer)
+                received = await self.post()
+                self.assertEqual(expected, received.describe())
+        self.assertEqual(b'kept', received.body)
+        self.assertEqual(b'', target.received_bytes)
+        self.assertEqual({'claim'}, {name for name, _ in self.keeper.calls})
+
+    async def test_silent_holder_gets_a_release(self) -> None:
+        target = await self.start_target(fakes.answer_always(OK))
+        self.keeper.verdict = errors.FulmarseamError(
+            errors.ErrorKind.RECORD_UNAVAILABLE
+        )
+        answer = await self.post()
+        self.assertEqual(
+            (503, 'record_unavailable', 'unknown'), answer.describe()
+        )
+        self.assertEqual('release', self.keeper.calls[-1][0])
+        self.assertEqual(b'', target.received_bytes)
+
+    async def test_request_that_was_not_sent_is_released(self) -> None:
+        target = fakes.FakeTarget(crash)
+        self.announce(target.make_report())
+        await self.wait_until(lambda: self.is_usable('t1'))
+        answer = await self.post()
+        self.assertEqual('no_target', answer.kind)
+        names = [name for name, _ in self.keeper.calls]
+        self.assertEqual(['claim', 'release'], names)
+
+    async def test_declared_not_run_is_released(self) -> None:
+        await self.start_target(fakes.answer_always(SHED))
+        answer = await self.post()
+        self.assertEqual('target_shed', answer.kind)
+        names = [name for name, _ in self.keeper.calls]
+        self.assertEqual(['claim', 'release'], names)
+
+    async def test_broken_request_stays_unknown_and_is_not_repeated(
+        self,
+    ) -> None:
+        targets = [
+            await self.start_target(crash, 't1'),
+            await self.start_target(crash, 't2'),
+        ]
+        answer = await self.post(path='/crash')
+        self.assertEqual('target_failed', answer.kind)
+        self.assertEqual(
+            [('claim', 'ost.1.0123456789'), ('finish', None)],
+            self.keeper.calls,
+        )
+        received = b''.join(target.received_bytes for target in targets)
+        self.assertEqual(1, received.count(b'POST'))
+
+    async def test_caller_that_leaves_makes_the_outcome_unknown(self) -> None:
+        async def hold(
+            target: fakes.FakeTarget,
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            kept = bytearray()
+            target.received.append(kept)
+            await fakes.read_request(target, reader, kept)
+            await reader.read()
+
+        target = await self.start_target(hold)
+        _, writer = await self.connect(self.options.listen)
+        writer.write(
+            b'POST / HTTP/1.1\r\nHost: a\r\n' + KEY.encode() + b'\r\n'
+        )
+        await self.wait_until(lambda: target.received_bytes)
+        writer.close()
+        await self.wait_until(lambda: len(self.keeper.calls) == 2)
+        self.assertEqual(('finish', None), self.keeper.calls[1])
