--- a/fulmarseam/entry/_api.py
+++ b/fulmarseam/entry/_api.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import ipaddress
 from typing import Any
 import urllib.parse
 
@@ -143,13 +144,21 @@
         value = getattr(report, name)
         if not 1 <= value <= 1_000_000:
             problems.append(f'{name}: found {value}, expected 1 or more')
-    try:
-        _, port = http.split_address(report.address)
-    except ValueError:
-        port = 0
-    if not 1 <= port <= 65_535:
-        problems.append(f'address: found {report.address!r}, expected IP:PORT')
+    if not is_address(report.address):
+        problems.append(
+            f'address: found {report.address!r}, expected IP:PORT'
+        )
     if problems:
         raise errors.FulmarseamError(
             errors.ErrorKind.MALFORMED_MESSAGE, '; '.join(problems)
         )
+
+
+def is_address(text: str) -> bool:
+    """Return whether a text is an IP address and a port."""
+    try:
+        host, port = http.split_address(text)
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return 1 <= port <= 65_535
--- a/tests/entry_case.py
+++ b/tests/entry_case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 import json
 import unittest
 
@@ -84,7 +85,8 @@
 
         async def stop() -> None:
             task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
 
         self.addAsyncCleanup(stop)
         return made
