--- a/fulmarseam/commands/_launcher.py
+++ b/fulmarseam/commands/_launcher.py
@@ -36,7 +36,24 @@
             print(f'error: {error.detail}', file=sys.stderr)
             return error.answer.exit_code
 
-    app.run(run)
+    app.run(run, flags_parser=_parse_flags)
+
+
+def _parse_flags(argv: list[str]) -> list[str]:
+    """Parse the flags; a wrong one ends in one line and an exit code."""
+    try:
+        arguments: list[str] = flags.FLAGS(argv)
+    except flags.Error as error:
+        summary = ' '.join(str(error).split())
+        print(f'error: {summary}', file=sys.stderr)
+        sys.exit(errors.ANSWERS[errors.ErrorKind.INVALID_USAGE].exit_code)
+    return arguments
+
+
+def config_path() -> str | None:
+    """Return the value of `--config`."""
+    path: str | None = _CONFIG.value
+    return path
 
 
 def launch_daemon(
--- a/fulmarseam/wire/__init__.py
+++ b/fulmarseam/wire/__init__.py
@@ -33,7 +33,6 @@
 from fulmarseam.wire._consensus import AppendResponse
 from fulmarseam.wire._consensus import EntryType
 from fulmarseam.wire._consensus import Founding
-from fulmarseam.wire._consensus import FoundRequest
 from fulmarseam.wire._consensus import GroupMembers
 from fulmarseam.wire._consensus import IdentityRequest
 from fulmarseam.wire._consensus import IdentityResponse
@@ -60,6 +59,7 @@
 from fulmarseam.wire._rows import Link
 from fulmarseam.wire._rows import Pool
 from fulmarseam.wire._rows import RecordGroup
+from fulmarseam.wire._rows import Registration
 from fulmarseam.wire._rows import Route
 from fulmarseam.wire._rows import Row
 from fulmarseam.wire._rows import Shift
@@ -124,6 +124,7 @@
     'QuarantineRow',
     'RecordCopy',
     'RecordGroup',
+    'Registration',
     'ReplicaMessage',
     'ReplicaRequest',
     'ReplicaResponse',
