Keep a cancellation that pynng drops

pynng loses a cancellation that arrives between the completion of an operation in nng and the next step of the task.

The task's own cancellation state is checked after each operation.

--- a/fulmarseam/entry/_api.py
+++ b/fulmarseam/entry/_api.py
@@ -145,9 +145,7 @@
         if not 1 <= value <= 1_000_000:
             problems.append(f'{name}: found {value}, expected 1 or more')
     if not is_address(report.address):
-        problems.append(
-            f'address: found {report.address!r}, expected IP:PORT'
-        )
+        problems.append(f'address: found {report.address!r}, expected IP:PORT')
     if problems:
         raise errors.FulmarseamError(
             errors.ErrorKind.MALFORMED_MESSAGE, '; '.join(problems)
--- a/fulmarseam/transport/_rpc.py
+++ b/fulmarseam/transport/_rpc.py
@@ -73,6 +73,7 @@
             context = self._socket.new_context()
             try:
                 data = await context.arecv()
+                raise_if_cancelled()
             except pynng.NNGException as error:
                 context.close()
                 self._slots.release()
@@ -164,7 +165,9 @@
                     sent = wire.encode(message)
                     self.bytes_sent += len(sent) + FRAME_BYTES
                     await context.asend(sent)
+                    raise_if_cancelled()
                     data = await context.arecv()
+                    raise_if_cancelled()
             except TimeoutError:
                 raise errors.TransportError(
                     f'{self.address}: no answer within {timeout_s:.3f} s'
@@ -175,3 +178,15 @@
                 ) from error
         self.bytes_received += len(data) + FRAME_BYTES
         return wire.decode(data)
+
+
+def raise_if_cancelled() -> None:
+    """Raise `asyncio.CancelledError` if the task has been cancelled.
+
+    pynng drops a cancellation, also that of a time-out, which arrives
+    after nng has completed the operation and before the task has run.
+    Without this check the task would go on for ever.
+    """
+    task = asyncio.current_task()
+    if task is not None and task.cancelling():
+        raise asyncio.CancelledError
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -1,8 +1,10 @@
 """Tests of the transport package."""
 
 import asyncio
+import contextlib
 import socket
 import unittest
+from unittest import mock
 
 import pynng
 
@@ -43,6 +45,29 @@
             with self.assertRaises(errors.TransportError):
                 await client.call(wire.Ok(), 0.1)
 
+    async def test_cancellation_after_completion_is_kept(self) -> None:
+        """pynng drops a cancellation that arrives at this moment."""
+
+        class Context:
+            async def asend(self, data: bytes) -> None:
+                with contextlib.suppress(asyncio.CancelledError):
+                    await asyncio.sleep(60)
+
+            async def arecv(self) -> bytes:
+                return await asyncio.sleep(60, b'')
+
+            def close(self) -> None:
+                pass
+
+        client = transport.RpcClient(find_free_address())
+        client._socket = mock.Mock()
+        client._socket.new_context.return_value = Context()
+        call = asyncio.create_task(client.call(wire.Ok(), 0.05))
+        done, _ = await asyncio.wait([call], timeout=1.0)
+        call.cancel()
+        self.assertEqual({call}, done)
+        self.assertIsInstance(call.exception(), errors.TransportError)
+
     async def test_malformed_message_does_not_stop_the_server(self) -> None:
         async def handle(message: wire.Message) -> wire.Message:
             return wire.Ok()
