--- /dev/null
+++ b/fulmarseam/records/_storage.py
@@ -0,0 +1,241 @@
+"""The journal of records on hosts with a data directory."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Sequence
+import contextlib
+import os
+import pathlib
+import struct
+from typing import NamedTuple
+import zlib
+
+import msgspec
+
+from fulmarseam import errors
+from fulmarseam import ids
+from fulmarseam import wire
+from fulmarseam.records import _table
+
+FILE_NAME = 'records.journal'
+# Starts every frame, so that frames after a damaged one can be found.
+MAGIC = b'\xf5FRJ'
+HEADER = struct.Struct('<4sII')
+COMPACT_MIN_BYTES = 64 * 1024 * 1024
+REWRITE_BATCH = 500
+
+
+class JournalEntry(msgspec.Struct, frozen=True, array_like=True):
+    """A change of one region's table.
+
+    With `reset` the table is emptied first; then records of generations
+    below `drop_below` are dropped, and the writes are applied.
+    """
+
+    region: ids.RegionName
+    reset: bool
+    drop_below: int
+    writes: list[wire.RecordWrite]
+
+
+class _Frame(NamedTuple):
+    end: int
+    entries: list[JournalEntry]
+
+
+class JournalFailedError(errors.FulmarseamError):
+    """A write or sync failed; the process must end."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(errors.ErrorKind.INTERNAL, detail)
+
+
+_decoder = msgspec.msgpack.Decoder(list[JournalEntry])
+
+
+class Journal:
+    """An append-only file of frames, one frame and one sync for each batch.
+
+    A frame is a magic number, the length, a CRC-32 and the entries. An
+    incomplete frame at the end is dropped; damage before the end is refused
+    with `errors.DamagedDataError`.
+    """
+
+    def __init__(self, directory: str) -> None:
+        self._path = pathlib.Path(directory) / FILE_NAME
+        self._file = -1
+        self._failed = False
+        self._size = 0
+        self._compacted_size = 0
+
+    def open(self) -> dict[ids.RegionName, _table.RecordTable]:
+        """Open the file and return the tables that it holds.
+
+        Claims that were pending count as past their deadline. Raises
+        `errors.DamagedDataError` and `JournalFailedError`.
+        """
+        with self._fail_for_good():
+            self._path.parent.mkdir(parents=True, exist_ok=True)
+            flags = os.O_RDWR | os.O_CREAT
+            self._file = os.open(self._path, flags, 0o600)
+            data = self._path.read_bytes()
+        tables: dict[ids.RegionName, _table.RecordTable] = {}
+        end = 0
+        for frame in _read_frames(self._path, data):
+            end = frame.end
+            for entry in frame.entries:
+                _replay(tables, entry)
+        with self._fail_for_good():
+            os.ftruncate(self._file, end)
+            os.lseek(self._file, end, os.SEEK_SET)
+            os.fsync(self._file)
+            _sync_directory(self._path.parent)
+        self._size = self._compacted_size = end
+        return tables
+
+    def write(self, entries: Sequence[JournalEntry]) -> None:
+        """Append the entries in one frame and sync.
+
+        Raises `JournalFailedError`, also for every write after a failed
+        one: what the disk holds is not known any more.
+        """
+        frame = _make_frame(entries)
+        with self._fail_for_good():
+            _write_all(self._file, frame)
+            os.fdatasync(self._file)
+        self._size += len(frame)
+
+    def should_compact(self) -> bool:
+        """Return whether the file has grown much since it was rewritten."""
+        grown = self._size > 2 * self._compacted_size
+        return grown and self._size > COMPACT_MIN_BYTES
+
+    def rewrite(self, entries: Iterable[JournalEntry]) -> None:
+        """Replace the content, so that a crash leaves the old or the new.
+
+        Raises `JournalFailedError`.
+        """
+        temporary = self._path.with_suffix('.tmp')
+        with self._fail_for_good():
+            flags = os.O_RDWR | os.O_CREAT | os.O_TRUNC
+            file = os.open(temporary, flags, 0o600)
+            size = 0
+            for entry in entries:
+                frame = _make_frame([entry])
+                _write_all(file, frame)
+                size += len(frame)
+            os.fsync(file)
+            os.replace(temporary, self._path)
+            _sync_directory(self._path.parent)
+            os.close(self._file)
+        self._file = file
+        self._size = self._compacted_size = size
+
+    def close(self) -> None:
+        """Close the file."""
+        if self._file >= 0:
+            os.close(self._file)
+            self._file = -1
+
+    @contextlib.contextmanager
+    def _fail_for_good(self) -> Iterator[None]:
+        if self._failed:
+            raise JournalFailedError(f'{self._path}: an earlier write failed')
+        try:
+            yield
+        except OSError as error:
+            self._failed = True
+            raise JournalFailedError(
+                f'{self._path}: {error.strerror or error}'
+            ) from error
+
+
+def list_entries(
+    region: ids.RegionName, rows: Sequence[wire.RecordRow]
+) -> Iterator[JournalEntry]:
+    """Yield entries that replace a region's table by the rows."""
+    yield JournalEntry(region, True, 0, [])
+    for start in range(0, len(rows), REWRITE_BATCH):
+        batch = rows[start : start + REWRITE_BATCH]
+        writes = [wire.RecordWrite(row.key, row) for row in batch]
+        yield JournalEntry(region, False, 0, writes)
+
+
+def _replay(
+    tables: dict[ids.RegionName, _table.RecordTable], entry: JournalEntry
+) -> None:
+    if entry.reset or entry.region not in tables:
+        tables[entry.region] = _table.RecordTable()
+    table = tables[entry.region]
+    if entry.drop_below:
+        table.drop_below(entry.drop_below)
+    for write in entry.writes:
+        # Minus infinity ends the time of every pending claim.
+        table.apply(float('-inf'), write)
+
+
+def _make_frame(entries: Sequence[JournalEntry]) -> bytes:
+    payload = msgspec.msgpack.encode(entries)
+    header = HEADER.pack(MAGIC, len(payload), zlib.crc32(payload))
+    return header + payload
+
+
+def _read_frames(path: pathlib.Path, data: bytes) -> Iterator[_Frame]:
+    """Yield each frame up to a torn tail."""
+    offset = 0
+    while offset < len(data):
+        payload = _read_frame(data, offset)
+        if payload is None:
+            if _has_frame_after(data, offset):
+                raise _describe_damage(path, offset)
+            return
+        offset += HEADER.size + len(payload)
+        try:
+            entries = _decoder.decode(payload)
+        except msgspec.MsgspecError as error:
+            raise _describe_damage(path, offset) from error
+        yield _Frame(offset, entries)
+
+
+def _read_frame(data: bytes, offset: int) -> bytes | None:
+    if len(data) - offset < HEADER.size:
+        return None
+    magic, length, checksum = HEADER.unpack_from(data, offset)
+    start = offset + HEADER.size
+    if magic != MAGIC or length > len(data) - start:
+        return None
+    payload = data[start : start + length]
+    return payload if zlib.crc32(payload) == checksum else None
+
+
+def _has_frame_after(data: bytes, offset: int) -> bool:
+    later = data.find(MAGIC, offset + 1)
+    while later >= 0:
+        if _read_frame(data, later) is not None:
+            return True
+        later = data.find(MAGIC, later + 1)
+    return False
+
+
+def _describe_damage(
+    path: pathlib.Path, offset: int
+) -> errors.DamagedDataError:
+    return errors.DamagedDataError(
+        f'{path}: offset {offset}: found a damaged frame with whole frames '
+        'after it, expected damage only at the end; remove the file to start '
+        'without records'
+    )
+
+
+def _write_all(file: int, data: bytes) -> None:
+    view = memoryview(data)
+    while view:
+        view = view[os.write(file, view) :]
+
+
+def _sync_directory(directory: pathlib.Path) -> None:
+    handle = os.open(directory, os.O_RDONLY)
+    try:
+        os.fsync(handle)
+    finally:
+        os.close(handle)
--- a/fulmarseam/wire/__init__.py
+++ b/fulmarseam/wire/__init__.py
@@ -51,6 +51,19 @@
 from fulmarseam.wire._peers import DrainNotice
 from fulmarseam.wire._peers import LeaveNotice
 from fulmarseam.wire._peers import StrikeNotice
+from fulmarseam.wire._records import RecordChunk
+from fulmarseam.wire._records import RecordClaim
+from fulmarseam.wire._records import RecordFinish
+from fulmarseam.wire._records import RecordProgress
+from fulmarseam.wire._records import RecordRelease
+from fulmarseam.wire._records import RecordReplicate
+from fulmarseam.wire._records import RecordRow
+from fulmarseam.wire._records import RecordState
+from fulmarseam.wire._records import RecordStream
+from fulmarseam.wire._records import RecordVerdict
+from fulmarseam.wire._records import RecordWrite
+from fulmarseam.wire._records import StoredAnswer
+from fulmarseam.wire._records import Verdict
 from fulmarseam.wire._rows import Block
 from fulmarseam.wire._rows import Change
 from fulmarseam.wire._rows import Drain
@@ -121,8 +134,19 @@
     'QuarantineRequest',
     'QuarantineResponse',
     'QuarantineRow',
+    'RecordChunk',
+    'RecordClaim',
     'RecordCopy',
+    'RecordFinish',
     'RecordGroup',
+    'RecordProgress',
+    'RecordRelease',
+    'RecordReplicate',
+    'RecordRow',
+    'RecordState',
+    'RecordStream',
+    'RecordVerdict',
+    'RecordWrite',
     'ReplicaMessage',
     'ReplicaRequest',
     'ReplicaResponse',
@@ -138,6 +162,7 @@
     'SnapshotResponse',
     'StatusRequest',
     'StatusResponse',
+    'StoredAnswer',
     'StrikeNotice',
     'SyncRequest',
     'SyncResponse',
@@ -149,6 +174,7 @@
     'TargetReport',
     'TargetRow',
     'TargetState',
+    'Verdict',
     'VoteRequest',
     'VoteResponse',
     'decode',
--- a/fulmarseam/wire/_codec.py
+++ b/fulmarseam/wire/_codec.py
@@ -7,6 +7,7 @@
 from fulmarseam.wire import _common
 from fulmarseam.wire import _consensus
 from fulmarseam.wire import _peers
+from fulmarseam.wire import _records
 from fulmarseam.wire import _sync
 
 Message = (
@@ -16,6 +17,7 @@
     | _sync.SyncResponse
     | _admin.AdminMessage
     | _peers.PeerMessage
+    | _records.RecordMessage
     | _consensus.MemberRequest
     | _consensus.MemberResponse
     | _consensus.IdentityRequest
