--- a/fulmarseam/steering/_links.py
+++ b/fulmarseam/steering/_links.py
@@ -1,6 +1,7 @@
 """An entry's share of the links between regions."""
 
 import dataclasses
+import math
 
 from fulmarseam import wire
 
@@ -33,20 +34,24 @@
         self._drift = drift
         self._buckets: dict[str, _Bucket] = {}
         self._order = (0, 0)
+        self._applied_at = -math.inf
 
     def apply(
         self, now: float, sent_at: float, response: wire.SyncResponse
     ) -> bool:
         """Replace the rates by those of an answer.
 
-        Call it only for answers that `SlotBook.apply` has accepted. Return
-        False and change nothing when the answer is not newer than
-        the last one applied.
+        Return False and change nothing when the answer is not newer than
+        the last one applied, or when it is the first of a new term and
+        rates were applied after its request was sent, as in `SlotBook`.
         """
         order = response.term, response.grant_sequence
         if order <= self._order:
             return False
+        if response.term != self._order[0] and sent_at < self._applied_at:
+            return False
         self._order = order
+        self._applied_at = now
         rates = {link.name: link.bytes_per_s for link in response.links}
         ttl_s = response.grant_ttl_ms / 1_000
         for name in self._buckets.keys() | rates.keys():
