--- a/tests/test_allocator.py
+++ b/tests/test_allocator.py
@@ -5,6 +5,7 @@
 from fulmarseam import membership
 from fulmarseam import steering
 from fulmarseam import wire
+from fulmarseam.steering import _plan
 from tests import test_allocator_model as model
 
 POOL = wire.Pool(name='p', max_deadline_ms=4_000, slow_start_s=0.0)
@@ -386,6 +387,28 @@
         cluster.settle()
         self.assertEqual({'t0': 3, 't1': 3, 't2': 1}, cluster.held('e0'))
 
+    def plan_one(
+        self, wanted: int, held: dict[str, int], busy: dict[str, int]
+    ) -> dict[str, int]:
+        """Return the plan of a draining entry, which gets no spare."""
+        seats = [
+            _plan.Seat('t0', 'a', 'a2', 3),
+            _plan.Seat('t1', 'a', 'a1', 3),
+        ]
+        claimant = _plan.Claimant(
+            ('e0', 1), 'a', 'a1', wanted, True, held, busy
+        )
+        _plan.plan_pool([claimant], seats, lambda near, far: False)
+        return claimant.plan
+
+    def test_demand_goes_to_the_own_domain_first(self) -> None:
+        self.assertEqual({'t1': 2}, self.plan_one(2, {}, {}))
+        self.assertEqual({'t1': 3, 't0': 1}, self.plan_one(4, {}, {}))
+
+    def test_slots_in_use_stay_where_they_are(self) -> None:
+        held = {'t0': 2, 't1': 2}
+        self.assertEqual({'t0': 1}, self.plan_one(1, held, {'t0': 1}))
+
     def test_steady_demand_moves_nothing(self) -> None:
         cluster = Cluster({f'e{n}': ('a', f'a{n % 2}') for n in range(4)})
         cluster.reports = [make_target(f't{n}', slots=4) for n in range(4)]
@@ -521,6 +544,23 @@
         ]
         self.assertGreater(sum(rates), 0.9 * model.LINK_LIMIT)
 
+    def test_tokens_saved_while_idle_are_bounded(self) -> None:
+        tokens = steering.LinkTokens()
+        rate = wire.LinkRate(name='a>b', bytes_per_s=1_000)
+        tokens.apply(0.0, 0.0, make_response(1, 1, [], [rate]))
+        self.assertEqual(50, tokens.take(2.0, 'a>b', 10_000))
+
+    def test_link_refuses_a_new_term_asked_before_a_change(self) -> None:
+        tokens = steering.LinkTokens()
+        rates = [
+            wire.LinkRate(name='a>b', bytes_per_s=number)
+            for number in (500, 100)
+        ]
+        tokens.apply(0.0, 0.0, make_response(1, 1, [], [rates[1]]))
+        late = make_response(2, 1, [], [rates[0]])
+        self.assertFalse(tokens.apply(0.2, -0.1, late))
+        self.assertEqual(100, tokens.rate(0.2, 'a>b'))
+
     def test_tokens_pay_for_the_granted_rate_only(self) -> None:
         tokens = steering.LinkTokens(linger_s=1.0)
         rate = wire.LinkRate(name='a>b', bytes_per_s=1_000)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -120,6 +120,13 @@
         self.assertEqual('t1', self.chooser.choose(avoided={'t0'}))
         self.assertEqual('t2', self.chooser.choose(avoided={'t0', 't1'}))
 
+    def test_ejected_target_comes_after_those_of_the_region(self) -> None:
+        chooser = self.chooser
+        for _ in range(8):
+            chooser.outcomes.record_failure(chooser.now, 't0')
+        chooser.fill('t1')
+        self.assertEqual({'t2'}, set(chooser.count()))
+
     def test_expired_grants_are_not_used(self) -> None:
         self.chooser.now += 2.8
         self.assertIsNone(self.chooser.choose())
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -371,6 +371,7 @@
             ('/cart/items', 'cart'),
             ('/cartoon', 'shop'),
             ('/other?q=/cart', 'shop'),
+            ('/cart?q=1', 'cart'),
         ):
             self.assertEqual(name, self.match('shop.example', path), path)
 
