--- a/fulmarseam/wire/__init__.py
+++ b/fulmarseam/wire/__init__.py
@@ -72,6 +72,7 @@
 from fulmarseam.wire._rows import Link
 from fulmarseam.wire._rows import Pool
 from fulmarseam.wire._rows import RecordGroup
+from fulmarseam.wire._rows import Registration
 from fulmarseam.wire._rows import Route
 from fulmarseam.wire._rows import Row
 from fulmarseam.wire._rows import Shift
@@ -147,6 +148,7 @@
     'RecordStream',
     'RecordVerdict',
     'RecordWrite',
+    'Registration',
     'ReplicaMessage',
     'ReplicaRequest',
     'ReplicaResponse',
