Hold and use at-most-once records in the entry

The record client and holder of package records replace the placeholder behind the interface of the claims. The entry answers the operator's question for quarantined requests. Judging of attempts moves to a module of its own.

--- a/fulmarseam/entry/_attempts.py
+++ b/fulmarseam/entry/_attempts.py
@@ -4,10 +4,11 @@
 
 from fulmarseam import errors
 from fulmarseam import http
+from fulmarseam import records
 from fulmarseam import steering
+from fulmarseam import wire
 from fulmarseam.entry import _answers
 from fulmarseam.entry import _pacing
-from fulmarseam.entry import _records
 from fulmarseam.entry import _requests
 
 NOT_RUN = errors.Outcome.NOT_RUN.value.encode()
@@ -60,7 +61,7 @@
         self.progress = http.Progress.NOT_SENT
         self.answer_bytes = 0
         self.keep_answer = False
-        self.kept_answer: _records.StoredAnswer | None = None
+        self.kept_answer: wire.StoredAnswer | None = None
         self._kept_body: list[bytes] = []
 
     async def run(self) -> int:
@@ -208,9 +209,7 @@
     def _count_answer(self, piece: bytes) -> None:
         self.answer_bytes += len(piece)
         self._charge(1, len(piece))
-        if self.keep_answer and (
-            self.answer_bytes <= _records.KEPT_BODY_BYTES
-        ):
+        if self.keep_answer and (self.answer_bytes <= records.KEPT_BODY_BYTES):
             self._kept_body.append(piece)
 
     async def _wait_for_either(
@@ -237,8 +236,8 @@
             self._uploading = False
 
     def _keep(self, response: http.Response) -> None:
-        fits = self.answer_bytes <= _records.KEPT_BODY_BYTES
-        self.kept_answer = _records.StoredAnswer(
+        fits = self.answer_bytes <= records.KEPT_BODY_BYTES
+        self.kept_answer = wire.StoredAnswer(
             response.status,
             http.drop_headers(
                 response.headers, response.fields, _DROPPED_WITHOUT_BODY
--- a/fulmarseam/entry/_claims.py
+++ b/fulmarseam/entry/_claims.py
@@ -3,22 +3,20 @@
 import asyncio
 from collections.abc import Coroutine
 import enum
-import re
 from typing import Any
 
 import logbook
 
 from fulmarseam import errors
 from fulmarseam import http
+from fulmarseam import records
 from fulmarseam import telemetry
+from fulmarseam import wire
 from fulmarseam.entry import _answers
 from fulmarseam.entry import _attempts
 from fulmarseam.entry import _records
 from fulmarseam.entry import _requests
 
-CLAIM_TIMEOUT_S = 1.0
-_KEY = re.compile(r'[a-z0-9][a-z0-9_-]{0,62}\.[0-9]{1,18}\.[!-~]{8,200}')
-
 _log = logbook.Logger('entry')
 
 
@@ -63,7 +61,7 @@
             self._phase = _Phase.HELD
             self.close()
             raise
-        if result.verdict is _records.Verdict.FRESH:
+        if result.verdict is wire.Verdict.FRESH:
             self._phase = _Phase.HELD
             if self._job.caller.gone:
                 raise http.CallerGoneError('the caller has left')
@@ -72,18 +70,18 @@
         self._answer_repeat(result)
         return False
 
-    def _answer_repeat(self, result: _records.ClaimResult) -> None:
+    def _answer_repeat(self, result: wire.RecordVerdict) -> None:
         kinds = {
-            _records.Verdict.IN_PROGRESS: errors.ErrorKind.REQUEST_IN_PROGRESS,
-            _records.Verdict.UNKNOWN: errors.ErrorKind.OUTCOME_UNKNOWN,
-            _records.Verdict.CONFLICT: errors.ErrorKind.REQUEST_ID_CONFLICT,
+            wire.Verdict.IN_PROGRESS: errors.ErrorKind.REQUEST_IN_PROGRESS,
+            wire.Verdict.UNKNOWN: errors.ErrorKind.OUTCOME_UNKNOWN,
+            wire.Verdict.CONFLICT: errors.ErrorKind.REQUEST_ID_CONFLICT,
         }
         kind = kinds.get(result.verdict)
         if kind is not None:
             raise errors.FulmarseamError(
                 kind, f'request id {self._job.request_id}'
             )
-        stored = result.stored
+        stored = result.answer
         if stored is None or stored.body is None:
             raise errors.FulmarseamError(
                 errors.ErrorKind.OUTCOME_NOT_KEPT,
@@ -95,7 +93,7 @@
         ]
         self._job.caller.answer(stored.status, headers, stored.body)
 
-    def finish(self, answer: _records.StoredAnswer | None) -> None:
+    def finish(self, answer: wire.StoredAnswer | None) -> None:
         """Store the answer, or with None that the outcome is unknown."""
         if self._phase is not _Phase.HELD:
             return
@@ -141,7 +139,7 @@
                     'from a look-up answer',
                 )
             return
-        if not _KEY.fullmatch(job.request_id):
+        if records.parse_key(job.request_id) is None:
             raise errors.FulmarseamError(
                 errors.ErrorKind.REQUEST_ID_REQUIRED,
                 f'Idempotency-Key: found {job.request_id!r}, expected '
--- a/fulmarseam/entry/_daemon.py
+++ b/fulmarseam/entry/_daemon.py
@@ -8,6 +8,7 @@
 import logbook
 
 from fulmarseam import http
+from fulmarseam import records
 from fulmarseam import settings
 from fulmarseam import steering
 from fulmarseam import telemetry
@@ -21,7 +22,6 @@
 from fulmarseam.entry import _peers
 from fulmarseam.entry import _pools
 from fulmarseam.entry import _proxying
-from fulmarseam.entry import _records
 from fulmarseam.entry import _reports
 from fulmarseam.entry import _state
 from fulmarseam.entry import _suspects
@@ -58,22 +58,39 @@
             self._request_sync,
         )
         self.reporter = _reports.Reporter(
-            options, self.state, self.pools, self.announcements
+            options,
+            self.state,
+            self.pools,
+            self.announcements,
+            self._list_copies,
         )
         self.synchronizer = _syncing.Synchronizer(
             options.control,
             self.state,
             self.announcements,
             self.reporter.make_request,
-            self.reporter.raise_incarnation,
+            self._raise_incarnation,
         )
         self.metrics.observe(
             'control_bytes_total',
             lambda: float(self.synchronizer.count_bytes()),
         )
         self.peers = _peers.Peers(options, self.state)
+        self.holder = records.RecordHolder(
+            options.entry_id,
+            self.reporter.incarnation,
+            self.state.find_record_group,
+            lambda: self.state.is_current(self._loop.time()),
+            self.peers.client,
+            options.data_dir,
+        )
         self.claims = _claims.Claims(
-            _records.NoRecords(),
+            records.RecordClient(
+                options.entry_id,
+                self.state.find_record_group,
+                self.peers.client,
+                self.holder.handle,
+            ),
             f'{options.entry_id}.{self.reporter.incarnation}',
         )
         self.lookups = _lookups.Lookups(options, self.state)
@@ -84,7 +101,10 @@
         self.rpc = transport.RpcServer(
             options.rpc,
             _peers.PeerHandler(
-                self.state, self.suspects, self._take_change
+                self.state,
+                self.suspects,
+                self._take_change,
+                self.holder.handle,
             ).handle,
         )
 
@@ -127,8 +147,16 @@
     def _request_sync(self) -> None:
         self.synchronizer.request_now()
 
+    def _list_copies(self) -> list[wire.RecordCopy]:
+        return self.holder.list_copies()
+
+    def _raise_incarnation(self) -> None:
+        self.reporter.raise_incarnation()
+        self.holder.set_incarnation(self.reporter.incarnation)
+
     def _take_change(self) -> None:
         self.lookups.forget()
+        self.holder.update(self.state.tables.rows(wire.RecordGroup))
         self.pools.update(self._loop.time())
 
     def _take_announcement(self, report: wire.TargetReport) -> asyncio.Event:
@@ -190,6 +218,7 @@
         async with self._stack as stack:
             await stack.enter_async_context(self.connections)
             await stack.enter_async_context(self.peers)
+            await stack.enter_async_context(self.holder)
             await stack.enter_async_context(self.rpc)
             await stack.enter_async_context(self.synchronizer)
             await stack.enter_async_context(self.api)
@@ -204,9 +233,26 @@
                 rpc=self._options.rpc,
                 incarnation=self.reporter.incarnation,
             )
-            await self.stopping.wait()
+            await self._wait_for_stop()
             await self._drain()
 
+    async def _wait_for_stop(self) -> None:
+        """Wait for the signal to stop.
+
+        Raises `records.JournalFailedError` when a sync of the journal has
+        failed, because what it holds is then not known.
+        """
+        stopping = asyncio.ensure_future(self.stopping.wait())
+        try:
+            await asyncio.wait(
+                (stopping, self.holder.failed),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            stopping.cancel()
+        if self.holder.failed.done():
+            raise self.holder.failed.result()
+
     async def _drain(self) -> None:
         """Leave the look-ups, let their answers lapse, finish requests."""
         started = self._loop.time()
--- a/fulmarseam/entry/_peers.py
+++ b/fulmarseam/entry/_peers.py
@@ -145,6 +145,8 @@
         if isinstance(message, wire.DrainNotice):
             self._state.record_entry_drain(message.entry, message.incarnation)
             return wire.Ok()
+        if isinstance(message, wire.QuarantineRequest):
+            return wire.QuarantineResponse(rows=self._suspects.list_rows())
         answer = None
         if self._handle_record is not None:
             answer = await self._handle_record(message)
--- a/fulmarseam/entry/_proxying.py
+++ b/fulmarseam/entry/_proxying.py
@@ -14,6 +14,7 @@
 from fulmarseam.entry import _answers
 from fulmarseam.entry import _attempts
 from fulmarseam.entry import _claims
+from fulmarseam.entry import _judging
 from fulmarseam.entry import _pacing
 from fulmarseam.entry import _peers
 from fulmarseam.entry import _pools
@@ -42,13 +43,6 @@
     region: ids.RegionName
 
 
-class _FailedAttempt(NamedTuple):
-    """Why an attempt failed and whether another one is allowed."""
-
-    error: errors.FulmarseamError
-    may_repeat: bool
-
-
 class Proxy:
     """Runs callers' requests on targets."""
 
@@ -56,6 +50,9 @@
         self._services = services
         self._state = services.state
         self._pools = services.pools
+        self._judge = _judging.Judge(
+            services.pools, services.suspects, services.peers
+        )
         self._loop = asyncio.get_running_loop()
         self._counts: dict[tuple[str, str], int] = {}
         self._retired_callers: set[tuple[str, str]] = set()
@@ -187,7 +184,7 @@
             return
         state = suspects.table.state(self._loop.time(), job.fingerprint())
         if state is steering.SuspectState.QUARANTINED:
-            raise _quarantine_error()
+            raise _judging.make_quarantine_error()
 
     async def _run_claimed(
         self, job: _requests.Job, claim: _claims.Claim | None
@@ -255,7 +252,7 @@
         job: _requests.Job,
         placement: _pools.Placement,
         claim: _claims.Claim | None,
-    ) -> _FailedAttempt | None:
+    ) -> _judging.FailedAttempt | None:
         """Use a placement; None when the caller has its answer."""
         target = placement.choice.target
         attempt = None
@@ -266,7 +263,7 @@
                     return None
             is_checked = self._services.suspects.may_exist()
             if is_checked and not self._start_suspect(job, target):
-                return _refuse_suspect()
+                return _judging.make_suspect_refusal()
             attempt = self._make_attempt(job, placement)
             return await self._forward(job, placement, attempt, claim)
         finally:
@@ -289,18 +286,18 @@
         placement: _pools.Placement,
         attempt: _attempts.Attempt,
         claim: _claims.Claim | None,
-    ) -> _FailedAttempt | None:
+    ) -> _judging.FailedAttempt | None:
         """Run one attempt and settle its claim."""
         attempt.keep_answer = claim is not None
         started = self._loop.time()
         try:
             status = await attempt.run()
         except (http.TargetError, _attempts.TargetShedError) as error:
-            failed = await self._judge(job, placement, attempt, error)
-            settle(claim, attempt, error)
+            failed = await self._judge.judge(job, placement, attempt, error)
+            _judging.settle(claim, attempt, error)
             return failed
         except errors.FulmarseamError as error:
-            settle(claim, attempt, error)
+            _judging.settle(claim, attempt, error)
             if attempt.progress is http.Progress.NOT_SENT:
                 raise
             raise errors.FulmarseamError(
@@ -308,9 +305,9 @@
                 f'the request body broke off: {error.detail}',
             ) from error
         except BaseException as error:
-            settle(claim, attempt, error)
+            _judging.settle(claim, attempt, error)
             raise
-        self._record_answer(job, placement, status, started)
+        self._judge.record_answer(job, placement, status, started)
         if claim is not None:
             claim.finish(attempt.kept_answer)
         return None
@@ -339,123 +336,3 @@
             _pacing.Pacer(links, f'{own}>{region}', signal.notify),
             _pacing.Pacer(links, f'{region}>{own}', signal.notify),
         )
-
-    def _record_answer(
-        self,
-        job: _requests.Job,
-        placement: _pools.Placement,
-        status: int,
-        started: float,
-    ) -> None:
-        now = self._loop.time()
-        target = placement.choice.target
-        outcomes = self._pools.outcomes
-        if status >= 500:
-            outcomes.record_failure(now, target)
-        else:
-            outcomes.record_success(now, target, now - started)
-        self._pools.get(placement.pool).record_service(now - started)
-        suspects = self._services.suspects
-        if suspects.may_exist() and suspects.table.clear(job.fingerprint()):
-            self._services.peers.announce(
-                wire.StrikeNotice(
-                    fingerprint=job.fingerprint(), target=target, cleared=True
-                )
-            )
-
-    async def _judge(
-        self,
-        job: _requests.Job,
-        placement: _pools.Placement,
-        attempt: _attempts.Attempt,
-        error: http.TargetError | _attempts.TargetShedError,
-    ) -> _FailedAttempt:
-        """Count a failed attempt and decide on what the caller learns."""
-        target = placement.choice.target
-        if isinstance(error, http.TargetError) and (
-            error.reason is http.Reason.NO_CONNECTION_LEFT
-        ):
-            return self._fail(job, errors.ErrorKind.NO_CAPACITY, error, True)
-        self._pools.outcomes.record_failure(self._loop.time(), target)
-        if isinstance(error, _attempts.TargetShedError):
-            return self._fail(job, errors.ErrorKind.TARGET_SHED, error, True)
-        if attempt.progress is http.Progress.NOT_SENT:
-            kind = errors.ErrorKind.NO_TARGET
-            if error.reason is http.Reason.TIMED_OUT:
-                kind = errors.ErrorKind.DEADLINE_UNREACHABLE
-            return self._fail(job, kind, error, True)
-        if error.reason is http.Reason.TIMED_OUT:
-            return self._fail(
-                job, errors.ErrorKind.TARGET_TIMEOUT, error, False
-            )
-        state = steering.SuspectState.CLEAR
-        if error.reason is http.Reason.BROKEN:
-            state = await self._strike(job, target)
-        if state is steering.SuspectState.QUARANTINED:
-            return _FailedAttempt(_quarantine_error(), False)
-        return self._fail(
-            job,
-            errors.ErrorKind.TARGET_FAILED,
-            error,
-            job.route.idempotent,
-        )
-
-    async def _strike(
-        self, job: _requests.Job, target: ids.TargetId
-    ) -> steering.SuspectState:
-        fingerprint = job.fingerprint()
-        state = self._services.suspects.strike(fingerprint, target)
-        await self._services.peers.announce_strike(
-            wire.StrikeNotice(fingerprint=fingerprint, target=target)
-        )
-        return state
-
-    def _fail(
-        self,
-        job: _requests.Job,
-        kind: errors.ErrorKind,
-        error: Exception,
-        may_repeat: bool,
-    ) -> _FailedAttempt:
-        repeatable = (
-            may_repeat
-            and job.replayable
-            and not job.caller.response_started
-            and not job.caller.gone
-            and self._loop.time() < job.deadline
-        )
-        return _FailedAttempt(
-            errors.FulmarseamError(kind, str(error)), repeatable
-        )
-
-
-def _refuse_suspect() -> _FailedAttempt:
-    return _FailedAttempt(
-        errors.FulmarseamError(
-            errors.ErrorKind.NO_CAPACITY,
-            'another suspect runs on the target',
-        ),
-        may_repeat=True,
-    )
-
-
-def settle(
-    claim: _claims.Claim | None,
-    attempt: _attempts.Attempt,
-    error: BaseException,
-) -> None:
-    """End the claim of a failed attempt by what is known about it."""
-    if claim is None:
-        return
-    if isinstance(error, _attempts.TargetShedError):
-        return
-    if attempt.progress is http.Progress.NOT_SENT:
-        return
-    claim.finish(None)
-
-
-def _quarantine_error() -> errors.FulmarseamError:
-    return errors.FulmarseamError(
-        errors.ErrorKind.QUARANTINED,
-        'two targets failed while they ran this request',
-    )
--- a/fulmarseam/entry/_reports.py
+++ b/fulmarseam/entry/_reports.py
@@ -1,6 +1,7 @@
 """What an entry reports: sync requests and its status page."""
 
 import asyncio
+from collections.abc import Callable
 import time
 from typing import Any
 
@@ -31,11 +32,13 @@
         state: _state.SharedState,
         pools: _pools.PoolBook,
         announcements: _announcements.AnnouncementBook,
+        list_copies: Callable[[], list[wire.RecordCopy]],
     ) -> None:
         self._options = options
         self._state = state
         self._pools = pools
         self._announcements = announcements
+        self._list_copies = list_copies
         self._clock = asyncio.get_running_loop().time
         self.incarnation = time.time_ns() // 1_000_000
         self.draining = False
@@ -89,6 +92,7 @@
             announcements=reports,
             announcement_ages_ms=ages,
             wait_ms=wait_ms,
+            record_copies=self._list_copies(),
         )
 
     def _list_demand(self) -> list[wire.PoolDemand]:
--- a/fulmarseam/entry/_state.py
+++ b/fulmarseam/entry/_state.py
@@ -124,6 +124,12 @@
         """Note that an entry announced its shutdown by itself."""
         self.draining_entries[entry] = incarnation
 
+    def find_record_group(
+        self, region: ids.RegionName
+    ) -> wire.RecordGroup | None:
+        """Return the row of the holders of a region's records."""
+        return self.tables.get(wire.RecordGroup, region)
+
     def drained_entries(self) -> set[ids.EntryId]:
         """Return the entries that look-ups must leave out."""
         drained = set(self.draining_entries)
--- a/fulmarseam/entry/_suspects.py
+++ b/fulmarseam/entry/_suspects.py
@@ -53,3 +53,15 @@
             self.table.clear(notice.fingerprint)
         else:
             self.strike(notice.fingerprint, notice.target)
+
+    def list_rows(self) -> list[wire.QuarantineRow]:
+        """Return the fingerprints held back, for the operator."""
+        return [
+            wire.QuarantineRow(
+                fingerprint=row.fingerprint,
+                targets=row.targets,
+                quarantined=row.state is steering.SuspectState.QUARANTINED,
+                left_ms=int(row.left_s * 1_000),
+            )
+            for row in self.table.rows(self._clock())
+        ]
--- a/fulmarseam/records/_runtime.py
+++ b/fulmarseam/records/_runtime.py
@@ -77,6 +77,14 @@
             records.resign()
         await self._journal.__aexit__(*exc_info)
 
+    def set_incarnation(self, incarnation: int) -> None:
+        """Take the incarnation that the leader knows this entry by.
+
+        It may change only before the first sync has succeeded, when this
+        entry cannot hold anything yet.
+        """
+        self._incarnation = incarnation
+
     def update(self, groups: Iterable[wire.RecordGroup]) -> None:
         """Take the rows of the configuration in force."""
         rows = {group.name: group for group in groups}
--- a/fulmarseam/steering/_suspects.py
+++ b/fulmarseam/steering/_suspects.py
@@ -31,6 +31,15 @@
     target: ids.TargetId
 
 
+class SuspectRow(NamedTuple):
+    """A suspected or quarantined request; `left_s` until it is forgotten."""
+
+    fingerprint: str
+    targets: list[ids.TargetId]
+    state: SuspectState
+    left_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class _Suspect:
     targets: set[ids.TargetId]
@@ -124,6 +133,19 @@
         """Return the targets on which a suspect runs."""
         return frozenset(self._running)
 
+    def rows(self, now: float) -> list[SuspectRow]:
+        """Return all suspected and quarantined requests."""
+        return [
+            SuspectRow(
+                fingerprint,
+                sorted(suspect.targets),
+                self.state(now, fingerprint),
+                suspect.until - now,
+            )
+            for fingerprint, suspect in self._suspects.items()
+            if suspect.until > now
+        ]
+
     def expire(self, now: float) -> None:
         """Forget strikes that are older than the quarantine."""
         ended = [
--- a/tests/test_entry_repeats.py
+++ b/tests/test_entry_repeats.py
@@ -4,8 +4,8 @@
 from typing import ClassVar
 
 from fulmarseam import errors
+from fulmarseam import records
 from fulmarseam import wire
-from fulmarseam.entry import _records
 from tests import entry_case
 from tests import fakes
 
@@ -234,21 +234,21 @@
     """A record holder with scripted verdicts."""
 
     def __init__(self) -> None:
-        self.verdict: _records.ClaimResult | errors.FulmarseamError = (
-            _records.ClaimResult(_records.Verdict.FRESH)
+        self.verdict: wire.RecordVerdict | errors.FulmarseamError = (
+            wire.RecordVerdict(verdict=wire.Verdict.FRESH)
         )
         self.calls: list[tuple[str, object]] = []
 
     async def claim(
         self, key: str, fingerprint: str, attempt: str, timeout_s: float
-    ) -> _records.ClaimResult:
+    ) -> wire.RecordVerdict:
         self.calls.append(('claim', key))
         if isinstance(self.verdict, errors.FulmarseamError):
             raise self.verdict
         return self.verdict
 
     async def finish(
-        self, key: str, attempt: str, answer: _records.StoredAnswer | None
+        self, key: str, attempt: str, answer: wire.StoredAnswer | None
     ) -> None:
         self.calls.append(('finish', answer))
 
@@ -290,23 +290,23 @@
         self.assertEqual(200, answer.status)
         self.assertEqual(('claim', 'ost.1.0123456789'), self.keeper.calls[0])
         name, stored = self.keeper.calls[1]
-        assert isinstance(stored, _records.StoredAnswer)
+        assert isinstance(stored, wire.StoredAnswer)
         self.assertEqual(('finish', b'ok'), (name, stored.body))
 
     async def test_large_answer_is_marked_as_not_kept(self) -> None:
-        body = b'a' * (_records.KEPT_BODY_BYTES + 1)
+        body = b'a' * (records.KEPT_BODY_BYTES + 1)
         head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body)
         await self.start_target(fakes.answer_always(head + body))
         answer = await self.post()
         self.assertEqual(body, answer.body)
         _, stored = self.keeper.calls[1]
-        assert isinstance(stored, _records.StoredAnswer)
+        assert isinstance(stored, wire.StoredAnswer)
         self.assertIsNone(stored.body)
 
     async def test_repeats_do_not_run(self) -> None:
         target = await self.start_target(fakes.answer_always(OK))
-        stored = _records.StoredAnswer(201, [(b'x-a', b'1')], b'kept')
-        verdict = _records.Verdict
+        stored = wire.StoredAnswer(201, [(b'x-a', b'1')], b'kept')
+        verdict = wire.Verdict
         cases = [
             (
                 verdict.IN_PROGRESS,
@@ -317,14 +317,16 @@
             (verdict.CONFLICT, None, (422, 'request_id_conflict', 'not-run')),
             (
                 verdict.DONE,
-                stored._replace(body=None),
+                wire.StoredAnswer(201, [], None),
                 (409, 'outcome_not_kept', 'answered'),
             ),
             (verdict.DONE, stored, (201, '', 'answered')),
         ]
         for found, answer, expected in cases:
             with self.subTest(found):
-                self.keeper.verdict = _records.ClaimResult(found, answer)
+                self.keeper.verdict = wire.RecordVerdict(
+                    verdict=found, answer=answer
+                )
                 received = await self.post()
                 self.assertEqual(expected, received.describe())
         self.assertEqual(b'kept', received.body)
