--- a/fulmarseam/control/_sync.py
+++ b/fulmarseam/control/_sync.py
@@ -86,14 +86,11 @@
     ) -> None:
         hold_ms = min(request.wait_ms, self._options.sync_hold_ms)
         deadline = started + hold_ms / MILLISECONDS
-        known = _known_entries(leadership, request)
-        entries_version = known or leadership.entries.version
         while True:
             now = time.monotonic()
             if (
                 now >= deadline
                 or leadership is not self._find_leadership()
-                or entries_version != leadership.entries.version
                 or self._has_news(leadership, request, now)
             ):
                 return
@@ -110,6 +107,7 @@
             or request.revision < self._tables.revision
             or request.targets_term != leadership.term
             or request.targets_version != leadership.targets.version
+            or request.entries_version != leadership.entries.version
             or leadership.has_grant_news(now, request.info)
         )
 
@@ -122,14 +120,14 @@
         now = time.monotonic()
         leadership.allocate_if_due(now, wants_more=False)
         grants = leadership.grants_for(now, request.info)
-        version = request.targets_version
-        if request.targets_term != leadership.term:
-            version = 0
-        targets = leadership.targets.news_since(now, version)
+        is_known = request.targets_term == leadership.term
+        targets = leadership.targets.news_since(
+            now, request.targets_version if is_known else 0
+        )
+        entries = leadership.entries.news_since(
+            request.entries_version if is_known else 0
+        )
         tables = self._tables.changes_since(request.revision)
-        entries = leadership.entries.rows()
-        if _known_entries(leadership, request) == leadership.entries.version:
-            entries = []
         return wire.SyncResponse(
             term=leadership.term,
             leadership_age_ms=round_up_ms(age),
@@ -141,8 +139,9 @@
             targets_full=targets.full,
             targets=targets.rows,
             targets_removed=targets.removed,
-            entries=entries,
-            entries_version=leadership.entries.version,
+            entries_version=entries.version,
+            entries_full=entries.full,
+            entries=entries.rows,
             grant_sequence=grants.sequence,
             grant_ttl_ms=self._options.grant_ttl_ms,
             grants=grants.slots,
@@ -150,15 +149,6 @@
         )
 
 
-def _known_entries(
-    leadership: _leadership.Leadership, request: wire.SyncRequest
-) -> int:
-    """Return the version of the entry rows that an entry has, or 0."""
-    if request.targets_term != leadership.term:
-        return 0
-    return request.entries_version
-
-
 def round_up_ms(seconds: float) -> int:
     """Return whole milliseconds that are not less than `seconds`."""
     return -int(-seconds * MILLISECONDS // 1)
--- a/fulmarseam/entry/_daemon.py
+++ b/fulmarseam/entry/_daemon.py
@@ -8,6 +8,7 @@
 import logbook
 
 from fulmarseam import http
+from fulmarseam import records
 from fulmarseam import settings
 from fulmarseam import steering
 from fulmarseam import telemetry
@@ -21,7 +22,6 @@
 from fulmarseam.entry import _peers
 from fulmarseam.entry import _pools
 from fulmarseam.entry import _proxying
-from fulmarseam.entry import _records
 from fulmarseam.entry import _reports
 from fulmarseam.entry import _state
 from fulmarseam.entry import _suspects
@@ -58,32 +58,53 @@
             self._request_sync,
         )
         self.reporter = _reports.Reporter(
-            options, self.state, self.pools, self.announcements
+            options,
+            self.state,
+            self.pools,
+            self.announcements,
+            self._list_copies,
         )
         self.synchronizer = _syncing.Synchronizer(
             options.control,
             self.state,
             self.announcements,
             self.reporter.make_request,
-            self.reporter.raise_incarnation,
+            self._raise_incarnation,
         )
         self.metrics.observe(
             'control_bytes_total',
             lambda: float(self.synchronizer.count_bytes()),
         )
         self.peers = _peers.Peers(options, self.state)
+        self.holder = records.RecordHolder(
+            options.entry_id,
+            self.reporter.incarnation,
+            self.state.find_record_group,
+            lambda: self.state.is_current(self._loop.time()),
+            self.peers.client,
+            options.data_dir,
+        )
         self.claims = _claims.Claims(
-            _records.NoRecords(),
+            records.RecordClient(
+                options.entry_id,
+                self.state.find_record_group,
+                self.peers.client,
+                self.holder.handle,
+            ),
             f'{options.entry_id}.{self.reporter.incarnation}',
         )
         self.lookups = _lookups.Lookups(options, self.state)
         self.state.on_change = self._take_change
+        self._observe()
         self.callers = self._make_caller_server(tracer)
         self.api = self._make_api_server()
         self.rpc = transport.RpcServer(
             options.rpc,
             _peers.PeerHandler(
-                self.state, self.suspects, self._take_change
+                self.state,
+                self.suspects,
+                self._take_change,
+                self.holder.handle,
             ).handle,
         )
 
@@ -99,9 +120,10 @@
             tracer=tracer,
             region=self._options.region,
         )
+        self.proxy = _proxying.Proxy(services)
         return http.Server(
             self._options.listen,
-            _proxying.Proxy(services).handle,
+            self.proxy.handle,
             _answers.make_answer,
             make_limits(self._options),
         )
@@ -125,8 +147,16 @@
     def _request_sync(self) -> None:
         self.synchronizer.request_now()
 
+    def _list_copies(self) -> list[wire.RecordCopy]:
+        return self.holder.list_copies()
+
+    def _raise_incarnation(self) -> None:
+        self.reporter.raise_incarnation()
+        self.holder.set_incarnation(self.reporter.incarnation)
+
     def _take_change(self) -> None:
         self.lookups.forget()
+        self.holder.update(self.state.tables.rows(wire.RecordGroup))
         self.pools.update(self._loop.time())
 
     def _take_announcement(self, report: wire.TargetReport) -> asyncio.Event:
@@ -154,6 +184,7 @@
         self.state.targets.expire(now)
         self.announcements.drop_old(now)
         self.suspects.table.expire(now)
+        self.proxy.flush_counts()
         for pool in self.pools.all():
             pool.refresh(elapsed_s)
         self.pools.refresh_views(now)
@@ -161,9 +192,24 @@
         self._limit_connections(now)
 
     def _limit_connections(self, now: float) -> None:
-        for row in self.state.targets.ready():
-            share = self.state.book.connection_share(now, row.report.target)
-            self.connections.limit(row.report.address, share)
+        self.connections.set_limits(
+            {
+                row.report.address: self.state.book.connection_share(
+                    now, row.report.target
+                )
+                for row in self.state.targets.ready()
+            }
+        )
+
+    def _observe(self) -> None:
+        """Register the gauges of the metrics page."""
+        observe = self.metrics.observe
+        observe('requests_running', lambda: self.callers.busy)
+        observe('caller_connections', lambda: self.callers.connections)
+        observe('targets_ready', lambda: len(self.state.targets.ready()))
+        observe('requests_in_flight', self.state.book.total_in_flight)
+        observe('revision', lambda: self.state.tables.revision)
+        observe('takes_work', lambda: self.state.is_current(self._loop.time()))
 
     # Life
 
@@ -172,6 +218,7 @@
         async with self._stack as stack:
             await stack.enter_async_context(self.connections)
             await stack.enter_async_context(self.peers)
+            await stack.enter_async_context(self.holder)
             await stack.enter_async_context(self.rpc)
             await stack.enter_async_context(self.synchronizer)
             await stack.enter_async_context(self.api)
@@ -186,9 +233,26 @@
                 rpc=self._options.rpc,
                 incarnation=self.reporter.incarnation,
             )
-            await self.stopping.wait()
+            await self._wait_for_stop()
             await self._drain()
 
+    async def _wait_for_stop(self) -> None:
+        """Wait for the signal to stop.
+
+        Raises `records.JournalFailedError` when a sync of the journal has
+        failed, because what it holds is then not known.
+        """
+        stopping = asyncio.ensure_future(self.stopping.wait())
+        try:
+            await asyncio.wait(
+                (stopping, self.holder.failed),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            stopping.cancel()
+        if self.holder.failed.done():
+            raise self.holder.failed.result()
+
     async def _drain(self) -> None:
         """Leave the look-ups, let their answers lapse, finish requests."""
         started = self._loop.time()
--- a/fulmarseam/entry/_peers.py
+++ b/fulmarseam/entry/_peers.py
@@ -146,7 +146,7 @@
             self._state.record_entry_drain(message.entry, message.incarnation)
             return wire.Ok()
         if isinstance(message, wire.QuarantineRequest):
-            return wire.QuarantineResponse(rows=self._suspects.rows())
+            return wire.QuarantineResponse(rows=self._suspects.list_rows())
         answer = None
         if self._handle_record is not None:
             answer = await self._handle_record(message)
--- a/fulmarseam/entry/_suspects.py
+++ b/fulmarseam/entry/_suspects.py
@@ -47,13 +47,21 @@
         )
         return state
 
-    def rows(self) -> list[wire.QuarantineRow]:
-        """Return the suspects and what is quarantined, for operators."""
-        return self.table.rows(self._clock())
-
     def take_notice(self, notice: wire.StrikeNotice) -> None:
         """Take a strike of a peer, or the end of its strikes."""
         if notice.cleared:
             self.table.clear(notice.fingerprint)
         else:
             self.strike(notice.fingerprint, notice.target)
+
+    def list_rows(self) -> list[wire.QuarantineRow]:
+        """Return the fingerprints held back, for the operator."""
+        return [
+            wire.QuarantineRow(
+                fingerprint=row.fingerprint,
+                targets=row.targets,
+                quarantined=row.state is steering.SuspectState.QUARANTINED,
+                left_ms=int(row.left_s * 1_000),
+            )
+            for row in self.table.rows(self._clock())
+        ]
--- a/fulmarseam/membership/__init__.py
+++ b/fulmarseam/membership/__init__.py
@@ -10,7 +10,9 @@
     rows, removed, full = targets.news_since(now, version)
 """
 
+from fulmarseam.membership._entries import EntryNews
 from fulmarseam.membership._entries import EntryTable
+from fulmarseam.membership._entry_mirror import EntryMirror
 from fulmarseam.membership._mirror import MirroredTarget
 from fulmarseam.membership._mirror import TargetMirror
 from fulmarseam.membership._targets import LEAVING_KEPT_S
@@ -20,6 +22,8 @@
 from fulmarseam.membership._targets import TargetTable
 
 __all__ = [
+    'EntryMirror',
+    'EntryNews',
     'EntryTable',
     'LEAVING_KEPT_S',
     'MirroredTarget',
--- a/fulmarseam/steering/_suspects.py
+++ b/fulmarseam/steering/_suspects.py
@@ -7,7 +7,6 @@
 from typing import NamedTuple
 
 from fulmarseam import ids
-from fulmarseam import wire
 
 # Strikes on two different targets quarantine a request.
 STRIKES_TO_QUARANTINE = 2
@@ -32,6 +31,15 @@
     target: ids.TargetId
 
 
+class SuspectRow(NamedTuple):
+    """A suspected or quarantined request; `left_s` until it is forgotten."""
+
+    fingerprint: str
+    targets: list[ids.TargetId]
+    state: SuspectState
+    left_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class _Suspect:
     targets: set[ids.TargetId]
@@ -125,14 +133,14 @@
         """Return the targets on which a suspect runs."""
         return frozenset(self._running)
 
-    def rows(self, now: float) -> list[wire.QuarantineRow]:
-        """Return the suspects and what is quarantined, for operators."""
+    def rows(self, now: float) -> list[SuspectRow]:
+        """Return all suspected and quarantined requests."""
         return [
-            wire.QuarantineRow(
-                fingerprint=fingerprint,
-                targets=sorted(suspect.targets),
-                quarantined=len(suspect.targets) >= STRIKES_TO_QUARANTINE,
-                left_ms=int((suspect.until - now) * 1_000),
+            SuspectRow(
+                fingerprint,
+                sorted(suspect.targets),
+                self.state(now, fingerprint),
+                suspect.until - now,
             )
             for fingerprint, suspect in self._suspects.items()
             if suspect.until > now
--- a/fulmarseam/wire/_sync.py
+++ b/fulmarseam/wire/_sync.py
@@ -176,8 +176,8 @@
     `leadership_age_ms` is the time since a majority last confirmed the
     leader. `changes` brings the entry from its revision to `revision`;
     with `full` they replace all tables and `blocks` is the image of the
-    blocks table. `entries` replaces the rows of
-    entries; none means that they are as the request says. `grants` and
+    blocks table. The rows of targets and entries are differences too, or
+    replace all rows with `targets_full` and `entries_full`. `grants` and
     `links` replace what the entry held and are valid for `grant_ttl_ms`
     from the moment it sent the request.
     """
@@ -197,4 +197,5 @@
     grants: list[SlotGrant]
     links: list[LinkRate]
     entries_version: int = 0
+    entries_full: bool = True
     blocks: bytes = b''
