Refuse a new term's first answer also at equal times

A long random history of the grant model exceeded a link by 33 bytes/s: the answer of a new leader was taken although grants had been applied in the same instant as its request was sent. The comparison now includes that instant. The model plays the registration of entries, too.

--- a/fulmarseam/steering/_links.py
+++ b/fulmarseam/steering/_links.py
@@ -48,7 +48,7 @@
         order = response.term, response.grant_sequence
         if order <= self._order:
             return False
-        if response.term != self._order[0] and sent_at < self._applied_at:
+        if response.term != self._order[0] and sent_at <= self._applied_at:
             return False
         self._order = order
         self._applied_at = now
--- a/fulmarseam/steering/_slots.py
+++ b/fulmarseam/steering/_slots.py
@@ -48,7 +48,7 @@
         order = response.term, response.grant_sequence
         if order <= (self.ack_term, self.ack_sequence):
             return False
-        if response.term != self.ack_term and sent_at < self._applied_at:
+        if response.term != self.ack_term and sent_at <= self._applied_at:
             return False
         self.ack_term, self.ack_sequence = order
         self._applied_at = now
--- a/tests/test_allocator.py
+++ b/tests/test_allocator.py
@@ -178,6 +178,7 @@
         cluster.wanted['e0'] = 3
         cluster.settle()
         self.assertEqual(3, cluster.total('e0'))
+        cluster.now += 0.001
         cluster.start_leader(2)
         cluster.wanted['e1'] = 3
         return cluster
@@ -236,7 +237,9 @@
         )
         self.assertTrue(book.apply(1.0, 1.0, make_response(1, 1, [grant])))
         self.assertTrue(book.apply(1.2, 1.1, make_response(1, 2, [less])))
-        self.assertFalse(book.apply(1.3, 1.1, make_response(2, 1, [grant])))
+        for sent_at in (1.1, 1.2):
+            late = make_response(2, 1, [grant])
+            self.assertFalse(book.apply(1.3, sent_at, late))
         self.assertEqual(1, book.allowance(1.3, 't'))
         self.assertTrue(book.apply(1.5, 1.4, make_response(2, 2, [less])))
 
--- a/tests/test_allocator_model.py
+++ b/tests/test_allocator_model.py
@@ -93,13 +93,26 @@
         self.requests: list[tuple[str, int, float, wire.SyncRequest]] = []
         self.answers: list[Answer] = []
         self.sequence = 0
+        # Incarnations that a leader has registered before their first
+        # grant, as the control daemon does in its log.
+        self.registered: set[tuple[str, int]] = set()
         self.change_leader()
 
     def change_leader(self) -> None:
         self.term += 1
-        self.allocator = steering.Allocator(self.now, self.term)
+        self.allocator = steering.Allocator(
+            self.now, self.term, former=set(self.registered)
+        )
         self.table = membership.TargetTable()
 
+    def unregister(self) -> None:
+        """Forget the restarted entries that can hold nothing any more."""
+        for name, incarnation in list(self.registered):
+            if incarnation < self.entries[name].incarnation and (
+                not self.allocator.may_hold(self.now, name, incarnation)
+            ):
+                self.registered.discard((name, incarnation))
+
     def announce(self, target: str) -> None:
         region, slots, connections = TARGETS[target]
         self.sequence += 1
@@ -133,6 +146,8 @@
             self.requests.pop(index)
         name, incarnation, sent_at, request = item
         self.table.expire(self.now)
+        self.unregister()
+        self.registered.add((name, incarnation))
         self.allocator.report(self.now, request)
         self.allocator.allocate(self.now, self.table.all(), [POOL], LINKS, [])
         grants = self.allocator.grants_for(self.now, name, incarnation)
