--- a/fulmarseam/control/_sync.py
+++ b/fulmarseam/control/_sync.py
@@ -20,7 +20,8 @@
     """Answers sync requests while this member leads.
 
     `find_leadership` returns the state of the current term, or None when
-    this member does not lead.
+    this member does not lead. `request_plan` makes the leader plan its
+    steps now, which registers a new entry.
     """
 
     def __init__(
@@ -30,12 +31,14 @@
         tables: store.Tables,
         find_leadership: FindLeadership,
         signal: _signal.Signal,
+        request_plan: Callable[[], None],
     ) -> None:
         self._options = options
         self._member = member
         self._tables = tables
         self._find_leadership = find_leadership
         self._signal = signal
+        self._request_plan = request_plan
 
     async def answer(self, request: wire.SyncRequest) -> wire.SyncResponse:
         """Return the news for an entry, at once or when there is some.
@@ -52,6 +55,8 @@
                 errors.ErrorKind.VERSION_CONFLICT,
                 f'{request.info.entry}: a newer incarnation is known',
             )
+        if not leadership.is_registered(request.info):
+            self._request_plan()
         wants_more = _wants_more(request)
         leadership.allocate_if_due(now, wants_more)
         if leadership.entries.version != known or request.announcements:
@@ -81,7 +86,8 @@
     ) -> None:
         hold_ms = min(request.wait_ms, self._options.sync_hold_ms)
         deadline = started + hold_ms / MILLISECONDS
-        entries_version = leadership.entries.version
+        known = _known_entries(leadership, request)
+        entries_version = known or leadership.entries.version
         while True:
             now = time.monotonic()
             if (
@@ -99,13 +105,12 @@
         request: wire.SyncRequest,
         now: float,
     ) -> bool:
-        info = request.info
         return (
             bool(request.announcements)
             or request.revision < self._tables.revision
             or request.targets_term != leadership.term
             or request.targets_version != leadership.targets.version
-            or leadership.allocator.has_news(now, info.entry, info.incarnation)
+            or leadership.has_grant_news(now, request.info)
         )
 
     def _make_answer(
@@ -122,17 +127,22 @@
             version = 0
         targets = leadership.targets.news_since(now, version)
         tables = self._tables.changes_since(request.revision)
+        entries = leadership.entries.rows()
+        if _known_entries(leadership, request) == leadership.entries.version:
+            entries = []
         return wire.SyncResponse(
             term=leadership.term,
             leadership_age_ms=round_up_ms(age),
             revision=tables.revision,
             full=tables.full,
             changes=tables.changes,
+            blocks=tables.blocks,
             targets_version=targets.version,
             targets_full=targets.full,
             targets=targets.rows,
             targets_removed=targets.removed,
-            entries=leadership.entries.rows(),
+            entries=entries,
+            entries_version=leadership.entries.version,
             grant_sequence=grants.sequence,
             grant_ttl_ms=self._options.grant_ttl_ms,
             grants=grants.slots,
@@ -140,6 +150,15 @@
         )
 
 
+def _known_entries(
+    leadership: _leadership.Leadership, request: wire.SyncRequest
+) -> int:
+    """Return the version of the entry rows that an entry has, or 0."""
+    if request.targets_term != leadership.term:
+        return 0
+    return request.entries_version
+
+
 def round_up_ms(seconds: float) -> int:
     """Return whole milliseconds that are not less than `seconds`."""
     return -int(-seconds * MILLISECONDS // 1)
