--- a/fulmarseam/bench/_cluster.py
+++ b/fulmarseam/bench/_cluster.py
@@ -126,6 +126,15 @@
             **self.plan.control_options,
         }
 
+    def add_control(self, name: str, region: str) -> None:
+        """Write the settings of a further member that joins the group."""
+        node = _plan.ControlPlan(name, region)
+        self.addresses[name] = Addresses()
+        self.regions[name] = region
+        options = self._describe_control(node)
+        self.add('control', name, {**options, 'join': True})
+        self.operator.add_member(name, self.addresses[name].listen)
+
     def _describe_entry(self, node: _plan.EntryPlan) -> dict[str, Any]:
         own = self.addresses[node.name]
         options: dict[str, Any] = {
--- a/fulmarseam/bench/_operator.py
+++ b/fulmarseam/bench/_operator.py
@@ -37,6 +37,7 @@
             name: transport.RpcClient(address)
             for name, address in members.items()
         }
+        self._leader: str | None = None
 
     async def __aenter__(self) -> Self:
         for client in self._clients.values():
@@ -47,6 +48,11 @@
         for client in self._clients.values():
             client.close()
 
+    def add_member(self, name: str, address: str) -> None:
+        """Ask a further member from now on."""
+        self._clients[name] = transport.RpcClient(address)
+        self._clients[name].open()
+
     async def ask(
         self,
         member: str,
@@ -64,13 +70,14 @@
             return None
         return answer if isinstance(answer, wire.StatusResponse) else None
 
-    async def find_leader(self) -> str | None:
+    async def find_leader(self, besides: str | None = None) -> str | None:
         """Return the member that leads with a valid leadership age.
 
         With several such members, as between two leaders, the one of the
-        highest term counts.
+        highest term counts. The member `besides` is not asked.
         """
-        answers = await asyncio.gather(*map(self.read_status, self._clients))
+        asked = [name for name in self._clients if name != besides]
+        answers = await asyncio.gather(*map(self.read_status, asked))
         leading = [
             answer
             for answer in answers
@@ -96,16 +103,17 @@
         deadline = time.monotonic() + timeout_s
         last: object = 'no leader'
         while time.monotonic() < deadline:
-            leader = await self.find_leader()
-            if leader is not None:
+            self._leader = self._leader or await self.find_leader()
+            if self._leader is not None:
                 try:
-                    answer = await self.ask(leader, message)
+                    answer = await self.ask(self._leader, message)
                 except errors.TransportError as error:
                     last = error
                 else:
                     if isinstance(answer, expected):
                         return answer
                     last = answer
+            self._leader = None
             await asyncio.sleep(RETRY_S)
         raise errors.TransportError(f'no answer from a leader: {last}')
 
