--- /dev/null
+++ b/fulmarseam/commands/ctl.py
@@ -0,0 +1,334 @@
+"""The program `fulmarseam-ctl`, the operator's tool.
+
+Commands:
+
+    show TABLE                 rows of a table
+    diff FILE                  what applying a file of tables would change
+    apply FILE                 make the tables that a file names equal to it
+    drain announce SCOPE NAME  empty a target, domain, region or entry
+    drain cancel|list [DRAIN]
+    shift announce POOL FROM TO CAP_PERCENT
+    shift cancel|list [SHIFT]
+    members list|add|remove [MEMBER [ADDRESS REGION]]
+    targets list, entries list, quarantine list
+    status                     how each control member sees the group
+    wait REVISION              wait until a revision is in force everywhere
+    snapshot export|restore FILE
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import time
+
+from absl import flags
+
+from fulmarseam import errors
+from fulmarseam import ids
+from fulmarseam import settings
+from fulmarseam import wire
+from fulmarseam.commands import _ctl_client
+from fulmarseam.commands import _ctl_edits
+from fulmarseam.commands import _ctl_output
+from fulmarseam.commands import _ctl_snapshots
+from fulmarseam.commands import _ctl_tables
+from fulmarseam.commands import _ctl_views
+from fulmarseam.commands import _ctl_waiting
+from fulmarseam.commands import _launcher
+
+_CONTROL = flags.DEFINE_list(
+    'control', [], 'Addresses of control members, in place of --config.'
+)
+_FORMAT = flags.DEFINE_enum(
+    'format', 'table', ['table', 'json', 'yaml'], 'The form of the output.'
+)
+_EDIT_ID = flags.DEFINE_string(
+    'edit_id', None, 'The id of an edit that is sent again.'
+)
+_WAIT = flags.DEFINE_bool(
+    'wait', False, 'Wait until the edit is in force on all entries.'
+)
+_WAIT_S = flags.DEFINE_float(
+    'wait_s', 30.0, 'How long to wait for it, in seconds.', 0.0, 3_600.0
+)
+_NAME = flags.DEFINE_string('name', None, 'The name of a drain or shift.')
+_START = flags.DEFINE_string(
+    'start', 'now', 'The start: an ISO time with offset, "now" or "+SECONDS".'
+)
+_END = flags.DEFINE_string(
+    'end', None, 'The end of a shift: an ISO time or "+SECONDS" from now.'
+)
+_RAMP_S = flags.DEFINE_float(
+    'ramp_s', 60.0, 'The time in which a shift reaches its cap, in seconds.'
+)
+
+Arguments = list[str]
+Action = Callable[[_ctl_client.AdminClient, Arguments], Awaitable[None]]
+View = Callable[[_ctl_client.AdminClient], Awaitable[_ctl_views.Records]]
+
+
+def main() -> None:
+    """Run one command."""
+    flags.FLAGS.set_gnu_getopt(True)
+    _launcher.launch(_run)
+
+
+def _run(arguments: Arguments) -> int:
+    action, rest = _find_action(arguments)
+    asyncio.run(_call(action, rest, _load_options()))
+    return 0
+
+
+async def _call(
+    action: Action, arguments: Arguments, options: settings.CtlSettings
+) -> None:
+    async with _ctl_client.AdminClient(options) as client:
+        await action(client, arguments)
+
+
+def _find_action(arguments: Arguments) -> tuple[Action, Arguments]:
+    """Return the action of the longest command that the arguments name."""
+    for length in (2, 1):
+        command = _COMMANDS.get(' '.join(arguments[:length]))
+        if command is not None and len(arguments) >= length:
+            usage, count, action = command
+            rest = arguments[length:]
+            if len(rest) != count:
+                raise errors.UsageError(
+                    f'found {len(rest)} arguments, expected: {usage}'
+                )
+            return action, rest
+    found = ' '.join(arguments[:2]) or 'nothing'
+    known = ', '.join(_COMMANDS)
+    raise errors.UsageError(f'found {found}, expected a command: {known}')
+
+
+def _load_options() -> settings.CtlSettings:
+    if _CONTROL.value:
+        check = settings.address()
+        try:
+            addresses = [check('--control', item) for item in _CONTROL.value]
+        except settings.InvalidValueError as error:
+            raise errors.UsageError(str(error)) from error
+        return settings.CtlSettings(
+            control={ids.MemberId(address): address for address in addresses}
+        )
+    path = _launcher.config_path()
+    if path is None:
+        raise errors.UsageError(
+            'found neither --config nor --control, expected one'
+        )
+    return settings.load_settings(path, settings.CtlSettings)
+
+
+def _edit_options() -> _ctl_edits.EditOptions:
+    return _ctl_edits.EditOptions(
+        edit_id=_EDIT_ID.value,
+        wait_s=_WAIT_S.value if _WAIT.value else None,
+        output_format=_FORMAT.value,
+    )
+
+
+def _make_view(view: View) -> Action:
+    async def action(
+        client: _ctl_client.AdminClient, arguments: Arguments
+    ) -> None:
+        records = await view(client)
+        print(_ctl_output.render(records, _FORMAT.value))
+
+    return action
+
+
+def _make_canceller(table: wire.TableName) -> Action:
+    async def action(
+        client: _ctl_client.AdminClient, arguments: Arguments
+    ) -> None:
+        await _ctl_edits.cancel_row(
+            client, _edit_options(), table, arguments[0]
+        )
+
+    return action
+
+
+async def _show(client: _ctl_client.AdminClient, arguments: Arguments) -> None:
+    tables = {table.value: table for table in wire.TableName}
+    if arguments[0] not in tables:
+        raise errors.UsageError(
+            f'found table {arguments[0]!r}, expected one of '
+            + ', '.join(tables)
+        )
+    records = await _ctl_views.list_rows(client, tables[arguments[0]])
+    print(_ctl_output.render(records, _FORMAT.value))
+
+
+async def _diff(client: _ctl_client.AdminClient, arguments: Arguments) -> None:
+    lines = await _ctl_edits.diff_file(client, arguments[0])
+    if _FORMAT.value == 'table':
+        print('\n'.join(lines) or 'no changes')
+    else:
+        records = [{'change': line} for line in lines]
+        print(_ctl_output.render(records, _FORMAT.value))
+
+
+async def _apply(
+    client: _ctl_client.AdminClient, arguments: Arguments
+) -> None:
+    await _ctl_edits.apply_file(client, arguments[0], _edit_options())
+
+
+async def _announce_drain(
+    client: _ctl_client.AdminClient, arguments: Arguments
+) -> None:
+    scope, subject = arguments
+    scopes = [item.value for item in wire.DrainScope]
+    if scope not in scopes:
+        raise errors.UsageError(
+            f'found scope {scope!r}, expected one of ' + ', '.join(scopes)
+        )
+    row = wire.Drain(
+        name=_NAME.value or _make_name(scope, subject),
+        scope=wire.DrainScope(scope),
+        subject=subject,
+        start=_read_time('--start', _START.value),
+    )
+    content = f'drain {scope} {subject} {_START.value} {_NAME.value}'
+    await _ctl_edits.set_row(client, _edit_options(), row, content)
+
+
+async def _announce_shift(
+    client: _ctl_client.AdminClient, arguments: Arguments
+) -> None:
+    pool, from_region, to_region, cap = arguments
+    if _END.value is None:
+        raise errors.UsageError('--end: found nothing, expected a time')
+    row = wire.Shift(
+        name=_NAME.value or _make_name(pool, from_region, to_region),
+        pool=ids.PoolName(pool),
+        from_region=ids.RegionName(from_region),
+        to_region=ids.RegionName(to_region),
+        cap_percent=_read_percent(cap),
+        start=_read_time('--start', _START.value),
+        end=_read_time('--end', _END.value),
+        ramp_s=_RAMP_S.value,
+    )
+    content = ' '.join(
+        ['shift', *arguments, _START.value, _END.value, str(_NAME.value)]
+    )
+    await _ctl_edits.set_row(client, _edit_options(), row, content)
+
+
+def _make_name(*parts: str) -> str:
+    moment = _ctl_output.format_time(_read_time('--start', _START.value))
+    digits = ''.join(character for character in moment if character.isalnum())
+    return '-'.join([*parts, digits.lower()])
+
+
+def _read_time(flag: str, value: str) -> float:
+    try:
+        return _ctl_tables.parse_time(value, time.time())
+    except ValueError as error:
+        raise errors.UsageError(f'{flag}: {error}') from error
+
+
+def _read_percent(text: str) -> float:
+    try:
+        return float(text)
+    except ValueError:
+        raise errors.UsageError(
+            f'CAP_PERCENT: found {text!r}, expected a number'
+        ) from None
+
+
+async def _add_member(
+    client: _ctl_client.AdminClient, arguments: Arguments
+) -> None:
+    member, address, region = arguments
+    try:
+        settings.address()('ADDRESS', address)
+    except settings.InvalidValueError as error:
+        raise errors.UsageError(str(error)) from error
+    await client.call(
+        wire.MemberAdd(
+            member=ids.MemberId(member),
+            address=address,
+            region=ids.RegionName(region),
+        )
+    )
+    print(f'{member}: added; it votes once it has caught up')
+
+
+async def _remove_member(
+    client: _ctl_client.AdminClient, arguments: Arguments
+) -> None:
+    await client.call(wire.MemberRemove(member=ids.MemberId(arguments[0])))
+    print(f'{arguments[0]}: removed')
+
+
+async def _wait(client: _ctl_client.AdminClient, arguments: Arguments) -> None:
+    if not arguments[0].isdigit():
+        raise errors.UsageError(
+            f'REVISION: found {arguments[0]!r}, expected a whole number'
+        )
+    end = time.monotonic() + _WAIT_S.value
+    await _ctl_waiting.wait_in_force(client, int(arguments[0]), end)
+
+
+async def _export(
+    client: _ctl_client.AdminClient, arguments: Arguments
+) -> None:
+    export = await _ctl_snapshots.export_tables(client, arguments[0])
+    print(
+        f'{arguments[0]}: {len(export.changes)} rows at revision '
+        f'{export.revision}'
+    )
+
+
+async def _restore(
+    client: _ctl_client.AdminClient, arguments: Arguments
+) -> None:
+    await _ctl_snapshots.restore_tables(client, arguments[0], _edit_options())
+
+
+async def _list_shifts(
+    client: _ctl_client.AdminClient,
+) -> _ctl_views.Records:
+    return await _ctl_views.list_rows(client, wire.TableName.SHIFTS)
+
+
+_COMMANDS: dict[str, tuple[str, int, Action]] = {
+    'show': ('show TABLE', 1, _show),
+    'diff': ('diff FILE', 1, _diff),
+    'apply': ('apply FILE', 1, _apply),
+    'drain announce': ('drain announce SCOPE NAME', 2, _announce_drain),
+    'drain cancel': (
+        'drain cancel DRAIN',
+        1,
+        _make_canceller(wire.TableName.DRAINS),
+    ),
+    'drain list': ('drain list', 0, _make_view(_ctl_views.list_drains)),
+    'shift announce': (
+        'shift announce POOL FROM_REGION TO_REGION CAP_PERCENT',
+        4,
+        _announce_shift,
+    ),
+    'shift cancel': (
+        'shift cancel SHIFT',
+        1,
+        _make_canceller(wire.TableName.SHIFTS),
+    ),
+    'shift list': ('shift list', 0, _make_view(_list_shifts)),
+    'members list': ('members list', 0, _make_view(_ctl_views.list_members)),
+    'members add': ('members add MEMBER ADDRESS REGION', 3, _add_member),
+    'members remove': ('members remove MEMBER', 1, _remove_member),
+    'targets list': ('targets list', 0, _make_view(_ctl_views.list_targets)),
+    'entries list': ('entries list', 0, _make_view(_ctl_views.list_entries)),
+    'quarantine list': (
+        'quarantine list',
+        0,
+        _make_view(_ctl_views.list_quarantine),
+    ),
+    'status': ('status', 0, _make_view(_ctl_views.show_status)),
+    'wait': ('wait REVISION', 1, _wait),
+    'snapshot export': ('snapshot export FILE', 1, _export),
+    'snapshot restore': ('snapshot restore FILE', 1, _restore),
+}
--- a/fulmarseam/settings/__init__.py
+++ b/fulmarseam/settings/__init__.py
@@ -8,6 +8,7 @@
 
 from fulmarseam.settings._control import ControlSettings
 from fulmarseam.settings._control import MemberAddress
+from fulmarseam.settings._ctl import CtlSettings
 from fulmarseam.settings._entry import EntrySettings
 from fulmarseam.settings._faultproxy import FaultProxySettings
 from fulmarseam.settings._faultproxy import Forward
@@ -36,6 +37,7 @@
 __all__ = [
     'Check',
     'ControlSettings',
+    'CtlSettings',
     'EntrySettings',
     'FaultProxySettings',
     'Forward',
