--- a/fulmarseam/control/_daemon.py
+++ b/fulmarseam/control/_daemon.py
@@ -11,6 +11,7 @@
 
 from fulmarseam import consensus
 from fulmarseam import errors
+from fulmarseam import http
 from fulmarseam import settings
 from fulmarseam import store
 from fulmarseam import telemetry
@@ -18,6 +19,7 @@
 from fulmarseam import wire
 from fulmarseam.control import _admin
 from fulmarseam.control import _leadership
+from fulmarseam.control import _page
 from fulmarseam.control import _planner
 from fulmarseam.control import _signal
 from fulmarseam.control import _sync
@@ -35,9 +37,15 @@
     await daemon.run()
     """
 
-    def __init__(self, options: settings.ControlSettings) -> None:
+    def __init__(
+        self,
+        options: settings.ControlSettings,
+        tracer: telemetry.Tracer | None = None,
+    ) -> None:
         self._options = options
+        self._tracer = tracer or telemetry.Tracer(None)
         self._signal = _signal.Signal()
+        self._plan_signal = _signal.Signal()
         self.metrics = telemetry.Metrics()
         self.machine = store.Machine(notify=self._signal.notify)
         self.member = consensus.Member(
@@ -50,6 +58,7 @@
             self.machine.tables,
             self.find_leadership,
             self._signal,
+            self._plan_signal.notify,
         )
         self._admin = _admin.AdminService(
             self.member,
@@ -58,9 +67,14 @@
             self._report_edit,
         )
         self._stopping = asyncio.Event()
-        self.metrics.observe(
-            'revision', lambda: float(self.machine.tables.revision)
-        )
+        self._observe_state()
+
+    def _observe_state(self) -> None:
+        """Register the gauges of the metrics page."""
+        observe = self.metrics.observe
+        observe('revision', lambda: float(self.machine.tables.revision))
+        observe('leading', lambda: float(self._leadership is not None))
+        observe('term', lambda: float(self.member.status().term))
 
     def find_leadership(self) -> _leadership.Leadership | None:
         """Return the state of the term that this member leads, if any."""
@@ -76,7 +90,12 @@
         Raises `errors.DamagedDataError` and other errors of the member.
         """
         server = transport.RpcServer(self._options.listen, self.handle)
-        async with self.member, server:
+        page = http.Server(
+            self._options.api,
+            _page.Page(self.metrics).handle,
+            _page.make_answer,
+        )
+        async with self.member, server, page:
             self._log('control_started', listen=self._options.listen)
             await self._run_tasks()
             self._leadership = None
@@ -91,7 +110,8 @@
         elif isinstance(message, consensus.PEER_MESSAGES):
             answer = await self.member.handle(message)
         elif isinstance(message, _admin.ADMIN_REQUESTS):
-            answer = await self._admin.answer(message)
+            with self._tracer.start_span(type(message).__name__):
+                answer = await self._admin.answer(message)
         else:
             raise errors.WireError(
                 f'found message {type(message).__name__}, expected a request '
@@ -164,7 +184,7 @@
                 planner = self._make_planner(leadership)
             if planner is not None:
                 await planner.run()
-            await asyncio.sleep(PLAN_TICK_S)
+            await self._plan_signal.wait(PLAN_TICK_S)
 
     def _make_planner(
         self, leadership: _leadership.Leadership | None
@@ -192,9 +212,11 @@
         )
 
 
-async def run(options: settings.ControlSettings) -> None:
+async def run(
+    options: settings.ControlSettings, tracer: telemetry.Tracer
+) -> None:
     """Run the daemon until SIGTERM or SIGINT."""
-    daemon = Daemon(options)
+    daemon = Daemon(options, tracer)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, daemon.stop)
@@ -202,9 +224,16 @@
 
 
 def serve(options: settings.ControlSettings) -> None:
-    """Run the daemon with the log that the settings name."""
+    """Run the daemon with the log and the traces that the settings name."""
     with contextlib.ExitStack() as stack:
         stack.enter_context(
             telemetry.open_log(options.log_file, options.log_level)
         )
-        asyncio.run(run(options))
+        tracer = stack.enter_context(
+            telemetry.open_traces(
+                options.trace_file,
+                f'control.{options.member_id}',
+                options.trace_ratio,
+            )
+        )
+        asyncio.run(run(options, tracer))
