--- a/fulmarseam/bench/_cluster.py
+++ b/fulmarseam/bench/_cluster.py
@@ -84,7 +84,7 @@
         for entry in self.plan.entries:
             self.add('entry', entry.name, self._describe_entry(entry))
         for target in self.plan.targets:
-            self.add('target', target.name, self._describe_target(target))
+            self.add('target', target.name, self.describe_target(target))
         if self.plan.faulty:
             options = self.links.make_options(self._find_delay_ms)
             self.add('faultproxy', 'proxy', options)
@@ -166,7 +166,8 @@
             options['data_dir'] = str(self.folder / f'{node.name}-data')
         return options
 
-    def _describe_target(self, node: _plan.TargetPlan) -> dict[str, Any]:
+    def describe_target(self, node: _plan.TargetPlan) -> dict[str, Any]:
+        """Return the settings of a target."""
         own = self.addresses[node.name]
         return {
             'target_id': node.name,
@@ -353,6 +354,11 @@
         action = standin.Action.CUT if cut else standin.Action.HOLD
         await self.links.command(action, sides)
 
+    async def separate(self, names: set[str], others: set[str]) -> None:
+        """Hold all bytes between two sets of nodes."""
+        sides = self.links.find_sides(names.__contains__, others.__contains__)
+        await self.links.command(standin.Action.HOLD, sides)
+
     def list_region(self, region: str) -> set[str]:
         """Return the names of all nodes of a region."""
         return {name for name, home in self.regions.items() if home == region}
--- a/fulmarseam/bench/_plan.py
+++ b/fulmarseam/bench/_plan.py
@@ -74,10 +74,11 @@
 MAX_DEADLINE_MS = 2_000
 
 
-def make_rows(pools: Sequence[str]) -> list[wire.Row]:
-    """Return a pool and two routes for each name.
+def make_rows(pools: Sequence[str], once: bool = True) -> list[wire.Row]:
+    """Return a pool and its routes for each name.
 
-    Host `NAME.example` is repeatable and host `once.NAME.example` is not.
+    Host `NAME.example` is repeatable and, with `once`, there is a host
+    `once.NAME.example` that is not.
     """
     rows: list[wire.Row] = []
     for name in pools:
@@ -96,6 +97,8 @@
                 deadline_ms=MAX_DEADLINE_MS,
             )
         )
+        if not once:
+            continue
         rows.append(
             wire.Route(
                 name=ids.RouteName(f'once-{name}'),
@@ -116,6 +119,7 @@
     targets_per_region: int = 2,
     slots: int = 4,
     pools: Sequence[str] = ('katalog',),
+    once: bool = True,
     target_options: Mapping[str, Any] | None = None,
     **options: Any,
 ) -> Plan:
@@ -156,5 +160,5 @@
         for region in regions
         for number in range(targets_per_region)
     ]
-    rows = options.pop('rows', None) or make_rows(pools)
+    rows = make_rows(pools, once)
     return Plan(control_plans, entry_plans, target_plans, rows, **options)
--- a/fulmarseam/bench/_run.py
+++ b/fulmarseam/bench/_run.py
@@ -19,6 +19,7 @@
 from fulmarseam.bench import _waiting
 
 LOAD_MARGIN_S = 30.0
+WARM_UP_S = 20.0
 
 
 class RouteLoad(dict[str, Any]):
@@ -66,31 +67,40 @@
         await self.cluster.__aexit__(*exc_info)
 
     async def warm_up(self) -> None:
-        """Wait until each entry has answered a call for each pool."""
-        pools = [
-            row.name
+        """Wait until each entry has answered a call on each route."""
+        routes = [
+            row
             for row in self.cluster.plan.rows
-            if isinstance(row, wire.Pool)
+            if isinstance(row, wire.Route)
         ]
-        for number, entry in enumerate(self.cluster.plan.entries):
-            address = self.cluster.find_entry_address(entry.name)
-            for pool in pools:
-                await self._wait_answer(f'warm-{number}', pool, address)
+        apis = self.cluster.list_apis()
+        region = self.cluster.plan.entries[0].region
+        async with client.Caller(apis, region) as caller:
+            for route in routes:
+                for entry in self.cluster.plan.entries:
+                    await self._wait_answer(caller, route, entry.name)
 
-    async def _wait_answer(self, name: str, pool: str, address: str) -> None:
+    async def _wait_answer(
+        self, caller: client.Caller, route: wire.Route, name: str
+    ) -> None:
+        address = self.cluster.find_entry_address(name)
         exchanger = client.Exchanger()
-        request = client.Request('GET', f'{pool}.example', f'/{name}')
 
         async def is_answered() -> bool:
+            headers = {'Fulmarseam-Deadline-Ms': '500'}
             try:
+                if not route.idempotent:
+                    key = await caller.mint_request_id()
+                    headers['Idempotency-Key'] = key
+                request = client.Request('GET', route.host, '/', headers)
                 reply = await exchanger.send(address, request, 2.0)
-            except client.ExchangeError:
+            except (client.ExchangeError, errors.FulmarseamError):
                 return False
             return reply.status == 200
 
         with contextlib.closing(exchanger):
             await _waiting.wait_until(
-                is_answered, 20.0, f'{address} answers for {pool}'
+                is_answered, WARM_UP_S, f'{name} answers on {route.name}'
             )
 
     def start_load(
--- a/tests/integration/_case.py
+++ b/tests/integration/_case.py
@@ -1,5 +1,6 @@
 """Base of the integration tests."""
 
+from typing import Any
 import unittest
 
 from fulmarseam import ids
@@ -29,6 +30,14 @@
     )
 
 
+def make_plan(**options: Any) -> _plan.Plan:
+    """Return a group with entries and targets in the regions."""
+    options.setdefault('regions', REGIONS)
+    options.setdefault('pools', [POOL])
+    options.setdefault('target_options', {'service': {'mean_ms': 10.0}})
+    return _plan.make_plan(**options)
+
+
 def make_route(name: str, **changes: object) -> wire.Route:
     """Return a route to the pool of the tests."""
     values: dict[str, object] = {
