--- a/fulmarseam/entry/_attempts.py
+++ b/fulmarseam/entry/_attempts.py
@@ -4,10 +4,11 @@
 
 from fulmarseam import errors
 from fulmarseam import http
+from fulmarseam import records
 from fulmarseam import steering
+from fulmarseam import wire
 from fulmarseam.entry import _answers
 from fulmarseam.entry import _pacing
-from fulmarseam.entry import _records
 from fulmarseam.entry import _requests
 
 NOT_RUN = errors.Outcome.NOT_RUN.value.encode()
@@ -28,6 +29,9 @@
 _DROPPED_WITHOUT_BODY = _DROPPED_IN_RESPONSE | {b'content-length'}
 
 
+_NOT_SENT = http.Progress.NOT_SENT
+
+
 class TargetShedError(Exception):
     """The target declared that it has not run the request."""
 
@@ -57,7 +61,7 @@
         self.progress = http.Progress.NOT_SENT
         self.answer_bytes = 0
         self.keep_answer = False
-        self.kept_answer: _records.StoredAnswer | None = None
+        self.kept_answer: wire.StoredAnswer | None = None
         self._kept_body: list[bytes] = []
 
     async def run(self) -> int:
@@ -75,20 +79,16 @@
             if connection is None:
                 connection = await self._open(signal)
             try:
-                self._connection = connection
-                self._send_request(connection)
-            except http.TargetError:
+                return await self._run_on(connection)
+            except http.TargetError as error:
+                # An idle connection that the target had closed before any
+                # byte was written is replaced.
+                if not reused or error.progress is not _NOT_SENT:
+                    raise
+            finally:
+                self.progress = connection.progress
                 self._pool.release(connection)
-                if reused and connection.progress is http.Progress.NOT_SENT:
-                    continue
-                raise
-            break
-        try:
-            return await self._run_on(connection)
-        finally:
-            self.progress = connection.progress
-            self._pool.release(connection)
-            self._caller.stop_body_timeout()
+                self._caller.stop_body_timeout()
 
     async def _open(self, signal: http.Signal) -> http.TargetConnection:
         left_s = self._job.deadline - self._loop.time()
@@ -97,6 +97,8 @@
         return await self._pool.open(signal, left_s)
 
     async def _run_on(self, connection: http.TargetConnection) -> int:
+        self._connection = connection
+        self._send_request(connection)
         response = await self._wait_for_response(connection)
         if is_shed(response):
             raise TargetShedError(f'{self._choice.target} shed the request')
@@ -129,6 +131,12 @@
         headers = http.drop_headers(
             job.request.headers, job.request.fields, _DROPPED_IN_REQUEST
         )
+        host = job.host.encode('latin-1')
+        if job.request.fields.get(b'host') != host or not host:
+            # The request target names the host, or HTTP/1.0 left it out.
+            host = host or self._choice.address.encode()
+            headers = [item for item in headers if item[0] != b'host']
+            headers.append((b'host', host))
         if job.request.length is None:
             headers.append((b'transfer-encoding', b'chunked'))
         left_ms = int((job.deadline - self._loop.time()) * 1_000)
@@ -201,9 +209,7 @@
     def _count_answer(self, piece: bytes) -> None:
         self.answer_bytes += len(piece)
         self._charge(1, len(piece))
-        if self.keep_answer and (
-            self.answer_bytes <= _records.KEPT_BODY_BYTES
-        ):
+        if self.keep_answer and (self.answer_bytes <= records.KEPT_BODY_BYTES):
             self._kept_body.append(piece)
 
     async def _wait_for_either(
@@ -230,8 +236,8 @@
             self._uploading = False
 
     def _keep(self, response: http.Response) -> None:
-        fits = self.answer_bytes <= _records.KEPT_BODY_BYTES
-        self.kept_answer = _records.StoredAnswer(
+        fits = self.answer_bytes <= records.KEPT_BODY_BYTES
+        self.kept_answer = wire.StoredAnswer(
             response.status,
             http.drop_headers(
                 response.headers, response.fields, _DROPPED_WITHOUT_BODY
