--- a/fulmarseam/bench/_run.py
+++ b/fulmarseam/bench/_run.py
@@ -18,7 +18,10 @@
 from fulmarseam.bench import _processes
 from fulmarseam.bench import _waiting
 
+# The policy of the system, as against those of the baselines.
+OURS = 'ours'
 LOAD_MARGIN_S = 30.0
+WARM_UP_S = 20.0
 
 
 class RouteLoad(dict[str, Any]):
@@ -66,31 +69,40 @@
         await self.cluster.__aexit__(*exc_info)
 
     async def warm_up(self) -> None:
-        """Wait until each entry has answered a call for each pool."""
-        pools = [
-            row.name
+        """Wait until each entry has answered a call on each route."""
+        routes = [
+            row
             for row in self.cluster.plan.rows
-            if isinstance(row, wire.Pool)
+            if isinstance(row, wire.Route)
         ]
-        for number, entry in enumerate(self.cluster.plan.entries):
-            address = self.cluster.find_entry_address(entry.name)
-            for pool in pools:
-                await self._wait_answer(f'warm-{number}', pool, address)
+        apis = self.cluster.list_apis()
+        region = self.cluster.plan.entries[0].region
+        async with client.Caller(apis, region) as caller:
+            for route in routes:
+                for entry in self.cluster.plan.entries:
+                    await self._wait_answer(caller, route, entry.name)
 
-    async def _wait_answer(self, name: str, pool: str, address: str) -> None:
+    async def _wait_answer(
+        self, caller: client.Caller, route: wire.Route, name: str
+    ) -> None:
+        address = self.cluster.find_entry_address(name)
         exchanger = client.Exchanger()
-        request = client.Request('GET', f'{pool}.example', f'/{name}')
 
         async def is_answered() -> bool:
+            headers = {'Fulmarseam-Deadline-Ms': '500'}
             try:
+                if not route.idempotent:
+                    key = await caller.mint_request_id()
+                    headers['Idempotency-Key'] = key
+                request = client.Request('GET', route.host, '/', headers)
                 reply = await exchanger.send(address, request, 2.0)
-            except client.ExchangeError:
+            except (client.ExchangeError, errors.FulmarseamError):
                 return False
             return reply.status == 200
 
         with contextlib.closing(exchanger):
             await _waiting.wait_until(
-                is_answered, 20.0, f'{address} answers for {pool}'
+                is_answered, WARM_UP_S, f'{name} answers on {route.name}'
             )
 
     def start_load(
@@ -98,29 +110,23 @@
         region: str,
         routes: Sequence[RouteLoad],
         phases: Sequence[tuple[float, float]],
-        seed: int = 1,
+        policy: str = OURS,
     ) -> str:
         """Start a load process and return its name.
 
-        Each phase has a rate a second and a duration in seconds.
+        Each phase has a rate a second and a duration in seconds. With a
+        policy other than `OURS` the load goes straight to the targets.
         """
         name = f'load-{region}-{len(self._loads)}'
         options = {
-            'entries': [
-                *self.cluster.list_apis(region),
-                *[
-                    api
-                    for api in self.cluster.list_apis()
-                    if api not in self.cluster.list_apis(region)
-                ],
-            ],
+            **self._choose_way(region, policy),
             'region': region,
             'routes': [dict(route) for route in routes],
             'phases': [
                 {'rate_per_s': rate, 'duration_s': span}
                 for rate, span in phases
             ],
-            'seed': seed + len(self._loads),
+            'seed': 1 + len(self._loads),
             'caller': name,
             'journal': str(self.cluster.find_journal(name)),
         }
@@ -130,6 +136,17 @@
         self.began = self.began or time.monotonic()
         return name
 
+    def _choose_way(self, region: str, policy: str) -> dict[str, Any]:
+        if policy != OURS:
+            direct = [
+                self.cluster.addresses[target.name].listen
+                for target in self.cluster.plan.targets
+            ]
+            return {'direct': direct, 'policy': policy}
+        near = self.cluster.list_apis(region)
+        far = [api for api in self.cluster.list_apis() if api not in near]
+        return {'entries': [*near, *far]}
+
     async def wait_loads(self, timeout_s: float) -> None:
         """Wait until all loads have ended; raises when one failed."""
         for name in self._loads:
