Keep cancellations that meet a complete nng operation

Cause: pynng returns the result and drops the cancellation when a task is cancelled just as its send or receive completes. A client closed under a pending call raised pynng.Closed. Change: the cancellation is raised again; contexts of a closed socket are closed quietly. Two tests; without the change one hangs and one fails.

Conclusion: servers end under traffic.

--- a/fulmarseam/transport/_rpc.py
+++ b/fulmarseam/transport/_rpc.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterator
 import contextlib
 from typing import Any
 from typing import Self
@@ -27,6 +28,31 @@
 _log = logbook.Logger('transport')
 
 
+async def _await_operation(operation: Awaitable[Any]) -> Any:
+    """Return the result of an nng operation.
+
+    pynng drops a cancellation that arrives when the operation is already
+    complete, so the cancellation is raised here again.
+    """
+    task = asyncio.current_task()
+    before = task.cancelling() if task else 0
+    result = await operation
+    if task and task.cancelling() > before:
+        raise asyncio.CancelledError
+    return result
+
+
+@contextlib.contextmanager
+def _open_context(nng_socket: Any) -> Iterator[Any]:
+    """Provide a context; its socket may be closed before it."""
+    context = nng_socket.new_context()
+    try:
+        yield context
+    finally:
+        with contextlib.suppress(pynng.Closed):
+            context.close()
+
+
 class RpcServer:
     """Serves calls on one address until the context ends.
 
@@ -72,7 +98,7 @@
             await self._slots.acquire()
             context = self._socket.new_context()
             try:
-                data = await context.arecv()
+                data = await _await_operation(context.arecv())
             except pynng.NNGException as error:
                 context.close()
                 self._slots.release()
@@ -158,13 +184,13 @@
         """
         if self._socket is None:
             raise errors.TransportError(f'{self.address}: closed')
-        with contextlib.closing(self._socket.new_context()) as context:
+        with _open_context(self._socket) as context:
             try:
                 async with asyncio.timeout(timeout_s):
                     sent = wire.encode(message)
                     self.bytes_sent += len(sent) + FRAME_BYTES
-                    await context.asend(sent)
-                    data = await context.arecv()
+                    await _await_operation(context.asend(sent))
+                    data = await _await_operation(context.arecv())
             except TimeoutError:
                 raise errors.TransportError(
                     f'{self.address}: no answer within {timeout_s:.3f} s'
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -1,6 +1,7 @@
 """Tests of the transport package."""
 
 import asyncio
+import contextlib
 import socket
 import unittest
 
@@ -56,3 +57,37 @@
                 good = await client.call(wire.Ok(), 2.0)
         self.assertIsInstance(answer, wire.Failure)
         self.assertEqual(wire.Ok(), good)
+
+    async def test_server_ends_while_calls_arrive(self) -> None:
+        """A cancellation that meets a complete receive is not lost."""
+
+        async def handle(message: wire.Message) -> wire.Message:
+            return wire.Ok()
+
+        async def call(client: transport.RpcClient) -> None:
+            with contextlib.suppress(errors.TransportError):
+                while True:
+                    await client.call(wire.Ok(), 0.2)
+
+        for _ in range(20):
+            address = find_free_address()
+            async with transport.RpcClient(address) as client:
+                async with asyncio.timeout(5.0):
+                    async with transport.RpcServer(address, handle):
+                        await client.call(wire.Ok(), 2.0)
+                        calls = [
+                            asyncio.create_task(call(client)) for _ in range(8)
+                        ]
+                        await asyncio.sleep(0.02)
+                for task in calls:
+                    task.cancel()
+                await asyncio.gather(*calls, return_exceptions=True)
+
+    async def test_client_closed_under_a_call_fails_the_call(self) -> None:
+        client = transport.RpcClient(find_free_address())
+        client.open()
+        pending = asyncio.create_task(client.call(wire.Ok(), 2.0))
+        await asyncio.sleep(0.05)
+        client.close()
+        with self.assertRaises(errors.TransportError):
+            await pending
