Replace a connection to a member that stays silent

Cause: after a silent partition TCP repeats its segments only after a time as long as the partition, so a healed link could stay unused for minutes. Change: a client without an answer for 2 s is replaced; with a test against a server that never answers. The member tests run without the debug mode of the test loop.

--- a/fulmarseam/consensus/_runtime_peers.py
+++ b/fulmarseam/consensus/_runtime_peers.py
@@ -14,6 +14,9 @@
 
 # Enough for a full window of appends and the heartbeats of one timeout.
 MAX_PENDING_REQUESTS = 64
+# After a silent partition TCP sends again only as late as the partition was
+# long, so a connection without answers is replaced.
+RECONNECT_AFTER_S = 2.0
 
 _log = logbook.Logger('consensus')
 
@@ -25,6 +28,7 @@
     address: str
     store: str
     client: transport.RpcClient
+    answered_at: float
     tasks: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
     reachable: bool = True
 
@@ -50,14 +54,15 @@
         for member, peer in list(self._peers.items()):
             if places.get(member) != (peer.address, peer.store):
                 del self._peers[member]
-                task = asyncio.create_task(_end_peer(peer))
-                self._ending.add(task)
-                task.add_done_callback(self._ending.discard)
+                self._end_later(peer)
         for member, (address, store) in places.items():
             if member not in self._peers:
-                client = transport.RpcClient(address)
-                client.open()
-                self._peers[member] = _Peer(address, store, client)
+                self._peers[member] = _open_peer(address, store)
+
+    def _end_later(self, peer: _Peer) -> None:
+        task = asyncio.create_task(_end_peer(peer))
+        self._ending.add(task)
+        task.add_done_callback(self._ending.discard)
 
     def send(
         self, group: str, to: ids.MemberId, body: wire.ReplicaRequest
@@ -80,7 +85,9 @@
             answer = await peer.client.call(request, self._timeout_s)
         except errors.FulmarseamError as error:
             self._note_reachable(to, peer, error.detail)
+            self._reconnect_if_silent(to, peer)
             return
+        peer.answered_at = asyncio.get_running_loop().time()
         if isinstance(answer, wire.MemberResponse) and answer.sender == to:
             self._note_reachable(to, peer, None)
             self._deliver(to, answer.body)
@@ -88,6 +95,14 @@
             detail = getattr(answer, 'detail', type(answer).__name__)
             self._note_reachable(to, peer, detail)
 
+    def _reconnect_if_silent(self, to: ids.MemberId, peer: _Peer) -> None:
+        silence = asyncio.get_running_loop().time() - peer.answered_at
+        if silence < RECONNECT_AFTER_S or self._peers.get(to) is not peer:
+            return
+        self._peers[to] = _open_peer(peer.address, peer.store)
+        self._peers[to].reachable = False
+        self._end_later(peer)
+
     def _note_reachable(
         self, member: ids.MemberId, peer: _Peer, problem: str | None
     ) -> None:
@@ -109,6 +124,12 @@
         await asyncio.gather(*self._ending)
 
 
+def _open_peer(address: str, store: str) -> _Peer:
+    client = transport.RpcClient(address)
+    client.open()
+    return _Peer(address, store, client, asyncio.get_running_loop().time())
+
+
 async def _end_peer(peer: _Peer) -> None:
     """End the pending requests first: each holds a part of the client."""
     tasks = [*peer.tasks]
--- a/tests/test_consensus_member.py
+++ b/tests/test_consensus_member.py
@@ -15,6 +15,7 @@
 from fulmarseam import settings
 from fulmarseam import transport
 from fulmarseam import wire
+from fulmarseam.consensus import _runtime_peers
 from fulmarseam.consensus import _storage
 from tests import test_transport
 
@@ -70,6 +71,8 @@
     size = 3
 
     async def asyncSetUp(self) -> None:
+        # The debug mode of the test loop made a proposal ten times slower.
+        asyncio.get_running_loop().set_debug(False)
         directory = tempfile.TemporaryDirectory()
         self.addCleanup(directory.cleanup)
         self.directory = pathlib.Path(directory.name)
@@ -313,6 +316,36 @@
                 )
 
 
+class PeersTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a connection that stays silent after a partition."""
+
+    async def test_silent_connection_is_replaced(self) -> None:
+        connections = 0
+
+        async def swallow(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal connections
+            connections += 1
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(swallow, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        peers = _runtime_peers.Peers('c0', 0.05, lambda sender, body: None)
+        body = wire.VoteRequest(
+            term=1, last_index=0, last_term=0, pre_vote=True
+        )
+        with mock.patch.object(_runtime_peers, 'RECONNECT_AFTER_S', 0.2):
+            peers.update({'c1': (f'127.0.0.1:{port}', 'store')})
+            for _ in range(40):
+                peers.send('group', 'c1', body)
+                await asyncio.sleep(0.02)
+        await peers.close()
+        server.close()
+        self.assertGreaterEqual(connections, 2)
+
+
 class ProcessEndTest(MemberTestCase):
     """Guards against members that go on after a failure."""
 
