Test founding, addressees and changes before the first commit

Cause: breaking the refusal of wiped directories in one of its two places went unnoticed, and a membership test did not reach its situation. Change: tests of the founding decision and of the addressee check; the membership test now loses the answers that a new leader waits for.

Conclusion: each check is tested by itself.

--- a/tests/test_consensus_core.py
+++ b/tests/test_consensus_core.py
@@ -245,6 +245,15 @@
     def test_leader_changes_nothing_before_its_first_commit(self) -> None:
         run = self.run_
         run.crash(self.leader)
+        send = run.send
+
+        def lose_answers(
+            source: str, to: str, body: wire.ReplicaMessage
+        ) -> None:
+            if not isinstance(body, wire.AppendResponse):
+                send(source, to, body)
+
+        run.send = lose_answers  # type: ignore[method-assign]
         run.run_until(lambda: bool(run.list_leaders()), 5.0)
         self.leader = run.list_leaders()[0]
         assert self.leader.replica is not None
--- a/tests/test_consensus_member.py
+++ b/tests/test_consensus_member.py
@@ -15,6 +15,7 @@
 from fulmarseam import settings
 from fulmarseam import transport
 from fulmarseam import wire
+from fulmarseam.consensus import _core_founding
 from fulmarseam.consensus import _runtime_peers
 from fulmarseam.consensus import _storage
 from tests import test_transport
@@ -316,6 +317,115 @@
                 )
 
 
+class FoundingTest(unittest.TestCase):
+    """Guards against a second group and against a wiped member."""
+
+    def setUp(self) -> None:
+        self.initial = {
+            f'c{number}': settings.MemberAddress(
+                address=f'127.0.0.1:{7001 + number}', region='r'
+            )
+            for number in range(3)
+        }
+        self.founding = wire.Founding(
+            group='g',
+            members=wire.GroupMembers(
+                [self.describe(name, f'store-{name}') for name in self.initial]
+            ),
+        )
+
+    def describe(self, name: str, store: str) -> wire.MemberInfo:
+        return wire.MemberInfo(
+            member=name, address='', region='r', store=store
+        )
+
+    def answer(
+        self,
+        name: str,
+        founding: wire.Founding | None = None,
+        members: wire.GroupMembers | None = None,
+    ) -> wire.IdentityResponse:
+        known = founding.members if founding else wire.GroupMembers()
+        return wire.IdentityResponse(
+            member=name,
+            store=f'store-{name}',
+            group=founding.group if founding else '',
+            members=members or known,
+            founding=founding,
+        )
+
+    def decide(
+        self,
+        name: str,
+        store: str,
+        *answers: wire.IdentityResponse,
+        join: bool = False,
+    ) -> _core_founding.Decision:
+        identity = _core_founding.Identity(name, store)
+        return _core_founding.decide(
+            identity, self.initial, join, answers, 'new'
+        )
+
+    def test_group_is_founded_once_by_all(self) -> None:
+        one, two = self.answer('c1'), self.answer('c2')
+        waiting = _core_founding.Decision()
+        self.assertEqual(waiting, self.decide('c0', 'store-c0', one))
+        self.assertEqual(
+            waiting, self.decide('c1', 'store-c1', self.answer('c0'), two)
+        )
+        self.assertEqual(
+            waiting, self.decide('c0', 'store-c0', one, two, join=True)
+        )
+        founded = self.decide('c0', 'store-c0', one, two).founding
+        assert founded is not None
+        self.assertEqual('new', founded.group)
+        self.assertEqual(
+            ['store-c0', 'store-c1', 'store-c2'],
+            [info.store for info in founded.members.members],
+        )
+
+    def test_new_member_follows_a_founding_that_names_it(self) -> None:
+        bound = self.answer('c0', self.founding)
+        decision = self.decide('c1', 'store-c1', bound)
+        self.assertEqual(self.founding, decision.founding)
+
+    def test_wiped_member_is_refused(self) -> None:
+        bound = self.answer('c1', self.founding)
+        for join in (False, True):
+            decision = self.decide(
+                'c0', 'other', bound, self.answer('c2'), join=join
+            )
+            self.assertIsNone(decision.founding)
+            self.assertIn('new member_id', decision.refusal or '')
+
+    def test_removed_member_is_refused(self) -> None:
+        members = wire.GroupMembers([], ['c0'])
+        bound = self.answer('c1', self.founding, members)
+        decision = self.decide('c0', 'store-c0', bound)
+        self.assertIsNotNone(decision.refusal)
+
+
+class AddresseeTest(MemberTestCase):
+    """Guards against messages meant for a directory that is lost."""
+
+    async def test_new_directory_refuses_messages_for_another(self) -> None:
+        for name in ('c0', 'c9'):
+            with self.subTest(name=name):
+                host = await self.start(name)
+                request = wire.MemberRequest(
+                    group='g',
+                    sender='c1',
+                    store='lost',
+                    body=wire.VoteRequest(
+                        term=1, last_index=0, last_term=0, pre_vote=False
+                    ),
+                )
+                with self.assertRaises(errors.DamagedDataError):
+                    await host.member.handle(request)
+                with self.assertRaises(errors.DamagedDataError):
+                    await host.member.wait_failed()
+
+
 class PeersTest(unittest.IsolatedAsyncioTestCase):
     """Guards against a connection that stays silent after a partition."""
 
