--- a/fulmarseam/consensus/_runtime.py
+++ b/fulmarseam/consensus/_runtime.py
@@ -164,7 +164,8 @@
         `errors.ProposalUncertainError` when the entry may still be
         committed, and `errors.FulmarseamError`, with nothing appended, of
         kind `UNAVAILABLE` when too many proposals are pending and
-        `BODY_TOO_LARGE` when the command exceeds `MAX_COMMAND_BYTES`.
+        `BODY_TOO_LARGE` when the command exceeds `MAX_COMMAND_BYTES`. A
+        caller that stops waiting does not withdraw the command.
         """
         replica = self._require_leader()
         if len(command) > MAX_COMMAND_BYTES:
--- a/fulmarseam/consensus/_runtime_driver.py
+++ b/fulmarseam/consensus/_runtime_driver.py
@@ -19,6 +19,8 @@
 
 # Log entries kept behind a snapshot, as a share of `snapshot_every`.
 KEEP_SHARE = 0.2
+# Bounds the memory and the restart time of a log of large commands.
+MAX_BYTES_BEFORE_SNAPSHOT = 32 * 1024 * 1024
 
 _log = logbook.Logger('consensus')
 
@@ -53,6 +55,7 @@
         self._leadership_changed = asyncio.Event()
         self._last_leading: ids.Term | None = None
         self._stopped = False
+        self._applied_bytes = 0
         self.replica: _core.Replica | None = None
         self.inputs = _runtime_inputs.Inputs()
         self.waiters = _runtime_inputs.Waiters()
@@ -276,6 +279,7 @@
             if isinstance(item, _core_types.Snapshot):
                 self._machine.restore(item.data)
             elif item.type is wire.EntryType.COMMAND:
+                self._applied_bytes += len(item.data)
                 result = self._machine.apply(item.data)
                 self.waiters.resolve_proposal(item, result)
 
@@ -320,7 +324,9 @@
 
     def _compact_if_due(self, replica: _core.Replica) -> None:
         behind = replica.commit_index - replica.snapshot_index
-        if behind >= self._settings.snapshot_every:
+        is_large = self._applied_bytes >= MAX_BYTES_BEFORE_SNAPSHOT
+        if is_large or behind >= self._settings.snapshot_every:
+            self._applied_bytes = 0
             effects = replica.compact(self._machine.snapshot())
             self._storage.write(effects.records)
 
--- a/tests/test_consensus_member.py
+++ b/tests/test_consensus_member.py
@@ -16,6 +16,7 @@
 from fulmarseam import transport
 from fulmarseam import wire
 from fulmarseam.consensus import _core_founding
+from fulmarseam.consensus import _runtime_driver
 from fulmarseam.consensus import _runtime_peers
 from fulmarseam.consensus import _storage
 from tests import test_transport
@@ -470,6 +471,16 @@
         host.exit.assert_called_once_with(1)
         self.assertEqual([], host.machine.commands)
 
+    async def test_large_commands_are_compacted_early(self) -> None:
+        """A log of few large entries does not grow without a bound."""
+        host = await self.start_group()
+        with mock.patch.object(
+            _runtime_driver, 'MAX_BYTES_BEFORE_SNAPSHOT', 1_000
+        ):
+            for _ in range(3):
+                await host.member.propose(bytes(600))
+        self.assertGreater(host.member.status().snapshot_index, 0)
+
     async def test_fault_of_the_machine_ends_the_process(self) -> None:
         host = await self.start_group()
         with self.assertRaises(errors.FulmarseamError):
