--- a/tests/test_consensus_core.py
+++ b/tests/test_consensus_core.py
@@ -382,3 +382,117 @@
             with self.assertRaises(errors.WireError):
                 replica.receive(1.0, 'n0', request)
             self.assertEqual((0, 0), (replica.term, replica.last_index))
+
+
+class LeaderTest(unittest.TestCase):
+    """Guards against answers that are taken for more than they say."""
+
+    def setUp(self) -> None:
+        """Elect a leader of term 3 that holds entries of earlier terms."""
+        members = wire.GroupMembers(
+            [
+                wire.MemberInfo(member=name, address='', region='r', store='')
+                for name in ('n0', 'n1', 'n2')
+            ]
+        )
+        entries = (
+            wire.LogEntry(1, 1, wire.EntryType.COMMAND, b'1'),
+            wire.LogEntry(2, 2, wire.EntryType.COMMAND, b'2'),
+        )
+        self.replica = _core.Replica(
+            _core_types.ReplicaConfig(member_id='n0'),
+            _core_types.DurableState(members, term=2, entries=entries),
+            random.Random(1),
+            0.0,
+        )
+        self.now = self.replica.wake_at()
+        self.replica.tick(self.now)
+        for term, pre_vote in ((2, True), (3, False)):
+            vote = wire.VoteResponse(
+                term=term, for_term=3, granted=True, pre_vote=pre_vote
+            )
+            self.replica.receive(self.now, 'n1', vote)
+        self.assertIs(_core_types.Role.LEADER, self.replica.role)
+
+    def answer(
+        self, now: float, term: int, number: int, match_index: int
+    ) -> list[wire.LogEntry | _core_types.Snapshot]:
+        response = wire.AppendResponse(
+            term=term, round=number, success=True, match_index=match_index
+        )
+        return self.replica.receive(now, 'n1', response).committed
+
+    def test_entry_of_an_earlier_term_is_not_committed_alone(self) -> None:
+        """A later leader could still replace it."""
+        self.assertEqual([], self.answer(self.now, 3, 1, 2))
+        committed = self.answer(self.now, 3, 1, 3)
+        self.assertEqual(
+            [1, 2, 3],
+            [
+                item.index
+                for item in committed
+                if isinstance(item, wire.LogEntry)
+            ],
+        )
+
+    def test_answer_of_an_earlier_term_is_ignored(self) -> None:
+        self.assertEqual([], self.answer(self.now, 2, 1, 3))
+        self.assertEqual(0, self.replica.match_indexes['n1'])
+        self.assertEqual(0, self.replica.confirmed_round)
+
+    def test_age_counts_from_the_round_that_was_answered(self) -> None:
+        self.answer(self.now, 3, 1, 3)
+        answered = self.replica.wake_at()
+        self.replica.tick(answered)
+        later = self.replica.wake_at()
+        self.replica.tick(later)
+        self.answer(later, 3, 2, 3)
+        age = self.replica.leadership_age(later)
+        assert age is not None
+        self.assertAlmostEqual(later - answered, age)
+
+    def test_snapshot_replaces_a_log_that_differs(self) -> None:
+        snapshot = _core_types.make_snapshot(
+            1, 2, wire.GroupMembers(), b'state'
+        )
+        chunk = wire.SnapshotChunk(
+            term=4, round=1, meta=snapshot.meta, offset=0, data=b'state'
+        )
+        effects = self.replica.receive(self.now, 'n1', chunk)
+        self.assertEqual([snapshot], effects.committed)
+        self.assertEqual(1, self.replica.last_index)
+
+
+class IsolatedLeaderTest(unittest.TestCase):
+    """Guards against a leader that vouches for itself alone."""
+
+    def test_isolated_leader_confirms_nothing(self) -> None:
+        run = simulation.Simulation(9, 3, loss=0.0)
+        leader = run.wait_for_leader()
+        run.run(0.5)
+        run.isolate(leader.name, True, True)
+        run.confirm(leader)
+        run.run(0.5)
+        self.assertEqual(0, run.confirmations)
+        run.cut.clear()
+        run.run(0.5)
+        self.assertEqual(1, run.confirmations)
+
+    def test_member_under_removal_may_be_needed_to_lead(self) -> None:
+        """Only its log is complete when its removal is not committed."""
+        run = simulation.Simulation(10, 2, loss=0.0)
+        leader = run.wait_for_leader()
+        run.run(0.5)
+        run.cut = {
+            (leader.name, other) for other in run.nodes if other != leader.name
+        }
+        removed = run.change(
+            leader,
+            lambda replica: replica.remove_member(
+                run.clock(leader), leader.name
+            ),
+        )
+        self.assertTrue(removed)
+        run.run(4.0)
+        run.heal_and_check()
+        self.assertNotEqual(leader, run.wait_for_leader())
