--- a/fulmarseam/entry/_api.py
+++ b/fulmarseam/entry/_api.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import ipaddress
 from typing import Any
 import urllib.parse
 
@@ -73,7 +74,7 @@
         query = request.target.partition(b'?')[2].decode('latin-1')
         fields = dict(urllib.parse.parse_qsl(query)) if query else {}
         address = fields.get('address') or caller.remote_address
-        tag = http.find_header(request.headers, b'if-none-match')
+        tag = request.fields.get(b'if-none-match')
         return self._lookups.answer(fields.get('region'), address, tag)
 
     async def _show_status(
@@ -143,13 +144,19 @@
         value = getattr(report, name)
         if not 1 <= value <= 1_000_000:
             problems.append(f'{name}: found {value}, expected 1 or more')
-    try:
-        _, port = http.split_address(report.address)
-    except ValueError:
-        port = 0
-    if not 1 <= port <= 65_535:
+    if not is_address(report.address):
         problems.append(f'address: found {report.address!r}, expected IP:PORT')
     if problems:
         raise errors.FulmarseamError(
             errors.ErrorKind.MALFORMED_MESSAGE, '; '.join(problems)
         )
+
+
+def is_address(text: str) -> bool:
+    """Return whether a text is an IP address and a port."""
+    try:
+        host, port = http.split_address(text)
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return 1 <= port <= 65_535
--- a/fulmarseam/entry/_state.py
+++ b/fulmarseam/entry/_state.py
@@ -28,7 +28,7 @@
         )
         self.tables = store.Tables()
         self.targets = membership.TargetMirror()
-        self.entries: dict[ids.EntryId, wire.EntryRow] = {}
+        self.entry_rows = membership.EntryMirror()
         self.book = steering.SlotBook(options.clock_drift)
         self.links = steering.LinkTokens(drift=options.clock_drift)
         self.shifts = steering.ShiftBook(options.region)
@@ -40,6 +40,11 @@
         self.on_change: Callable[[], None] = _ignore
         self._confirmed_at: float | None = None
 
+    @property
+    def entries(self) -> dict[ids.EntryId, wire.EntryRow]:
+        """Return the rows of the entries by their ids."""
+        return self.entry_rows.rows
+
     def is_current(self, now: float) -> bool:
         """Return whether new work may start under the configuration."""
         confirmed = self._confirmed_at
@@ -64,8 +69,7 @@
         self.term = response.term
         self._apply_tables(response)
         self._apply_targets(now, response)
-        if response.entries:
-            self.entries = {row.info.entry: row for row in response.entries}
+        if self.entry_rows.apply(now, response):
             self._forget_finished_drains()
         self.book.apply(now, sent_at, response)
         self.links.apply(now, sent_at, response)
@@ -77,7 +81,10 @@
 
     def _apply_tables(self, response: wire.SyncResponse) -> None:
         changed = self.tables.apply_changes(
-            response.revision, response.changes, response.full
+            response.revision,
+            response.changes,
+            response.full,
+            response.blocks,
         )
         if not changed:
             return
@@ -112,6 +119,12 @@
         """Note that an entry announced its shutdown by itself."""
         self.draining_entries[entry] = incarnation
 
+    def find_record_group(
+        self, region: ids.RegionName
+    ) -> wire.RecordGroup | None:
+        """Return the row of the holders of a region's records."""
+        return self.tables.get(wire.RecordGroup, region)
+
     def drained_entries(self) -> set[ids.EntryId]:
         """Return the entries that look-ups must leave out."""
         drained = set(self.draining_entries)
--- a/fulmarseam/transport/_rpc.py
+++ b/fulmarseam/transport/_rpc.py
@@ -28,20 +28,6 @@
 _log = logbook.Logger('transport')
 
 
-async def _await_operation(operation: Awaitable[Any]) -> Any:
-    """Return the result of an nng operation.
-
-    pynng drops a cancellation that arrives when the operation is already
-    complete, so the cancellation is raised here again.
-    """
-    task = asyncio.current_task()
-    before = task.cancelling() if task else 0
-    result = await operation
-    if task and task.cancelling() > before:
-        raise asyncio.CancelledError
-    return result
-
-
 @contextlib.contextmanager
 def _open_context(nng_socket: Any) -> Iterator[Any]:
     """Provide a context; its socket may be closed before it."""
@@ -98,7 +84,8 @@
             await self._slots.acquire()
             context = self._socket.new_context()
             try:
-                data = await _await_operation(context.arecv())
+                data = await context.arecv()
+                raise_if_cancelled()
             except pynng.NNGException as error:
                 context.close()
                 self._slots.release()
@@ -189,8 +176,10 @@
                 async with asyncio.timeout(timeout_s):
                     sent = wire.encode(message)
                     self.bytes_sent += len(sent) + FRAME_BYTES
-                    await _await_operation(context.asend(sent))
-                    data = await _await_operation(context.arecv())
+                    await context.asend(sent)
+                    raise_if_cancelled()
+                    data = await context.arecv()
+                    raise_if_cancelled()
             except TimeoutError:
                 raise errors.TransportError(
                     f'{self.address}: no answer within {timeout_s:.3f} s'
@@ -201,3 +190,15 @@
                 ) from error
         self.bytes_received += len(data) + FRAME_BYTES
         return wire.decode(data)
+
+
+def raise_if_cancelled() -> None:
+    """Raise `asyncio.CancelledError` if the task has been cancelled.
+
+    pynng drops a cancellation, also that of a time-out, which arrives
+    after nng has completed the operation and before the task has run.
+    Without this check the task would go on for ever.
+    """
+    task = asyncio.current_task()
+    if task is not None and task.cancelling():
+        raise asyncio.CancelledError
