--- a/fulmarseam/control/_daemon.py
+++ b/fulmarseam/control/_daemon.py
@@ -29,6 +29,9 @@
 # starts and charges that end.
 ALLOCATION_TICK_S = 0.25
 PLAN_TICK_S = 0.2
+# Lets entries learn that this member leads no more. Without an answer they
+# would wait for the time-out of the call.
+STOP_PAUSE_S = 0.1
 
 _log = logbook.Logger('control')
 
@@ -103,6 +106,7 @@
             await self._run_tasks()
             self._leadership = None
             self._signal.notify()
+            await asyncio.sleep(STOP_PAUSE_S)
         self._log('control_stopped')
 
     async def handle(self, message: wire.Message) -> wire.Message:
--- a/fulmarseam/control/_groups.py
+++ b/fulmarseam/control/_groups.py
@@ -267,7 +267,11 @@
     local = [holder for holder in live if holder.region == row.name]
     if not local:
         return row
-    primary = local[0]
+    # A former holder may have kept records in its journal.
+    former = [row.primary, row.backup]
+    primary = min(
+        local, key=lambda holder: (holder.entry not in former, holder.entry)
+    )
     generation = row.generation + 1
     newer = msgspec.structs.replace(
         row, generation=generation, lost_before=generation
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -168,13 +168,19 @@
         await self.sync(
             fixtures.make_request(fixtures.make_info('e2'), wait_ms=0)
         )
-        for request in (
-            fixtures.make_request(answer=answer),
-            fixtures.make_request(wait_ms=0),
+        for changed in (
+            await self.sync(fixtures.make_request(answer=answer)),
+            await poll,
         ):
-            changed = await self.sync(request)
-            self.assertEqual(2, len(changed.entries))
-        self.assertEqual(2, len((await poll).entries))
+            self.assertFalse(changed.entries_full)
+            self.assertEqual(
+                ['e2'], [row.info.entry for row in changed.entries]
+            )
+        anew = await self.sync(fixtures.make_request(wait_ms=0))
+        self.assertTrue(anew.entries_full)
+        self.assertEqual(
+            ['e1', 'e2'], [row.info.entry for row in anew.entries]
+        )
 
     async def test_answer_carries_the_age_of_the_leadership(self) -> None:
         answer = await self.sync(fixtures.make_request(wait_ms=0))
@@ -268,8 +274,9 @@
         await asyncio.sleep(0.05)
         former = self.leader
         await self.stop(former)
-        with contextlib.suppress(errors.TransportError):
-            self.assertIsInstance(await poll, wire.Failure)
+        refused = await poll
+        assert isinstance(refused, wire.Failure)
+        self.assertEqual('not_leader', refused.kind)
         self.leader = await self.find_leader()
         self.assertNotEqual(former, self.leader)
         renewed = await self.sync(
--- a/tests/test_control_steps.py
+++ b/tests/test_control_steps.py
@@ -316,6 +316,18 @@
         self.assertEqual(('e4', 'e3'), self.holders(row))
         self.assertEqual((2, 2), (row.generation, row.lost_before))
 
+    def test_restarted_holder_keeps_the_group_it_has_a_journal_of(
+        self,
+    ) -> None:
+        self.step(SETTLED)
+        self.infos['e0'] = fixtures.make_info('e0')
+        self.hear(SETTLED, 'e0')
+        self.restart(SETTLED + 0.5, 'e1')
+        self.restart(SETTLED + 0.5, 'e2')
+        row = self.step(SETTLED + 0.5)
+        self.assertEqual(('e1', 'e2'), self.holders(row))
+        self.assertEqual((2, 2), (row.generation, row.lost_before))
+
     def test_backup_comes_home_when_the_region_has_a_domain_again(
         self,
     ) -> None:
