--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -156,6 +156,29 @@
         self.assertIsNone(group.machine.results.find(ids.EditId('e1')))
         self.assertIsNotNone(group.machine.results.find(ids.EditId('e2')))
 
+    def test_lines_of_refused_edits_are_bounded(self) -> None:
+        group = Group(store.EditResults(max_problem_bytes=200))
+        for number in range(5):
+            group.edit(f'e{number}', make_route(pool='gone'))
+        oldest = group.machine.results.find(ids.EditId('e0'))
+        newest = group.machine.results.find(ids.EditId('e4'))
+        assert oldest is not None and newest is not None
+        self.assertEqual('invalid_edit', oldest.result.kind)
+        self.assertEqual([], oldest.result.problems)
+        self.assertEqual(1, len(newest.result.problems))
+        copy = store.Machine(results=store.EditResults(max_problem_bytes=200))
+        copy.restore(group.machine.snapshot())
+        data = store.encode_command(
+            wire.Edit(
+                edit_id=ids.EditId('e5'),
+                base={ROUTES: 0},
+                changes=[store.make_change(make_route(pool='gone'))],
+            )
+        )
+        group.machine.apply(data)
+        copy.apply(data)
+        self.assertEqual(group.machine.snapshot(), copy.snapshot())
+
     def test_edit_without_base_version_is_refused(self) -> None:
         result = Group().edit('a', make_pool(), base={})
         self.assertEqual('invalid_edit', result.kind)
