Name a request alike when it is sent through another entry

With three control members, two entries and two targets, a request that was sent again through the second entry was refused with request_id_conflict: the content fingerprint covered the Host header, which named the address of the entry. Fingerprints now cover host names only, no addresses. The same holds for crash suspects.

--- a/fulmarseam/entry/_requests.py
+++ b/fulmarseam/entry/_requests.py
@@ -1,6 +1,7 @@
 """A caller's request on its way through an entry."""
 
 import asyncio
+import ipaddress
 import re
 
 from fulmarseam import errors
@@ -77,7 +78,7 @@
             self._fingerprint = steering.compute_fingerprint(
                 self.request_id,
                 self.method,
-                self.host,
+                name_host(self.host),
                 self.path,
                 self.prefix,
             )
@@ -88,7 +89,7 @@
         return steering.compute_fingerprint(
             None,
             self.method,
-            self.host,
+            name_host(self.host),
             f'{self.path} {self.request.length}',
             self.prefix,
         )
@@ -153,6 +154,23 @@
     return host.decode('latin-1'), target.decode('latin-1')
 
 
+def name_host(host: str) -> str:
+    """Return the host name without port; empty for an IP address.
+
+    A request that is sent again through another entry may name that
+    entry's address as its host and is the same request all the same.
+    """
+    name = host.partition(']')[0] if host.startswith('[') else host
+    name = name.removeprefix('[')
+    if not host.startswith('['):
+        name = name.partition(':')[0]
+    try:
+        ipaddress.ip_address(name)
+    except ValueError:
+        return name.lower()
+    return ''
+
+
 def read_deadline_ms(request: http.Request) -> int | None:
     """Return the time left as the caller states it, in milliseconds.
 
--- a/tests/test_entry_repeats.py
+++ b/tests/test_entry_repeats.py
@@ -212,6 +212,20 @@
         other = await self.call('/other')
         self.assertEqual(200, other.status)
 
+    async def test_crash_request_is_known_under_another_address(
+        self,
+    ) -> None:
+        for number in range(3):
+            await self.start_target(crash, f't{number}')
+        for host in (b'10.0.0.1', b'10.0.0.2:80'):
+            answer = await self.exchange(
+                b'GET /crash HTTP/1.1\r\nConnection: close\r\nHost: '
+                + host
+                + b'\r\n\r\n'
+            )
+        self.assertEqual('quarantined', answer.kind)
+        self.assertEqual(1, len(self.entry.suspects.list_rows()))
+
     async def test_strike_of_a_peer_counts(self) -> None:
         targets = [
             await self.start_target(crash, f't{number}') for number in range(3)
@@ -238,11 +252,13 @@
             wire.RecordVerdict(verdict=wire.Verdict.FRESH)
         )
         self.calls: list[tuple[str, object]] = []
+        self.prints: list[str] = []
 
     async def claim(
         self, key: str, fingerprint: str, attempt: str, timeout_s: float
     ) -> wire.RecordVerdict:
         self.calls.append(('claim', key))
+        self.prints.append(fingerprint)
         if isinstance(self.verdict, errors.FulmarseamError):
             raise self.verdict
         return self.verdict
@@ -333,6 +349,30 @@
         self.assertEqual(b'', target.received_bytes)
         self.assertEqual({'claim'}, {name for name, _ in self.keeper.calls})
 
+    async def test_repeat_through_another_address_is_the_same(self) -> None:
+        """A caller that uses addresses names another host each time."""
+        await self.start_target(fakes.answer_always(OK))
+        cases = [
+            (b'10.0.0.1:8000', b'abc'),
+            (b'10.0.0.2:8000', b'abc'),
+            (b'[::1]:80', b'abc'),
+            (b'10.0.0.1:8000', b'abd'),
+            (b'name:80', b'abc'),
+        ]
+        for host, body in cases:
+            await self.exchange(
+                b'POST /x HTTP/1.1\r\nConnection: close\r\nHost: '
+                + host
+                + b'\r\n'
+                + KEY.encode()
+                + b'Content-Length: 3\r\n\r\n'
+                + body
+            )
+        prints = self.keeper.prints
+        self.assertEqual(5, len(prints))
+        self.assertEqual(1, len(set(prints[:3])))
+        self.assertEqual(3, len(set(prints)))
+
     async def test_silent_holder_gets_a_release(self) -> None:
         target = await self.start_target(fakes.answer_always(OK))
         self.keeper.verdict = errors.FulmarseamError(
