Let suspects wait apart from the queue of their pool

After a target was killed under 100 requests/s, 305 of 438 requests were refused with queue_full although the other target was free. All requests were alike, so all were suspects, and those in the queue kept avoiding the free target. A suspect at the head also held up all others.

Suspects and retries now look for a slot apart from the queue, one copy of a suspect runs at a time, and what is occupied is looked up anew each time.

--- a/fulmarseam/entry/_judging.py
+++ b/fulmarseam/entry/_judging.py
@@ -147,14 +147,3 @@
         errors.ErrorKind.QUARANTINED,
         'two targets failed while they ran this request',
     )
-
-
-def make_suspect_refusal() -> FailedAttempt:
-    """Return the result of a suspect that must not run on its target."""
-    return FailedAttempt(
-        errors.FulmarseamError(
-            errors.ErrorKind.NO_CAPACITY,
-            'another suspect runs on the target',
-        ),
-        may_repeat=True,
-    )
--- a/fulmarseam/entry/_pools.py
+++ b/fulmarseam/entry/_pools.py
@@ -37,7 +37,6 @@
     """
 
     notify: Callable[[], None]
-    avoided: frozenset[ids.TargetId]
     placement: Placement | None = None
     refusal: errors.ErrorKind | None = None
 
@@ -53,6 +52,7 @@
         )
         self.budget = steering.RetryBudget(pool.retry_ratio)
         self.in_flight = 0
+        self.apart = 0
         self.arrivals = 0
         self.arrivals_per_s = 0.0
         self.reported_wanted = 0
@@ -67,7 +67,7 @@
     @property
     def wanted(self) -> int:
         """Return the slots wanted now."""
-        return self.in_flight + len(self.queue)
+        return self.in_flight + len(self.queue) + self.apart
 
     def update(self, pool: wire.Pool, place: steering.Place) -> None:
         """Take a changed row of the pool."""
@@ -170,7 +170,7 @@
             ticket.item.refusal = errors.ErrorKind.DEADLINE_UNREACHABLE
             ticket.item.notify()
         while (first := pool.queue.peek()) is not None:
-            placement = self._place_now(now, pool, first.item.avoided)
+            placement = self.try_place(now, pool)
             if placement is None:
                 return
             pool.queue.pop()
@@ -196,7 +196,7 @@
         a request that stops to wait goes to `cancel`.
         """
         if not len(pool.queue):
-            waiter.placement = self._place_now(now, pool, waiter.avoided)
+            waiter.placement = self.try_place(now, pool)
             if waiter.placement is not None:
                 return None
         admission = pool.queue.push(
@@ -220,12 +220,13 @@
             self.release(now, ticket.item.placement, refund=True)
             ticket.item.placement = None
 
-    def _place_now(
+    def try_place(
         self,
         now: float,
         pool: PoolState,
-        avoided: Collection[ids.TargetId],
+        avoided: Collection[ids.TargetId] = (),
     ) -> Placement | None:
+        """Take a slot that is free now, if there is one."""
         shifts = self._state.shifts
         name = pool.pool.name
         blocked = shifts.blocked(name)
--- a/fulmarseam/entry/_proxying.py
+++ b/fulmarseam/entry/_proxying.py
@@ -17,6 +17,7 @@
 from fulmarseam.entry import _judging
 from fulmarseam.entry import _pacing
 from fulmarseam.entry import _peers
+from fulmarseam.entry import _placing
 from fulmarseam.entry import _pools
 from fulmarseam.entry import _requests
 from fulmarseam.entry import _state
@@ -53,6 +54,7 @@
         self._judge = _judging.Judge(
             services.pools, services.suspects, services.peers
         )
+        self._placer = _placing.Placer(services.pools, services.suspects)
         self._loop = asyncio.get_running_loop()
         self._counts: dict[tuple[str, str], int] = {}
         self._retired_callers: set[tuple[str, str]] = set()
@@ -168,7 +170,6 @@
                 job.traceparent = span.traceparent()
                 if not job.caller.body_done:
                     await job.read_prefix()
-                self._refuse_quarantined(job)
                 claim = self._services.claims.prepare(job)
                 try:
                     await self._run_claimed(job, claim)
@@ -178,14 +179,6 @@
         finally:
             timer.cancel()
 
-    def _refuse_quarantined(self, job: _requests.Job) -> None:
-        suspects = self._services.suspects
-        if not suspects.may_exist():
-            return
-        state = suspects.table.state(self._loop.time(), job.fingerprint())
-        if state is steering.SuspectState.QUARANTINED:
-            raise _judging.make_quarantine_error()
-
     async def _run_claimed(
         self, job: _requests.Job, claim: _claims.Claim | None
     ) -> None:
@@ -196,7 +189,7 @@
         is_guarded = job.route.idempotent or claim is not None
         attempts = MAX_ATTEMPTS if is_guarded else 1
         for left in range(attempts - 1, -1, -1):
-            placement = await self._place(job, pool, avoided)
+            placement = await self._placer.place(job, pool, avoided)
             failed = await self._attempt(job, placement, claim)
             if failed is None:
                 return
@@ -217,36 +210,6 @@
             for row in self._state.targets.ready()
         )
 
-    async def _place(
-        self,
-        job: _requests.Job,
-        pool: _pools.PoolState,
-        avoided: frozenset[ids.TargetId],
-    ) -> _pools.Placement:
-        """Wait for a slot; the pool's queue decides who is next."""
-        signal = job.caller.signal
-        assert signal is not None
-        suspects = self._services.suspects
-        if suspects.may_exist():
-            avoided |= suspects.table.occupied()
-        waiter = _pools.Waiter(signal.notify, avoided)
-        ticket = self._pools.start(
-            self._loop.time(), pool, waiter, job.route.priority, job.deadline
-        )
-        try:
-            while waiter.placement is None and waiter.refusal is None:
-                await job.wait()
-        except BaseException:
-            if ticket is not None:
-                self._pools.cancel(self._loop.time(), pool, ticket)
-            raise
-        if waiter.placement is None:
-            assert waiter.refusal is not None
-            raise errors.FulmarseamError(
-                waiter.refusal, f'no slot of pool {pool.pool.name} in time'
-            )
-        return waiter.placement
-
     async def _attempt(
         self,
         job: _requests.Job,
@@ -254,31 +217,18 @@
         claim: _claims.Claim | None,
     ) -> _judging.FailedAttempt | None:
         """Use a placement; None when the caller has its answer."""
-        target = placement.choice.target
         attempt = None
-        is_checked = False
         try:
             if claim is not None and not claim.held:
                 if not await claim.acquire():
                     return None
-            is_checked = self._services.suspects.may_exist()
-            if is_checked and not self._start_suspect(job, target):
-                return _judging.make_suspect_refusal()
             attempt = self._make_attempt(job, placement)
             return await self._forward(job, placement, attempt, claim)
         finally:
-            if is_checked:
-                table = self._services.suspects.table
-                table.finish(job.fingerprint(), target)
-            unsent = attempt is None or (
-                attempt.progress is http.Progress.NOT_SENT
+            sent = attempt is not None and (
+                attempt.progress is not http.Progress.NOT_SENT
             )
-            self._pools.release(self._loop.time(), placement, refund=unsent)
-
-    def _start_suspect(self, job: _requests.Job, target: ids.TargetId) -> bool:
-        return self._services.suspects.table.start(
-            self._loop.time(), job.fingerprint(), target
-        )
+            self._placer.end(job, placement, sent)
 
     async def _forward(
         self,
--- a/fulmarseam/entry/_requests.py
+++ b/fulmarseam/entry/_requests.py
@@ -41,6 +41,7 @@
         'request',
         'request_id',
         'route',
+        'runs_as_suspect',
         'traceparent',
         '_fingerprint',
     )
@@ -61,6 +62,7 @@
         self.kept_bytes = 0
         self.prefix = b''
         self.replayable = True
+        self.runs_as_suspect = False
         self._fingerprint: str | None = None
 
     def keep(self, piece: bytes) -> None:
--- a/fulmarseam/entry/_suspects.py
+++ b/fulmarseam/entry/_suspects.py
@@ -23,6 +23,7 @@
         self.table = steering.SuspectTable()
         self._clock = asyncio.get_running_loop().time
         self._last_strike_at: float | None = None
+        self._running: set[str] = set()
 
     def may_exist(self) -> bool:
         """Return whether any request may be a suspect."""
@@ -47,6 +48,23 @@
         )
         return state
 
+    def is_running(self, fingerprint: str) -> bool:
+        """Return whether this suspect runs on a target already.
+
+        Two copies could break two more targets at once.
+        """
+        return fingerprint in self._running
+
+    def start(self, fingerprint: str, target: ids.TargetId) -> None:
+        """Start a suspect on a target that runs no other."""
+        self.table.start(self._clock(), fingerprint, target)
+        self._running.add(fingerprint)
+
+    def finish(self, fingerprint: str, target: ids.TargetId) -> None:
+        """End a suspect that `start` began."""
+        self.table.finish(fingerprint, target)
+        self._running.discard(fingerprint)
+
     def take_notice(self, notice: wire.StrikeNotice) -> None:
         """Take a strike of a peer, or the end of its strikes."""
         if notice.cleared:
--- a/tests/test_entry_repeats.py
+++ b/tests/test_entry_repeats.py
@@ -212,6 +212,64 @@
         other = await self.call('/other')
         self.assertEqual(200, other.status)
 
+    async def test_lost_target_does_not_hold_up_the_others(self) -> None:
+        """All requests are alike and become suspects with the target."""
+        gate = asyncio.Event()
+
+        async def fail(
+            target: fakes.FakeTarget,
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            await fakes.read_request(target, reader, bytearray())
+            await gate.wait()
+
+        await self.start_target(fail, 't1', slots=2)
+        waiting = [asyncio.create_task(self.call('/same')) for _ in range(2)]
+        await self.wait_until(
+            lambda: self.entry.state.book.total_in_flight() == 2
+        )
+        # More requests wait in the queue when the target is lost.
+        waiting += [asyncio.create_task(self.call('/same')) for _ in range(9)]
+        await self.wait_until(lambda: self.entry.callers.busy == 11)
+        self.leader.slots['t1'] = 0
+        await self.start_target(crash, 't2', slots=2)
+        gate.set()
+        async with asyncio.timeout(2.0):
+            answers = await asyncio.gather(*waiting)
+        served = [answer for answer in answers if answer.status == 200]
+        self.assertGreaterEqual(len(served), 9)
+        self.assertEqual([], self.entry.suspects.list_rows())
+
+    async def test_waiting_suspect_does_not_hold_up_others(self) -> None:
+        gate = asyncio.Event()
+
+        async def serve(
+            target: fakes.FakeTarget,
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            while True:
+                request = await fakes.read_request(target, reader, bytearray())
+                if b'/held' in request:
+                    await gate.wait()
+                writer.write(OK)
+
+        await self.start_target(serve, slots=3)
+        held_print = entry_case.compute_fingerprint('GET', 'a', '/held')
+        self.entry.suspects.take_notice(
+            wire.StrikeNotice(fingerprint=held_print, target='t9')
+        )
+        held = [asyncio.create_task(self.call('/held')) for _ in range(2)]
+        await self.wait_until(lambda: self.entry.callers.busy == 2)
+        await asyncio.sleep(0.05)
+        self.assertEqual(1, self.entry.state.book.total_in_flight())
+        answer = await self.call('/other')
+        self.assertEqual(200, answer.status)
+        gate.set()
+        answers = await asyncio.gather(*held)
+        self.assertEqual([200, 200], [answer.status for answer in answers])
+
     async def test_crash_request_is_known_under_another_address(
         self,
     ) -> None:
