--- a/fulmarseam/entry/_reports.py
+++ b/fulmarseam/entry/_reports.py
@@ -92,6 +92,7 @@
             announcements=reports,
             announcement_ages_ms=ages,
             wait_ms=wait_ms,
+            entries_version=state.entry_rows.version,
             record_copies=self._list_copies(),
         )
 
--- a/fulmarseam/entry/_state.py
+++ b/fulmarseam/entry/_state.py
@@ -12,10 +12,6 @@
 from fulmarseam import telemetry
 from fulmarseam import wire
 
-# A new leader knows an entry only once it has synced with it. Until then the
-# rows of the former leader stay, so that look-ups do not shrink.
-ENTRIES_KEPT_S = 3.0
-
 _log = logbook.Logger('entry')
 
 
@@ -32,7 +28,7 @@
         )
         self.tables = store.Tables()
         self.targets = membership.TargetMirror()
-        self.entries: dict[ids.EntryId, wire.EntryRow] = {}
+        self.entry_rows = membership.EntryMirror()
         self.book = steering.SlotBook(options.clock_drift)
         self.links = steering.LinkTokens(drift=options.clock_drift)
         self.shifts = steering.ShiftBook(options.region)
@@ -43,7 +39,11 @@
         self.draining_entries: dict[ids.EntryId, int] = {}
         self.on_change: Callable[[], None] = _ignore
         self._confirmed_at: float | None = None
-        self._entries_kept_until = 0.0
+
+    @property
+    def entries(self) -> dict[ids.EntryId, wire.EntryRow]:
+        """Return the rows of the entries by their ids."""
+        return self.entry_rows.rows
 
     def is_current(self, now: float) -> bool:
         """Return whether new work may start under the configuration."""
@@ -66,12 +66,11 @@
         """
         if response.term < self.term:
             return False
-        if response.term > self.term:
-            self._entries_kept_until = now + ENTRIES_KEPT_S
         self.term = response.term
         self._apply_tables(response)
         self._apply_targets(now, response)
-        self._apply_entries(now, response.entries)
+        if self.entry_rows.apply(now, response):
+            self._forget_finished_drains()
         self.book.apply(now, sent_at, response)
         self.links.apply(now, sent_at, response)
         confirmed = sent_at - response.leadership_age_ms / 1_000
@@ -82,7 +81,10 @@
 
     def _apply_tables(self, response: wire.SyncResponse) -> None:
         changed = self.tables.apply_changes(
-            response.revision, response.changes, response.full
+            response.revision,
+            response.changes,
+            response.full,
+            response.blocks,
         )
         if not changed:
             return
@@ -94,13 +96,6 @@
             )
         )
 
-    def _apply_entries(self, now: float, rows: list[wire.EntryRow]) -> None:
-        if not rows:
-            return
-        known = self.entries if now < self._entries_kept_until else {}
-        self.entries = {**known, **{row.info.entry: row for row in rows}}
-        self._forget_finished_drains()
-
     def _apply_targets(self, now: float, response: wire.SyncResponse) -> None:
         known = self.targets_term, self.targets_version
         news = response.term, response.targets_version
