--- a/tests/test_entry_repeats.py
+++ b/tests/test_entry_repeats.py
@@ -212,6 +212,78 @@
         other = await self.call('/other')
         self.assertEqual(200, other.status)
 
+    async def test_lost_target_does_not_hold_up_the_others(self) -> None:
+        """All requests are alike and become suspects with the target."""
+        gate = asyncio.Event()
+
+        async def fail(
+            target: fakes.FakeTarget,
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            await fakes.read_request(target, reader, bytearray())
+            await gate.wait()
+
+        await self.start_target(fail, 't1', slots=2)
+        waiting = [asyncio.create_task(self.call('/same')) for _ in range(2)]
+        await self.wait_until(
+            lambda: self.entry.state.book.total_in_flight() == 2
+        )
+        # More requests wait in the queue when the target is lost.
+        waiting += [asyncio.create_task(self.call('/same')) for _ in range(9)]
+        await self.wait_until(lambda: self.entry.callers.busy == 11)
+        self.leader.slots['t1'] = 0
+        await self.start_target(crash, 't2', slots=2)
+        gate.set()
+        async with asyncio.timeout(2.0):
+            answers = await asyncio.gather(*waiting)
+        served = [answer for answer in answers if answer.status == 200]
+        self.assertGreaterEqual(len(served), 9)
+        self.assertEqual([], self.entry.suspects.list_rows())
+
+    async def test_waiting_suspect_does_not_hold_up_others(self) -> None:
+        gate = asyncio.Event()
+
+        async def serve(
+            target: fakes.FakeTarget,
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            while True:
+                request = await fakes.read_request(target, reader, bytearray())
+                if b'/held' in request:
+                    await gate.wait()
+                writer.write(OK)
+
+        await self.start_target(serve, slots=3)
+        held_print = entry_case.compute_fingerprint('GET', 'a', '/held')
+        self.entry.suspects.take_notice(
+            wire.StrikeNotice(fingerprint=held_print, target='t9')
+        )
+        held = [asyncio.create_task(self.call('/held')) for _ in range(2)]
+        await self.wait_until(lambda: self.entry.callers.busy == 2)
+        await asyncio.sleep(0.05)
+        self.assertEqual(1, self.entry.state.book.total_in_flight())
+        answer = await self.call('/other')
+        self.assertEqual(200, answer.status)
+        gate.set()
+        answers = await asyncio.gather(*held)
+        self.assertEqual([200, 200], [answer.status for answer in answers])
+
+    async def test_crash_request_is_known_under_another_address(
+        self,
+    ) -> None:
+        for number in range(3):
+            await self.start_target(crash, f't{number}')
+        for host in (b'10.0.0.1', b'10.0.0.2:80'):
+            answer = await self.exchange(
+                b'GET /crash HTTP/1.1\r\nConnection: close\r\nHost: '
+                + host
+                + b'\r\n\r\n'
+            )
+        self.assertEqual('quarantined', answer.kind)
+        self.assertEqual(1, len(self.entry.suspects.list_rows()))
+
     async def test_strike_of_a_peer_counts(self) -> None:
         targets = [
             await self.start_target(crash, f't{number}') for number in range(3)
@@ -238,11 +310,13 @@
             wire.RecordVerdict(verdict=wire.Verdict.FRESH)
         )
         self.calls: list[tuple[str, object]] = []
+        self.prints: list[str] = []
 
     async def claim(
         self, key: str, fingerprint: str, attempt: str, timeout_s: float
     ) -> wire.RecordVerdict:
         self.calls.append(('claim', key))
+        self.prints.append(fingerprint)
         if isinstance(self.verdict, errors.FulmarseamError):
             raise self.verdict
         return self.verdict
@@ -333,6 +407,30 @@
         self.assertEqual(b'', target.received_bytes)
         self.assertEqual({'claim'}, {name for name, _ in self.keeper.calls})
 
+    async def test_repeat_through_another_address_is_the_same(self) -> None:
+        """A caller that uses addresses names another host each time."""
+        await self.start_target(fakes.answer_always(OK))
+        cases = [
+            (b'10.0.0.1:8000', b'abc'),
+            (b'10.0.0.2:8000', b'abc'),
+            (b'[::1]:80', b'abc'),
+            (b'10.0.0.1:8000', b'abd'),
+            (b'name:80', b'abc'),
+        ]
+        for host, body in cases:
+            await self.exchange(
+                b'POST /x HTTP/1.1\r\nConnection: close\r\nHost: '
+                + host
+                + b'\r\n'
+                + KEY.encode()
+                + b'Content-Length: 3\r\n\r\n'
+                + body
+            )
+        prints = self.keeper.prints
+        self.assertEqual(5, len(prints))
+        self.assertEqual(1, len(set(prints[:3])))
+        self.assertEqual(3, len(set(prints)))
+
     async def test_silent_holder_gets_a_release(self) -> None:
         target = await self.start_target(fakes.answer_always(OK))
         self.keeper.verdict = errors.FulmarseamError(
