--- a/fulmarseam/consensus/_core_leader.py
+++ b/fulmarseam/consensus/_core_leader.py
@@ -156,9 +156,7 @@
     )
 
 
-def _needs_snapshot(
-    state: _core_state.State, peer: _core_state.Peer
-) -> bool:
+def _needs_snapshot(state: _core_state.State, peer: _core_state.Peer) -> bool:
     return state.log.term_at(peer.next_index - 1) is None
 
 
