Bound leases by the time a sync request was under way

An entry now tells how long ago it applied the answer that it acknowledges, from which the leader knows the earliest moment of sending. Limits move to a module of their own.

Nothing measured.

--- a/fulmarseam/control/_leadership.py
+++ b/fulmarseam/control/_leadership.py
@@ -85,9 +85,10 @@
         if not self.entries.record(now, request):
             return False
         ages = request.announcement_ages_ms
+        travel_s = self.allocator.find_request_age(now, request)
         for index, report in enumerate(request.announcements):
             age_ms = ages[index] if index < len(ages) else 0
-            if self.targets.record(now, report, age_ms):
+            if self.targets.record(now - travel_s, report, age_ms):
                 self.places[report.target] = Place(
                     report.failure_domain, report.region
                 )
--- a/fulmarseam/entry/_reports.py
+++ b/fulmarseam/entry/_reports.py
@@ -83,6 +83,7 @@
             targets_version=state.targets_version,
             ack_term=state.book.ack_term,
             ack_sequence=state.book.ack_sequence,
+            ack_age_ms=state.book.ack_age_ms(now),
             uses=state.book.uses(now),
             demand=self._list_demand(),
             links=state.links.demand(now, self._find_link_demand()),
--- a/fulmarseam/steering/_allocator.py
+++ b/fulmarseam/steering/_allocator.py
@@ -11,7 +11,9 @@
 from fulmarseam import wire
 from fulmarseam.steering import _demand
 from fulmarseam.steering import _ledger
+from fulmarseam.steering import _limits
 from fulmarseam.steering import _plan
+from fulmarseam.steering import _send_times
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,14 +71,15 @@
         former: Collection[_ledger.HolderKey] | None = None,
     ) -> None:
         self.term = term
-        self._unheard = None if former is None else set(former)
         self._options = options or AllocatorOptions()
         self._sequence = 0
-        lifetime_s = self._options.grant_ttl_s * (1.0 + self._options.drift)
-        self._window_end = now + lifetime_s
         self._ledger = _ledger.Ledger(
             term, self._options.grant_ttl_s, self._options.drift
         )
+        self._limits = _limits.Limits(
+            self._ledger, now + self._ledger.lifetime_s, former
+        )
+        self._send_times = _send_times.SendTimes(term, self._options.drift)
         self._targets: dict[ids.TargetId, membership.Target] = {}
         self._closed: set[ids.TargetId] = set()
         self._links: dict[str, int] = {}
@@ -89,13 +92,8 @@
         or of an older incarnation change nothing.
         """
         holder = self._ledger.report(now, request)
-        if holder is None or self._unheard is None:
-            return
-        # An answer of the former leader may still be on its way to an
-        # entry. The entry refuses it once it has applied grants of this
-        # term.
-        if holder.confirmed:
-            self._unheard.discard(_key_of(holder))
+        if holder is not None and holder.confirmed:
+            self._limits.confirm(_key_of(holder))
 
     def allocate(
         self,
@@ -156,12 +154,15 @@
         nothing.
         """
         self._sequence += 1
+        self._send_times.note_answer(now, self._sequence)
         holder = self._ledger.holders.get((entry, incarnation))
         if holder is None:
             return Grants(self._sequence, [], [])
         slots = self._list_grants(now, holder)
         links = {
-            name: min(rate, self._link_limit(now, holder, name))
+            name: min(
+                rate, self._limits.link(now, holder, name, self._links[name])
+            )
             for name, rate in holder.links_planned.items()
         }
         amounts = {
@@ -204,13 +205,21 @@
             if planned > _slots_in(issued, target)
         )
 
+    def find_request_age(self, now: float, request: wire.SyncRequest) -> float:
+        """Return the most seconds that a request can have been under way.
+
+        Leases of the targets that it announces start that much earlier: a
+        request held up in the network must not extend them.
+        """
+        return self._send_times.find_age(now, request)
+
     def may_hold(
         self, now: float, entry: ids.EntryId, incarnation: int
     ) -> bool:
         """Return whether an incarnation may hold grants or run requests."""
         if (entry, incarnation) in self._ledger.holders:
             return True
-        return now < self._window_end + self._ledger.longest_deadline()
+        return self._limits.may_hold_unheard(now)
 
     def charged_slots(self, target: ids.TargetId) -> int:
         """Return the sum of the slots charged on a target."""
@@ -264,7 +273,7 @@
             self._make_grant(now, holder, target, planned)
             for target, planned in holder.planned.items()
         ]
-        if self._is_renewing(now):
+        if self._limits.is_renewing(now):
             grants += [
                 wire.SlotGrant(
                     target=use.target,
@@ -288,7 +297,7 @@
         slots = min(planned, self._slot_limit(now, holder, target))
         connections = min(
             _demand.wanted_connections(row.report, slots),
-            self._connection_limit(now, holder, target),
+            self._limits.connections(now, holder, row.report),
         )
         slots = max(0, min(slots, connections))
         lease_ms = int((row.lease_until - now) * 1_000)
@@ -304,65 +313,8 @@
     def _slot_limit(
         self, now: float, holder: _ledger.Holder, target: ids.TargetId
     ) -> int:
-        """Return the slots that the holder may have at most now."""
-        total = self._targets[target].report.slots
-        own = holder.charges.get(target, _ledger.NOTHING).slots
-        others = self._ledger.slots[target] - own
-        if self._is_renewing(now):
-            use = holder.uses.get(target)
-            return min(total - others, 0 if use is None else use.allowance)
-        confirmed = self._ledger.confirmed.get(target, _ledger.NOTHING)
-        held_back = self._held_back(
-            now, self._ledger.deadline_of(target), total - confirmed.slots
-        )
-        return total - others - held_back
-
-    def _connection_limit(
-        self, now: float, holder: _ledger.Holder, target: ids.TargetId
-    ) -> int:
-        total = self._targets[target].report.connections
-        own = holder.charges.get(target, _ledger.NOTHING).connections
-        others = self._ledger.connections[target] - own
-        if self._is_renewing(now):
-            use = holder.uses.get(target)
-            return min(total - others, 0 if use is None else use.connections)
-        confirmed = self._ledger.confirmed.get(target, _ledger.NOTHING)
-        held_back = self._held_back(
-            now,
-            self._ledger.deadline_of(target),
-            total - confirmed.connections,
-        )
-        return total - others - held_back
-
-    def _link_limit(
-        self, now: float, holder: _ledger.Holder, name: str
-    ) -> int:
-        total = self._links[name]
-        others = self._ledger.links[name] - holder.link_charges.get(name, 0)
-        if self._is_renewing(now):
-            held = holder.links_held.get(name, 0)
-            return max(0, min(total - others, held))
-        held_back = self._held_back(
-            now,
-            self._ledger.longest_deadline(),
-            total - self._ledger.confirmed_links[name],
-        )
-        return max(0, total - others - held_back)
-
-    def _is_renewing(self, now: float) -> bool:
-        """Return whether entries not heard may hold unexpired grants."""
-        return now < self._window_end and not self._has_heard_all()
-
-    def _has_heard_all(self) -> bool:
-        return self._unheard is not None and not self._unheard
-
-    def _held_back(
-        self, now: float, deadline_s: float, unconfirmed: int
-    ) -> int:
-        """Return what entries that were never heard may still use."""
-        if self._has_heard_all() or now >= self._window_end + deadline_s:
-            return 0
-        return max(0, unconfirmed)
+        report = self._targets[target].report
+        return self._limits.slots(now, holder, report)
 
     def _find_contested(
         self, live: Iterable[_ledger.Holder]
--- a/fulmarseam/steering/_ledger.py
+++ b/fulmarseam/steering/_ledger.py
@@ -79,7 +79,8 @@
     A holder is charged with the highest of what it reported to hold or to
     have in flight and of every issue that it has not acknowledged. The
     charge of a silent holder ends when its grants have expired and the
-    pool's longest deadline has passed after that.
+    pool's longest deadline has passed after that. `lifetime_s` is the time
+    after which a grant has ended by every clock in bounds.
     """
 
     def __init__(self, term: int, ttl_s: float, drift: float) -> None:
@@ -93,7 +94,7 @@
         self.confirmed: dict[ids.TargetId, Amount] = {}
         self.confirmed_links: collections.Counter[str] = collections.Counter()
         self._term = term
-        self._lifetime_s = ttl_s * (1.0 + drift)
+        self.lifetime_s = ttl_s * (1.0 + drift)
         self._drift = drift
         self._newest: dict[ids.EntryId, int] = {}
         self._deadlines: dict[ids.PoolName, float] = {}
@@ -137,7 +138,7 @@
         key = info.entry, info.incarnation
         holder = self.holders.get(key)
         if holder is None:
-            holder = Holder(info, now, now + self._lifetime_s)
+            holder = Holder(info, now, now + self.lifetime_s)
             self.holders[key] = holder
         order = request.ack_term, request.ack_sequence
         if order < holder.order or request.ack_term > self._term:
@@ -145,7 +146,7 @@
         self._take_demand(now, holder, request)
         holder.info = info
         holder.heard_at = now
-        holder.expires_at = max(holder.expires_at, now + self._lifetime_s)
+        holder.expires_at = max(holder.expires_at, now + self.lifetime_s)
         holder.draining = request.draining
         advanced = order > holder.order
         holder.order = order
@@ -162,7 +163,7 @@
     def issue(self, now: float, holder: Holder, issue: Issue) -> None:
         """Charge a holder for grants that are sent now."""
         issue.waits_since = now
-        issue.expires_at = now + self._lifetime_s
+        issue.expires_at = now + self.lifetime_s
         holder.expires_at = max(holder.expires_at, issue.expires_at)
         holder.issued = issue
         last = holder.issues[-1] if holder.issues else None
@@ -207,14 +208,14 @@
             holder
             for (entry, incarnation), holder in self.holders.items()
             if incarnation == self._newest[entry]
-            and holder.heard_at + self._lifetime_s > now
+            and holder.heard_at + self.lifetime_s > now
             and not self._is_deaf(now, holder)
         ]
 
     def _is_deaf(self, now: float, holder: Holder) -> bool:
         if not holder.issues:
             return False
-        return holder.issues[0].waits_since + self._lifetime_s <= now
+        return holder.issues[0].waits_since + self.lifetime_s <= now
 
     def _acknowledge(self, holder: Holder, sequence: int) -> None:
         holder.issues = [
--- a/fulmarseam/steering/_slots.py
+++ b/fulmarseam/steering/_slots.py
@@ -61,6 +61,12 @@
             self._renew(sent_at, ttl_s, grant)
         return True
 
+    def ack_age_ms(self, now: float) -> int:
+        """Return the milliseconds since the last grants were applied."""
+        if not self.ack_sequence:
+            return 0
+        return int((now - self._applied_at) * 1_000)
+
     def take(self, now: float, target: ids.TargetId) -> bool:
         """Start a request on the target if a slot is free.
 
--- a/fulmarseam/wire/_sync.py
+++ b/fulmarseam/wire/_sync.py
@@ -144,11 +144,12 @@
 ):
     """An entry's report to the leader and its request for news.
 
-    `ack_term` and `ack_sequence` name the last grants applied. The answer
-    may be held back for `wait_ms` when there is no news. `record_copies`
-    names the record groups of which the entry holds a full copy.
-    `entries_version` is that of the entry rows it has, in the term
-    `targets_term`; 0 asks for the rows.
+    `ack_term` and `ack_sequence` name the last grants applied, and
+    `ack_age_ms` tells how long ago that was. The answer may be held back
+    for `wait_ms` when there is no news. `record_copies` names the record
+    groups of which the entry holds a full copy. `entries_version` is that
+    of the entry rows it has, in the term `targets_term`; 0 asks for the
+    rows.
     """
 
     info: EntryInfo
@@ -165,6 +166,7 @@
     announcement_ages_ms: list[int]
     wait_ms: int
     record_copies: list[RecordCopy] = []
+    ack_age_ms: int | None = None
     entries_version: int = 0
 
 
--- a/tests/test_allocator.py
+++ b/tests/test_allocator.py
@@ -101,6 +101,7 @@
             targets_version=0,
             ack_term=book.ack_term,
             ack_sequence=book.ack_sequence,
+            ack_age_ms=book.ack_age_ms(self.now),
             uses=book.uses(self.now),
             demand=[wire.PoolDemand(pool='p', wanted=self.wanted[name])],
             links=[],
@@ -296,6 +297,36 @@
         self.assertEqual(3, cluster.total('e1'))
 
 
+class RequestAgeTest(unittest.TestCase):
+    """Guards against late requests that extend the leases of targets."""
+
+    def setUp(self) -> None:
+        self.cluster = build_pair()
+        self.cluster.sync('e0')
+
+    def find_age(self, seconds: float, request: wire.SyncRequest) -> float:
+        now = self.cluster.now + seconds
+        return self.cluster.leader.find_request_age(now, request)
+
+    def test_delay_on_the_way_counts(self) -> None:
+        self.cluster.now += 0.4
+        request = self.cluster.request('e0')
+        self.assertAlmostEqual(0.004, self.find_age(0.0, request), 3)
+        self.assertAlmostEqual(5.004, self.find_age(5.0, request), 3)
+
+    def test_unknown_answer_counts_as_half_a_lease(self) -> None:
+        request = self.cluster.request('e0')
+        self.assertEqual(1.5, self.find_age(0.0, self.cluster.request('e1')))
+        self.cluster.start_leader(2)
+        self.assertEqual(1.5, self.find_age(0.0, request))
+
+    def test_old_answers_are_forgotten(self) -> None:
+        request = self.cluster.request('e0')
+        self.cluster.now += 10.1
+        self.cluster.sync('e1')
+        self.assertEqual(1.5, self.find_age(0.0, request))
+
+
 class SlotBookTest(unittest.TestCase):
     """Guards against use of grants after their end."""
 
