--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -404,8 +404,11 @@
 
     async def test_only_the_primary_of_the_row_answers(self) -> None:
         await self.refuse('e1', make_claim())
+        await self.holders['e0'].handle(make_claim())
+        await self.holders['e0'].handle(make_finish())
         self.change_group(generation=6, primary_incarnation=2)
-        await self.refuse('e0', make_claim())
+        # The stored answer would need no call of the backup.
+        await self.refuse('e0', make_claim('b'))
 
     async def test_row_that_is_not_in_force_yet_is_waited_for(self) -> None:
         self.group = make_group(generation=6)
