--- a/fulmarseam/entry/_state.py
+++ b/fulmarseam/entry/_state.py
@@ -28,7 +28,7 @@
         )
         self.tables = store.Tables()
         self.targets = membership.TargetMirror()
-        self.entries: dict[ids.EntryId, wire.EntryRow] = {}
+        self.entry_rows = membership.EntryMirror()
         self.book = steering.SlotBook(options.clock_drift)
         self.links = steering.LinkTokens(drift=options.clock_drift)
         self.shifts = steering.ShiftBook(options.region)
@@ -36,12 +36,15 @@
         self.term = 0
         self.targets_term = 0
         self.targets_version = 0
-        self.entries_version = 0
-        self._entries_term = 0
         self.draining_entries: dict[ids.EntryId, int] = {}
         self.on_change: Callable[[], None] = _ignore
         self._confirmed_at: float | None = None
 
+    @property
+    def entries(self) -> dict[ids.EntryId, wire.EntryRow]:
+        """Return the rows of the entries by their ids."""
+        return self.entry_rows.rows
+
     def is_current(self, now: float) -> bool:
         """Return whether new work may start under the configuration."""
         confirmed = self._confirmed_at
@@ -66,7 +69,8 @@
         self.term = response.term
         self._apply_tables(response)
         self._apply_targets(now, response)
-        self._apply_entries(response)
+        if self.entry_rows.apply(now, response):
+            self._forget_finished_drains()
         self.book.apply(now, sent_at, response)
         self.links.apply(now, sent_at, response)
         confirmed = sent_at - response.leadership_age_ms / 1_000
@@ -105,15 +109,6 @@
             self.targets.apply(now, response)
         self.targets_term, self.targets_version = news
 
-    def _apply_entries(self, response: wire.SyncResponse) -> None:
-        known = self._entries_term, self.entries_version
-        news = response.term, response.entries_version
-        if not response.entries or news < known:
-            return
-        self._entries_term, self.entries_version = news
-        self.entries = {row.info.entry: row for row in response.entries}
-        self._forget_finished_drains()
-
     def _forget_finished_drains(self) -> None:
         for entry, incarnation in list(self.draining_entries.items()):
             row = self.entries.get(entry)
@@ -124,6 +119,12 @@
         """Note that an entry announced its shutdown by itself."""
         self.draining_entries[entry] = incarnation
 
+    def find_record_group(
+        self, region: ids.RegionName
+    ) -> wire.RecordGroup | None:
+        """Return the row of the holders of a region's records."""
+        return self.tables.get(wire.RecordGroup, region)
+
     def drained_entries(self) -> set[ids.EntryId]:
         """Return the entries that look-ups must leave out."""
         drained = set(self.draining_entries)
--- a/fulmarseam/membership/_entries.py
+++ b/fulmarseam/membership/_entries.py
@@ -1,6 +1,7 @@
 """The leader's table of entries."""
 
 import dataclasses
+from typing import NamedTuple
 
 from fulmarseam import ids
 from fulmarseam import wire
@@ -16,6 +17,18 @@
     draining: bool
     alive: bool
     heard_at: float
+    version: int
+
+
+class EntryNews(NamedTuple):
+    """The rows that bring a reader to `version`.
+
+    With `full` they replace all rows of the reader.
+    """
+
+    version: int
+    full: bool
+    rows: list[wire.EntryRow]
 
 
 class EntryTable:
@@ -27,6 +40,7 @@
 
     def __init__(self, now: float, lease_s: float = ENTRY_LEASE_S) -> None:
         self.version = 0
+        self._complete_since = 0
         self._started = now
         self._lease_s = lease_s
         self._entries: dict[ids.EntryId, _Entry] = {}
@@ -36,10 +50,10 @@
         info = request.info
         known = self._entries.get(info.entry)
         if known is None:
+            self.version += 1
             self._entries[info.entry] = _Entry(
-                info, request.draining, True, now
+                info, request.draining, True, now, self.version
             )
-            self.version += 1
             return True
         if info.incarnation < known.info.incarnation:
             return False
@@ -52,7 +66,8 @@
         known.draining = request.draining
         known.alive = True
         known.heard_at = now
-        self.version += changed
+        if changed:
+            self._mark(known)
         return True
 
     def expire(self, now: float) -> list[ids.EntryId]:
@@ -64,30 +79,38 @@
         ]
         for entry in ended:
             self._entries[entry].alive = False
-            self.version += 1
+            self._mark(self._entries[entry])
         for entry, row in list(self._entries.items()):
             if row.heard_at + DEAD_KEPT_S <= now:
                 del self._entries[entry]
                 self.version += 1
+                self._complete_since = self.version
         return ended
 
     def rows(self) -> list[wire.EntryRow]:
         """Return all entries, ordered by id."""
-        return [
-            wire.EntryRow(
-                info=row.info, draining=row.draining, alive=row.alive
-            )
-            for _, row in sorted(self._entries.items())
+        return [_to_row(row) for _, row in sorted(self._entries.items())]
+
+    def news_since(self, version: int) -> EntryNews:
+        """Return what a reader at `version` needs to be up to date.
+
+        Version 0 stands for a reader that has nothing, which also holds for
+        readers whose version belongs to the table of another leader.
+        """
+        full = version < self._complete_since or not (
+            0 < version <= self.version
+        )
+        rows = [
+            _to_row(row)
+            for row in self._entries.values()
+            if full or row.version > version
         ]
+        return EntryNews(self.version, full, rows)
 
     def get(self, entry: ids.EntryId) -> wire.EntryRow | None:
         """Return the row of an entry, or None when it is not known."""
         row = self._entries.get(entry)
-        if row is None:
-            return None
-        return wire.EntryRow(
-            info=row.info, draining=row.draining, alive=row.alive
-        )
+        return None if row is None else _to_row(row)
 
     def silent_for(self, now: float, entry: ids.EntryId) -> float:
         """Return the seconds since the entry was last heard.
@@ -97,3 +120,12 @@
         """
         row = self._entries.get(entry)
         return now - (self._started if row is None else row.heard_at)
+
+    def _mark(self, row: _Entry) -> None:
+        """Note that other entries must know of a change of the row."""
+        self.version += 1
+        row.version = self.version
+
+
+def _to_row(row: _Entry) -> wire.EntryRow:
+    return wire.EntryRow(info=row.info, draining=row.draining, alive=row.alive)
