Share slots out by present demand first

Slots kept for the fading maximum of demand starved an entry with a queue. Shares now follow what is wanted now, then what was wanted lately.

--- a/fulmarseam/steering/_allocator.py
+++ b/fulmarseam/steering/_allocator.py
@@ -3,7 +3,6 @@
 from collections.abc import Collection
 from collections.abc import Iterable
 import dataclasses
-import math
 from typing import NamedTuple
 
 from fulmarseam import ids
@@ -349,7 +348,7 @@
         return {
             pool
             for pool, wanted in holder.wanted.items()
-            if math.ceil(wanted) > have.get(pool, 0)
+            if wanted > have.get(pool, 0)
         }
 
     def _pool_of(self, target: ids.TargetId) -> ids.PoolName | None:
--- a/fulmarseam/steering/_demand.py
+++ b/fulmarseam/steering/_demand.py
@@ -123,9 +123,8 @@
         key=(info.entry, info.incarnation),
         region=info.region,
         domain=info.failure_domain,
-        wanted=max(
-            math.ceil(holder.wanted.get(pool.name, 0.0)), sum(busy.values())
-        ),
+        wanted=max(holder.wanted.get(pool.name, 0), sum(busy.values())),
+        recent=math.ceil(holder.recent.get(pool.name, 0.0)),
         draining=draining,
         held=held,
         busy=busy,
--- a/fulmarseam/steering/_ledger.py
+++ b/fulmarseam/steering/_ledger.py
@@ -46,6 +46,8 @@
 class Holder:
     """One incarnation of an entry: its last report and its charges.
 
+    `wanted` counts the slots wanted at the last report and `recent` is its
+    fading maximum.
     `order` is the (term, sequence) of the last acknowledged grants.
     `issues` are those issued after, of which it may hold any. `expires_at`
     is when everything it may hold has expired.
@@ -60,7 +62,8 @@
     uses: dict[ids.TargetId, wire.SlotUse] = dataclasses.field(
         default_factory=dict
     )
-    wanted: dict[ids.PoolName, float] = dataclasses.field(default_factory=dict)
+    wanted: dict[ids.PoolName, int] = dataclasses.field(default_factory=dict)
+    recent: dict[ids.PoolName, float] = dataclasses.field(default_factory=dict)
     links_held: dict[str, int] = dataclasses.field(default_factory=dict)
     links_wanted: dict[str, int] = dataclasses.field(default_factory=dict)
     issues: list[Issue] = dataclasses.field(default_factory=list)
@@ -226,16 +229,17 @@
         self, now: float, holder: Holder, request: wire.SyncRequest
     ) -> None:
         fade = 0.5 ** ((now - holder.heard_at) / DEMAND_HALF_LIFE_S)
-        wanted = {
+        recent = {
             pool: value * fade
-            for pool, value in holder.wanted.items()
+            for pool, value in holder.recent.items()
             if value * fade > 0.5
         }
-        for demand in request.demand:
-            wanted[demand.pool] = max(
-                float(demand.wanted), wanted.get(demand.pool, 0.0)
-            )
-        holder.wanted = wanted
+        holder.wanted = {
+            demand.pool: demand.wanted for demand in request.demand
+        }
+        for pool, wanted in holder.wanted.items():
+            recent[pool] = max(float(wanted), recent.get(pool, 0.0))
+        holder.recent = recent
         holder.links_wanted = {
             link.name: link.wanted for link in request.links
         }
--- a/fulmarseam/steering/_plan.py
+++ b/fulmarseam/steering/_plan.py
@@ -36,7 +36,8 @@
 class Claimant:
     """An entry that claims slots of the pool.
 
-    `busy` counts its requests in flight and `held` the slots it may use.
+    `wanted` counts the slots that it wants now and `recent` those that it
+    wanted lately. `busy` counts its requests in flight and `held` the slots it may use.
     `quota` is its part of the demand and `placed` what the plan gives it.
     `moves` is the region that a shift sends part of its requests to.
     """
@@ -45,6 +46,7 @@
     region: ids.RegionName
     domain: ids.DomainName
     wanted: int
+    recent: int
     draining: bool
     held: Mapping[ids.TargetId, int]
     busy: Mapping[ids.TargetId, int]
@@ -99,13 +101,21 @@
 
 
 def _set_quotas(claimants: Sequence[Claimant], total: int) -> None:
+    """Share out by what is wanted now, then by what was wanted lately.
+
+    Slots kept for recent demand would starve an entry with a queue.
+    """
+    held = [sum(claimant.held.values()) for claimant in claimants]
     shares = share_fairly(
-        [claimant.wanted for claimant in claimants],
-        [sum(claimant.held.values()) for claimant in claimants],
-        total,
+        [claimant.wanted for claimant in claimants], held, total
     )
-    for claimant, share in zip(claimants, shares, strict=True):
-        claimant.quota = share
+    lately = [
+        max(0, claimant.recent - share)
+        for claimant, share in zip(claimants, shares, strict=True)
+    ]
+    more = share_fairly(lately, held, total - sum(shares))
+    for claimant, share, extra in zip(claimants, shares, more, strict=True):
+        claimant.quota = share + extra
 
 
 def _group_by_region(
--- a/tests/test_allocator.py
+++ b/tests/test_allocator.py
@@ -381,6 +381,16 @@
         cluster.run(1.2)
         self.assertEqual(3, cluster.total('e1'))
 
+    def test_recent_demand_does_not_starve_a_queue(self) -> None:
+        cluster = build_pair()
+        cluster.wanted['e0'] = 3
+        cluster.settle()
+        cluster.wanted = {'e0': 0, 'e1': 3}
+        for name in ('e0', 'e1', 'e0', 'e0', 'e1'):
+            cluster.now += 0.01
+            cluster.sync(name)
+        self.assertEqual(3, cluster.total('e1'))
+
     def test_demand_decides_when_slots_are_few(self) -> None:
         places = {
             f'e{n}': (f'r{n % 3}', f'r{n % 3}{n // 3 % 2}') for n in range(7)
@@ -430,7 +440,7 @@
             _plan.Seat('t1', 'a', 'a1', 3),
         ]
         claimant = _plan.Claimant(
-            ('e0', 1), 'a', 'a1', wanted, True, held, busy
+            ('e0', 1), 'a', 'a1', wanted, wanted, True, held, busy
         )
         _plan.plan_pool([claimant], seats, lambda near, far: False)
         return claimant.plan
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -4,9 +4,11 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import errno
+import functools
 import os
 import pathlib
 import tempfile
+import threading
 import unittest
 from unittest import mock
 
@@ -141,10 +143,10 @@
     def test_of_a_lost_generation_only_answers_count(self) -> None:
         self.claim(0.0, 'a')
         lost = make_group(generation=9, lost_before=9)
-        claim = make_claim('b', fingerprint='other')
-        self.assertEqual(
-            wire.Verdict.UNKNOWN, self.table.claim(0.1, lost, claim).verdict
-        )
+        for fingerprint in ('other', 'f'):
+            claim = make_claim('b', fingerprint=fingerprint)
+            verdict = self.table.claim(0.1, lost, claim).verdict
+            self.assertEqual(wire.Verdict.UNKNOWN, verdict)
         self.table.finish(0.2, make_finish())
         for fingerprint, verdict in (
             ('other', wire.Verdict.UNKNOWN),
@@ -309,6 +311,24 @@
         self.deliver(old)
         self.assert_equal_tables()
 
+    def test_part_of_an_older_copy_does_not_enter_a_newer_one(self) -> None:
+        for number in range(1_200):
+            self.write(f'k{number}', 'a')
+        self.outbox.start_generation(GROUP)
+        first = self.outbox.next_message()
+        self.outbox.take_progress(first, self.deliver(first))
+        old = self.outbox.next_message()
+        for number in range(1_200):
+            self.write(f'k{number}', 'b')
+        self.outbox.start_generation(
+            make_group(generation=6, backup_incarnation=2)
+        )
+        first = self.outbox.next_message()
+        self.outbox.take_progress(first, self.deliver(first))
+        self.deliver(old)
+        self.pump()
+        self.assert_equal_tables()
+
     def test_answer_of_an_older_generation_confirms_nothing(self) -> None:
         self.outbox.start_generation(GROUP)
         self.write('k', 'a')
@@ -475,6 +495,14 @@
         assert isinstance(answer, wire.RecordVerdict)
         self.assertIsNot(wire.Verdict.FRESH, answer.verdict)
 
+    async def test_answers_outlive_the_loss_of_both_holders(self) -> None:
+        await self.holders['e0'].handle(make_claim())
+        await self.holders['e0'].handle(make_finish())
+        self.change_group(generation=7, lost_before=7)
+        answer = await self.holders['e0'].handle(make_claim('b'))
+        assert isinstance(answer, wire.RecordVerdict)
+        self.assertEqual(ANSWER, answer.answer)
+
     async def test_copies_are_listed_by_the_backup_only(self) -> None:
         await self.holders['e0'].handle(make_claim())
         copies = [h.list_copies() for h in self.holders.values()]
@@ -503,6 +531,14 @@
             self.assertIs(errors.ErrorKind.REQUEST_ID_REQUIRED, kind)
 
 
+def sync_after(
+    gate: threading.Event, sync: Callable[[int], None], file: int
+) -> None:
+    """Sync a file once the gate is open."""
+    gate.wait(5.0)
+    sync(file)
+
+
 class JournalTest(unittest.IsolatedAsyncioTestCase):
     """Guards against lost, damaged and reordered journal entries."""
 
@@ -637,17 +673,19 @@
         for name in ('e0', 'e1'):
             with self.subTest(journal_at=name):
                 holder = await self.start_pair(name)
-                key = f'r.5.random-{name}-01'
-                claim = make_claim(name, key)
-                await holder.handle(claim)
-                # Read the file as a restarted process would.
-                copied = tempfile.TemporaryDirectory()
-                self.addCleanup(copied.cleanup)
-                path = pathlib.Path(copied.name) / 'records.journal'
-                path.write_bytes(self.path.read_bytes())
-                tables = records.Journal(copied.name).open()
-                attempts = [r.attempt for r in tables['r'].rows(0.0)]
-                self.assertIn(name, attempts)
+                gate = threading.Event()
+                wait_and_sync = functools.partial(
+                    sync_after, gate, os.fdatasync
+                )
+                claim = make_claim(name, f'r.5.random-{name}-01')
+                with mock.patch.object(os, 'fdatasync', wait_and_sync):
+                    call = asyncio.create_task(holder.handle(claim))
+                    done, _ = await asyncio.wait({call}, timeout=0.2)
+                    gate.set()
+                    self.assertEqual(set(), done)
+                    answer = await call
+                fresh = wire.RecordVerdict(verdict=wire.Verdict.FRESH)
+                self.assertEqual(fresh, answer)
 
     async def test_failed_sync_stops_the_holder(self) -> None:
         holder = await self.start_pair('e0')
