--- a/fulmarseam/steering/_plan.py
+++ b/fulmarseam/steering/_plan.py
@@ -37,9 +37,10 @@
     """An entry that claims slots of the pool.
 
     `wanted` counts the slots that it wants now and `recent` those that it
-    wanted lately. `busy` counts its requests in flight and `held` the slots it may use.
-    `quota` is its part of the demand and `placed` what the plan gives it.
-    `moves` is the region that a shift sends part of its requests to.
+    wanted lately. `busy` counts its requests in flight and `held` the slots
+    it may use. `quota` is its part of the demand and `placed` what the plan
+    gives it. `moves` lists the regions that shifts send part of its
+    requests to.
     """
 
     key: _ledger.HolderKey
