--- a/fulmarseam/steering/_allocator.py
+++ b/fulmarseam/steering/_allocator.py
@@ -198,7 +198,7 @@
         starved = self._find_starved(holder)
         return bool(starved) and any(
             self._pool_of(target) in starved
-            and self._slot_limit(now, holder, target)
+            and self._make_grant(now, holder, target, planned).slots
             > _slots_in(issued, target)
             for target, planned in holder.planned.items()
             if planned > _slots_in(issued, target)
--- a/tests/test_allocator.py
+++ b/tests/test_allocator.py
@@ -297,6 +297,36 @@
         self.assertEqual(3, cluster.total('e1'))
 
 
+class NewsTest(unittest.TestCase):
+    """Guards against answers that are sent without any news."""
+
+    def test_grant_that_cannot_grow_is_no_news(self) -> None:
+        cluster = build_pair()
+        cluster.reports = [make_target('t0', slots=4, connections=4)]
+        cluster.wanted['e0'] = 4
+        cluster.settle()
+        cluster.reports = [make_target('t0', slots=8, connections=4)]
+        cluster.wanted['e1'] = 4
+        cluster.sync('e1')
+        cluster.plan()
+        self.assertEqual(0, cluster.total('e1'))
+        self.assertFalse(cluster.leader.has_news(cluster.now, 'e1', 1))
+        cluster.sync('e0')
+        cluster.sync('e0')
+        self.assertTrue(cluster.leader.has_news(cluster.now, 'e1', 1))
+
+    def test_no_entry_has_news_right_after_its_answer(self) -> None:
+        cluster = build_pair()
+        cluster.reports = [make_target('t0'), make_target('t1', 'a')]
+        for wanted in (0, 1, 3, 9, 2):
+            cluster.wanted = {'e0': wanted, 'e1': 3}
+            for name in ('e0', 'e1', 'e0', 'e1'):
+                cluster.now += 0.05
+                cluster.sync(name)
+                news = cluster.leader.has_news(cluster.now, name, 1)
+                self.assertFalse(news, (wanted, name))
+
+
 class RequestAgeTest(unittest.TestCase):
     """Guards against late requests that extend the leases of targets."""
 
