--- a/fulmarseam/steering/_ledger.py
+++ b/fulmarseam/steering/_ledger.py
@@ -46,6 +46,8 @@
 class Holder:
     """One incarnation of an entry: its last report and its charges.
 
+    `wanted` counts the slots wanted at the last report and `recent` is its
+    fading maximum.
     `order` is the (term, sequence) of the last acknowledged grants.
     `issues` are those issued after, of which it may hold any. `expires_at`
     is when everything it may hold has expired.
@@ -60,7 +62,8 @@
     uses: dict[ids.TargetId, wire.SlotUse] = dataclasses.field(
         default_factory=dict
     )
-    wanted: dict[ids.PoolName, float] = dataclasses.field(default_factory=dict)
+    wanted: dict[ids.PoolName, int] = dataclasses.field(default_factory=dict)
+    recent: dict[ids.PoolName, float] = dataclasses.field(default_factory=dict)
     links_held: dict[str, int] = dataclasses.field(default_factory=dict)
     links_wanted: dict[str, int] = dataclasses.field(default_factory=dict)
     issues: list[Issue] = dataclasses.field(default_factory=list)
@@ -79,7 +82,8 @@
     A holder is charged with the highest of what it reported to hold or to
     have in flight and of every issue that it has not acknowledged. The
     charge of a silent holder ends when its grants have expired and the
-    pool's longest deadline has passed after that.
+    pool's longest deadline has passed after that. `lifetime_s` is the time
+    after which a grant has ended by every clock in bounds.
     """
 
     def __init__(self, term: int, ttl_s: float, drift: float) -> None:
@@ -93,7 +97,7 @@
         self.confirmed: dict[ids.TargetId, Amount] = {}
         self.confirmed_links: collections.Counter[str] = collections.Counter()
         self._term = term
-        self._lifetime_s = ttl_s * (1.0 + drift)
+        self.lifetime_s = ttl_s * (1.0 + drift)
         self._drift = drift
         self._newest: dict[ids.EntryId, int] = {}
         self._deadlines: dict[ids.PoolName, float] = {}
@@ -137,7 +141,7 @@
         key = info.entry, info.incarnation
         holder = self.holders.get(key)
         if holder is None:
-            holder = Holder(info, now, now + self._lifetime_s)
+            holder = Holder(info, now, now + self.lifetime_s)
             self.holders[key] = holder
         order = request.ack_term, request.ack_sequence
         if order < holder.order or request.ack_term > self._term:
@@ -145,7 +149,7 @@
         self._take_demand(now, holder, request)
         holder.info = info
         holder.heard_at = now
-        holder.expires_at = max(holder.expires_at, now + self._lifetime_s)
+        holder.expires_at = max(holder.expires_at, now + self.lifetime_s)
         holder.draining = request.draining
         advanced = order > holder.order
         holder.order = order
@@ -162,7 +166,7 @@
     def issue(self, now: float, holder: Holder, issue: Issue) -> None:
         """Charge a holder for grants that are sent now."""
         issue.waits_since = now
-        issue.expires_at = now + self._lifetime_s
+        issue.expires_at = now + self.lifetime_s
         holder.expires_at = max(holder.expires_at, issue.expires_at)
         holder.issued = issue
         last = holder.issues[-1] if holder.issues else None
@@ -207,14 +211,14 @@
             holder
             for (entry, incarnation), holder in self.holders.items()
             if incarnation == self._newest[entry]
-            and holder.heard_at + self._lifetime_s > now
+            and holder.heard_at + self.lifetime_s > now
             and not self._is_deaf(now, holder)
         ]
 
     def _is_deaf(self, now: float, holder: Holder) -> bool:
         if not holder.issues:
             return False
-        return holder.issues[0].waits_since + self._lifetime_s <= now
+        return holder.issues[0].waits_since + self.lifetime_s <= now
 
     def _acknowledge(self, holder: Holder, sequence: int) -> None:
         holder.issues = [
@@ -225,16 +229,17 @@
         self, now: float, holder: Holder, request: wire.SyncRequest
     ) -> None:
         fade = 0.5 ** ((now - holder.heard_at) / DEMAND_HALF_LIFE_S)
-        wanted = {
+        recent = {
             pool: value * fade
-            for pool, value in holder.wanted.items()
+            for pool, value in holder.recent.items()
             if value * fade > 0.5
         }
-        for demand in request.demand:
-            wanted[demand.pool] = max(
-                float(demand.wanted), wanted.get(demand.pool, 0.0)
-            )
-        holder.wanted = wanted
+        holder.wanted = {
+            demand.pool: demand.wanted for demand in request.demand
+        }
+        for pool, wanted in holder.wanted.items():
+            recent[pool] = max(float(wanted), recent.get(pool, 0.0))
+        holder.recent = recent
         holder.links_wanted = {
             link.name: link.wanted for link in request.links
         }
--- a/tests/test_allocator.py
+++ b/tests/test_allocator.py
@@ -101,6 +101,7 @@
             targets_version=0,
             ack_term=book.ack_term,
             ack_sequence=book.ack_sequence,
+            ack_age_ms=book.ack_age_ms(self.now),
             uses=book.uses(self.now),
             demand=[wire.PoolDemand(pool='p', wanted=self.wanted[name])],
             links=[],
@@ -296,6 +297,66 @@
         self.assertEqual(3, cluster.total('e1'))
 
 
+class NewsTest(unittest.TestCase):
+    """Guards against answers that are sent without any news."""
+
+    def test_grant_that_cannot_grow_is_no_news(self) -> None:
+        cluster = build_pair()
+        cluster.reports = [make_target('t0', slots=4, connections=4)]
+        cluster.wanted['e0'] = 4
+        cluster.settle()
+        cluster.reports = [make_target('t0', slots=8, connections=4)]
+        cluster.wanted['e1'] = 4
+        cluster.sync('e1')
+        cluster.plan()
+        self.assertEqual(0, cluster.total('e1'))
+        self.assertFalse(cluster.leader.has_news(cluster.now, 'e1', 1))
+        cluster.sync('e0')
+        cluster.sync('e0')
+        self.assertTrue(cluster.leader.has_news(cluster.now, 'e1', 1))
+
+    def test_no_entry_has_news_right_after_its_answer(self) -> None:
+        cluster = build_pair()
+        cluster.reports = [make_target('t0'), make_target('t1', 'a')]
+        for wanted in (0, 1, 3, 9, 2):
+            cluster.wanted = {'e0': wanted, 'e1': 3}
+            for name in ('e0', 'e1', 'e0', 'e1'):
+                cluster.now += 0.05
+                cluster.sync(name)
+                news = cluster.leader.has_news(cluster.now, name, 1)
+                self.assertFalse(news, (wanted, name))
+
+
+class RequestAgeTest(unittest.TestCase):
+    """Guards against late requests that extend the leases of targets."""
+
+    def setUp(self) -> None:
+        self.cluster = build_pair()
+        self.cluster.sync('e0')
+
+    def find_age(self, seconds: float, request: wire.SyncRequest) -> float:
+        now = self.cluster.now + seconds
+        return self.cluster.leader.find_request_age(now, request)
+
+    def test_delay_on_the_way_counts(self) -> None:
+        self.cluster.now += 0.4
+        request = self.cluster.request('e0')
+        self.assertAlmostEqual(0.004, self.find_age(0.0, request), 3)
+        self.assertAlmostEqual(5.004, self.find_age(5.0, request), 3)
+
+    def test_unknown_answer_counts_as_half_a_lease(self) -> None:
+        request = self.cluster.request('e0')
+        self.assertEqual(1.5, self.find_age(0.0, self.cluster.request('e1')))
+        self.cluster.start_leader(2)
+        self.assertEqual(1.5, self.find_age(0.0, request))
+
+    def test_old_answers_are_forgotten(self) -> None:
+        request = self.cluster.request('e0')
+        self.cluster.now += 10.1
+        self.cluster.sync('e1')
+        self.assertEqual(1.5, self.find_age(0.0, request))
+
+
 class SlotBookTest(unittest.TestCase):
     """Guards against use of grants after their end."""
 
@@ -350,6 +411,16 @@
         cluster.run(1.2)
         self.assertEqual(3, cluster.total('e1'))
 
+    def test_recent_demand_does_not_starve_a_queue(self) -> None:
+        cluster = build_pair()
+        cluster.wanted['e0'] = 3
+        cluster.settle()
+        cluster.wanted = {'e0': 0, 'e1': 3}
+        for name in ('e0', 'e1', 'e0', 'e0', 'e1'):
+            cluster.now += 0.01
+            cluster.sync(name)
+        self.assertEqual(3, cluster.total('e1'))
+
     def test_demand_decides_when_slots_are_few(self) -> None:
         places = {
             f'e{n}': (f'r{n % 3}', f'r{n % 3}{n // 3 % 2}') for n in range(7)
@@ -399,7 +470,7 @@
             _plan.Seat('t1', 'a', 'a1', 3),
         ]
         claimant = _plan.Claimant(
-            ('e0', 1), 'a', 'a1', wanted, True, held, busy
+            ('e0', 1), 'a', 'a1', wanted, wanted, True, held, busy
         )
         _plan.plan_pool([claimant], seats, lambda near, far: False)
         return claimant.plan
