--- a/fulmarseam/http/_caller.py
+++ b/fulmarseam/http/_caller.py
@@ -171,6 +171,7 @@
         return self._start_request(event)
 
     def _start_request(self, event: h11.Request) -> Request:
+        _framing.check_version(event.http_version)
         headers = [
             (name.lower(), value) for name, value in event.headers.raw_items()
         ]
--- a/fulmarseam/http/_framing.py
+++ b/fulmarseam/http/_framing.py
@@ -64,6 +64,12 @@
         raise refuse('Content-Length is a list')
 
 
+def check_version(version: bytes) -> None:
+    """Refuse a major version whose framing is another one."""
+    if not version.startswith(b'1.'):
+        raise refuse(f'found HTTP/{version.decode()}, expected HTTP/1.x')
+
+
 def is_kept_alive(headers: Headers, fields: Fields) -> bool:
     """Return whether HTTP/1.1 headers leave the connection open."""
     value = fields.get(b'connection')
--- a/fulmarseam/http/_target.py
+++ b/fulmarseam/http/_target.py
@@ -152,6 +152,8 @@
             return self._start_body(event)
 
     def _start_body(self, event: h11.Response) -> Response:
+        if not event.http_version.startswith(b'1.'):
+            raise self._fail(_failures.Reason.MALFORMED, 'not HTTP/1.x')
         status = event.status_code
         headers = [
             (name.lower(), value) for name, value in event.headers.raw_items()
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -266,6 +266,11 @@
                 self.assertIs(http.Reason.MALFORMED, error.reason)
                 self.assertIs(http.Progress.MAY_HAVE_SENT, error.progress)
 
+    async def test_other_version_is_refused(self) -> None:
+        answer = OK.replace(b'HTTP/1.1', b'HTTP/2.0')
+        error = await self.fail(answer, close=False)
+        self.assertIs(http.Reason.MALFORMED, error.reason)
+
     async def test_body_up_to_the_close_is_read(self) -> None:
         answer = b'HTTP/1.1 200 OK\r\n\r\nall of it'
         _, pool = await self.start_target(answer_once(answer, close=True))
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -129,6 +129,8 @@
             'line feeds only': b'GET / HTTP/1.1\nHost: a\n\n',
             'no host': b'GET / HTTP/1.1\r\n\r\n',
             'no version': b'GET /\r\n\r\n',
+            'later version': b'GET / HTTP/9.9\r\nHost: a\r\n\r\n',
+            'earlier version': b'GET / HTTP/0.9\r\nHost: a\r\n\r\n',
             'coding in 1.0': (
                 b'POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n'
             ),
