--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -268,7 +268,7 @@
 
         async def handle(message: wire.Message) -> wire.Message:
             self.assertIsInstance(message, wire.QuarantineRequest)
-            return wire.QuarantineResponse(rows=suspects.rows())
+            return wire.QuarantineResponse(rows=suspects.list_rows())
 
         [port] = fixtures.find_free_ports(1)
         address = f'127.0.0.1:{port}'
