Measure the control work of a group of today's size

Cause: the bound of 1% of a core, 128 MB and 6 KB/s must be measured. Change: a probe with 5 control members, 7 entries and 44 targets at rest, and the leader's work over the number of nodes.

--- /dev/null
+++ b/fulmarseam/bench/capacity/_groups.py
@@ -0,0 +1,182 @@
+"""Control work of real processes: members, entries and announcements."""
+
+import asyncio
+import contextlib
+from typing import NamedTuple
+
+from fulmarseam.bench import _cluster
+from fulmarseam.bench import _plan
+from fulmarseam.bench import _processes
+from fulmarseam.bench.capacity import _nodes
+from fulmarseam.bench.capacity import _slopes
+
+NODE_COUNTS = (8, 32, 128)
+SETTLE_S = 3.0
+MEASURE_S = 6.0
+REGIONS = ('ost', 'west', 'sued')
+DOMAINS_PER_REGION = 2
+ENTRIES_TODAY = 7
+CONTROLS_TODAY = 5
+POOLS_TODAY = (('listview', 20, 5), ('listedit', 12, 4), ('orderdesk', 12, 3))
+CONTROL_BYTES = 'fulmarseam_control_bytes_total'
+
+
+class Usage(NamedTuple):
+    """What a process used during a measurement.
+
+    `core_share` is processor time over time, `resident_mb` memory.
+    """
+
+    core_share: float
+    resident_mb: float
+
+
+class Meter:
+    """Measures the processor time of a process over an interval."""
+
+    def __init__(self, pid: int) -> None:
+        self._pid = pid
+        self._started_cpu = _processes.read_cpu_s(pid)
+        self._started_at = asyncio.get_running_loop().time()
+
+    def read(self) -> Usage:
+        """Return the usage since the meter was made."""
+        elapsed = asyncio.get_running_loop().time() - self._started_at
+        used = _processes.read_cpu_s(self._pid) - self._started_cpu
+        return Usage(used / elapsed, read_resident_mb(self._pid))
+
+
+def read_resident_mb(pid: int) -> float:
+    """Return the memory of a process in MB."""
+    with open(f'/proc/{pid}/status', encoding='ascii') as lines:
+        for line in lines:
+            if line.startswith('VmRSS:'):
+                return int(line.split()[1]) * 1024 / 1e6
+    raise ValueError(f'found no memory figure of process {pid}')
+
+
+async def measure_sync() -> list[_slopes.Series]:
+    """Measure the leader's work at rest over the number of nodes."""
+    points: dict[str, list[_slopes.Point]] = {
+        'sync_leader_core_share': [],
+        'sync_leader_resident_mb': [],
+        'sync_node_bytes_per_s': [],
+    }
+    units = dict.fromkeys(points, 'share of a core')
+    units['sync_leader_resident_mb'] = 'MB'
+    units['sync_node_bytes_per_s'] = 'bytes/s'
+    for count in NODE_COUNTS:
+        usage, node_bytes = await _measure_nodes(count)
+        values = (usage.core_share, usage.resident_mb, node_bytes)
+        for name, value in zip(points, values, strict=True):
+            points[name].append(_slopes.Point(count, value))
+    return [
+        _slopes.Series(
+            name=name, x_unit='nodes', y_unit=units[name], points=found
+        )
+        for name, found in points.items()
+    ]
+
+
+async def _measure_nodes(count: int) -> tuple[Usage, float]:
+    plan = _plan.make_plan(
+        regions=REGIONS, entries_per_region=0, targets_per_region=0
+    )
+    async with contextlib.AsyncExitStack() as stack:
+        cluster = await stack.enter_async_context(_cluster.Cluster(plan))
+        leader = await cluster.wait_leader(SETTLE_S)
+        nodes = [
+            await stack.enter_async_context(
+                _make_node(number, cluster.addresses[leader].listen)
+            )
+            for number in range(count)
+        ]
+        await asyncio.sleep(SETTLE_S)
+        pid = cluster.processes[leader].pid
+        assert pid is not None
+        meter = Meter(pid)
+        before = _sum_bytes(nodes)
+        await asyncio.sleep(MEASURE_S)
+        usage = meter.read()
+        sent = _sum_bytes(nodes) - before
+    return usage, sent / count / MEASURE_S
+
+
+def _make_node(number: int, address: str) -> _nodes.SyncNode:
+    region = REGIONS[number % len(REGIONS)]
+    domain = number // len(REGIONS) % DOMAINS_PER_REGION
+    return _nodes.SyncNode(number, address, region, f'{region}-{domain}')
+
+
+def _sum_bytes(nodes: list[_nodes.SyncNode]) -> int:
+    return sum(
+        node.counts.bytes_sent + node.counts.bytes_received for node in nodes
+    )
+
+
+async def measure_rest() -> dict[str, float]:
+    """Measure the control work at rest of a group of today's size.
+
+    The group has 5 control members, 7 entries and 44 targets, as the
+    larger deployment has. Figures are those of the busiest process.
+    """
+    async with _cluster.Cluster(make_rest_plan()) as cluster:
+        await asyncio.sleep(SETTLE_S)
+        entries = [entry.name for entry in cluster.plan.entries]
+        controls = [control.name for control in cluster.plan.controls]
+        meters = {name: _make_meter(cluster, name) for name in entries}
+        control_meters = {
+            name: _make_meter(cluster, name) for name in controls
+        }
+        before = {name: await _read_bytes(cluster, name) for name in entries}
+        await asyncio.sleep(MEASURE_S)
+        used = [meter.read() for meter in meters.values()]
+        control_used = [meter.read() for meter in control_meters.values()]
+        after = {name: await _read_bytes(cluster, name) for name in entries}
+    rates = [(after[name] - before[name]) / MEASURE_S for name in entries]
+    return {
+        'entry_core_share': max(usage.core_share for usage in used),
+        'entry_resident_mb': max(usage.resident_mb for usage in used),
+        'entry_bytes_per_s': max(rates),
+        'leader_core_share': max(usage.core_share for usage in control_used),
+        'follower_core_share': min(usage.core_share for usage in control_used),
+        'control_resident_mb': max(
+            usage.resident_mb for usage in control_used
+        ),
+    }
+
+
+def make_rest_plan() -> _plan.Plan:
+    """Return a plan with the figures of the larger deployment."""
+    places = [
+        (region, f'{region}-{domain}')
+        for region in REGIONS
+        for domain in range(DOMAINS_PER_REGION)
+    ]
+    entries = [
+        _plan.EntryPlan(f'e{number}', *places[number % len(places)])
+        for number in range(ENTRIES_TODAY)
+    ]
+    targets = [
+        _plan.TargetPlan(f't-{pool}-{number}', pool, *place, slots)
+        for pool, count, slots in POOLS_TODAY
+        for number in range(count)
+        for place in [places[number % len(places)]]
+    ]
+    controls = [
+        _plan.ControlPlan(f'c{number}', REGIONS[number % len(REGIONS)])
+        for number in range(CONTROLS_TODAY)
+    ]
+    rows = _plan.make_rows([pool for pool, _, _ in POOLS_TODAY])
+    return _plan.Plan(controls, entries, targets, rows)
+
+
+def _make_meter(cluster: _cluster.Cluster, name: str) -> Meter:
+    pid = cluster.processes[name].pid
+    assert pid is not None
+    return Meter(pid)
+
+
+async def _read_bytes(cluster: _cluster.Cluster, name: str) -> float:
+    page = await cluster.read_metrics(name)
+    return page[CONTROL_BYTES]
