Let renewals and load reports wait for the next poll

Cause: each load report of a target woke the polls of all entries, and each renewal made the entry send one more request. Change: only a change of facts is answered at once; renewals go with the next poll.

--- a/fulmarseam/control/_sync.py
+++ b/fulmarseam/control/_sync.py
@@ -106,7 +106,7 @@
             bool(request.announcements)
             or request.revision < self._tables.revision
             or request.targets_term != leadership.term
-            or request.targets_version != leadership.targets.version
+            or request.targets_version < leadership.targets.urgent_version
             or request.entries_version != leadership.entries.version
             or leadership.has_grant_news(now, request.info)
         )
--- a/fulmarseam/entry/_daemon.py
+++ b/fulmarseam/entry/_daemon.py
@@ -162,14 +162,13 @@
     def _take_announcement(self, report: wire.TargetReport) -> asyncio.Event:
         event = self.announcements.add(self._loop.time(), report)
         known = self.state.targets.get(report.target)
-        delay_s = 0.0
-        if known is not None and known.report.state is report.state:
-            delay_s = _syncing.RENEWAL_DELAY_S
         if report.state is wire.TargetState.LEAVING:
             self.state.targets.record_leave(self._loop.time(), report)
             self._take_change()
             self.peers.announce(wire.LeaveNotice(report=report))
-        self.synchronizer.request_now(delay_s)
+        if known is None or known.report.state is not report.state:
+            # A mere renewal goes with the next poll, to save requests.
+            self.synchronizer.request_now()
         return event
 
     async def _tick(self) -> None:
--- a/fulmarseam/entry/_syncing.py
+++ b/fulmarseam/entry/_syncing.py
@@ -21,8 +21,6 @@
 CALL_TIMEOUT_S = 0.3
 URGENT_INTERVAL_S = 0.02
 RETRY_PAUSE_S = 0.05
-# Renewals of targets are collected for this long, to save requests.
-RENEWAL_DELAY_S = 0.2
 MAX_URGENT_CALLS = 8
 
 _log = logbook.Logger('entry')
@@ -133,14 +131,11 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         self._finder.close()
 
-    def request_now(self, delay_s: float = 0.0) -> None:
-        """Sync within `delay_s` seconds, or 20 ms after the last time."""
-        at = max(self._loop.time() + delay_s, self._next_urgent_at)
-        if self._timer is not None:
-            if self._timer.when() <= at:
-                return
-            self._timer.cancel()
-        self._timer = self._loop.call_at(at, self._start_urgent)
+    def request_now(self) -> None:
+        """Sync now, or 20 ms after the last time."""
+        if self._timer is None:
+            at = max(self._loop.time(), self._next_urgent_at)
+            self._timer = self._loop.call_at(at, self._start_urgent)
 
     def _start_urgent(self) -> None:
         self._timer = None
--- a/fulmarseam/membership/_targets.py
+++ b/fulmarseam/membership/_targets.py
@@ -52,11 +52,13 @@
     A version counts the changes that readers must know: a new target,
     another state, address, size or place, a removal, and a change of load at
     most every 2 s. A renewal alone is no news, because each grant carries
-    the lease of its target.
+    the lease of its target. `urgent_version` is the last version that is
+    more than a change of load; only that is worth an answer at once.
     """
 
     def __init__(self, lease_s: float = TARGET_LEASE_S) -> None:
         self.version = 0
+        self.urgent_version = 0
         self._lease_s = lease_s
         self._targets: dict[ids.TargetId, Target] = {}
         self._removals: collections.deque[tuple[int, ids.TargetId]] = (
@@ -103,6 +105,7 @@
         for target in ended:
             del self._targets[target]
             self.version += 1
+            self.urgent_version = self.version
             self._removals.append((self.version, target))
         while len(self._removals) > REMOVALS_KEPT:
             self._complete_since = self._removals.popleft()[0]
@@ -148,6 +151,7 @@
 
     def _create(self, received_at: float, report: wire.TargetReport) -> Target:
         self.version += 1
+        self.urgent_version = self.version
         ready = report.state is wire.TargetState.READY
         return Target(
             report=report,
@@ -175,6 +179,8 @@
             known.load_at = None
         if self._is_news(known, received_at, report):
             self.version += 1
+            if facts_of(report) != facts_of(known.report):
+                self.urgent_version = self.version
             known.version = self.version
             known.load_news_at = received_at
         known.report = report
