--- a/fulmarseam/consensus/_core_follower.py
+++ b/fulmarseam/consensus/_core_follower.py
@@ -40,7 +40,7 @@
     """
     _require_well_formed(request)
     if not accept_leader(state, now, sender, request.term, effects):
-        effects.reply = _reject(state, request, 0, 0)
+        effects.reply = _refuse_term(state, request)
         return
     previous = request.previous_index
     if previous > state.log.last_index:
@@ -91,6 +91,22 @@
             return
 
 
+def _refuse_term(
+    state: _core_state.State, request: wire.AppendRequest
+) -> wire.AppendResponse:
+    """Answer a leader whose term is over.
+
+    The answer carries the term of this member, so it must confirm no round:
+    the sender may lead that term by now and number its rounds anew.
+    """
+    return wire.AppendResponse(
+        term=state.term,
+        round=0,
+        success=False,
+        rejected_index=request.previous_index,
+    )
+
+
 def _reject(
     state: _core_state.State,
     request: wire.AppendRequest,
--- a/fulmarseam/consensus/_core_log.py
+++ b/fulmarseam/consensus/_core_log.py
@@ -98,7 +98,7 @@
 
     def last_index_of_term(self, term: int, limit: int) -> int | None:
         """Return the last index up to `limit` that has `term`."""
-        end = min(limit, self.last_index) - self.base_index
+        end = max(0, min(limit, self.last_index) - self.base_index)
         for entry in reversed(list(itertools.islice(self._entries, end))):
             if entry.term == term:
                 return entry.index
--- a/fulmarseam/consensus/_core_members.py
+++ b/fulmarseam/consensus/_core_members.py
@@ -56,6 +56,12 @@
                 found = members
         return found
 
+    def has_only_voter(self, member: ids.MemberId) -> bool:
+        """Return whether `member` is the only voter of all sets known."""
+        return all(
+            list_voters(members) == [member] for _, members in self._sets
+        )
+
     def note(self, entries: Iterable[wire.LogEntry]) -> None:
         """Take over the member sets of appended entries."""
         for entry in entries:
--- a/fulmarseam/consensus/_core_state.py
+++ b/fulmarseam/consensus/_core_state.py
@@ -156,7 +156,8 @@
         snapshot=snapshot,
     )
     postpone_election(state, now)
-    if _core_members.list_voters(state.members) == [state.me]:
+    # With an earlier set of more voters, one of them may hold a lease.
+    if history.has_only_voter(state.me):
         state.election_at = now
     return state
 
--- a/fulmarseam/consensus/_core_transfer.py
+++ b/fulmarseam/consensus/_core_transfer.py
@@ -105,13 +105,15 @@
     effects: _core_types.Effects,
 ) -> None:
     """Collect a chunk; install the snapshot when it is complete."""
-    done = False
-    if _core_follower.accept_leader(state, now, sender, chunk.term, effects):
-        done = _collect(state, chunk, effects)
+    accepted = _core_follower.accept_leader(
+        state, now, sender, chunk.term, effects
+    )
+    done = accepted and _collect(state, chunk, effects)
     incoming = state.incoming
     effects.reply = wire.SnapshotResponse(
         term=state.term,
-        round=chunk.round,
+        # A refusal carries another term than the chunk and confirms no round.
+        round=chunk.round if accepted else 0,
         index=chunk.meta.index,
         next_offset=len(incoming.data) if incoming else 0,
         done=done,
--- a/tests/test_consensus_core.py
+++ b/tests/test_consensus_core.py
@@ -10,6 +10,7 @@
 from fulmarseam import errors
 from fulmarseam import wire
 from fulmarseam.consensus import _core
+from fulmarseam.consensus import _core_log
 from fulmarseam.consensus import _core_members
 from fulmarseam.consensus import _core_types
 from tests import consensus_simulation as simulation
@@ -357,6 +358,11 @@
         run.heal_and_check()
         self.assertLessEqual(rejected, 4)
 
+    def test_hint_below_the_log_leads_to_a_snapshot(self) -> None:
+        """Seed 16700: the log was compacted past a rejected index."""
+        log = _core_log.Log(10, 2)
+        self.assertIsNone(log.last_index_of_term(1, 5))
+
     def test_malformed_append_changes_nothing(self) -> None:
         config = _core_types.ReplicaConfig(member_id='n1')
         founding = wire.GroupMembers()
@@ -451,6 +457,26 @@
         assert age is not None
         self.assertAlmostEqual(later - answered, age)
 
+    def test_refusal_of_an_old_term_confirms_no_round(self) -> None:
+        """Seed 12241: the sender led again and took it for a new round."""
+        append = wire.AppendRequest(
+            term=2,
+            round=7,
+            previous_index=0,
+            previous_term=0,
+            commit_index=0,
+        )
+        snapshot = _core_types.make_snapshot(
+            9, 2, wire.GroupMembers(), b'state'
+        )
+        chunk = wire.SnapshotChunk(
+            term=2, round=7, meta=snapshot.meta, offset=0, data=b'state'
+        )
+        for request in (append, chunk):
+            reply = self.replica.receive(self.now, 'n1', request).reply
+            assert not isinstance(reply, wire.VoteResponse | None)
+            self.assertEqual((3, 0), (reply.term, reply.round))
+
     def test_snapshot_replaces_a_log_that_differs(self) -> None:
         snapshot = _core_types.make_snapshot(
             1, 2, wire.GroupMembers(), b'state'
@@ -478,6 +504,25 @@
         run.run(0.5)
         self.assertEqual(1, run.confirmations)
 
+    def test_last_voter_that_restarts_waits_for_the_lease(self) -> None:
+        """Seed 17089: the leader that removed itself still held a lease."""
+        run = simulation.Simulation(11, 2, loss=0.0)
+        leader = run.wait_for_leader()
+        run.run(0.5)
+        other = next(node for node in run.nodes.values() if node is not leader)
+        run.cut = {(other.name, leader.name)}
+        run.change(
+            leader,
+            lambda replica: replica.remove_member(
+                run.clock(leader), leader.name
+            ),
+        )
+        run.run(0.1)
+        run.crash(other)
+        run.start(other)
+        run.run(0.1)
+        run.heal_and_check()
+
     def test_member_under_removal_may_be_needed_to_lead(self) -> None:
         """Only its log is complete when its removal is not committed."""
         run = simulation.Simulation(10, 2, loss=0.0)
