Make the tests of progress able to fail

It has another name now. Tests are added for a request on a reused connection that breaks, for a request without key that is shed, for copies of a suspect and for a lowered connection limit.

--- a/tests/test_entry_proxy.py
+++ b/tests/test_entry_proxy.py
@@ -291,6 +291,27 @@
             self.assertEqual(expected, answer.body)
             self.leave(target, name)
 
+    async def test_request_on_a_reused_connection_is_sent_once(self) -> None:
+        """The target closes a kept connection while a request is on it."""
+
+        async def serve(
+            target: fakes.FakeTarget,
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            kept = bytearray()
+            target.received.append(kept)
+            await fakes.read_request(target, reader, kept)
+            writer.write(OK)
+            await fakes.read_request(target, reader, kept)
+
+        target = await self.start_target(serve)
+        self.assertEqual(200, (await self.call('/first')).status)
+        answer = await self.call('/second')
+        self.assertEqual((502, 'target_failed', 'unknown'), answer.describe())
+        self.assertEqual(1, len(target.received))
+        self.assertEqual(1, target.received_bytes.count(b'/second'))
+
     async def test_stalled_upload_is_unknown(self) -> None:
         """A part of the body was sent, so the target may have run it."""
         target = await self.start_target(stay_silent)
--- a/tests/test_entry_repeats.py
+++ b/tests/test_entry_repeats.py
@@ -68,6 +68,15 @@
         self.assertEqual('unknown', answer.outcome)
         self.assertEqual(1, self.count_requests(*targets))
 
+    async def test_declared_not_run_without_key_is_not_retried(self) -> None:
+        targets = [
+            await self.start_target(fakes.answer_always(SHED), 't1'),
+            await self.start_target(fakes.answer_always(SHED), 't2'),
+        ]
+        answer = await self.call('/once', 'POST', b'abc')
+        self.assertEqual('target_shed', answer.kind)
+        self.assertEqual(1, self.count_requests(*targets))
+
     async def test_declared_not_run_is_retried_within_the_budget(
         self,
     ) -> None:
@@ -255,7 +264,8 @@
                     await gate.wait()
                 writer.write(OK)
 
-        await self.start_target(serve, slots=3)
+        await self.start_target(serve, 't1', slots=3)
+        await self.start_target(serve, 't2', slots=3)
         held_print = entry_case.compute_fingerprint('GET', 'a', '/held')
         self.entry.suspects.take_notice(
             wire.StrikeNotice(fingerprint=held_print, target='t9')
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -219,7 +219,7 @@
 class ProgressTest(ClientCase):
     """Guards against "not run" for a request that may have run (P4)."""
 
-    async def fail(
+    async def run_failing(
         self, answer: bytes, close: bool = True
     ) -> http.TargetError:
         target, pool = await self.start_target(answer_once(answer, close))
@@ -244,7 +244,7 @@
         }
         for name, answer in answers.items():
             with self.subTest(name):
-                error = await self.fail(answer)
+                error = await self.run_failing(answer)
                 self.assertIs(http.Reason.BROKEN, error.reason)
                 self.assertIs(http.Progress.MAY_HAVE_SENT, error.progress)
 
@@ -262,13 +262,13 @@
         for name, head in heads.items():
             with self.subTest(name):
                 answer = b'HTTP/1.1 200 OK\r\n' + head + b'\r\n\r\nok'
-                error = await self.fail(answer, close=False)
+                error = await self.run_failing(answer, close=False)
                 self.assertIs(http.Reason.MALFORMED, error.reason)
                 self.assertIs(http.Progress.MAY_HAVE_SENT, error.progress)
 
     async def test_other_version_is_refused(self) -> None:
         answer = OK.replace(b'HTTP/1.1', b'HTTP/2.0')
-        error = await self.fail(answer, close=False)
+        error = await self.run_failing(answer, close=False)
         self.assertIs(http.Reason.MALFORMED, error.reason)
 
     async def test_body_up_to_the_close_is_read(self) -> None:
@@ -313,3 +313,14 @@
         self.assertEqual(2, pool.idle)
         pool.set_limit(1)
         self.assertEqual(1, pool.idle)
+
+    async def test_lowered_limit_closes_connections_in_use(self) -> None:
+        _, pool = await self.start_target(fakes.answer_always(OK), 2)
+        connections = [await self.take(pool), await self.take(pool)]
+        pool.set_limit(1)
+        for connection in connections:
+            connection.send_head(b'GET', b'/', HEADERS)
+            connection.end_request()
+            self.assertEqual(b'200 ok', await self.read(connection))
+            pool.release(connection)
+        self.assertEqual((0, 1), (pool.in_use, pool.idle))
