Bound the wait for record results at a graceful stop

A stop took 16.6 s in the integration test of a stop under load: the region had lost its backup with the stopping entry, and results that could not be stored were repeated for 10 s.

--- a/fulmarseam/entry/_claims.py
+++ b/fulmarseam/entry/_claims.py
@@ -169,7 +169,11 @@
                 )
             )
 
-    async def flush(self) -> None:
-        """Wait until all results are stored."""
-        while self._tasks:
-            await asyncio.wait(self._tasks)
+    async def flush(self, timeout_s: float) -> int:
+        """Wait until results are stored; return how many are not yet.
+
+        A record without its result says unknown after its deadline.
+        """
+        if self._tasks:
+            await asyncio.wait(list(self._tasks), timeout=timeout_s)
+        return len(self._tasks)
--- a/fulmarseam/entry/_daemon.py
+++ b/fulmarseam/entry/_daemon.py
@@ -32,6 +32,9 @@
 LOOKUP_MARGIN_S = 1.0
 # Connections are told to close during this last part of the waiting time.
 WIND_DOWN_S = 1.0
+# While a region has no backup for its records, results cannot be stored and
+# are repeated for 10 s. A stop does not wait for that.
+FLUSH_TIMEOUT_S = 1.0
 
 _log = logbook.Logger('entry')
 
@@ -265,9 +268,9 @@
         self._log_event('drain_listener_closed', busy=self.callers.busy)
         self.callers.start_draining()
         await self.callers.wait_until_idle()
-        await self.claims.flush()
+        unstored = await self.claims.flush(FLUSH_TIMEOUT_S)
         drain_s = self._loop.time() - started
-        self._log_event('drained', drain_s=drain_s)
+        self._log_event('drained', drain_s=drain_s, unstored=unstored)
         print(f'drain time: {drain_s:.3f} s', flush=True)
 
     def _announce_drain(self) -> None:
