--- a/tests/test_entry_repeats.py
+++ b/tests/test_entry_repeats.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from typing import ClassVar
+from unittest import mock
 
 from fulmarseam import errors
 from fulmarseam import records
@@ -68,6 +69,15 @@
         self.assertEqual('unknown', answer.outcome)
         self.assertEqual(1, self.count_requests(*targets))
 
+    async def test_declared_not_run_without_key_is_not_retried(self) -> None:
+        targets = [
+            await self.start_target(fakes.answer_always(SHED), 't1'),
+            await self.start_target(fakes.answer_always(SHED), 't2'),
+        ]
+        answer = await self.call('/once', 'POST', b'abc')
+        self.assertEqual('target_shed', answer.kind)
+        self.assertEqual(1, self.count_requests(*targets))
+
     async def test_declared_not_run_is_retried_within_the_budget(
         self,
     ) -> None:
@@ -255,7 +265,8 @@
                     await gate.wait()
                 writer.write(OK)
 
-        await self.start_target(serve, slots=3)
+        await self.start_target(serve, 't1', slots=3)
+        await self.start_target(serve, 't2', slots=3)
         held_print = entry_case.compute_fingerprint('GET', 'a', '/held')
         self.entry.suspects.take_notice(
             wire.StrikeNotice(fingerprint=held_print, target='t9')
@@ -347,7 +358,7 @@
         self, headers: str = KEY, path: str = '/'
     ) -> entry_case.Answer:
         answer = await self.call(path, 'POST', b'abc', headers)
-        await self.entry.claims.flush()
+        await self.entry.claims.flush(1.0)
         return answer
 
     async def test_missing_or_foreign_key_is_refused(self) -> None:
@@ -443,6 +454,16 @@
         self.assertEqual('release', self.keeper.calls[-1][0])
         self.assertEqual(b'', target.received_bytes)
 
+    async def test_stop_does_not_wait_for_a_silent_holder(self) -> None:
+        async def never(key: str, attempt: str, answer: object) -> None:
+            await asyncio.sleep(60)
+
+        await self.start_target(fakes.answer_always(OK))
+        with mock.patch.object(self.keeper, 'finish', never):
+            await self.call('/', 'POST', b'abc', KEY)
+            async with asyncio.timeout(1.0):
+                self.assertEqual(1, await self.entry.claims.flush(0.05))
+
     async def test_request_that_was_not_sent_is_released(self) -> None:
         target = fakes.FakeTarget(crash)
         self.announce(target.make_report())
