--- a/fulmarseam/entry/_claims.py
+++ b/fulmarseam/entry/_claims.py
@@ -27,7 +27,11 @@
 
 
 class Claim:
-    """The right to run one request, asked for just before dispatch."""
+    """The right to run one request.
+
+    It is asked for before a slot is taken, so that requests whose record
+    holder does not answer occupy no slots.
+    """
 
     def __init__(
         self, claims: 'Claims', job: _requests.Job, attempt: str
@@ -37,11 +41,6 @@
         self._attempt = attempt
         self._phase = _Phase.NEW
 
-    @property
-    def held(self) -> bool:
-        """Return whether the request may run."""
-        return self._phase is _Phase.HELD
-
     async def acquire(self) -> bool:
         """Ask for the right; False when the caller has its answer.
 
--- a/fulmarseam/entry/_proxying.py
+++ b/fulmarseam/entry/_proxying.py
@@ -183,6 +183,8 @@
         self, job: _requests.Job, claim: _claims.Claim | None
     ) -> None:
         """Attempt a job until it is answered or may not be repeated."""
+        if claim is not None and not await claim.acquire():
+            return
         avoided: frozenset[ids.TargetId] = frozenset()
         pool = self._pools.get(job.route.pool)
         # Without a claim nothing bounds how often the request may run.
@@ -219,9 +221,6 @@
         """Use a placement; None when the caller has its answer."""
         attempt = None
         try:
-            if claim is not None and not claim.held:
-                if not await claim.acquire():
-                    return None
             attempt = self._make_attempt(job, placement)
             return await self._forward(job, placement, attempt, claim)
         finally:
--- a/tests/test_entry_repeats.py
+++ b/tests/test_entry_repeats.py
@@ -1,6 +1,7 @@
 """Tests of retries, queues, quarantine and claims of an entry."""
 
 import asyncio
+from typing import Any
 from typing import ClassVar
 from unittest import mock
 
@@ -454,6 +455,21 @@
         self.assertEqual('release', self.keeper.calls[-1][0])
         self.assertEqual(b'', target.received_bytes)
 
+    async def test_silent_holder_occupies_no_slot(self) -> None:
+        await self.start_target(fakes.answer_always(OK), slots=1)
+        claim = self.keeper.claim
+
+        async def wait(*arguments: Any) -> wire.RecordVerdict:
+            await asyncio.sleep(0.5)
+            return await claim(*arguments)
+
+        with mock.patch.object(self.keeper, 'claim', wait):
+            waiting = asyncio.create_task(self.post())
+            await self.wait_until(lambda: self.entry.callers.busy == 1)
+            await asyncio.sleep(0.1)
+            self.assertEqual(0, self.entry.state.book.total_in_flight())
+            self.assertEqual(200, (await waiting).status)
+
     async def test_stop_does_not_wait_for_a_silent_holder(self) -> None:
         async def never(key: str, attempt: str, answer: object) -> None:
             await asyncio.sleep(60)
