--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -25,14 +25,14 @@
 async def read_whole_body(caller: http.CallerConnection) -> bytes:
     """Return the body of a request."""
     assert caller.signal is not None
-    body = b''
+    body = bytearray()
     while (piece := caller.poll_body()) != b'':
         if piece is None:
             caller.start_body_timeout()
             await caller.signal.wait()
         else:
             body += piece
-    return body
+    return bytes(body)
 
 
 class ServerCase(unittest.IsolatedAsyncioTestCase):
