Keep a draining record holder until another one is there

Cause: with two entries in the only region, the group lost its backup as soon as one began to drain, and callers got record_unavailable for 10 s; an entry cut off from the leader kept requests queued for their whole deadline. Change: a draining primary becomes backup where there is no other entry, a draining backup is replaced early; an entry not confirmed for 2 s refuses what it cannot place, with no_capacity.

--- a/fulmarseam/control/_groups.py
+++ b/fulmarseam/control/_groups.py
@@ -134,14 +134,17 @@
         return _promote(row, live)
     primary = _find(live, row.primary)
     if primary is None:
-        known = leadership.entries.get(row.primary)
-        is_draining = known is not None and known.alive
         can_take_over = row.backup_ready and _find(live, row.backup)
-        if is_draining and not backup_lost and can_take_over:
-            return _promote(row, live)
+        draining = _find_draining(row.primary, leadership)
+        if draining is not None and not backup_lost and can_take_over:
+            return _promote(row, live, draining)
         return row
     wanted = _choose_backup(row.name, primary, live)
-    if backup_lost or _should_move(row, primary, wanted, live):
+    if (
+        backup_lost
+        or _should_move(row, primary, wanted, live)
+        or (wanted is not None and _is_leaving(row.backup, live, leadership))
+    ):
         if wanted is None and row.backup is None:
             return row
         return _replace_backup(row, primary, wanted)
@@ -205,6 +208,27 @@
     return min(others, key=rank, default=None)
 
 
+def _find_draining(
+    entry: ids.EntryId, leadership: _leadership.Leadership
+) -> Holder | None:
+    """Return an entry that is alive but may not become a holder anew."""
+    known = leadership.entries.get(entry)
+    if known is None or not known.alive:
+        return None
+    info = known.info
+    return Holder(entry, info.incarnation, info.region, info.failure_domain)
+
+
+def _is_leaving(
+    entry: ids.EntryId | None,
+    live: list[Holder],
+    leadership: _leadership.Leadership,
+) -> bool:
+    if entry is None or _find(live, entry) is not None:
+        return False
+    return _find_draining(entry, leadership) is not None
+
+
 def _is_home(region: ids.RegionName, primary: Holder, holder: Holder) -> bool:
     return holder.region == region and holder.domain != primary.domain
 
@@ -245,8 +269,14 @@
     return _set_holders(newer, primary, backup)
 
 
-def _promote(row: wire.RecordGroup, live: list[Holder]) -> wire.RecordGroup:
-    """Return the row with the backup as primary."""
+def _promote(
+    row: wire.RecordGroup, live: list[Holder], draining: Holder | None = None
+) -> wire.RecordGroup:
+    """Return the row with the backup as primary.
+
+    Without any other entry the draining primary stays as backup until it
+    ends, since a group without a backup takes no claims.
+    """
     backup = _find(live, row.backup)
     newer = msgspec.structs.replace(row, generation=row.generation + 1)
     if backup is None:
@@ -259,7 +289,8 @@
             backup_incarnation=0,
             backup_ready=False,
         )
-    return _set_holders(newer, backup, _choose_backup(row.name, backup, live))
+    other = _choose_backup(row.name, backup, live) or draining
+    return _set_holders(newer, backup, other)
 
 
 def _restart(row: wire.RecordGroup, live: list[Holder]) -> wire.RecordGroup:
--- a/fulmarseam/entry/_pools.py
+++ b/fulmarseam/entry/_pools.py
@@ -20,6 +20,9 @@
 # Median assumed before the first answer, in seconds.
 FIRST_SERVICE_S = 0.0
 RATE_STEP = 0.3
+# A new control leader is elected within 2 s. An entry that has not been
+# confirmed for longer is cut off and gets no more slots.
+OUT_OF_TOUCH_S = 2.0
 
 
 class Placement(NamedTuple):
@@ -135,7 +138,7 @@
         """Take the tables and targets in force and serve the queues."""
         rows = {row.name: row for row in self._state.tables.rows(wire.Pool)}
         for name in self._pools.keys() - rows.keys():
-            self._refuse_all(self._pools.pop(name))
+            self._refuse_all(self._pools.pop(name), errors.ErrorKind.NO_TARGET)
         changed = self._mirror_version != self._state.targets.version
         for name, row in rows.items():
             pool = self._pools.get(name)
@@ -167,19 +170,26 @@
 
     def _serve_queue(self, now: float, pool: PoolState) -> None:
         for ticket in pool.queue.refuse_late(now, pool.service_s):
-            ticket.item.refusal = errors.ErrorKind.DEADLINE_UNREACHABLE
+            ticket.item.refusal = errors.ErrorKind.NO_CAPACITY
             ticket.item.notify()
         while (first := pool.queue.peek()) is not None:
             placement = self.try_place(now, pool)
             if placement is None:
+                if self._is_out_of_touch(now):
+                    self._refuse_all(pool, errors.ErrorKind.NO_CAPACITY)
                 return
             pool.queue.pop()
             first.item.placement = placement
             first.item.notify()
 
-    def _refuse_all(self, pool: PoolState) -> None:
+    def _is_out_of_touch(self, now: float) -> bool:
+        """Return whether no more slots can be expected from the leader."""
+        age = self._state.confirmation_age(now)
+        return age is None or age > OUT_OF_TOUCH_S
+
+    def _refuse_all(self, pool: PoolState, kind: errors.ErrorKind) -> None:
         while (ticket := pool.queue.pop()) is not None:
-            ticket.item.refusal = errors.ErrorKind.NO_TARGET
+            ticket.item.refusal = kind
             ticket.item.notify()
 
     def start(
@@ -199,6 +209,9 @@
             waiter.placement = self.try_place(now, pool)
             if waiter.placement is not None:
                 return None
+        if self._is_out_of_touch(now):
+            waiter.refusal = errors.ErrorKind.NO_CAPACITY
+            return None
         admission = pool.queue.push(
             now, waiter, priority, deadline, pool.service_s
         )
--- a/tests/test_control_steps.py
+++ b/tests/test_control_steps.py
@@ -348,6 +348,23 @@
         self.assertEqual(('e2', 'e3'), self.holders(row))
         self.assertEqual(0, row.lost_before)
 
+    def test_draining_primary_stays_as_backup_without_another_entry(
+        self,
+    ) -> None:
+        self.step(SETTLED)
+        self.hear(SETTLED + 7.0, 'e1', 'e2')
+        self.leadership.expire(SETTLED + 7.0)
+        draining = fixtures.make_request(self.infos['e1'], draining=True)
+        self.sync(SETTLED + 7.0, draining)
+        row = self.step(SETTLED + 7.0)
+        self.assertEqual(('e2', 'e1'), self.holders(row))
+
+    def test_draining_backup_is_replaced(self) -> None:
+        self.assertEqual(('e1', 'e2'), self.holders(self.step(SETTLED)))
+        draining = fixtures.make_request(self.infos['e2'], draining=True)
+        self.sync(SETTLED, draining)
+        self.assertEqual(('e1', 'e3'), self.holders(self.step(SETTLED)))
+
     def test_new_leader_replaces_no_holder_it_has_not_heard_yet(self) -> None:
         row = self.step(SETTLED)
         self.leadership = _leadership.Leadership(
