--- a/fulmarseam/membership/_targets.py
+++ b/fulmarseam/membership/_targets.py
@@ -23,7 +23,8 @@
 
     `lease_until`, `ready_since` and `load_at` are in the owner's monotonic
     seconds; the latter two are None until the target was ready and until it
-    reported a load. `version` is the table version of the last news.
+    reported a load. `version` is the table version of the last change of
+    facts and `load_version` that of the last load passed on.
     """
 
     report: wire.TargetReport
@@ -32,10 +33,11 @@
     load_at: float | None
     load_news_at: float
     version: int
+    load_version: int
 
 
 class TargetNews(NamedTuple):
-    """Rows changed and targets removed since a version.
+    """Rows and loads changed and targets removed since a version.
 
     With `full`, `rows` is the whole table and replaces what the reader had.
     """
@@ -44,6 +46,7 @@
     full: bool
     rows: list[wire.TargetRow]
     removed: list[ids.TargetId]
+    loads: list[wire.LoadRow]
 
 
 class TargetTable:
@@ -52,11 +55,13 @@
     A version counts the changes that readers must know: a new target,
     another state, address, size or place, a removal, and a change of load at
     most every 2 s. A renewal alone is no news, because each grant carries
-    the lease of its target.
+    the lease of its target. `urgent_version` is the last version that is
+    more than a change of load; only that is worth an answer at once.
     """
 
     def __init__(self, lease_s: float = TARGET_LEASE_S) -> None:
         self.version = 0
+        self.urgent_version = 0
         self._lease_s = lease_s
         self._targets: dict[ids.TargetId, Target] = {}
         self._removals: collections.deque[tuple[int, ids.TargetId]] = (
@@ -103,6 +108,7 @@
         for target in ended:
             del self._targets[target]
             self.version += 1
+            self.urgent_version = self.version
             self._removals.append((self.version, target))
         while len(self._removals) > REMOVALS_KEPT:
             self._complete_since = self._removals.popleft()[0]
@@ -130,8 +136,15 @@
             for target in self._targets.values()
             if full or target.version > version
         ]
-        removed = [] if full else self._list_removed(version)
-        return TargetNews(self.version, full, rows, removed)
+        if full:
+            return TargetNews(self.version, full, rows, [], [])
+        loads = [
+            _to_load_row(now, target)
+            for target in self._targets.values()
+            if target.load_version > version >= target.version
+        ]
+        removed = self._list_removed(version)
+        return TargetNews(self.version, full, rows, removed, loads)
 
     def rows_since(self, now: float, version: int) -> list[wire.TargetRow]:
         """Return the rows that changed after `version`."""
@@ -148,6 +161,7 @@
 
     def _create(self, received_at: float, report: wire.TargetReport) -> Target:
         self.version += 1
+        self.urgent_version = self.version
         ready = report.state is wire.TargetState.READY
         return Target(
             report=report,
@@ -156,6 +170,7 @@
             load_at=None if report.load is None else received_at,
             load_news_at=received_at,
             version=self.version,
+            load_version=self.version,
         )
 
     def _update(
@@ -173,10 +188,15 @@
             known.load_at = received_at
         elif restarted:
             known.load_at = None
-        if self._is_news(known, received_at, report):
+        if facts_of(report) != facts_of(known.report):
             self.version += 1
+            self.urgent_version = self.version
             known.version = self.version
             known.load_news_at = received_at
+        elif self._is_load_due(known, received_at, report):
+            self.version += 1
+            known.load_version = self.version
+            known.load_news_at = received_at
         known.report = report
         known.lease_until = max(
             known.lease_until, received_at + self._lease_of(report)
@@ -187,11 +207,9 @@
             return LEAVING_KEPT_S
         return self._lease_s
 
-    def _is_news(
+    def _is_load_due(
         self, known: Target, received_at: float, report: wire.TargetReport
     ) -> bool:
-        if facts_of(report) != facts_of(known.report):
-            return True
         due = received_at - known.load_news_at >= LOAD_NEWS_INTERVAL_S
         return due and report.load is not None
 
@@ -230,6 +248,19 @@
     )
 
 
+def _to_load_row(now: float, target: Target) -> wire.LoadRow:
+    report = target.report
+    load = report.load or wire.TargetLoad(busy_slots=0)
+    return wire.LoadRow(
+        target=report.target,
+        sequence=report.sequence,
+        busy_slots=load.busy_slots,
+        queued=load.queued,
+        latency_ms=load.latency_ms,
+        age_ms=_to_age_ms(now, target.load_at),
+    )
+
+
 def _to_age_ms(now: float, since: float | None) -> int:
     return 0 if since is None else to_ms(now - since)
 
--- a/fulmarseam/transport/_rpc.py
+++ b/fulmarseam/transport/_rpc.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterator
 import contextlib
 from typing import Any
 from typing import Self
@@ -27,6 +28,17 @@
 _log = logbook.Logger('transport')
 
 
+@contextlib.contextmanager
+def _open_context(nng_socket: Any) -> Iterator[Any]:
+    """Provide a context; its socket may be closed before it."""
+    context = nng_socket.new_context()
+    try:
+        yield context
+    finally:
+        with contextlib.suppress(pynng.Closed):
+            context.close()
+
+
 class RpcServer:
     """Serves calls on one address until the context ends.
 
@@ -159,7 +171,7 @@
         """
         if self._socket is None:
             raise errors.TransportError(f'{self.address}: closed')
-        with contextlib.closing(self._socket.new_context()) as context:
+        with _open_context(self._socket) as context:
             try:
                 async with asyncio.timeout(timeout_s):
                     sent = wire.encode(message)
--- a/fulmarseam/wire/_sync.py
+++ b/fulmarseam/wire/_sync.py
@@ -57,6 +57,20 @@
     load_age_ms: int
 
 
+class LoadRow(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A newer load report of a target whose other facts are the same.
+
+    `age_ms` is the age of the load report at the moment of the answer.
+    """
+
+    target: ids.TargetId
+    sequence: int
+    busy_slots: int
+    queued: int
+    latency_ms: float
+    age_ms: int
+
+
 class EntryInfo(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Identity and addresses of an entry."""
 
@@ -144,11 +158,12 @@
 ):
     """An entry's report to the leader and its request for news.
 
-    `ack_term` and `ack_sequence` name the last grants applied. The answer
-    may be held back for `wait_ms` when there is no news. `record_copies`
-    names the record groups of which the entry holds a full copy.
-    `entries_version` is that of the entry rows it has, in the term
-    `targets_term`; 0 asks for the rows.
+    `ack_term` and `ack_sequence` name the last grants applied, and
+    `ack_age_ms` tells how long ago that was. The answer may be held back
+    for `wait_ms` when there is no news. `record_copies` names the record
+    groups of which the entry holds a full copy. `entries_version` is that
+    of the entry rows it has, in the term `targets_term`; 0 asks for the
+    rows.
     """
 
     info: EntryInfo
@@ -165,6 +180,7 @@
     announcement_ages_ms: list[int]
     wait_ms: int
     record_copies: list[RecordCopy] = []
+    ack_age_ms: int | None = None
     entries_version: int = 0
 
 
@@ -191,6 +207,7 @@
     targets_full: bool
     targets: list[TargetRow]
     targets_removed: list[ids.TargetId]
+    loads: list[LoadRow] = []
     entries: list[EntryRow]
     grant_sequence: int
     grant_ttl_ms: int
