--- a/fulmarseam/bench/_cluster.py
+++ b/fulmarseam/bench/_cluster.py
@@ -51,7 +51,7 @@
     def __init__(self, plan: _plan.Plan) -> None:
         self.plan = plan
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='fulmarseam-'))
-        self.links = _links.Links(plan.faulty)
+        self.links = _links.Links(plan.faulty, plan.proxy_requests)
         self.addresses = {node.name: Addresses() for node in plan.nodes}
         self.regions = {node.name: node.region for node in plan.nodes}
         self.processes: dict[str, _processes.Process] = {}
@@ -177,7 +177,7 @@
             'slots': node.slots,
             'listen': own.listen,
             'advertise': self.links.dial(
-                _links.ENTRIES, node.name, own.listen, 'http'
+                _links.ENTRIES, node.name, own.listen, _links.REQUEST_PORT
             ),
             'entries': [
                 self.links.dial(
@@ -213,7 +213,10 @@
     def find_entry_address(self, name: str) -> str:
         """Return the address at which callers reach an entry."""
         return self.links.dial(
-            _links.CALLERS, name, self.addresses[name].listen, 'http'
+            _links.CALLERS,
+            name,
+            self.addresses[name].listen,
+            _links.REQUEST_PORT,
         )
 
     def list_apis(self, region: str | None = None) -> list[str]:
--- a/fulmarseam/bench/_links.py
+++ b/fulmarseam/bench/_links.py
@@ -14,6 +14,7 @@
 # Names for the outside ends of links.
 CALLERS = 'callers'
 ENTRIES = 'entries'
+REQUEST_PORT = 'http'
 
 
 class Link(NamedTuple):
@@ -36,11 +37,13 @@
 class Links:
     """All links of a group.
 
-    Without `faulty` each link leads straight to its destination.
+    Without `faulty` each link leads straight to its destination; without
+    `proxy_requests` those of callers' requests do.
     """
 
-    def __init__(self, faulty: bool) -> None:
+    def __init__(self, faulty: bool, proxy_requests: bool = True) -> None:
         self.faulty = faulty
+        self._proxy_requests = proxy_requests
         self.control = _processes.find_free_address()
         self._links: dict[str, Link] = {}
 
@@ -50,6 +53,8 @@
         """Return the address at which `source` reaches a node's address."""
         if not self.faulty:
             return address
+        if port == REQUEST_PORT and not self._proxy_requests:
+            return address
         name = f'{source}>{destination}:{port}'
         if name not in self._links:
             listen = _processes.find_free_address()
--- a/fulmarseam/bench/_plan.py
+++ b/fulmarseam/bench/_plan.py
@@ -44,7 +44,8 @@
 class Plan:
     """A whole group and the rows that it starts with.
 
-    With `faulty` all links pass through the fault proxy; `delay_ms` is then
+    With `faulty` all links pass through the fault proxy, without
+    `proxy_requests` all but those of callers' requests; `delay_ms` is then
     the one-way time between two regions.
     """
 
@@ -53,6 +54,7 @@
     targets: Sequence[TargetPlan]
     rows: Sequence[wire.Row]
     faulty: bool = False
+    proxy_requests: bool = True
     delay_ms: float = 0.0
     control_options: Mapping[str, Any] = dataclasses.field(
         default_factory=dict
--- a/fulmarseam/bench/_scenarios.py
+++ b/fulmarseam/bench/_scenarios.py
@@ -148,6 +148,8 @@
         pools=[POOL],
         target_options={'service': service},
         faulty=scenario.faulty,
+        # The proxy is too slow for the requests of the bench.
+        proxy_requests=False,
     )
 
 
