--- a/fulmarseam/client/_caller.py
+++ b/fulmarseam/client/_caller.py
@@ -9,6 +9,7 @@
 
 from fulmarseam import errors
 from fulmarseam import ids
+from fulmarseam import steering
 from fulmarseam.client import _exchange
 from fulmarseam.client import _lookup
 
@@ -16,6 +17,17 @@
 # The entry ends a request at its deadline; the caller waits a little longer
 # for the answer that says so.
 ANSWER_GRACE_S = 1.0
+# Share of the calls that may be sent to another entry after a refusal for
+# lack of room. In an overload every entry refuses, and a call sent to each
+# of them would multiply the load.
+OVERLOAD_RETRY_RATIO = 0.1
+_OVERLOADED = frozenset(
+    {
+        errors.ErrorKind.NO_CAPACITY,
+        errors.ErrorKind.QUEUE_FULL,
+        errors.ErrorKind.TARGET_SHED,
+    }
+)
 
 
 class Attempt(NamedTuple):
@@ -53,15 +65,21 @@
     """Sends calls through the entries that look-ups name.
 
     A call goes to the next entry only when the attempt is known not to
-    have run. All attempts of a call carry the same request id::
+    have run, and after a refusal for lack of room only within a budget.
+    All attempts of a call carry the same request id. `address` is the IP
+    number that look-ups place the caller by; without it entries see that
+    of the connection::
 
         async with Caller(['127.0.0.1:8001'], 'ost') as caller:
             result = await caller.call(request, deadline_ms=2000, once=True)
     """
 
-    def __init__(self, apis: Sequence[str], region: str) -> None:
+    def __init__(
+        self, apis: Sequence[str], region: str, address: str | None = None
+    ) -> None:
         self._exchanger = _exchange.Exchanger()
-        self._lookup = _lookup.Lookup(apis, region, self._exchanger)
+        self._lookup = _lookup.Lookup(apis, region, self._exchanger, address)
+        self._budget = steering.RetryBudget(OVERLOAD_RETRY_RATIO)
 
     async def __aenter__(self) -> Self:
         return self
@@ -111,6 +129,7 @@
             request_id = await self.mint_request_id()
         attempts: list[Attempt] = []
         reply: _exchange.Reply | None = None
+        self._budget.count_request()
         for entry in answer.entries:
             left_s = deadline - time.monotonic()
             if left_s <= 0:
@@ -119,13 +138,27 @@
                 entry.address, _stamp(request, request_id, left_s), left_s
             )
             attempts.append(attempt)
-            if not _may_go_on(attempt):
+            if not self._may_go_on(attempt):
                 break
         outcome = errors.Outcome.NOT_RUN
         if attempts:
             outcome = attempts[-1].outcome
         return Result(outcome, reply, request_id, attempts)
 
+    def _may_go_on(self, attempt: Attempt) -> bool:
+        """Return whether the next entry may be asked."""
+        if attempt.outcome is not errors.Outcome.NOT_RUN:
+            return False
+        if not attempt.kind:
+            return True
+        try:
+            kind = errors.ErrorKind(attempt.kind)
+        except ValueError:
+            return False
+        if errors.ANSWERS[kind].retry is not errors.Retry.OTHER_ENTRY:
+            return False
+        return kind not in _OVERLOADED or self._budget.take()
+
     async def _attempt(
         self, address: str, request: _exchange.Request, left_s: float
     ) -> tuple[Attempt, _exchange.Reply | None]:
@@ -163,19 +196,6 @@
         return errors.Outcome.UNKNOWN
 
 
-def _may_go_on(attempt: Attempt) -> bool:
-    """Return whether the next entry may be asked."""
-    if attempt.outcome is not errors.Outcome.NOT_RUN:
-        return False
-    if not attempt.kind:
-        return True
-    try:
-        kind = errors.ErrorKind(attempt.kind)
-    except ValueError:
-        return False
-    return errors.ANSWERS[kind].retry is errors.Retry.OTHER_ENTRY
-
-
 def _stamp(
     request: _exchange.Request,
     request_id: ids.RequestId | None,
--- a/fulmarseam/client/_lookup.py
+++ b/fulmarseam/client/_lookup.py
@@ -53,8 +53,10 @@
         apis: Sequence[str],
         region: str,
         exchanger: _exchange.Exchanger,
+        address: str | None = None,
     ) -> None:
         self._apis = list(apis)
+        self._address = address
         self._region = region
         self._exchanger = exchanger
         self._answer: LookupAnswer | None = None
@@ -78,7 +80,10 @@
         return self._answer
 
     async def _refresh(self) -> None:
-        query = urllib.parse.urlencode({'region': self._region})
+        fields = {'region': self._region}
+        if self._address is not None:
+            fields['address'] = self._address
+        query = urllib.parse.urlencode(fields)
         request = _exchange.Request('GET', 'lookup', f'/v1/lookup?{query}')
         for api in list(self._apis):
             asked = time.monotonic()
--- a/fulmarseam/settings/_load.py
+++ b/fulmarseam/settings/_load.py
@@ -41,7 +41,8 @@
 class LoadSettings:
     """Settings of `fulmarseam-load`.
 
-    `entries` are the api addresses asked for look-ups. With `direct`, the
+    `entries` are the api addresses asked for look-ups by `callers` callers
+    with addresses of their own. With `direct`, the
     requests go to these addresses in turn without a look-up, to measure
     what an entry adds. `arrivals` are evenly spaced or follow a Poisson
     process.
@@ -54,6 +55,7 @@
     phases: list[LoadPhase] = _option(
         _options.list_of(_options.section(LoadPhase), 1)
     )
+    callers: int = _option(_options.integer(1, 10_000), 16)
     entries: list[str] = _option(_options.list_of(_options.address()), [])
     direct: list[str] = _option(_options.list_of(_options.address()), [])
     policy: str = _option(
--- a/fulmarseam/standin/_load.py
+++ b/fulmarseam/standin/_load.py
@@ -2,6 +2,9 @@
 
 import asyncio
 from collections.abc import Iterator
+from collections.abc import Sequence
+import contextlib
+import ipaddress
 import itertools
 import random
 import time
@@ -24,6 +27,7 @@
 HIGHEST_US = 600_000_000
 SIGNIFICANT_DIGITS = 3
 START_DELAY_S = 0.2
+FIRST_CALLER_ADDRESS = ipaddress.IPv4Address('127.1.0.1')
 
 _log = logbook.Logger('load')
 
@@ -199,17 +203,28 @@
     )
 
 
-def make_caller_sender(caller: client.Caller) -> Sender:
-    """Return a sender that calls through the entries."""
+def make_caller_sender(callers: Sequence[client.Caller]) -> Sender:
+    """Return a sender that calls through the entries as each in turn."""
+    turns = itertools.cycle(callers)
 
     async def send(
         request: client.Request, route: settings.LoadRoute
     ) -> client.Result:
+        caller = next(turns)
         return await caller.call(request, route.deadline_ms, route.once)
 
     return send
 
 
+def _make_caller(options: settings.LoadSettings, number: int) -> client.Caller:
+    """Return a caller with an address of its own.
+
+    Entries spread callers by their addresses.
+    """
+    address = str(FIRST_CALLER_ADDRESS + number)
+    return client.Caller(options.entries, options.region, address)
+
+
 async def run_load(options: settings.LoadSettings) -> list[RouteSummary]:
     """Run a schedule of calls and return the summary of each route."""
     if options.direct:
@@ -218,8 +233,12 @@
         await load.run()
         exchanger.close()
     else:
-        async with client.Caller(options.entries, options.region) as caller:
-            load = Load(options, make_caller_sender(caller))
+        async with contextlib.AsyncExitStack() as stack:
+            callers = [
+                await stack.enter_async_context(_make_caller(options, number))
+                for number in range(options.callers)
+            ]
+            load = Load(options, make_caller_sender(callers))
             await load.run()
     if load.skipped:
         _log.warn('event=calls_skipped count={}', load.skipped)
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -149,6 +149,25 @@
         self.assertEqual(1, len(set(sent)))
 
 
+class OverloadTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against calls that multiply when every entry refuses."""
+
+    async def test_refusals_for_lack_of_room_are_retried_in_a_budget(
+        self,
+    ) -> None:
+        full = decline('queue_full', 'not-run')
+        first = FakeEntry([full] * 50)
+        second = FakeEntry([full] * 50)
+        first.named = [first.address, second.address]
+        async with first.server, second.server:
+            async with client.Caller([first.address], 'ost') as caller:
+                for _ in range(50):
+                    await caller.call(REQUEST, 2_000)
+        self.assertEqual(50, len(first.requests))
+        # One token at first and a tenth for each of the 50 calls.
+        self.assertIn(len(second.requests), (5, 6))
+
+
 class AnnouncerTest(unittest.IsolatedAsyncioTestCase):
     """Guards against lost or reordered announcements."""
 
