--- a/fulmarseam/bench/__init__.py
+++ b/fulmarseam/bench/__init__.py
@@ -8,11 +8,12 @@
 from fulmarseam.bench import _results
 from fulmarseam.bench import _run
 from fulmarseam.bench import _scenarios
+from fulmarseam.bench import capacity
 
 DEMO = 'demo'
 ALL = 'all'
 SHOWN_VIOLATIONS = 10
-NAMES = (DEMO, ALL, *_scenarios.SCENARIOS)
+NAMES = (DEMO, ALL, *_scenarios.SCENARIOS, *capacity.NAMES)
 POLICIES = (_run.OURS, 'random', 'least-outstanding')
 
 
@@ -26,6 +27,9 @@
     """
     if name == DEMO:
         return await _demo.run_demo()
+    if name in capacity.NAMES:
+        await capacity.run_scenario(name)
+        return 0
     names = list(_scenarios.SCENARIOS) if name == ALL else [name]
     broken = 0
     for scenario in names:
--- a/fulmarseam/bench/capacity/_groups.py
+++ b/fulmarseam/bench/capacity/_groups.py
@@ -87,7 +87,7 @@
         leader = await cluster.wait_leader(SETTLE_S)
         nodes = [
             await stack.enter_async_context(
-                _make_node(number, cluster.addresses[leader].listen)
+                make_node(number, cluster.addresses[leader].listen)
             )
             for number in range(count)
         ]
@@ -95,20 +95,22 @@
         pid = cluster.processes[leader].pid
         assert pid is not None
         meter = Meter(pid)
-        before = _sum_bytes(nodes)
+        before = sum_bytes(nodes)
         await asyncio.sleep(MEASURE_S)
         usage = meter.read()
-        sent = _sum_bytes(nodes) - before
+        sent = sum_bytes(nodes) - before
     return usage, sent / count / MEASURE_S
 
 
-def _make_node(number: int, address: str) -> _nodes.SyncNode:
+def make_node(number: int, address: str) -> _nodes.SyncNode:
+    """Return a stand-in node in one of the regions."""
     region = REGIONS[number % len(REGIONS)]
     domain = number // len(REGIONS) % DOMAINS_PER_REGION
     return _nodes.SyncNode(number, address, region, f'{region}-{domain}')
 
 
-def _sum_bytes(nodes: list[_nodes.SyncNode]) -> int:
+def sum_bytes(nodes: list[_nodes.SyncNode]) -> int:
+    """Return the bytes that all nodes sent and received."""
     return sum(
         node.counts.bytes_sent + node.counts.bytes_received for node in nodes
     )
--- a/fulmarseam/bench/capacity/_nodes.py
+++ b/fulmarseam/bench/capacity/_nodes.py
@@ -48,6 +48,7 @@
         self._task: asyncio.Task[None] | None = None
         self._targets_term = 0
         self._targets_version = 0
+        self._entries_version = 0
         self._ack_sequence = 0
 
     async def __aenter__(self) -> Self:
@@ -77,6 +78,7 @@
             revision=self.counts.revision,
             targets_term=self._targets_term,
             targets_version=self._targets_version,
+            entries_version=self._entries_version,
             ack_term=self._targets_term,
             ack_sequence=self._ack_sequence,
             uses=[],
@@ -96,4 +98,5 @@
         counts.revision = answer.revision
         self._targets_term = answer.term
         self._targets_version = answer.targets_version
+        self._entries_version = answer.entries_version
         self._ack_sequence = answer.grant_sequence
