--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -6,6 +6,7 @@
 
 from fulmarseam import errors
 from fulmarseam import settings
+from fulmarseam.bench import capacity
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 ERROR_ROW = re.compile(r'^\| `(\w+)` \| (\d+) \| ([a-z-]+) \|', re.MULTILINE)
@@ -31,6 +32,16 @@
         self.assertEqual({kind.value for kind in errors.ErrorKind}, seen)
 
 
+class CapacityPageTest(unittest.TestCase):
+    """Guards against a capacity page that differs from its results."""
+
+    def test_tables_are_made_from_the_results_file(self) -> None:
+        docs = ROOT / 'docs'
+        results = capacity.read_results(docs / 'capacity-results.json')
+        page = (docs / 'CAPACITY.md').read_text(encoding='utf-8')
+        self.assertIn(capacity.make_tables(results), page)
+
+
 class ExampleSettingsTest(unittest.TestCase):
     """Guards against example settings that the programs refuse."""
 
