Say unknown when a retry ends without an answer

Cause: an idempotent request whose first target broke off was retried; when the retry was shed or found no slot, the caller was told not-run although the first target may have run it. Change: once an attempt may have run, its error is what the caller learns. Result: two new tests failed before (not-run) and pass now (unknown).

--- a/fulmarseam/entry/_proxying.py
+++ b/fulmarseam/entry/_proxying.py
@@ -182,7 +182,11 @@
     async def _run_claimed(
         self, job: _requests.Job, claim: _claims.Claim | None
     ) -> None:
-        """Attempt a job until it is answered or may not be repeated."""
+        """Attempt a job until it is answered or may not be repeated.
+
+        Once an attempt may have run, that is what the caller learns,
+        whatever ends a later attempt.
+        """
         if claim is not None and not await claim.acquire():
             return
         avoided: frozenset[ids.TargetId] = frozenset()
@@ -190,16 +194,24 @@
         # Without a claim nothing bounds how often the request may run.
         is_guarded = job.route.idempotent or claim is not None
         attempts = MAX_ATTEMPTS if is_guarded else 1
+        may_have_run: errors.FulmarseamError | None = None
         for left in range(attempts - 1, -1, -1):
-            placement = await self._placer.place(job, pool, avoided)
-            failed = await self._attempt(job, placement, claim)
+            try:
+                placement = await self._placer.place(job, pool, avoided)
+                failed = await self._attempt(job, placement, claim)
+            except errors.FulmarseamError as error:
+                if may_have_run is None:
+                    raise
+                raise may_have_run from error
             if failed is None:
                 return
+            if failed.error.answer.outcome is not errors.Outcome.NOT_RUN:
+                may_have_run = failed.error
             avoided |= {placement.choice.target}
             if not left or not failed.may_repeat:
-                raise failed.error
+                raise may_have_run or failed.error
             if not self._has_other(pool, avoided) or not pool.budget.take():
-                raise failed.error
+                raise may_have_run or failed.error
             self._services.metrics.add('retries_total', pool=pool.pool.name)
 
     def _has_other(
--- a/tests/test_entry_proxy.py
+++ b/tests/test_entry_proxy.py
@@ -4,6 +4,8 @@
 import json
 from typing import ClassVar
 
+import msgspec
+
 from fulmarseam import wire
 from tests import entry_case
 from tests import fakes
@@ -214,6 +216,44 @@
         writer.transport.abort()
 
 
+class RetryOutcomeTest(entry_case.EntryCase):
+    """Guards against a failed retry that hides a first run (P4)."""
+
+    rows: ClassVar[list[wire.Row]] = [
+        wire.Pool(name=fakes.POOL, retry_ratio=1.0),
+        entry_case.make_route(),
+    ]
+
+    async def start_pair(
+        self, second: fakes.Behaviour, slots: int = 4
+    ) -> list[fakes.FakeTarget]:
+        """Start a near target that breaks off and another one."""
+        near = await self.start_target(serve_bytes(b''), 't1')
+        far = await self.enterAsyncContext(fakes.FakeTarget(second))
+        report = far.make_report('t2', slots)
+        self.announce(msgspec.structs.replace(report, failure_domain='ost-b'))
+        await self.wait_until(lambda: self.is_usable('t2'))
+        return [near, far]
+
+    async def test_request_shed_by_the_second_target_is_unknown(self) -> None:
+        targets = await self.start_pair(fakes.answer_always(SHED))
+        answer = await self.call()
+        for target in targets:
+            self.assertNotEqual(b'', target.received_bytes)
+        self.assertEqual((502, 'target_failed', 'unknown'), answer.describe())
+
+    async def test_request_without_a_second_slot_is_unknown(self) -> None:
+        _, far = await self.start_pair(stay_silent, slots=1)
+        holding = asyncio.create_task(self.call('/held'))
+        await self.wait_until(lambda: far.received_bytes)
+        answer = await self.call(
+            '/x', headers='Fulmarseam-Deadline-Ms: 300\r\n'
+        )
+        self.assertNotIn(b'/x', far.received_bytes)
+        self.assertEqual((502, 'target_failed', 'unknown'), answer.describe())
+        holding.cancel()
+
+
 class OutcomeTest(entry_case.EntryCase):
     """Guards against "not run" for a request that may have run (P4)."""
 
