--- a/fulmarseam/bench/_scenarios.py
+++ b/fulmarseam/bench/_scenarios.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import itertools
 import time
 from typing import Any
 from typing import NamedTuple
@@ -19,6 +20,7 @@
 DISTURB_AT_S = 3.0
 HALF = 0.5
 MEAN_SERVICE_MS = 20.0
+LINK_BYTES_PER_S = 280_000_000 // 8
 REGIONS = ('ost', 'west', 'sued')
 POOL = 'katalog'
 
@@ -146,6 +148,7 @@
         targets_per_region=2,
         slots=3,
         pools=[POOL],
+        rows=[*_plan.make_rows([POOL]), *_make_links()],
         target_options={'service': service},
         faulty=scenario.faulty,
         # The proxy is too slow for the requests of the bench.
@@ -153,6 +156,19 @@
     )
 
 
+def _make_links() -> list[wire.Row]:
+    """Return the links of the smaller deployment, 280 Mbit/s each way."""
+    return [
+        wire.Link(
+            name=f'{near}>{far}',
+            from_region=ids.RegionName(near),
+            to_region=ids.RegionName(far),
+            bytes_per_s=LINK_BYTES_PER_S,
+        )
+        for near, far in itertools.permutations(REGIONS, 2)
+    ]
+
+
 def find_rate_per_s(plan: _plan.Plan, region: str, share: float) -> float:
     """Return the arrivals that keep a share of a region's slots busy."""
     slots = sum(
