Name the rows of the slot plan by the usual terms

Cause: a target's row in the plan had a name of its own. Change: it is called TargetCapacity; bench groups take further rows. Result: 68 tests of the allocation pass.

--- a/fulmarseam/bench/_plan.py
+++ b/fulmarseam/bench/_plan.py
@@ -162,5 +162,5 @@
         for region in regions
         for number in range(targets_per_region)
     ]
-    rows = make_rows(pools, once)
+    rows = [*make_rows(pools, once), *options.pop('more_rows', ())]
     return Plan(control_plans, entry_plans, target_plans, rows, **options)
--- a/fulmarseam/bench/_scenarios.py
+++ b/fulmarseam/bench/_scenarios.py
@@ -148,7 +148,7 @@
         targets_per_region=2,
         slots=3,
         pools=[POOL],
-        rows=[*_plan.make_rows([POOL]), *_make_links()],
+        more_rows=_make_links(),
         target_options={'service': service},
         faulty=scenario.faulty,
         # The proxy is too slow for the requests of the bench.
--- a/fulmarseam/steering/_allocator.py
+++ b/fulmarseam/steering/_allocator.py
@@ -241,19 +241,19 @@
         drained: Collection[_ledger.HolderKey],
         shifts: list[wire.Shift],
     ) -> None:
-        seats = [
-            _demand.make_seat(now, pool, row)
+        capacities = [
+            _demand.make_capacity(now, pool, row)
             for row in targets
             if row.report.pool == pool.name
         ]
-        members = {seat.target for seat in seats}
+        members = {capacity.target for capacity in capacities}
         claimants = [
             _demand.make_claimant(
                 holder, pool, members, _key_of(holder) in drained, shifts
             )
             for holder in live
         ]
-        for group, places in _demand.split_pool(pool, claimants, seats):
+        for group, places in _demand.split_pool(pool, claimants, capacities):
             _plan.plan_pool(group, places, self._has_link)
         for claimant in claimants:
             planned = self._ledger.holders[claimant.key].planned
--- a/fulmarseam/steering/_demand.py
+++ b/fulmarseam/steering/_demand.py
@@ -77,16 +77,16 @@
     return max(slots, min(slots * each, slots + IDLE_CONNECTIONS))
 
 
-def make_seat(
+def make_capacity(
     now: float, pool: wire.Pool, target: membership.Target
-) -> _plan.Seat:
+) -> _plan.TargetCapacity:
     """Return the row of a target that is usable."""
     report = target.report
     ready_for_s = 0.0
     if target.ready_since is not None:
         ready_for_s = now - target.ready_since
     slots = min(report.slots, report.connections)
-    return _plan.Seat(
+    return _plan.TargetCapacity(
         report.target,
         report.region,
         report.failure_domain,
@@ -136,19 +136,19 @@
 def split_pool(
     pool: wire.Pool,
     claimants: Sequence[_plan.Claimant],
-    seats: Sequence[_plan.Seat],
-) -> Iterator[tuple[list[_plan.Claimant], list[_plan.Seat]]]:
+    capacities: Sequence[_plan.TargetCapacity],
+) -> Iterator[tuple[list[_plan.Claimant], list[_plan.TargetCapacity]]]:
     """Yield the parts of a pool that are planned apart.
 
     Only a pool that is `local_only` has more than one, one for a region.
     """
     if not pool.local_only:
-        yield list(claimants), list(seats)
+        yield list(claimants), list(capacities)
         return
     for region in sorted({claimant.region for claimant in claimants}):
         yield (
             [row for row in claimants if row.region == region],
-            [seat for seat in seats if seat.region == region],
+            [capacity for capacity in capacities if capacity.region == region],
         )
 
 
--- a/fulmarseam/steering/_plan.py
+++ b/fulmarseam/steering/_plan.py
@@ -1,7 +1,8 @@
 """The plan of slots of one pool over entries.
 
-Entities are `Claimant` rows (entries) and `Seat` rows (targets). The plan
-says who should have what; the ledger decides what may be given now.
+Entities are `Claimant` rows (entries) and `TargetCapacity` rows (targets).
+The plan says who should have what; the ledger decides what may be given
+now.
 """
 
 from collections.abc import Callable
@@ -23,7 +24,7 @@
 
 
 @dataclasses.dataclass(slots=True, eq=False)
-class Seat:
+class TargetCapacity:
     """A target; `room` is what the plan has not given away."""
 
     target: ids.TargetId
@@ -63,7 +64,7 @@
 
 def plan_pool(
     claimants: Sequence[Claimant],
-    seats: Sequence[Seat],
+    capacities: Sequence[TargetCapacity],
     has_link: LinkCheck,
 ) -> None:
     """Fill the plans of the claimants.
@@ -72,9 +73,11 @@
     failure domain, the own region and other regions. Part of what is left
     over goes to the entries of the region.
     """
-    _set_quotas(claimants, sum(seat.room for seat in seats))
-    by_region = _group_by_region(seats)
-    _keep_busy(claimants, {seat.target: seat for seat in seats})
+    _set_quotas(claimants, sum(capacity.room for capacity in capacities))
+    by_region = _group_by_region(capacities)
+    _keep_busy(
+        claimants, {capacity.target: capacity for capacity in capacities}
+    )
     _place_moves(claimants, by_region)
     _place_near(claimants, by_region, {c.key: c.quota for c in claimants})
     _place_far(claimants, by_region, has_link)
@@ -126,51 +129,55 @@
 
 
 def _group_by_region(
-    seats: Iterable[Seat],
-) -> dict[ids.RegionName, list[Seat]]:
-    grouped: dict[ids.RegionName, list[Seat]] = {}
-    for seat in seats:
-        grouped.setdefault(seat.region, []).append(seat)
+    capacities: Iterable[TargetCapacity],
+) -> dict[ids.RegionName, list[TargetCapacity]]:
+    grouped: dict[ids.RegionName, list[TargetCapacity]] = {}
+    for capacity in capacities:
+        grouped.setdefault(capacity.region, []).append(capacity)
     return grouped
 
 
 def _keep_busy(
-    claimants: Sequence[Claimant], seats: Mapping[ids.TargetId, Seat]
+    claimants: Sequence[Claimant],
+    capacities: Mapping[ids.TargetId, TargetCapacity],
 ) -> None:
     for claimant in claimants:
         for target, count in claimant.busy.items():
-            seat = seats.get(target)
-            if seat is not None:
+            capacity = capacities.get(target)
+            if capacity is not None:
                 kept = min(count, claimant.held.get(target, 0))
-                _place(claimant, seat, min(kept, _need(claimant)))
+                _place(claimant, capacity, min(kept, _need(claimant)))
 
 
 def _place_moves(
     claimants: Sequence[Claimant],
-    by_region: Mapping[ids.RegionName, list[Seat]],
+    by_region: Mapping[ids.RegionName, list[TargetCapacity]],
 ) -> None:
     """Place the part of the demand that shifts send elsewhere."""
     for claimant in claimants:
         for region, share in claimant.moves:
-            seats = by_region.get(region, [])
-            there = sum(claimant.plan.get(seat.target, 0) for seat in seats)
+            capacities = by_region.get(region, [])
+            there = sum(
+                claimant.plan.get(capacity.target, 0)
+                for capacity in capacities
+            )
             wanted = math.ceil(share * claimant.quota) - there
             limit = claimant.placed + min(wanted, _need(claimant))
-            _keep(claimant, seats, limit)
-            _spread(claimant, seats, limit)
+            _keep(claimant, capacities, limit)
+            _spread(claimant, capacities, limit)
 
 
 def _place_near(
     claimants: Sequence[Claimant],
-    by_region: Mapping[ids.RegionName, list[Seat]],
+    by_region: Mapping[ids.RegionName, list[TargetCapacity]],
     limits: Mapping[_ledger.HolderKey, int],
 ) -> None:
     """Place in the own failure domain, then in the own region."""
     domains = {
         claimant.key: [
-            seat
-            for seat in by_region.get(claimant.region, ())
-            if seat.domain == claimant.domain
+            capacity
+            for capacity in by_region.get(claimant.region, ())
+            if capacity.domain == claimant.domain
         ]
         for claimant in claimants
     }
@@ -178,17 +185,17 @@
         claimant.key: by_region.get(claimant.region, [])
         for claimant in claimants
     }
-    for seats in (domains, regions):
+    for capacities in (domains, regions):
         for place in (_keep, _spread):
             for claimant in claimants:
                 limit = limits[claimant.key]
                 if claimant.placed < limit:
-                    place(claimant, seats[claimant.key], limit)
+                    place(claimant, capacities[claimant.key], limit)
 
 
 def _place_far(
     claimants: Sequence[Claimant],
-    by_region: Mapping[ids.RegionName, list[Seat]],
+    by_region: Mapping[ids.RegionName, list[TargetCapacity]],
     has_link: LinkCheck,
 ) -> None:
     """Place the demand that the own region has no room for."""
@@ -196,28 +203,30 @@
         for claimant in claimants:
             if not _need(claimant):
                 continue
-            seats = [
-                seat
+            capacities = [
+                capacity
                 for region, group in by_region.items()
                 if region != claimant.region
                 and has_link(claimant.region, region)
-                for seat in group
+                for capacity in group
             ]
-            place(claimant, seats, claimant.quota)
+            place(claimant, capacities, claimant.quota)
 
 
 def _place_spare(
     claimants: Sequence[Claimant],
-    by_region: Mapping[ids.RegionName, list[Seat]],
+    by_region: Mapping[ids.RegionName, list[TargetCapacity]],
 ) -> None:
     """Hand out part of the slots that nobody asks for."""
-    for region, seats in by_region.items():
+    for region, capacities in by_region.items():
         near = [
             claimant
             for claimant in claimants
             if claimant.region == region and not claimant.draining
         ]
-        spare = int(SPARE_SHARE * sum(seat.room for seat in seats))
+        spare = int(
+            SPARE_SHARE * sum(capacity.room for capacity in capacities)
+        )
         if not near or not spare:
             continue
         parts = _divide(spare, [claimant.quota + 1 for claimant in near])
@@ -226,8 +235,8 @@
             for claimant, part in zip(near, parts, strict=True)
         }
         for claimant in near:
-            _keep(claimant, seats, limits[claimant.key] + SPARE_SLACK)
-        _place_near(near, {region: seats}, limits)
+            _keep(claimant, capacities, limits[claimant.key] + SPARE_SLACK)
+        _place_near(near, {region: capacities}, limits)
 
 
 def _divide(total: int, weights: Sequence[int]) -> list[int]:
@@ -245,38 +254,44 @@
     return claimant.quota - claimant.placed
 
 
-def _place(claimant: Claimant, seat: Seat, count: int) -> None:
-    count = min(count, seat.room)
+def _place(claimant: Claimant, capacity: TargetCapacity, count: int) -> None:
+    count = min(count, capacity.room)
     if count <= 0:
         return
-    seat.room -= count
+    capacity.room -= count
     claimant.placed += count
-    planned = claimant.plan.get(seat.target, 0)
-    claimant.plan[seat.target] = planned + count
+    planned = claimant.plan.get(capacity.target, 0)
+    claimant.plan[capacity.target] = planned + count
 
 
-def _keep(claimant: Claimant, seats: Sequence[Seat], limit: int) -> None:
+def _keep(
+    claimant: Claimant, capacities: Sequence[TargetCapacity], limit: int
+) -> None:
     """Place where the claimant holds slots already."""
     held = claimant.held
-    for seat in seats:
+    for capacity in capacities:
         need = limit - claimant.placed
         if need <= 0:
             return
-        if seat.target in held and seat.target not in claimant.avoided:
-            kept = held[seat.target] - claimant.plan.get(seat.target, 0)
-            _place(claimant, seat, min(kept, need))
+        if capacity.target in held and capacity.target not in claimant.avoided:
+            kept = held[capacity.target] - claimant.plan.get(
+                capacity.target, 0
+            )
+            _place(claimant, capacity, min(kept, need))
 
 
-def _spread(claimant: Claimant, seats: Sequence[Seat], limit: int) -> None:
+def _spread(
+    claimant: Claimant, capacities: Sequence[TargetCapacity], limit: int
+) -> None:
     """Place one slot a turn on the targets with most room."""
     while claimant.placed < limit:
-        open_seats = [
-            seat
-            for seat in seats
-            if seat.room > 0 and seat.target not in claimant.avoided
+        available = [
+            capacity
+            for capacity in capacities
+            if capacity.room > 0 and capacity.target not in claimant.avoided
         ]
-        if not open_seats:
+        if not available:
             return
-        open_seats.sort(key=lambda seat: seat.room, reverse=True)
-        for seat in open_seats[: limit - claimant.placed]:
-            _place(claimant, seat, 1)
+        available.sort(key=lambda capacity: capacity.room, reverse=True)
+        for capacity in available[: limit - claimant.placed]:
+            _place(claimant, capacity, 1)
--- a/tests/test_allocator.py
+++ b/tests/test_allocator.py
@@ -467,14 +467,14 @@
         self, wanted: int, held: dict[str, int], busy: dict[str, int]
     ) -> dict[str, int]:
         """Return the plan of a draining entry, which gets no spare."""
-        seats = [
-            _plan.Seat('t0', 'a', 'a2', 3),
-            _plan.Seat('t1', 'a', 'a1', 3),
+        capacities = [
+            _plan.TargetCapacity('t0', 'a', 'a2', 3),
+            _plan.TargetCapacity('t1', 'a', 'a1', 3),
         ]
         claimant = _plan.Claimant(
             ('e0', 1), 'a', 'a1', wanted, wanted, True, held, busy
         )
-        _plan.plan_pool([claimant], seats, lambda near, far: False)
+        _plan.plan_pool([claimant], capacities, lambda near, far: False)
         return claimant.plan
 
     def test_demand_goes_to_the_own_domain_first(self) -> None:
