--- a/tests/test_configuration_page.py
+++ b/tests/test_configuration_page.py
@@ -31,7 +31,11 @@
     """Guards against a page that says other than the code."""
 
     def test_every_setting_is_listed(self) -> None:
-        for schema in (settings.ControlSettings, settings.CtlSettings):
+        for schema in (
+            settings.ControlSettings,
+            settings.EntrySettings,
+            settings.CtlSettings,
+        ):
             for field in dataclasses.fields(schema):
                 with self.subTest(schema=schema.__name__, field=field.name):
                     self.assertIn(field.name, WORDS)
@@ -47,8 +51,9 @@
                     self.assertIn(field, words)
 
     def test_examples_are_accepted(self) -> None:
-        control, ctl, tables = EXAMPLE.findall(PAGE)
+        control, entry, ctl, tables = EXAMPLE.findall(PAGE)
         settings.read_settings(control, settings.ControlSettings)
+        settings.read_settings(entry, settings.EntrySettings)
         settings.read_settings(ctl, settings.CtlSettings)
         with tempfile.NamedTemporaryFile('w', suffix='.yaml') as file:
             file.write(tables)
