Remove code that nothing calls

Cause: a read of the whole change found four functions without a caller and a list built only to learn whether it is empty. Change: they are removed; the drain planner stops at the first entry that is pending.

--- a/fulmarseam/bench/_cluster.py
+++ b/fulmarseam/bench/_cluster.py
@@ -1,6 +1,5 @@
 """A group of real processes on loopback, with faults on demand."""
 
-import asyncio
 import contextlib
 import json
 import os
@@ -8,7 +7,6 @@
 import shutil
 import signal
 import tempfile
-import time
 from typing import Any
 from typing import Self
 
@@ -392,8 +390,3 @@
         """Write a note of the run beside its logs."""
         path = self.folder / name
         path.write_text(json.dumps(value, indent=1), encoding='utf-8')
-
-
-async def sleep_until(moment: float) -> None:
-    """Sleep until a moment of the monotonic clock."""
-    await asyncio.sleep(max(0.0, moment - time.monotonic()))
--- a/fulmarseam/control/_drains.py
+++ b/fulmarseam/control/_drains.py
@@ -41,7 +41,7 @@
                     drain.name, tables.revision
                 )
                 reports = list(leadership.live_reports(now))
-                if leadership.is_settled(now) and not list(
+                if leadership.is_settled(now) and not any(
                     find_pending(drain, revision, leadership, reports)
                 ):
                     yield _move(drain, wire.DrainState.DONE)
--- a/fulmarseam/entry/_syncing.py
+++ b/fulmarseam/entry/_syncing.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-import contextlib
 from typing import Self
 
 import logbook
@@ -204,8 +203,3 @@
             return False
         self._announcements.acknowledge(request.announcements)
         return True
-
-    async def sync_once(self) -> None:
-        """Send one request and wait for its answer, or its failure."""
-        with contextlib.suppress(errors.FulmarseamError):
-            await self._call(wait_ms=0)
--- a/fulmarseam/steering/_allocator.py
+++ b/fulmarseam/steering/_allocator.py
@@ -228,10 +228,6 @@
         """Return the sum of the connections charged on a target."""
         return self._ledger.connections[target]
 
-    def charged_link(self, name: str) -> int:
-        """Return the sum of the bytes/s charged on a link."""
-        return self._ledger.links[name]
-
     def _plan_pool(
         self,
         now: float,
--- a/fulmarseam/steering/_choice.py
+++ b/fulmarseam/steering/_choice.py
@@ -119,10 +119,6 @@
             )
             self._group_of(candidate).append(candidate)
 
-    def has_targets(self) -> bool:
-        """Return whether any target of the pool is ready."""
-        return bool(self._domain or self._region or self._remote)
-
     def tiers(
         self,
         preferred: ids.RegionName | None,
