--- /dev/null
+++ b/fulmarseam/catalog/__init__.py
@@ -0,0 +1,39 @@
+"""Versioned configuration items, live targets and evacuations.
+
+The catalog is a deterministic state machine for the replicated log::
+
+    machine = catalog.Catalog()
+    result = machine.apply(catalog.encode_command(command))
+"""
+
+from fulmarseam.catalog._beats import BeatBook
+from fulmarseam.catalog._beats import Silences
+from fulmarseam.catalog._commands import AnnounceTargets
+from fulmarseam.catalog._commands import Command
+from fulmarseam.catalog._commands import decode_result
+from fulmarseam.catalog._commands import DropTargets
+from fulmarseam.catalog._commands import encode_command
+from fulmarseam.catalog._commands import EvacuateDomain
+from fulmarseam.catalog._commands import LeaveTarget
+from fulmarseam.catalog._commands import PutItems
+from fulmarseam.catalog._commands import ReadRevision
+from fulmarseam.catalog._machine import Catalog
+from fulmarseam.catalog._mirror import Mirror
+from fulmarseam.catalog._presence import Presence
+
+__all__ = [
+    'AnnounceTargets',
+    'BeatBook',
+    'Catalog',
+    'Command',
+    'DropTargets',
+    'EvacuateDomain',
+    'LeaveTarget',
+    'Mirror',
+    'Presence',
+    'PutItems',
+    'ReadRevision',
+    'Silences',
+    'decode_result',
+    'encode_command',
+]
--- a/fulmarseam/consensus/__init__.py
+++ b/fulmarseam/consensus/__init__.py
@@ -12,10 +12,13 @@
 
 from fulmarseam import wire
 from fulmarseam.consensus._core_types import Role
+from fulmarseam.consensus._interface import Discovery
 from fulmarseam.consensus._interface import Machine
 from fulmarseam.consensus._interface import MemberSettings
 from fulmarseam.consensus._interface import MemberStatus
 from fulmarseam.consensus._runtime import Member
+from fulmarseam.consensus._storage import assign_member_id
+from fulmarseam.consensus._storage import clear_directory
 
 PEER_MESSAGES = (
     wire.MemberRequest,
@@ -24,9 +27,12 @@
 
 __all__ = [
     'PEER_MESSAGES',
+    'Discovery',
     'Machine',
     'Member',
     'MemberSettings',
     'MemberStatus',
     'Role',
+    'assign_member_id',
+    'clear_directory',
 ]
--- a/fulmarseam/consensus/_core.py
+++ b/fulmarseam/consensus/_core.py
@@ -139,6 +139,13 @@
         """Return the age of the last confirmed round within the lease."""
         return _core_rounds.leadership_age(self._state, now)
 
+    def answer_times(self) -> Mapping[ids.MemberId, float | None]:
+        """Return when each peer last answered this leader."""
+        return {
+            member: peer.answered_at
+            for member, peer in self._state.peers.items()
+        }
+
     def _require_leader(self) -> None:
         if not self._state.leads:
             raise errors.NotLeaderError(self._state.leader)
--- a/fulmarseam/consensus/_core_change.py
+++ b/fulmarseam/consensus/_core_change.py
@@ -1,5 +1,7 @@
 """Membership changes, one at a time."""
 
+import msgspec
+
 from fulmarseam import errors
 from fulmarseam import ids
 from fulmarseam import wire
@@ -66,13 +68,7 @@
             'has never had'
         )
     _require_changeable(state)
-    learner = wire.MemberInfo(
-        member=info.member,
-        address=info.address,
-        region=info.region,
-        store=info.store,
-        voter=False,
-    )
+    learner = msgspec.structs.replace(info, voter=False)
     changed = wire.GroupMembers([*members.members, learner], members.retired)
     effects.first_index = _append_change(state, changed, effects)
 
@@ -140,13 +136,7 @@
 def _with_voter(
     members: wire.GroupMembers, learner: wire.MemberInfo
 ) -> wire.GroupMembers:
-    voter = wire.MemberInfo(
-        member=learner.member,
-        address=learner.address,
-        region=learner.region,
-        store=learner.store,
-        voter=True,
-    )
+    voter = msgspec.structs.replace(learner, voter=True)
     return wire.GroupMembers(
         [voter if info == learner else info for info in members.members],
         members.retired,
--- a/fulmarseam/consensus/_interface.py
+++ b/fulmarseam/consensus/_interface.py
@@ -28,13 +28,30 @@
         """Replace the whole state by one that `snapshot` returned."""
 
 
+@dataclasses.dataclass(frozen=True)
+class Discovery:
+    """How members find each other where no list of members is given.
+
+    `seeds` are the addresses of some members, which may be out of date
+    later. The member at the first of them founds the group when
+    `first_start` is set; `wanted_voters` is the size that the group is
+    founded with and repaired to.
+    """
+
+    host: ids.HostId
+    seeds: tuple[str, ...]
+    wanted_voters: int
+    first_start: bool = False
+
+
 @dataclasses.dataclass(frozen=True)
 class MemberSettings:
     """Settings of a member of the control group; times in seconds.
 
     `members` are the initial members and `address` is the address at
     which the others reach this one. Entries of `members` also override
-    the replicated addresses.
+    the replicated addresses. With `discovery` the members find each other
+    and the leader replaces lost ones by itself.
     """
 
     member_id: ids.MemberId
@@ -48,6 +65,7 @@
     election_max_s: float = 1.2
     clock_drift: float = 0.01
     snapshot_every: int = 5_000
+    discovery: Discovery | None = None
 
     @classmethod
     def from_control(
--- a/fulmarseam/consensus/_runtime.py
+++ b/fulmarseam/consensus/_runtime.py
@@ -17,6 +17,7 @@
 from fulmarseam.consensus import _core
 from fulmarseam.consensus import _core_types
 from fulmarseam.consensus import _interface
+from fulmarseam.consensus import _repair
 from fulmarseam.consensus import _runtime_driver
 from fulmarseam.consensus import _runtime_group
 from fulmarseam.consensus import _runtime_inputs
@@ -25,6 +26,12 @@
 # Larger commands would hold up heartbeats while they are sent.
 MAX_COMMAND_BYTES = 4 * 1024 * 1024
 
+# How often the leader looks for members to replace, and how often a member
+# without a leader asks the others whether it was removed. Both are short
+# beside the 4 s in which a new member has to count again.
+REPAIR_INTERVAL_S = 0.1
+RETIRED_CHECK_S = 0.3
+
 _log = logbook.Logger('consensus')
 
 
@@ -85,13 +92,77 @@
         self._storage.close()
 
     async def _run(self) -> None:
+        repair: asyncio.Task[None] | None = None
         try:
             await self._binding.run()
+            if self._settings.discovery is not None:
+                repair = asyncio.create_task(
+                    self._keep_repaired(self._settings.discovery)
+                )
             await self._driver.run()
         except errors.FulmarseamError as error:
             self._fail(error)
         except Exception as error:
             self._end_process(error)
+        finally:
+            if repair is not None:
+                repair.cancel()
+
+    async def _keep_repaired(self, discovery: _interface.Discovery) -> None:
+        """Replace lost members while this one leads."""
+        silences = _repair.Silences()
+        while True:
+            await asyncio.sleep(REPAIR_INTERVAL_S)
+            replica = self._driver.replica
+            if replica is None or replica.leading_term is None:
+                silences.clear()
+                continue
+            now = time.monotonic()
+            change = _repair.plan_repair(
+                self._me,
+                replica.members,
+                silences.update(now, replica.answer_times()),
+                self._binding.candidates.list_live(now),
+                discovery.wanted_voters,
+            )
+            if change is not None:
+                await self._carry_out(replica, change)
+
+    async def _carry_out(
+        self, replica: _core.Replica, change: _repair.Repair
+    ) -> None:
+        event = 'member_added'
+        try:
+            match change:
+                case _repair.AddLearner(info):
+                    member = info.member
+                    await self._change(
+                        lambda now: replica.add_learner(now, info)
+                    )
+                case _repair.RemoveMember(member):
+                    event = 'member_removed'
+                    await self._change(
+                        lambda now: replica.remove_member(now, member)
+                    )
+        except errors.FulmarseamError as error:
+            # Tried again with the next plan, which sees the new state.
+            event = 'member_change_refused'
+            _log.info(
+                telemetry.format_event(
+                    event, member=member, reason=error.detail
+                )
+            )
+            return
+        _log.info(telemetry.format_event(event, member=member))
+
+    async def wait_retired(self) -> None:
+        """Return when the group has removed this member for good.
+
+        A member that was cut off learns of it from the others, as nobody
+        sends it the log any more.
+        """
+        while not await self._binding.is_retired(self._driver.replica):
+            await asyncio.sleep(RETIRED_CHECK_S)
 
     def _fail(self, error: Exception) -> None:
         """Stop to take part and report the reason by `wait_failed`."""
@@ -119,6 +190,10 @@
         """
         match message:
             case wire.IdentityRequest():
+                if message.candidate is not None:
+                    self._binding.candidates.note(
+                        time.monotonic(), message.candidate
+                    )
                 return self._describe_identity()
             case wire.MemberRequest():
                 self._check_addressee(message)
--- a/fulmarseam/consensus/_runtime_group.py
+++ b/fulmarseam/consensus/_runtime_group.py
@@ -12,7 +12,9 @@
 from fulmarseam import telemetry
 from fulmarseam import transport
 from fulmarseam import wire
+from fulmarseam.consensus import _core
 from fulmarseam.consensus import _core_founding
+from fulmarseam.consensus import _discovery
 from fulmarseam.consensus import _interface
 from fulmarseam.consensus import _storage
 
@@ -35,6 +37,8 @@
         self._storage = storage
         self._on_bound = on_bound
         self.identity = _core_founding.Identity(settings.member_id, '')
+        self.candidates = _discovery.Candidates()
+        self._finder: _discovery.Finder | None = None
 
     @property
     def group(self) -> str:
@@ -50,7 +54,7 @@
         self.identity = self._storage.open(uuid.uuid4().hex)
         if self.identity.founding is not None:
             self._on_bound(self.identity.founding)
-        else:
+        elif self._settings.discovery is None:
             self._decide([])
 
     def check_addressee(self, message: wire.MemberRequest) -> None:
@@ -66,7 +70,7 @@
             raise errors.DamagedDataError(
                 _core_founding.describe_refusal(identity)
             )
-        if identity.founding is None and self._settings.join:
+        if identity.founding is None and self._may_follow(message.group):
             self._bind(
                 wire.Founding(group=message.group, members=wire.GroupMembers())
             )
@@ -78,7 +82,45 @@
                 f'{self.group or "none"}, store {identity.store}',
             )
 
+    def _may_follow(self, group: str) -> bool:
+        """Return whether the group may add this member.
+
+        A member that is still to learn of a founding that names it must
+        not start without the members that the founding lists.
+        """
+        if self._finder is not None:
+            return self._finder.group == group
+        return self._settings.join
+
     async def run(self) -> None:
+        """Find the group and bind this member to it."""
+        if self._settings.discovery is None:
+            await self._ask_initial_members()
+        else:
+            await self._discover(self._settings.discovery)
+
+    async def _discover(self, discovery: _interface.Discovery) -> None:
+        if self.identity.founding is not None:
+            return
+        me = wire.MemberInfo(
+            member=self.identity.member,
+            address=self._settings.address,
+            region=self._settings.region,
+            store=self.identity.store,
+            host=discovery.host,
+        )
+        finder = _discovery.Finder(discovery, me, self.candidates)
+        self._finder = finder
+        while self.identity.founding is None:
+            answers = await finder.ask_all()
+            founding = finder.find_founding(answers)
+            if founding is None and not finder.group:
+                founding = finder.try_to_found(answers, uuid.uuid4().hex)
+            if founding is not None and self.identity.founding is None:
+                self._bind(founding)
+            await asyncio.sleep(_discovery.ASK_INTERVAL_S)
+
+    async def _ask_initial_members(self) -> None:
         """Ask the initial members until this one is bound.
 
         Raises `errors.DamagedDataError` when the group knows this member
@@ -102,6 +144,32 @@
                     self._decide([item for item in answers if item])
                 await asyncio.sleep(POLL_S)
 
+    async def is_retired(self, replica: _core.Replica | None) -> bool:
+        """Return whether the group lists this member as removed."""
+        if replica is None:
+            return False
+        me = self.identity.member
+        if me in replica.members.retired:
+            return True
+        if replica.leader is not None or self._settings.discovery is None:
+            return False
+        addresses = {info.address for info in replica.members.members}
+        addresses.update(self._settings.discovery.seeds)
+        addresses.discard(self._settings.address)
+        answers = await asyncio.gather(
+            *(self._ask_member(address) for address in sorted(addresses))
+        )
+        return any(
+            answer is not None
+            and answer.group == self.group
+            and me in answer.members.retired
+            for answer in answers
+        )
+
+    async def _ask_member(self, address: str) -> wire.IdentityResponse | None:
+        async with transport.RpcClient(address) as client:
+            return await self._ask(client)
+
     async def _ask(
         self, client: transport.RpcClient
     ) -> wire.IdentityResponse | None:
--- a/fulmarseam/consensus/_storage.py
+++ b/fulmarseam/consensus/_storage.py
@@ -7,6 +7,7 @@
 import os
 import pathlib
 import re
+import uuid
 import zlib
 
 import msgspec
@@ -40,6 +41,35 @@
 _identity_decoder = msgspec.json.Decoder(_IdentityFile)
 
 
+def assign_member_id(directory: str, host: ids.HostId) -> ids.MemberId:
+    """Return the id of the member that `directory` belongs to.
+
+    A new directory gets an id that no other directory ever had, so that a
+    member which lost its state cannot act under its former id.
+    """
+    path = pathlib.Path(directory) / 'identity'
+    try:
+        content = path.read_bytes().splitlines()[0]
+        return _identity_decoder.decode(content).member
+    except (FileNotFoundError, IndexError):
+        return ids.MemberId(f'{host}.{uuid.uuid4().hex[:12]}')
+    except msgspec.MsgspecError as error:
+        raise errors.DamagedDataError(f'{path}: offset 0: {error}') from error
+
+
+def clear_directory(directory: str) -> None:
+    """Remove the files of a member that was removed from its group.
+
+    The identity goes last: while it is there, the directory is not taken
+    for a new one.
+    """
+    root = pathlib.Path(directory)
+    for path in sorted(root.iterdir(), key=lambda item: item.name != 'log'):
+        if path.name == 'log' or _SNAPSHOT_NAME.match(path.name):
+            path.unlink()
+    (root / 'identity').unlink(missing_ok=True)
+
+
 class Storage:
     """The data directory of one member.
 
--- a/fulmarseam/entry/_requests.py
+++ b/fulmarseam/entry/_requests.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import ipaddress
-import re
 
 from fulmarseam import errors
 from fulmarseam import http
@@ -17,9 +16,6 @@
 # A request is sent again only if its body up to this size was kept.
 REPLAY_BYTES = 64 * 1024
 
-_DOT_SEGMENT = re.compile(rb'/(\.|%2[eE]){1,2}(/|\?|$)')
-_ABSOLUTE_FORM = re.compile(rb'https?://([^/?]*)([/?].*)?', re.IGNORECASE)
-
 
 class Job:
     """One request: its head, its deadline and the body kept for replay.
@@ -54,7 +50,7 @@
         self.arrived_at = now
         self.deadline = now
         self.method = request.method.decode('ascii')
-        self.host, self.path = find_host_and_path(request)
+        self.host, self.path = http.find_host_and_path(request)
         self.route: wire.Route
         self.request_id: str | None = None
         self.traceparent: str | None = None
@@ -132,30 +128,6 @@
             )
 
 
-def find_host_and_path(request: http.Request) -> tuple[str, str]:
-    """Return the host and the path with its query.
-
-    Raises `errors.FulmarseamError` for a path that a target could resolve
-    to another route.
-    """
-    target = request.target
-    host = request.fields.get(b'host', b'')
-    if not target.startswith(b'/'):
-        match = _ABSOLUTE_FORM.fullmatch(target)
-        if match is None:
-            raise _refuse(f'request target {target!r}')
-        host = match[1]
-        target = match[2] or b'/'
-        if target.startswith(b'?'):
-            target = b'/' + target
-    if b'/.' in target or b'/%2' in target:
-        if _DOT_SEGMENT.search(target.partition(b'?')[0]):
-            raise _refuse('dot segment in the path')
-    if b'#' in target:
-        raise _refuse('fragment in the request target')
-    return host.decode('latin-1'), target.decode('latin-1')
-
-
 def name_host(host: str) -> str:
     """Return the host name without port; empty for an IP address.
 
--- /dev/null
+++ b/fulmarseam/gateway/__init__.py
@@ -0,0 +1,14 @@
+"""An entry that serves from a catalog and observes the targets itself.
+
+It needs no grants: each entry keeps its own bounds, which are parts of the
+bounds of all entries together. So it goes on serving while it is cut off
+from the control members::
+
+    await gateway.Gateway(options, dialect).run()
+"""
+
+from fulmarseam.gateway._answers import make_answer
+from fulmarseam.gateway._daemon import Gateway
+from fulmarseam.gateway._dialect import Dialect
+
+__all__ = ['Dialect', 'Gateway', 'make_answer']
--- /dev/null
+++ b/fulmarseam/gateway/_fleet.py
@@ -0,0 +1,328 @@
+"""The targets of an entry and the placement of requests on them."""
+
+from collections.abc import Collection
+from typing import NamedTuple
+
+import logbook
+
+from fulmarseam import catalog
+from fulmarseam import ids
+from fulmarseam import settings
+from fulmarseam import steering
+from fulmarseam import telemetry
+from fulmarseam import wire
+
+_log = logbook.Logger('gateway')
+
+
+class _Ranking(NamedTuple):
+    """The targets for one key: own region first, then the others."""
+
+    local: list[steering.ObservedTarget]
+    remote: list[steering.ObservedTarget]
+
+
+class _Pool:
+    """The targets of one pool that may get new requests."""
+
+    def __init__(self, budget: steering.RepeatBudget) -> None:
+        self.budget = budget
+        self.spill = steering.Spill()
+        self.local: list[steering.ObservedTarget] = []
+        self.remote: list[steering.ObservedTarget] = []
+
+
+class Fleet:
+    """All targets of the catalog as this entry observes them.
+
+    Times are in seconds of a monotonic clock. Every placement that `place`
+    returns ends with `release`.
+    """
+
+    def __init__(
+        self, options: settings.GatewaySettings, mirror: catalog.Mirror
+    ) -> None:
+        self._options = options
+        self._mirror = mirror
+        self._cold_bound = steering.ColdBound(
+            options.cold_factor, options.cold_slack
+        )
+        self._targets: dict[ids.TargetId, steering.ObservedTarget] = {}
+        self._pools: dict[ids.PoolName, _Pool] = {}
+        self._rankings: dict[tuple[str, str, str], _Ranking] = {}
+        self._evacuated: frozenset[ids.DomainName] = frozenset()
+        self.senders = 1
+
+    # Catalog
+
+    def update(self, now: float) -> None:
+        """Take over the targets of the mirror."""
+        self._rankings.clear()
+        known = self._mirror.targets
+        for target in self._targets.keys() - known.keys():
+            del self._targets[target]
+        for target, record in known.items():
+            self._update_target(now, target, record)
+        ended = self._evacuated - self._mirror.evacuated
+        self._evacuated = self._mirror.evacuated
+        for observed in self._targets.values():
+            if observed.record.failure_domain in ended:
+                # The targets may have lost their caches meanwhile.
+                self._start_cold(now, observed)
+        self._group_targets()
+
+    def _update_target(
+        self, now: float, target: ids.TargetId, record: wire.TargetRecord
+    ) -> None:
+        observed = self._targets.get(target)
+        if observed is not None and observed.record == record:
+            return
+        is_new = observed is None or (
+            observed.record.born_ms != record.born_ms
+            or observed.record.address != record.address
+        )
+        if observed is None or is_new:
+            observed = steering.ObservedTarget(
+                record,
+                record.region != self._options.region,
+                tokens_at=now,
+                in_flight=observed.in_flight if observed else 0,
+            )
+            self._targets[target] = observed
+        observed.record = record
+        if record.cold_ms > 0.0:
+            observed.cold_until = now + record.cold_ms / 1_000
+
+    def _start_cold(
+        self, now: float, observed: steering.ObservedTarget
+    ) -> None:
+        cold_s = self._cold_s(observed)
+        observed.cold_until = max(observed.cold_until, now + cold_s)
+
+    def _cold_s(self, observed: steering.ObservedTarget) -> float:
+        pool = self._mirror.pools.get(observed.record.pool)
+        return pool.cold_s if pool is not None else 0.0
+
+    def _group_targets(self) -> None:
+        for pool in self._pools.values():
+            pool.local = []
+            pool.remote = []
+        for observed in self._targets.values():
+            record = observed.record
+            if record.phase is not wire.TargetPhase.READY:
+                continue
+            if record.failure_domain in self._evacuated:
+                continue
+            pool = self._get_pool(record.pool)
+            side = pool.remote if observed.is_remote else pool.local
+            side.append(observed)
+
+    def _get_pool(self, name: ids.PoolName) -> _Pool:
+        pool = self._pools.get(name)
+        if pool is None:
+            options = self._options
+            pool = self._pools[name] = _Pool(
+                steering.RepeatBudget(
+                    options.retry_ratio * REPEAT_SHARE_USED,
+                    0.0,
+                    options.retry_window,
+                )
+            )
+        return pool
+
+    def count_ready(self) -> int:
+        """Return the number of targets that may get requests."""
+        return sum(
+            len(pool.local) + len(pool.remote) for pool in self._pools.values()
+        )
+
+    def count_in_flight(self) -> int:
+        """Return the number of requests on targets."""
+        return sum(item.in_flight for item in self._targets.values())
+
+    def tick(self, now: float, elapsed_s: float) -> None:
+        """Adjust what follows the recent requests; called on a tick."""
+        slack = self._options.retry_slack * REPEAT_SHARE_USED / self.senders
+        for pool in self._pools.values():
+            pool.budget.slack = slack
+            steering.adjust_share(
+                pool.spill,
+                elapsed_s,
+                self._options.shift_share,
+                _find_failed_share(pool.local, now),
+            )
+
+    # Placement
+
+    def count_request(self, now: float, pool_name: ids.PoolName) -> None:
+        """Count a request of a caller for a pool."""
+        pool = self._get_pool(pool_name)
+        pool.budget.count_request(now)
+        steering.note_arrival(
+            pool.spill, steering.has_room(now, pool.local)
+        )
+
+    def take_repeat(self, now: float, pool_name: ids.PoolName) -> bool:
+        """Count a repeat if the budget of the pool allows it."""
+        return self._get_pool(pool_name).budget.take(now)
+
+    def place(
+        self,
+        now: float,
+        route: wire.RouteItem,
+        pool_name: ids.PoolName,
+        key: str | None,
+        avoided: Collection[ids.TargetId],
+        time_left_s: float,
+    ) -> steering.Placed:
+        """Take a place on a target, or none when no target has room."""
+        pool = self._get_pool(pool_name)
+        ranking = self._rank(now, route, pool, pool_name, key)
+        prefers_remote = bool(ranking.remote) and (
+            not ranking.local or steering.take_remote(pool.spill)
+        )
+        share = self._find_cold_share(pool_name)
+        placed = steering.place_request(
+            now,
+            _leave_out(ranking.local, avoided),
+            _leave_out(ranking.remote, avoided),
+            lambda item: steering.may_take(item, now, share),
+            prefers_remote,
+            route.priority,
+            time_left_s,
+        )
+        if placed.target is not None:
+            placed.target.in_flight += 1
+            if steering.is_cold(placed.target, now):
+                placed.target.tokens -= 1.0
+        return placed
+
+    def _find_cold_share(self, pool_name: ids.PoolName) -> float:
+        pool = self._mirror.pools.get(pool_name)
+        if pool is None or pool.cold_per_s <= 0.0:
+            return float('inf')
+        return self._cold_bound.share(pool.cold_per_s, self.senders)
+
+    def _rank(
+        self,
+        now: float,
+        route: wire.RouteItem,
+        pool: _Pool,
+        pool_name: ids.PoolName,
+        key: str | None,
+    ) -> _Ranking:
+        regions = route.allowed_regions
+        if key is None or not route.sticky:
+            return _Ranking(
+                _order_by_load(now, _keep_allowed(pool.local, regions)),
+                _order_by_load(now, _keep_allowed(pool.remote, regions)),
+            )
+        name = (pool_name, ','.join(regions), key)
+        ranking = self._rankings.get(name)
+        if ranking is None:
+            if len(self._rankings) >= MAX_RANKINGS:
+                self._rankings.clear()
+            ranking = self._rankings[name] = _Ranking(
+                self._order_by_key(key, _keep_allowed(pool.local, regions)),
+                self._order_by_key(key, _keep_allowed(pool.remote, regions)),
+            )
+        return ranking
+
+    def _order_by_key(
+        self, key: str, targets: list[steering.ObservedTarget]
+    ) -> list[steering.ObservedTarget]:
+        ranked = steering.rank_targets(key, [item.target for item in targets])
+        return [self._targets[target] for target in ranked]
+
+    def release(self, observed: steering.ObservedTarget) -> None:
+        """End a placement."""
+        observed.in_flight -= 1
+
+    # Outcomes
+
+    def note_load(
+        self, now: float, observed: steering.ObservedTarget, report: bytes
+    ) -> None:
+        """Take the load report of an answer: running, waiting and slots."""
+        try:
+            running, waiting, _ = (int(part) for part in report.split(b','))
+        except ValueError:
+            _log.debug(
+                telemetry.format_event(
+                    'load_report_unreadable',
+                    target=observed.target,
+                    found=repr(report),
+                )
+            )
+            return
+        steering.note_report(observed, now, running, waiting)
+
+    def note_answer(
+        self, now: float, observed: steering.ObservedTarget, service_s: float
+    ) -> None:
+        """Count a full answer of a target."""
+        steering.note_answer(
+            observed, now, service_s, self._cold_s(observed)
+        )
+
+    def note_failure(self, observed: steering.ObservedTarget) -> None:
+        """Count a request that a target failed."""
+        steering.note_failure(observed)
+
+    def eject(self, now: float, observed: steering.ObservedTarget) -> None:
+        """Keep away from a target that is silent or unreachable."""
+        steering.eject(observed, now)
+        _log.info(
+            telemetry.format_event(
+                'target_ejected',
+                target=observed.target,
+                address=observed.record.address,
+                failures=observed.failures,
+                pause_s=observed.ejected_until - now,
+            )
+        )
+
+
+# Part of the retry bound that is used: requests and repeats of one window
+# arrive at the targets in another one after a delay.
+REPEAT_SHARE_USED = 0.5
+# Rankings kept; the least of what the busiest deployments have is some
+# hundred objects for each route.
+MAX_RANKINGS = 20_000
+
+
+def _find_failed_share(
+    targets: list[steering.ObservedTarget], now: float
+) -> float:
+    slots = sum(item.record.slots for item in targets)
+    failed = sum(
+        item.record.slots
+        for item in targets
+        if steering.is_ejected(item, now)
+    )
+    return failed / slots if slots else 1.0
+
+
+def _keep_allowed(
+    targets: list[steering.ObservedTarget], regions: list[ids.RegionName]
+) -> list[steering.ObservedTarget]:
+    if not regions:
+        return targets
+    return [item for item in targets if item.record.region in regions]
+
+
+def _leave_out(
+    targets: list[steering.ObservedTarget], avoided: Collection[ids.TargetId]
+) -> list[steering.ObservedTarget]:
+    if not avoided:
+        return targets
+    return [item for item in targets if item.target not in avoided]
+
+
+def _order_by_load(
+    now: float, targets: list[steering.ObservedTarget]
+) -> list[steering.ObservedTarget]:
+    return sorted(
+        targets,
+        key=lambda item: steering.estimate_load(item, now) / item.record.slots,
+    )
--- /dev/null
+++ b/fulmarseam/gateway/_forwarding.py
@@ -0,0 +1,352 @@
+"""The path of a caller's request through a gateway."""
+
+import asyncio
+from typing import NamedTuple
+
+import logbook
+
+from fulmarseam import catalog
+from fulmarseam import errors
+from fulmarseam import http
+from fulmarseam import ids
+from fulmarseam import steering
+from fulmarseam import telemetry
+from fulmarseam import wire
+from fulmarseam.gateway import _dialect
+from fulmarseam.gateway import _exchange
+from fulmarseam.gateway import _fleet
+from fulmarseam.gateway import _requests
+from fulmarseam.gateway import _routes
+
+# An idempotent request is given to another target when the first has not
+# begun to answer within this many of its mean service times, or within the
+# shortest time, in which a queue of a full round is worked off.
+PATIENCE_SERVICE_TIMES = 4.0
+PATIENCE_MIN_S = 0.5
+# Part of the time left that the first of several attempts may use.
+PATIENCE_MAX_SHARE = 0.6
+# Time kept back so that the answer reaches the caller before its deadline.
+ANSWER_MARGIN_S = 0.02
+
+_log = logbook.Logger('gateway')
+
+
+class Services(NamedTuple):
+    """What the path of a request uses."""
+
+    mirror: catalog.Mirror
+    routes: _routes.RouteBook
+    fleet: _fleet.Fleet
+    connections: http.TargetPools
+    dialect: _dialect.Dialect
+    metrics: telemetry.Metrics
+    request_log: telemetry.RequestLog
+
+
+class _Failure(NamedTuple):
+    """An attempt that failed, and whether another one may follow."""
+
+    error: errors.FulmarseamError
+    may_repeat: bool
+
+
+class Forwarder:
+    """Forwards callers' requests to targets."""
+
+    def __init__(self, services: Services) -> None:
+        self._services = services
+        self._splitter = steering.Splitter()
+        self._loop = asyncio.get_running_loop()
+
+    async def handle(
+        self, request: http.Request, caller: http.CallerConnection
+    ) -> None:
+        """Handle one request; the handler of the callers' server."""
+        now = self._loop.time()
+        job = _requests.Job(request, caller, now, self._services.dialect)
+        trail = _Trail()
+        try:
+            await self._serve(job, trail)
+        except errors.FulmarseamError as error:
+            trail.outcome = error.kind.value
+            trail.detail = error.detail
+            raise
+        except http.CallerGoneError:
+            trail.outcome = errors.ErrorKind.CALLER_GONE.value
+            raise
+        finally:
+            self._record(job, trail)
+
+    def _record(self, job: _requests.Job, trail: '_Trail') -> None:
+        elapsed = self._loop.time() - job.arrived_at
+        metrics = self._services.metrics
+        metrics.add(
+            'requests_total', route=trail.route, outcome=trail.outcome
+        )
+        metrics.record('request_seconds', elapsed, outcome=trail.outcome)
+        request_id = (job.request_id or b'').decode('latin-1')
+        self._services.request_log.add(
+            trail.outcome == ANSWERED,
+            id=request_id,
+            outcome=trail.outcome,
+            route=trail.route,
+            pool=trail.pool,
+            targets=','.join(trail.targets),
+            status=trail.status,
+            elapsed_s=elapsed,
+            time_left_s=job.deadline - self._loop.time(),
+            revision=self._services.mirror.revision,
+            detail=trail.detail,
+        )
+
+    async def _serve(self, job: _requests.Job, trail: '_Trail') -> None:
+        """Answer a request, or raise why it cannot be."""
+        services = self._services
+        if not services.mirror.revision:
+            raise errors.FulmarseamError(
+                errors.ErrorKind.CONFIG_STALE, 'no configuration is known yet'
+            )
+        job.route = services.routes.match(job.host, job.path)
+        trail.route = job.route.name
+        self._set_deadline(job)
+        pool_name = self._splitter.choose_pool(job.route)
+        trail.pool = pool_name
+        services.fleet.count_request(self._loop.time(), pool_name)
+        await job.hold_body()
+        await self._attempt_all(job, pool_name, trail)
+
+    def _set_deadline(self, job: _requests.Job) -> None:
+        stated_ms = _requests.read_deadline_ms(
+            job.request, self._services.dialect
+        )
+        time_ms = job.route.timeout_ms
+        if stated_ms is not None:
+            time_ms = min(time_ms, stated_ms)
+        job.deadline = job.arrived_at + time_ms / 1_000 - ANSWER_MARGIN_S
+
+    async def _attempt_all(
+        self, job: _requests.Job, pool_name: ids.PoolName, trail: '_Trail'
+    ) -> None:
+        """Attempt a job until it is answered or may not be repeated.
+
+        Once an attempt may have run, that is what the caller learns,
+        whatever ends a later attempt.
+        """
+        key = _requests.read_affinity(job.request, self._services.dialect)
+        avoided: set[ids.TargetId] = set()
+        may_have_run: errors.FulmarseamError | None = None
+        while True:
+            now = self._loop.time()
+            placed = self._services.fleet.place(
+                now, job.route, pool_name, key, avoided, job.deadline - now
+            )
+            if placed.target is None:
+                raise may_have_run or self._refuse(pool_name, avoided)
+            trail.targets.append(placed.target.target)
+            failure = await self._attempt(job, placed.target, trail)
+            if failure is None:
+                return
+            if failure.error.answer.outcome is not errors.Outcome.NOT_RUN:
+                may_have_run = failure.error
+            avoided.add(placed.target.target)
+            if not failure.may_repeat:
+                raise may_have_run or failure.error
+
+    def _refuse(
+        self, pool_name: ids.PoolName, avoided: set[ids.TargetId]
+    ) -> errors.FulmarseamError:
+        if avoided:
+            return errors.FulmarseamError(
+                errors.ErrorKind.TARGET_SHED,
+                f'{len(avoided)} targets did not run it, no other has room',
+            )
+        return errors.FulmarseamError(
+            errors.ErrorKind.NO_CAPACITY, f'no target of {pool_name} has room'
+        )
+
+    async def _attempt(
+        self,
+        job: _requests.Job,
+        target: steering.ObservedTarget,
+        trail: '_Trail',
+    ) -> _Failure | None:
+        """Use a target; None when the caller has its answer."""
+        services = self._services
+        started = self._loop.time()
+        pool_item = services.mirror.pools.get(target.record.pool)
+        limit = pool_item.max_connections if pool_item else 1
+        exchange = _exchange.Exchange(
+            job,
+            target,
+            services.connections.get(target.record.address, limit),
+            services.dialect,
+            self._find_patience(job, target, started),
+        )
+        try:
+            answer = await exchange.run()
+            self._note_answer(target, exchange, answer, started)
+            trail.status = answer.response.status
+            trail.outcome = ANSWERED
+            await self._pass_on(job, exchange, answer)
+            return None
+        except _exchange.NotRunError as error:
+            return self._judge_not_run(job, target, exchange, error)
+        except http.TargetError as error:
+            return self._judge_failure(job, target, exchange, error, trail)
+        except errors.FulmarseamError as error:
+            if exchange.progress is http.Progress.NOT_SENT:
+                raise
+            raise errors.FulmarseamError(
+                errors.ErrorKind.TARGET_FAILED,
+                f'the request body broke off: {error.detail}',
+            ) from error
+        finally:
+            exchange.close()
+            services.fleet.release(target)
+
+    def _find_patience(
+        self,
+        job: _requests.Job,
+        target: steering.ObservedTarget,
+        now: float,
+    ) -> float:
+        """Return until when an attempt may go without an answer."""
+        attempts_left = job.route.max_attempts - job.attempts - 1
+        if not job.route.idempotent or attempts_left < 1:
+            return job.deadline
+        patience_s = max(
+            PATIENCE_SERVICE_TIMES * target.service_s, PATIENCE_MIN_S
+        )
+        left_s = job.deadline - now
+        return now + min(left_s, max(patience_s, left_s * PATIENCE_MAX_SHARE))
+
+    def _note_answer(
+        self,
+        target: steering.ObservedTarget,
+        exchange: _exchange.Exchange,
+        answer: _exchange.Answer,
+        started: float,
+    ) -> None:
+        now = self._loop.time()
+        fleet = self._services.fleet
+        if exchange.load_report:
+            fleet.note_load(now, target, exchange.load_report)
+        if answer.response.status >= 500:
+            fleet.note_failure(target)
+        else:
+            fleet.note_answer(now, target, now - started)
+
+    async def _pass_on(
+        self,
+        job: _requests.Job,
+        exchange: _exchange.Exchange,
+        answer: _exchange.Answer,
+    ) -> None:
+        """Pass the answer of a target to the caller."""
+        response = answer.response
+        dropped = http.HOP_BY_HOP
+        if answer.body is not None and job.request.method != b'HEAD':
+            dropped |= {b'content-length'}
+        headers = http.drop_headers(response.headers, response.fields, dropped)
+        if answer.body is not None:
+            if job.request.method != b'HEAD' and response.status not in (
+                204,
+                304,
+            ):
+                length = b'%d' % len(answer.body)
+                headers.append((b'content-length', length))
+            job.caller.start_response(
+                response.status, headers, response.reason, are_checked=True
+            )
+            if answer.body:
+                job.caller.send_data(answer.body)
+            job.caller.end_response()
+            return
+        job.caller.start_response(
+            response.status, headers, response.reason, are_checked=True
+        )
+        try:
+            await exchange.pass_body()
+        except http.TargetError as error:
+            raise errors.FulmarseamError(
+                errors.ErrorKind.TARGET_FAILED, error.detail
+            ) from error
+
+    def _judge_not_run(
+        self,
+        job: _requests.Job,
+        target: steering.ObservedTarget,
+        exchange: _exchange.Exchange,
+        error: _exchange.NotRunError,
+    ) -> _Failure:
+        """Decide what follows a target's word that it ran nothing."""
+        fleet = self._services.fleet
+        now = self._loop.time()
+        if error.is_misdirected:
+            fleet.eject(now, target)
+        else:
+            fleet.note_failure(target)
+        if exchange.load_report:
+            fleet.note_load(now, target, exchange.load_report)
+        return _Failure(
+            errors.FulmarseamError(errors.ErrorKind.TARGET_SHED, str(error)),
+            job.is_replayable and fleet.take_repeat(now, target.record.pool),
+        )
+
+    def _judge_failure(
+        self,
+        job: _requests.Job,
+        target: steering.ObservedTarget,
+        exchange: _exchange.Exchange,
+        error: http.TargetError,
+        trail: '_Trail',
+    ) -> _Failure:
+        """Decide what follows an attempt without a usable answer."""
+        if job.caller.response_started:
+            raise errors.FulmarseamError(
+                errors.ErrorKind.TARGET_FAILED, error.detail
+            ) from error
+        fleet = self._services.fleet
+        now = self._loop.time()
+        trail.outcome = ''
+        is_late = now >= job.deadline
+        if exchange.progress is http.Progress.NOT_SENT:
+            fleet.eject(now, target)
+            kind = errors.ErrorKind.NO_CAPACITY
+            return _Failure(
+                errors.FulmarseamError(kind, error.detail), not is_late
+            )
+        job.attempts += 1
+        if error.reason is http.Reason.TIMED_OUT:
+            fleet.note_failure(target)
+            kind = errors.ErrorKind.TARGET_TIMEOUT
+        else:
+            fleet.eject(now, target)
+            kind = errors.ErrorKind.TARGET_FAILED
+        may_repeat = (
+            not is_late
+            and job.route.idempotent
+            and job.is_replayable
+            and job.attempts < job.route.max_attempts
+            and fleet.take_repeat(now, target.record.pool)
+        )
+        return _Failure(
+            errors.FulmarseamError(kind, error.detail), may_repeat
+        )
+
+
+ANSWERED = errors.Outcome.ANSWERED.value
+
+
+class _Trail:
+    """What the log line of a request says about its way."""
+
+    __slots__ = ('detail', 'outcome', 'pool', 'route', 'status', 'targets')
+
+    def __init__(self) -> None:
+        self.route = ''
+        self.pool = ''
+        self.outcome = ''
+        self.detail = ''
+        self.status = 0
+        self.targets: list[str] = []
--- /dev/null
+++ b/fulmarseam/gateway/_poller.py
@@ -0,0 +1,163 @@
+"""Polls of the control members, which keep the mirror up to date."""
+
+import asyncio
+from collections.abc import Callable
+import time
+from typing import Self
+
+import logbook
+
+from fulmarseam import catalog
+from fulmarseam import errors
+from fulmarseam import ids
+from fulmarseam import settings
+from fulmarseam import telemetry
+from fulmarseam import transport
+from fulmarseam import wire
+
+# A change is in force after one interval and the way to the entry, far
+# within the 2 s that the operators' bounds allow.
+POLL_INTERVAL_S = 0.4
+POLL_TIMEOUT_S = 0.8
+# A member that no other one has listed for this long is polled no more,
+# unless it is a seed.
+FORGET_MEMBER_S = 30.0
+
+_log = logbook.Logger('gateway')
+
+
+class Poller:
+    """Polls every control member by itself; a context manager.
+
+    A member that is slow or cut off holds up none of the others, and the
+    newest revision of any of them counts. `on_change` is called after each
+    change of the mirror.
+    """
+
+    def __init__(
+        self,
+        options: settings.GatewaySettings,
+        mirror: catalog.Mirror,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._options = options
+        self._mirror = mirror
+        self._on_change = on_change
+        self._clients = transport.RpcClients()
+        self._seeds = options.list_peers()
+        self._listed: dict[str, float] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._reached: set[str] = set()
+        self._wake = asyncio.Event()
+        self._incarnation = time.time_ns() // 1_000_000
+        self.state = wire.EntryState.READY
+        self.senders = 1
+        self.answered_at: float | None = None
+
+    async def __aenter__(self) -> Self:
+        await self._clients.__aenter__()
+        self.update_seeds(self._seeds)
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        for task in self._tasks.values():
+            task.cancel()
+        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+        await self._clients.__aexit__(*exc_info)
+
+    def update_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Poll the members at other seeds as well."""
+        self._seeds = seeds
+        self._follow(list(seeds))
+
+    def poll_now(self) -> None:
+        """Tell all members at once that the state has changed."""
+        self._wake.set()
+        self._wake = asyncio.Event()
+
+    def _follow(self, addresses: list[str]) -> None:
+        """Poll these members, and no more those that left the group."""
+        now = time.monotonic()
+        for address in addresses:
+            self._listed[address] = now
+        for address in (*self._seeds, *self._listed):
+            if address not in self._tasks:
+                self._tasks[address] = asyncio.create_task(
+                    self._poll_member(address)
+                )
+        for address, listed_at in list(self._listed.items()):
+            is_old = now - listed_at > FORGET_MEMBER_S
+            if is_old and address not in self._seeds:
+                del self._listed[address]
+                self._tasks.pop(address).cancel()
+        self._clients.keep(set(self._tasks))
+
+    async def _poll_member(self, address: str) -> None:
+        while True:
+            wake = self._wake
+            try:
+                await self._poll(address)
+            except errors.FulmarseamError as error:
+                self._note_reached(address, error.detail)
+            try:
+                async with asyncio.timeout(POLL_INTERVAL_S):
+                    await wake.wait()
+            except TimeoutError:
+                continue
+
+    async def _poll(self, address: str) -> None:
+        options = self._options
+        revision = self._mirror.revision
+        answer = await self._clients.call(
+            address,
+            wire.EntryPoll(
+                entry=ids.EntryId(options.host),
+                address=options.listen,
+                region=options.region,
+                failure_domain=options.failure_domain,
+                incarnation=self._incarnation,
+                state=self.state,
+                group=self._mirror.group,
+                revision=revision,
+            ),
+            POLL_TIMEOUT_S,
+        )
+        if not isinstance(answer, wire.EntryNews):
+            detail = getattr(answer, 'detail', type(answer).__name__)
+            self._note_reached(address, detail)
+            return
+        self._note_reached(address, None)
+        self.answered_at = time.monotonic()
+        self.senders = max(1, answer.entry_count)
+        if answer.members:
+            self._follow(answer.members)
+        if self._mirror.apply(revision, answer):
+            _log.info(
+                telemetry.format_event(
+                    'catalog_in_force',
+                    revision=answer.revision,
+                    source=address,
+                    items=len(answer.items),
+                    targets=len(answer.targets),
+                    removed_targets=len(answer.removed_targets),
+                )
+            )
+            self._on_change()
+
+    def _note_reached(self, address: str, problem: str | None) -> None:
+        """Log when a member stops or starts to answer."""
+        is_reached = problem is None
+        if is_reached == (address in self._reached):
+            return
+        if is_reached:
+            self._reached.add(address)
+            _log.info(
+                telemetry.format_event('member_reachable', address=address)
+            )
+            return
+        self._reached.discard(address)
+        _log.warning(
+            telemetry.format_event(
+                'member_unreachable', address=address, reason=problem
+            )
+        )
--- a/fulmarseam/http/__init__.py
+++ b/fulmarseam/http/__init__.py
@@ -22,6 +22,8 @@
         pool.release(connection)
 """
 
+from fulmarseam.http._addressing import find_host_and_path
+from fulmarseam.http._bodies import read_body
 from fulmarseam.http._caller import CallerConnection
 from fulmarseam.http._caller import Request
 from fulmarseam.http._failures import CallerGoneError
@@ -61,5 +63,7 @@
     'TargetPool',
     'TargetPools',
     'drop_headers',
+    'find_host_and_path',
+    'read_body',
     'split_address',
 ]
--- a/fulmarseam/http/_channel.py
+++ b/fulmarseam/http/_channel.py
@@ -20,6 +20,8 @@
         self.signal = signal
         self.transport: Any = None
         self.ended = False
+        # Whether the connection ended by an error rather than by a close.
+        self.was_reset = False
         self.write_paused = False
         self._pieces: collections.deque[bytes] = collections.deque()
         self._buffered = 0
@@ -51,6 +53,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Note the end of the connection."""
         self.ended = True
+        self.was_reset = exc is not None
         self.write_paused = False
         self._notify()
 
--- a/fulmarseam/http/_pool.py
+++ b/fulmarseam/http/_pool.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import re
+import socket
 from typing import Self
 
 from fulmarseam.http import _failures
@@ -14,6 +16,14 @@
 # time-out of a minute closes them in the middle of a new request.
 IDLE_TIMEOUT_S = 30.0
 SWEEP_INTERVAL_S = 5.0
+# Time before the end of the keep-alive that a target states in which its
+# connections are not used any more: the request would cross the close.
+KEEP_ALIVE_MARGIN_S = 1.5
+# A connection whose sent bytes nobody acknowledges is given up after this
+# time. A single lost packet is sent again after 0.2 to 0.6 s.
+USER_TIMEOUT_MS = 1_500
+
+_KEEP_ALIVE = re.compile(rb'timeout=(\d{1,6})')
 
 
 class TargetPool:
@@ -23,6 +33,7 @@
         self.address = address
         self.limit = limit
         self.in_use = 0
+        self.idle_timeout_s = IDLE_TIMEOUT_S
         self._idle: list[_target.TargetConnection] = []
 
     @property
@@ -40,9 +51,11 @@
         self, signal: _signal.Signal
     ) -> _target.TargetConnection | None:
         """Return an idle connection that is still open, if any."""
+        oldest = asyncio.get_running_loop().time() - self.idle_timeout_s
         while self._idle:
             connection = self._idle.pop()
-            if connection.ended or connection.has_pieces():
+            is_old = connection.idle_since < oldest
+            if is_old or connection.ended or connection.has_pieces():
                 connection.abort()
                 continue
             connection.signal = signal
@@ -50,6 +63,14 @@
             return connection
         return None
 
+    def note_keep_alive(self, response: _target.Response) -> None:
+        """Take over how long the target keeps idle connections."""
+        stated = _KEEP_ALIVE.search(response.fields.get(b'keep-alive', b''))
+        if stated is None:
+            return
+        idle_s = max(0.0, int(stated[1]) - KEEP_ALIVE_MARGIN_S)
+        self.idle_timeout_s = min(idle_s, IDLE_TIMEOUT_S)
+
     async def open(
         self, signal: _signal.Signal, timeout_s: float = CONNECT_TIMEOUT_S
     ) -> _target.TargetConnection:
@@ -89,6 +110,9 @@
                 _failures.Reason.CONNECT_FAILED, str(error.strerror or error)
             ) from error
         connection.on_idle_event = self._drop
+        connection.transport.get_extra_info('socket').setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+        )
         return connection
 
     def _fail(
@@ -166,8 +190,8 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
-            before = loop.time() - IDLE_TIMEOUT_S
+            now = loop.time()
             for address, pool in list(self._pools.items()):
-                pool.close_idle(before)
+                pool.close_idle(now - pool.idle_timeout_s)
                 if not pool.in_use and not pool.idle:
                     del self._pools[address]
--- a/fulmarseam/http/_server.py
+++ b/fulmarseam/http/_server.py
@@ -103,6 +103,10 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def set_limits(self, limits: _limits.Limits) -> None:
+        """Use other limits for the connections to come."""
+        self._limits = limits
+
     def close_listener(self) -> None:
         """Accept no new connections."""
         if self._listener is not None:
@@ -211,12 +215,12 @@
         connection.refuse(*self._answer_error(error))
 
     async def _sweep(self) -> None:
-        shortest = min(
-            self._limits.header_timeout_s, self._limits.idle_timeout_s
-        )
-        interval = min(max(shortest / 4, SWEEP_MIN_S), SWEEP_MAX_S)
         loop = asyncio.get_running_loop()
         while True:
+            shortest = min(
+                self._limits.header_timeout_s, self._limits.idle_timeout_s
+            )
+            interval = min(max(shortest / 4, SWEEP_MIN_S), SWEEP_MAX_S)
             await asyncio.sleep(interval)
             now = loop.time()
             for connection in list(self._tasks.values()):
--- a/fulmarseam/http/_target.py
+++ b/fulmarseam/http/_target.py
@@ -267,6 +267,10 @@
             piece = self.take_piece()
             if piece is not None:
                 self._h11.receive_data(piece)
+            elif self.was_reset:
+                raise self._fail(
+                    _failures.Reason.BROKEN, 'connection reset in the body'
+                )
             elif self.ended:
                 # Ends a body that is delimited by the end of connection.
                 self._h11.receive_data(b'')
--- /dev/null
+++ b/fulmarseam/platform/_calls.py
@@ -0,0 +1,174 @@
+"""The platform's calls to the control members."""
+
+import hashlib
+import json
+from urllib import parse
+
+import logbook
+
+from fulmarseam import catalog
+from fulmarseam import control
+from fulmarseam import errors
+from fulmarseam import http
+from fulmarseam import ids
+from fulmarseam import settings
+from fulmarseam import telemetry
+from fulmarseam.platform import _items
+from fulmarseam.platform import _targets
+from fulmarseam.platform import _values
+
+CONFIG_PATH = '/api/config'
+TARGETS_PATH = '/api/instances/'
+EVACUATION_PATH = '/api/evacuate/'
+LOOKUP_PATH = '/api/resolve'
+# The most addresses that a caller takes from one answer.
+MAX_ADDRESSES = 64
+# Callers keep an answer for up to three lifetimes. An entry that stops has
+# 6 s and listens for three quarters of them.
+LOOKUP_LIFETIME_S = 1.4
+JSON = [(b'content-type', b'application/json')]
+DIGEST_BYTES = 16
+
+_log = logbook.Logger('platform')
+
+
+class ControlCalls:
+    """Handles the calls of operators, targets and callers."""
+
+    def __init__(
+        self,
+        options: settings.CatalogSettings,
+        member: control.CatalogMember,
+    ) -> None:
+        self._options = options
+        self._member = member
+        self._lifetime_s = min(
+            LOOKUP_LIFETIME_S, options.lookup_lifetime_limit
+        )
+
+    async def handle_order(
+        self, request: http.Request, caller: http.CallerConnection
+    ) -> None:
+        """Answer a call of an operator or a target."""
+        path, _ = _split_target(request)
+        body = await http.read_body(caller)
+        method = request.method.decode('ascii')
+        try:
+            if path == CONFIG_PATH:
+                await self._handle_config(method, body, caller)
+            elif path.startswith(TARGETS_PATH):
+                target = parse.unquote(path.removeprefix(TARGETS_PATH))
+                await self._handle_target(method, target, body)
+                caller.answer(200, JSON, b'{}')
+            elif path.startswith(EVACUATION_PATH):
+                domain = parse.unquote(path.removeprefix(EVACUATION_PATH))
+                await self._handle_evacuation(method, domain)
+                caller.answer(200, JSON, b'{}')
+            else:
+                raise errors.FulmarseamError(errors.ErrorKind.NOT_FOUND, path)
+        except _values.UnreadableError as error:
+            _log.info(
+                telemetry.format_event(
+                    'call_refused', method=method, path=path, reason=str(error)
+                )
+            )
+            raise errors.FulmarseamError(
+                errors.ErrorKind.MALFORMED_REQUEST, str(error)
+            ) from error
+
+    async def _handle_config(
+        self, method: str, body: bytes, caller: http.CallerConnection
+    ) -> None:
+        if method == 'GET':
+            await self._member.confirm()
+            items = self._member.catalog.items.live()
+            caller.answer(200, JSON, _items.write_items(items))
+            return
+        _require_method(method, 'PATCH')
+        items = _items.read_call(body)
+        digest = hashlib.blake2b(body, digest_size=DIGEST_BYTES).digest()
+        result = await self._member.submit(
+            catalog.PutItems(items=items, digest=digest)
+        )
+        _log.info(
+            telemetry.format_event(
+                'items_refused' if result.problems else 'items_accepted',
+                digest=digest.hex(),
+                items=','.join(
+                    f'{item.name}@{item.version}' for item in items[:10]
+                ),
+                count=len(items),
+                revision=result.revision,
+                problems='; '.join(result.problems),
+            )
+        )
+        if result.problems:
+            raise _values.UnreadableError('; '.join(result.problems))
+        caller.answer(200, JSON, b'{}')
+
+    async def _handle_target(
+        self, method: str, target: str, body: bytes
+    ) -> None:
+        if method == 'DELETE':
+            born_ms = _targets.read_leave(body)
+            await self._member.leave(ids.TargetId(target), born_ms)
+            return
+        _require_method(method, 'PUT')
+        record = _targets.read_beat(target, body, self._options.domains)
+        await self._member.announce(record)
+
+    async def _handle_evacuation(self, method: str, domain: str) -> None:
+        if method != 'DELETE':
+            _require_method(method, 'POST')
+        is_active = method == 'POST'
+        result = await self._member.submit(
+            catalog.EvacuateDomain(
+                failure_domain=ids.DomainName(domain), active=is_active
+            )
+        )
+        _log.info(
+            telemetry.format_event(
+                'evacuation',
+                failure_domain=domain,
+                active=is_active,
+                revision=result.revision,
+            )
+        )
+
+    async def handle_lookup(
+        self, request: http.Request, caller: http.CallerConnection
+    ) -> None:
+        """Answer a caller that asks where to connect."""
+        path, query = _split_target(request)
+        if path != LOOKUP_PATH:
+            raise errors.FulmarseamError(errors.ErrorKind.NOT_FOUND, path)
+        fields = dict(parse.parse_qsl(query))
+        addresses = self._member.find_entries(
+            ids.RegionName(fields.get('region', '')),
+            ids.DomainName(fields.get('zone', '')),
+            MAX_ADDRESSES,
+        )
+        if not addresses:
+            raise errors.FulmarseamError(
+                errors.ErrorKind.UNAVAILABLE, 'no entry is known yet'
+            )
+        body = json.dumps(
+            {
+                'addresses': addresses,
+                'ttl': _values.write_seconds(self._lifetime_s),
+            }
+        )
+        caller.answer(200, JSON, body.encode())
+
+
+def _split_target(request: http.Request) -> tuple[str, str]:
+    path, _, query = request.target.decode('latin-1').partition('?')
+    return path, query
+
+
+def _require_method(found: str, expected: str) -> None:
+    if found != expected:
+        raise errors.FulmarseamError(
+            errors.ErrorKind.METHOD_NOT_ALLOWED,
+            f'method: found {found}, expected {expected}',
+        )
--- /dev/null
+++ b/fulmarseam/platform/_targets.py
@@ -0,0 +1,81 @@
+"""Announcements of targets in the platform's form."""
+
+from collections.abc import Mapping
+import json
+from typing import Any
+
+from fulmarseam import ids
+from fulmarseam import wire
+from fulmarseam.platform import _values
+
+_PHASES = {
+    'ready': wire.TargetPhase.READY,
+    'draining': wire.TargetPhase.DRAINING,
+}
+_MIN_SLOTS = 1
+
+
+def read_beat(
+    target: str, body: bytes, domains: Mapping[ids.DomainName, ids.RegionName]
+) -> wire.TargetRecord:
+    """Return the record of an announcement.
+
+    Raises `UnreadableError` for one that names no target to use.
+    """
+    fields = _read_object(body)
+    info = _values.read_field(fields, 'info', dict, 'beat')
+    status = _values.read_field(fields, 'status', dict, 'beat')
+    state = _values.read_field(status, 'state', str, 'status')
+    if state not in _PHASES:
+        raise _values.UnreadableError(
+            f'status.state: found {state!r}, expected one of '
+            + ', '.join(_PHASES)
+        )
+    # The failure domain of the target, not of the sender of the call.
+    domain = ids.DomainName(_values.read_field(info, 'zone', str, 'info'))
+    slots = _values.read_field(info, 'slots', int, 'info')
+    if slots < _MIN_SLOTS:
+        raise _values.UnreadableError(
+            f'info.slots: found {slots}, expected {_MIN_SLOTS} or more'
+        )
+    return wire.TargetRecord(
+        target=ids.TargetId(target),
+        pool=ids.PoolName(_values.read_field(info, 'service', str, 'info')),
+        address=_read_address(fields),
+        region=domains.get(domain, ids.RegionName(domain)),
+        failure_domain=domain,
+        slots=slots,
+        phase=_PHASES[state],
+        # The start of this incarnation; absent where ids are never reused.
+        born_ms=_values.require(fields.get('born', 0), int, 'beat.born'),
+        sequence=_values.read_field(status, 'sequence', int, 'status'),
+        cold_ms=_values.read_ms(status, 'warmupLeft', 'status')
+        if 'warmupLeft' in status
+        else 0.0,
+    )
+
+
+def read_leave(body: bytes) -> int:
+    """Return the incarnation that leaves, or 0 when the call names none."""
+    if not body.strip():
+        return 0
+    fields = _read_object(body)
+    return int(_values.require(fields.get('born', 0), int, 'leave.born'))
+
+
+def _read_object(body: bytes) -> dict[str, Any]:
+    try:
+        fields = json.loads(body)
+    except ValueError as error:
+        raise _values.UnreadableError(f'body: {error}') from error
+    return dict(_values.require(fields, dict, 'body'))
+
+
+def _read_address(fields: dict[str, Any]) -> str:
+    address = str(_values.read_field(fields, 'address', str, 'beat'))
+    host, _, port = address.rpartition(':')
+    if not host or not port.isdigit():
+        raise _values.UnreadableError(
+            f'beat.address: found {address!r}, expected IP:PORT'
+        )
+    return address
--- a/fulmarseam/settings/__init__.py
+++ b/fulmarseam/settings/__init__.py
@@ -6,6 +6,8 @@
     settings = load_settings('entry.yaml', EntrySettings)
 """
 
+from fulmarseam.settings._catalog import CatalogSettings
+from fulmarseam.settings._catalog import GatewaySettings
 from fulmarseam.settings._control import ControlSettings
 from fulmarseam.settings._control import MemberAddress
 from fulmarseam.settings._ctl import CtlSettings
@@ -21,6 +23,7 @@
 from fulmarseam.settings._options import boolean
 from fulmarseam.settings._options import Check
 from fulmarseam.settings._options import choice
+from fulmarseam.settings._options import duration
 from fulmarseam.settings._options import identifier
 from fulmarseam.settings._options import integer
 from fulmarseam.settings._options import InvalidValueError
@@ -35,12 +38,14 @@
 from fulmarseam.settings._target import TargetSettings
 
 __all__ = [
+    'CatalogSettings',
     'Check',
     'ControlSettings',
     'CtlSettings',
     'EntrySettings',
     'FaultProxySettings',
     'Forward',
+    'GatewaySettings',
     'InvalidValueError',
     'LoadPhase',
     'LoadRoute',
@@ -51,6 +56,7 @@
     'address',
     'boolean',
     'choice',
+    'duration',
     'identifier',
     'integer',
     'list_of',
--- /dev/null
+++ b/fulmarseam/settings/_catalog.py
@@ -0,0 +1,98 @@
+"""Settings of the programs of a catalog group."""
+
+import dataclasses
+
+from fulmarseam import ids
+from fulmarseam.settings import _options
+
+_option = _options.option
+
+
+def _levels() -> _options.Check:
+    return _options.choice('debug', 'info', 'warning', 'error')
+
+
+def _list_peers(seeds: list[str], peer_port: int) -> tuple[str, ...]:
+    """Return the addresses at which the members at the seeds are called."""
+    return tuple(f'{seed.rpartition(":")[0]}:{peer_port}' for seed in seeds)
+
+
+@dataclasses.dataclass(frozen=True)
+class CatalogSettings:
+    """Settings of a control member of a catalog group.
+
+    `listen` is for the other processes, `api` for operators and targets,
+    `lookups` for callers. `seeds` are the `api` addresses of some members,
+    whose `listen` address has the port `peer_port`. `first_start` is set
+    when the whole system starts for the first time. `domains` maps failure
+    domains to regions.
+    """
+
+    host: ids.HostId = _option(_options.identifier())
+    region: ids.RegionName = _option(_options.identifier())
+    failure_domain: ids.DomainName = _option(_options.identifier())
+    domains: dict[ids.DomainName, ids.RegionName] = _option(
+        _options.mapping_of(
+            _options.identifier(), _options.identifier(), 1
+        )
+    )
+    data_dir: str = _option(_options.text())
+    listen: str = _option(_options.address())
+    api: str = _option(_options.address())
+    lookups: str = _option(_options.address())
+    seeds: list[str] = _option(_options.list_of(_options.address(), 0))
+    peer_port: int = _option(_options.integer(1, 65_535))
+    first_start: bool = _option(_options.boolean(), False)
+    tolerated_hosts: int = _option(_options.integer(0, 20), 2)
+    heartbeat: float = _option(_options.duration(0.01, 60.0), 1.5)
+    lookup_lifetime_limit: float = _option(_options.duration(0.1, 3_600.0), 5.0)
+    log_level: str = _option(_levels(), 'info')
+
+    @property
+    def wanted_voters(self) -> int:
+        """Return the members with which the tolerated losses are borne."""
+        return 2 * self.tolerated_hosts + 1
+
+    def list_peers(self) -> tuple[str, ...]:
+        """Return the addresses at which the seeds are called."""
+        return _list_peers(self.seeds, self.peer_port)
+
+
+@dataclasses.dataclass(frozen=True)
+class GatewaySettings:
+    """Settings of an entry that serves from a catalog.
+
+    `listen` is for callers and `readiness` for the checks of the platform.
+    `seeds` and `peer_port` are those of the control members. The retry
+    bounds hold for the sum of all entries: in any `retry_window` a pool
+    gets at most `retry_ratio` x its requests + `retry_slack` repeats. A
+    cold target gets at most its rate x `cold_factor` + `cold_slack`
+    requests a second, and at most `shift_share` of a region's requests
+    change region between two windows of 2 s.
+    """
+
+    host: ids.HostId = _option(_options.identifier())
+    region: ids.RegionName = _option(_options.identifier())
+    failure_domain: ids.DomainName = _option(_options.identifier())
+    domains: dict[ids.DomainName, ids.RegionName] = _option(
+        _options.mapping_of(
+            _options.identifier(), _options.identifier(), 1
+        )
+    )
+    listen: str = _option(_options.address())
+    readiness: str = _option(_options.address())
+    seeds: list[str] = _option(_options.list_of(_options.address(), 0))
+    peer_port: int = _option(_options.integer(1, 65_535))
+    grace: float = _option(_options.duration(0.5, 600.0), 6.0)
+    retry_ratio: float = _option(_options.number(0.0, 10.0), 0.2)
+    retry_slack: float = _option(_options.number(0.0, 1e6), 10.0)
+    retry_window: float = _option(_options.duration(0.1, 600.0), 10.0)
+    cold_factor: float = _option(_options.number(0.0, 100.0), 1.5)
+    cold_slack: float = _option(_options.number(0.0, 1e6), 5.0)
+    shift_share: float = _option(_options.number(0.0, 1.0), 0.15)
+    max_connections: int = _option(_options.integer(1, 1_000_000), 4_000)
+    log_level: str = _option(_levels(), 'info')
+
+    def list_peers(self) -> tuple[str, ...]:
+        """Return the addresses at which the seeds are called."""
+        return _list_peers(self.seeds, self.peer_port)
--- a/fulmarseam/settings/_options.py
+++ b/fulmarseam/settings/_options.py
@@ -14,6 +14,8 @@
 Check = Callable[[str, Any], Any]
 
 _IDENTIFIER = re.compile(r'[a-z0-9][a-z0-9_-]{0,62}')
+_DURATION = re.compile(r'(\d+(?:\.\d+)?)(ms|s)')
+_SECONDS_PER_UNIT = {'ms': 0.001, 's': 1.0}
 _CHECK = 'check'
 
 
@@ -103,6 +105,24 @@
     return check
 
 
+def duration(minimum_s: float, maximum_s: float) -> Check:
+    """Accept a time such as `1500ms` or `2.5s`; the result is in seconds."""
+    expected = (
+        f'a time from {minimum_s:g}s to {maximum_s:g}s, such as 1500ms or 2.5s'
+    )
+
+    def check(key: str, value: Any) -> float:
+        match = _DURATION.fullmatch(value) if isinstance(value, str) else None
+        if match is None:
+            raise reject(key, value, expected)
+        seconds = float(match[1]) * _SECONDS_PER_UNIT[match[2]]
+        if not minimum_s <= seconds <= maximum_s:
+            raise reject(key, value, expected)
+        return seconds
+
+    return check
+
+
 def boolean() -> Check:
     """Accept true or false."""
 
--- a/fulmarseam/steering/__init__.py
+++ b/fulmarseam/steering/__init__.py
@@ -6,6 +6,7 @@
 entry owns the other tables.
 """
 
+from fulmarseam.steering._affinity import rank_targets
 from fulmarseam.steering._allocator import Allocator
 from fulmarseam.steering._allocator import AllocatorOptions
 from fulmarseam.steering._allocator import Grants
@@ -16,11 +17,27 @@
 from fulmarseam.steering._choice import PoolView
 from fulmarseam.steering._links import LinkTokens
 from fulmarseam.steering._lookups import order_entries
+from fulmarseam.steering._observed import ColdBound
+from fulmarseam.steering._observed import eject
+from fulmarseam.steering._observed import estimate_load
+from fulmarseam.steering._observed import is_cold
+from fulmarseam.steering._observed import is_doubtful
+from fulmarseam.steering._observed import is_ejected
+from fulmarseam.steering._observed import may_take
+from fulmarseam.steering._observed import note_answer
+from fulmarseam.steering._observed import note_failure
+from fulmarseam.steering._observed import note_report
+from fulmarseam.steering._observed import ObservedTarget
 from fulmarseam.steering._outcomes import Judgement
 from fulmarseam.steering._outcomes import OutcomeTable
+from fulmarseam.steering._placement import has_room
+from fulmarseam.steering._placement import place_request
+from fulmarseam.steering._placement import Placement as Placed
+from fulmarseam.steering._placement import Room
 from fulmarseam.steering._queue import Admission
 from fulmarseam.steering._queue import RequestQueue
 from fulmarseam.steering._queue import Ticket
+from fulmarseam.steering._repeats import RepeatBudget
 from fulmarseam.steering._routes import compile_routes
 from fulmarseam.steering._routes import match_route
 from fulmarseam.steering._routes import RouteIndex
@@ -28,6 +45,11 @@
 from fulmarseam.steering._shifts import ShiftBook
 from fulmarseam.steering._shifts import ShiftCredit
 from fulmarseam.steering._slots import SlotBook
+from fulmarseam.steering._spill import adjust_share
+from fulmarseam.steering._spill import note_arrival
+from fulmarseam.steering._spill import Spill
+from fulmarseam.steering._spill import take_remote
+from fulmarseam.steering._split import Splitter
 from fulmarseam.steering._suspects import compute_fingerprint
 from fulmarseam.steering._suspects import Strike
 from fulmarseam.steering._suspects import SuspectState
@@ -38,26 +60,48 @@
     'Allocator',
     'AllocatorOptions',
     'Choice',
+    'ColdBound',
     'Grants',
     'Judgement',
     'LinkTokens',
+    'ObservedTarget',
     'OutcomeTable',
     'Place',
+    'Placed',
     'PoolView',
+    'RepeatBudget',
     'RequestQueue',
     'RetryBudget',
+    'Room',
     'RouteIndex',
     'RouteMatch',
     'ShiftBook',
     'ShiftCredit',
     'SlotBook',
+    'Spill',
+    'Splitter',
     'Strike',
     'SuspectState',
     'SuspectTable',
     'Ticket',
+    'adjust_share',
     'choose_target',
     'compile_routes',
     'compute_fingerprint',
+    'eject',
+    'estimate_load',
+    'has_room',
+    'is_cold',
+    'is_doubtful',
+    'is_ejected',
     'match_route',
+    'may_take',
+    'note_answer',
+    'note_arrival',
+    'note_failure',
+    'note_report',
     'order_entries',
+    'place_request',
+    'rank_targets',
+    'take_remote',
 ]
--- /dev/null
+++ b/fulmarseam/steering/_observed.py
@@ -0,0 +1,159 @@
+"""What an entry observes of the targets that it sends requests to.
+
+No one shares out slots here: an entry estimates the load of a target from
+its own requests and from what the target reports with its answers.
+"""
+
+import dataclasses
+
+from fulmarseam import ids
+from fulmarseam import wire
+
+# A report says how busy a target was when it answered. Its weight halves in
+# this time, as the requests it counted end within a few hundred ms.
+REPORT_HALF_LIFE_S = 0.4
+# A target that cannot be reached is left alone for the first time, and up
+# to the second one after further failures; silence lasts for seconds.
+EJECT_MIN_S = 0.5
+EJECT_MAX_S = 4.0
+# Weight of the newest outcome in the failure rate of a target.
+OUTCOME_WEIGHT = 0.1
+# Above this failure rate a target is used only when no better one is free.
+DOUBTFUL_RATE = 0.25
+# Weight of the newest service time in the mean of a target, and the mean
+# assumed before the first answer, in seconds.
+SERVICE_WEIGHT = 0.1
+FIRST_SERVICE_S = 0.2
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class ObservedTarget:
+    """A target as one entry sees it; times in seconds.
+
+    `others` is the load by other entries as of `others_at`. While
+    `now < ejected_until` the target gets no requests, and while
+    `now < cold_until` only as many as `tokens` allow.
+    """
+
+    record: wire.TargetRecord
+    is_remote: bool
+    in_flight: int = 0
+    others: float = 0.0
+    others_at: float = 0.0
+    failures: int = 0
+    ejected_until: float = 0.0
+    failure_rate: float = 0.0
+    cold_until: float = 0.0
+    tokens: float = 0.0
+    tokens_at: float = 0.0
+    service_s: float = FIRST_SERVICE_S
+    recovering: bool = False
+
+    @property
+    def target(self) -> ids.TargetId:
+        """Return the id of the target."""
+        return self.record.target
+
+
+def estimate_load(target: ObservedTarget, now: float) -> float:
+    """Return the requests that run or wait at a target, as estimated."""
+    age = now - target.others_at
+    others: float = target.others * 0.5 ** (age / REPORT_HALF_LIFE_S)
+    return target.in_flight + others
+
+
+def note_report(
+    target: ObservedTarget, now: float, running: int, waiting: int
+) -> None:
+    """Take the load that a target reported with an answer."""
+    target.others = float(max(0, running + waiting - target.in_flight))
+    target.others_at = now
+
+
+def note_answer(
+    target: ObservedTarget, now: float, service_s: float, cold_s: float
+) -> None:
+    """Count a full answer after `service_s`.
+
+    A target that answers again after it had been ejected may have
+    restarted, so it is treated as cold for `cold_s`.
+    """
+    if target.recovering:
+        target.recovering = False
+        target.cold_until = max(target.cold_until, now + cold_s)
+    target.failures = 0
+    target.ejected_until = 0.0
+    target.failure_rate -= OUTCOME_WEIGHT * target.failure_rate
+    target.service_s += SERVICE_WEIGHT * (service_s - target.service_s)
+
+
+def note_failure(target: ObservedTarget) -> None:
+    """Count a request that the target refused or failed by itself."""
+    target.failure_rate += OUTCOME_WEIGHT * (1.0 - target.failure_rate)
+
+
+def eject(target: ObservedTarget, now: float) -> None:
+    """Keep away from a target that cannot be reached or is silent."""
+    note_failure(target)
+    target.recovering = True
+    if now < target.ejected_until:
+        return
+    pause_s = min(EJECT_MIN_S * 2**target.failures, EJECT_MAX_S)
+    target.failures += 1
+    target.ejected_until = now + pause_s
+
+
+def is_ejected(target: ObservedTarget, now: float) -> bool:
+    """Return whether requests keep away from a target."""
+    return now < target.ejected_until
+
+
+def is_doubtful(target: ObservedTarget) -> bool:
+    """Return whether a target fails more requests than others do."""
+    return target.failure_rate >= DOUBTFUL_RATE
+
+
+@dataclasses.dataclass(frozen=True)
+class ColdBound:
+    """What all entries together may send to a cold target in a second."""
+
+    factor: float
+    slack: float
+
+    def share(self, cold_per_s: float, senders: int) -> float:
+        """Return the part of one of `senders` entries, in requests/s."""
+        return (cold_per_s * self.factor + self.slack) / max(1, senders)
+
+
+# Part of an entry's share that is used; the rest covers requests whose
+# arrival a link delays into the next second.
+COLD_SHARE_USED = 0.8
+
+
+def refill(target: ObservedTarget, now: float, share: float) -> None:
+    """Add the tokens of a cold target since the last call.
+
+    A burst of one and the rate add up to the share in any second.
+    """
+    used = share * COLD_SHARE_USED
+    burst = min(1.0, used)
+    rate = used - burst if used > 1.5 else used * 0.5
+    elapsed = now - target.tokens_at
+    target.tokens = min(burst, target.tokens + elapsed * rate)
+    target.tokens_at = now
+
+
+def is_cold(target: ObservedTarget, now: float) -> bool:
+    """Return whether only a bounded rate may be sent to a target.
+
+    One that is tried again after a failure counts as cold.
+    """
+    return target.recovering or now < target.cold_until
+
+
+def may_take(target: ObservedTarget, now: float, share: float) -> bool:
+    """Return whether a cold target may get one more request."""
+    if not is_cold(target, now):
+        return True
+    refill(target, now, share)
+    return target.tokens >= min(1.0, share * COLD_SHARE_USED)
--- a/fulmarseam/telemetry/__init__.py
+++ b/fulmarseam/telemetry/__init__.py
@@ -3,6 +3,7 @@
 from fulmarseam.telemetry._logs import format_event
 from fulmarseam.telemetry._logs import open_log
 from fulmarseam.telemetry._metrics import Metrics
+from fulmarseam.telemetry._requests import RequestLog
 from fulmarseam.telemetry._traces import open_traces
 from fulmarseam.telemetry._traces import Span
 from fulmarseam.telemetry._traces import TRACEPARENT
@@ -10,6 +11,7 @@
 
 __all__ = [
     'Metrics',
+    'RequestLog',
     'Span',
     'TRACEPARENT',
     'Tracer',
--- a/fulmarseam/telemetry/_logs.py
+++ b/fulmarseam/telemetry/_logs.py
@@ -4,6 +4,7 @@
 import contextlib
 import sys
 from typing import Any
+from typing import TextIO
 
 import logbook
 
@@ -38,12 +39,17 @@
 
 
 @contextlib.contextmanager
-def open_log(path: str | None, level: str) -> Iterator[None]:
-    """Send log lines to a file, or to standard error without a path."""
+def open_log(
+    path: str | None, level: str, stream: TextIO | None = None
+) -> Iterator[None]:
+    """Send log lines to a file, or without a path to a stream.
+
+    The stream is standard error unless another one is given.
+    """
     handler: Any
     if path is None:
         handler = logbook.StreamHandler(
-            sys.stderr, level=level.upper(), format_string=_FORMAT
+            stream or sys.stderr, level=level.upper(), format_string=_FORMAT
         )
     else:
         handler = logbook.FileHandler(
--- a/fulmarseam/transport/__init__.py
+++ b/fulmarseam/transport/__init__.py
@@ -10,6 +10,7 @@
 
 from fulmarseam.transport._rpc import Handler
 from fulmarseam.transport._rpc import RpcClient
+from fulmarseam.transport._rpc import RpcClients
 from fulmarseam.transport._rpc import RpcServer
 
-__all__ = ['Handler', 'RpcClient', 'RpcServer']
+__all__ = ['Handler', 'RpcClient', 'RpcClients', 'RpcServer']
--- a/fulmarseam/transport/_rpc.py
+++ b/fulmarseam/transport/_rpc.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterator
 import contextlib
 from typing import Any
@@ -137,6 +138,7 @@
         self.bytes_sent = 0
         self.bytes_received = 0
         self._socket: Any = None
+        self._answered_at = 0.0
 
     async def __aenter__(self) -> Self:
         self.open()
@@ -167,10 +169,28 @@
         """Send a message and return the answer.
 
         Raises `errors.TransportError` when there is no answer in time; the
-        other process may have handled the call all the same.
+        other process may have handled the call all the same. A connection
+        on which nothing was answered meanwhile is replaced, since one that
+        a fault silenced is never reset.
         """
         if self._socket is None:
             raise errors.TransportError(f'{self.address}: closed')
+        used = self._socket
+        started = asyncio.get_running_loop().time()
+        try:
+            data = await self._exchange(message, timeout_s)
+        except errors.TransportError:
+            if self._socket is used and self._answered_at <= started:
+                self.close()
+                self.open()
+            raise
+        self._answered_at = asyncio.get_running_loop().time()
+        self.bytes_received += len(data) + FRAME_BYTES
+        return wire.decode(data)
+
+    async def _exchange(
+        self, message: wire.Message, timeout_s: float
+    ) -> bytes:
         with _open_context(self._socket) as context:
             try:
                 async with asyncio.timeout(timeout_s):
@@ -178,7 +198,7 @@
                     self.bytes_sent += len(sent) + FRAME_BYTES
                     await context.asend(sent)
                     raise_if_cancelled()
-                    data = await context.arecv()
+                    data: bytes = await context.arecv()
                     raise_if_cancelled()
             except TimeoutError:
                 raise errors.TransportError(
@@ -188,8 +208,42 @@
                 raise errors.TransportError(
                     f'{self.address}: {error}'
                 ) from error
-        self.bytes_received += len(data) + FRAME_BYTES
-        return wire.decode(data)
+        return data
+
+
+class RpcClients:
+    """Clients by address; a context manager.
+
+    A client is opened at its first call and closed when `keep` leaves its
+    address out.
+    """
+
+    def __init__(self) -> None:
+        self._clients: dict[str, RpcClient] = {}
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        self.keep(())
+
+    def keep(self, addresses: Collection[str]) -> None:
+        """Close the clients of all other addresses."""
+        for address in self._clients.keys() - set(addresses):
+            self._clients.pop(address).close()
+
+    async def call(
+        self, address: str, message: wire.Message, timeout_s: float
+    ) -> wire.Message:
+        """Send a message to an address and return the answer.
+
+        Raises `errors.TransportError` when there is no answer in time.
+        """
+        client = self._clients.get(address)
+        if client is None:
+            client = self._clients[address] = RpcClient(address)
+            client.open()
+        return await client.call(message, timeout_s)
 
 
 def raise_if_cancelled() -> None:
--- a/fulmarseam/wire/__init__.py
+++ b/fulmarseam/wire/__init__.py
@@ -24,6 +24,21 @@
 from fulmarseam.wire._admin import TablesRequest
 from fulmarseam.wire._admin import TablesResponse
 from fulmarseam.wire._admin import TargetProgress
+from fulmarseam.wire._catalog import CatalogCommand
+from fulmarseam.wire._catalog import CatalogResult
+from fulmarseam.wire._catalog import EntryNews
+from fulmarseam.wire._catalog import EntryPoll
+from fulmarseam.wire._catalog import EntryState
+from fulmarseam.wire._catalog import Item
+from fulmarseam.wire._catalog import ItemKind
+from fulmarseam.wire._catalog import ItemRow
+from fulmarseam.wire._catalog import LimitsItem
+from fulmarseam.wire._catalog import PoolItem
+from fulmarseam.wire._catalog import RouteItem
+from fulmarseam.wire._catalog import SplitPart
+from fulmarseam.wire._catalog import TargetPhase
+from fulmarseam.wire._catalog import TargetRecord
+from fulmarseam.wire._catalog import TargetRenewal
 from fulmarseam.wire._codec import decode
 from fulmarseam.wire._codec import encode
 from fulmarseam.wire._codec import Message
@@ -98,6 +113,8 @@
     'AppendRequest',
     'AppendResponse',
     'Block',
+    'CatalogCommand',
+    'CatalogResult',
     'Change',
     'Drain',
     'DrainNotice',
@@ -106,8 +123,11 @@
     'Edit',
     'EditResult',
     'EntryInfo',
+    'EntryNews',
+    'EntryPoll',
     'EntryProgress',
     'EntryRow',
+    'EntryState',
     'EntryType',
     'Export',
     'Failure',
@@ -118,7 +138,11 @@
     'GroupMembers',
     'IdentityRequest',
     'IdentityResponse',
+    'Item',
+    'ItemKind',
+    'ItemRow',
     'LeaveNotice',
+    'LimitsItem',
     'Link',
     'LinkDemand',
     'LinkRate',
@@ -134,6 +158,7 @@
     'Ok',
     'Pool',
     'PoolDemand',
+    'PoolItem',
     'QuarantineRequest',
     'QuarantineResponse',
     'QuarantineRow',
@@ -156,6 +181,7 @@
     'ReplicaResponse',
     'Restore',
     'Route',
+    'RouteItem',
     'Row',
     'Shift',
     'ShiftState',
@@ -164,6 +190,7 @@
     'SnapshotChunk',
     'SnapshotMeta',
     'SnapshotResponse',
+    'SplitPart',
     'StatusRequest',
     'StatusResponse',
     'StoredAnswer',
@@ -174,7 +201,10 @@
     'TablesRequest',
     'TablesResponse',
     'TargetLoad',
+    'TargetPhase',
     'TargetProgress',
+    'TargetRecord',
+    'TargetRenewal',
     'TargetReport',
     'TargetRow',
     'TargetState',
--- /dev/null
+++ b/fulmarseam/wire/_catalog.py
@@ -0,0 +1,199 @@
+"""Rows and messages of a catalog: configuration items and live targets.
+
+A catalog is the state of a group whose operators give each item a version
+of its own, and in which targets announce themselves to the members.
+"""
+
+import enum
+
+import msgspec
+
+from fulmarseam import ids
+
+
+class SplitPart(msgspec.Struct, frozen=True):
+    """A pool and its relative share of a route's requests."""
+
+    pool: ids.PoolName
+    weight: float
+
+
+class RouteItem(
+    msgspec.Struct, tag='route_item', frozen=True, kw_only=True
+):
+    """Requests matched by host and path prefix, and how they are served.
+
+    `split` has one part for a route to one pool. `timeout_ms` is the
+    longest time a caller is kept waiting and `target_latency_ms` the time
+    within which an answer is of full use. `priority` 0 is served first.
+    At most `max_attempts` targets get one request, and one that is not
+    idempotent never runs twice. `sticky` sends the requests for one object
+    to the same target. `allowed_regions` empty allows all regions.
+    """
+
+    name: ids.RouteName
+    version: int
+    host: str
+    path_prefix: str
+    split: list[SplitPart]
+    timeout_ms: float
+    target_latency_ms: float
+    priority: int = 0
+    max_attempts: int = 1
+    idempotent: bool = False
+    sticky: bool = False
+    allowed_regions: list[ids.RegionName] = []
+
+
+class PoolItem(msgspec.Struct, tag='pool_item', frozen=True, kw_only=True):
+    """Targets that can serve the same requests.
+
+    A target accepts `max_connections` from all callers together. For
+    `cold_s` after its start it takes `cold_per_s` requests a second.
+    """
+
+    name: ids.PoolName
+    version: int
+    health_path: str
+    max_connections: int
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
+
+
+class LimitsItem(msgspec.Struct, tag='limits_item', frozen=True, kw_only=True):
+    """What a caller may send and how long it may take; sizes in bytes."""
+
+    version: int
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+    name: str = 'limits'
+
+
+ItemRow = RouteItem | PoolItem | LimitsItem
+
+
+class ItemKind(enum.Enum):
+    """The kinds of configuration items."""
+
+    ROUTE = 'route'
+    POOL = 'pool'
+    LIMITS = 'limits'
+
+
+class Item(msgspec.Struct, frozen=True, kw_only=True):
+    """One version of an item; `row` is None when it was dropped.
+
+    `source` is what the operator sent, so that reading it back returns the
+    same content in the operator's own form.
+    """
+
+    kind: ItemKind
+    name: str
+    version: int
+    row: ItemRow | None = None
+    source: bytes = b''
+
+
+class TargetPhase(enum.Enum):
+    """Whether a target takes new requests; it only moves forward."""
+
+    READY = 'ready'
+    DRAINING = 'draining'
+    GONE = 'gone'
+
+
+class TargetRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """What a target said of itself last.
+
+    `born_ms` is the start of its incarnation in milliseconds since the
+    epoch, and `sequence` counts its announcements within it. `cold_ms` is
+    how long it stays cold, counted from the announcement.
+    """
+
+    target: ids.TargetId
+    pool: ids.PoolName
+    address: str
+    region: ids.RegionName
+    failure_domain: ids.DomainName
+    slots: int
+    phase: TargetPhase = TargetPhase.READY
+    born_ms: int = 0
+    sequence: int = 0
+    cold_ms: float = 0.0
+
+
+class CatalogCommand(
+    msgspec.Struct, tag='catalog_command', frozen=True, kw_only=True
+):
+    """A command that a member passes on to the leader."""
+
+    command: bytes
+
+
+class CatalogResult(
+    msgspec.Struct, tag='catalog_result', frozen=True, kw_only=True
+):
+    """The result of a catalog command.
+
+    `problems` lists why it was refused; nothing of it is then in force.
+    """
+
+    revision: int
+    problems: list[str] = []
+
+
+class TargetRenewal(
+    msgspec.Struct, tag='target_renewal', frozen=True, kw_only=True
+):
+    """Targets that announced themselves lately to the sender."""
+
+    targets: list[ids.TargetId]
+
+
+class EntryState(enum.Enum):
+    """Whether an entry may be named to new callers."""
+
+    READY = 'ready'
+    DRAINING = 'draining'
+
+
+class EntryPoll(msgspec.Struct, tag='entry_poll', frozen=True, kw_only=True):
+    """An entry presents itself and asks for what is newer than it holds.
+
+    `group` is empty until the entry has heard of one. `incarnation` is
+    the start of its process in milliseconds since the epoch.
+    """
+
+    entry: ids.EntryId
+    address: str
+    region: ids.RegionName
+    failure_domain: ids.DomainName
+    incarnation: int
+    state: EntryState
+    group: str = ''
+    revision: int = 0
+
+
+class EntryNews(msgspec.Struct, tag='entry_news', frozen=True, kw_only=True):
+    """What changed after the revision of an `EntryPoll`.
+
+    With `full` everything in force is listed. `members` are the addresses
+    of the control members, and `entry_count` the entries that may send.
+    """
+
+    group: str
+    revision: int
+    full: bool = False
+    items: list[Item] = []
+    targets: list[TargetRecord] = []
+    removed_targets: list[ids.TargetId] = []
+    evacuated: list[ids.DomainName] | None = None
+    members: list[str] = []
+    entry_count: int = 0
+
+
+CatalogMessage = (
+    CatalogCommand | CatalogResult | TargetRenewal | EntryPoll | EntryNews
+)
--- a/fulmarseam/wire/_codec.py
+++ b/fulmarseam/wire/_codec.py
@@ -4,6 +4,7 @@
 
 from fulmarseam import errors
 from fulmarseam.wire import _admin
+from fulmarseam.wire import _catalog
 from fulmarseam.wire import _common
 from fulmarseam.wire import _consensus
 from fulmarseam.wire import _peers
@@ -16,6 +17,7 @@
     | _sync.SyncRequest
     | _sync.SyncResponse
     | _admin.AdminMessage
+    | _catalog.CatalogMessage
     | _peers.PeerMessage
     | _records.RecordMessage
     | _consensus.MemberRequest
--- a/fulmarseam/wire/_consensus.py
+++ b/fulmarseam/wire/_consensus.py
@@ -12,7 +12,8 @@
 
     `store` is the random id of its data directory: a directory that was
     wiped has another one. A learner (`voter` false) gets the log and
-    counts for no majority.
+    counts for no majority. `host` is the host it runs on, empty in a group
+    whose members an operator names.
     """
 
     member: ids.MemberId
@@ -20,6 +21,7 @@
     region: ids.RegionName
     store: str
     voter: bool = True
+    host: ids.HostId = ids.HostId('')
 
 
 class GroupMembers(msgspec.Struct, frozen=True):
@@ -179,9 +181,13 @@
 class IdentityRequest(
     msgspec.Struct, tag='identity_request', frozen=True, kw_only=True
 ):
-    """Asks a member who it is."""
+    """Asks a member who it is.
+
+    `candidate` describes a sender that belongs to no group and wants to.
+    """
 
     sender: ids.MemberId
+    candidate: MemberInfo | None = None
 
 
 class IdentityResponse(
