Prefer the same target for an object in all regions

Change: one rendezvous order over all regions; a silence detector; an idempotent request whose target answers 500 is tried on another one.

--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -113,9 +113,7 @@
                 # What the directory held is with the other members; this
                 # one goes on as a new member, like after a lost disk.
                 _log.error(
-                    telemetry.format_event(
-                        'data_damaged', reason=error.detail
-                    )
+                    telemetry.format_event('data_damaged', reason=error.detail)
                 )
             consensus.clear_directory(self._options.data_dir)
             _log.info(telemetry.format_event('member_rejoins'))
--- a/fulmarseam/gateway/_daemon.py
+++ b/fulmarseam/gateway/_daemon.py
@@ -18,8 +18,7 @@
 from fulmarseam.gateway import _poller
 from fulmarseam.gateway import _routes
 
-TICK_S = 0.1
-TICKS_PER_S = 10
+TICK_S = 1.0
 # Parts of the time between the signal to stop and its end: callers may
 # still come with an answer of a look-up that they hold for three lifetimes,
 # then what is in flight ends.
@@ -142,17 +141,10 @@
         _log.info(telemetry.format_event('stopped'))
 
     async def _tick(self) -> None:
-        previous = self._loop.time()
-        ticks = 0
         while True:
             await asyncio.sleep(TICK_S)
-            now = self._loop.time()
-            self.fleet.senders = self.poller.senders
-            self.fleet.tick(now, now - previous)
-            previous = now
-            ticks += 1
-            if ticks % TICKS_PER_S == 0:
-                self._request_log.tick()
+            self.fleet.set_senders(self.poller.senders)
+            self._request_log.tick()
 
     async def _drain(self) -> None:
         """Leave the look-ups, let their answers lapse, finish requests."""
@@ -182,4 +174,3 @@
                 'drained', drain_s=self._loop.time() - started
             )
         )
-
--- a/fulmarseam/gateway/_fleet.py
+++ b/fulmarseam/gateway/_fleet.py
@@ -1,7 +1,6 @@
 """The targets of an entry and the placement of requests on them."""
 
 from collections.abc import Collection
-from typing import NamedTuple
 
 import logbook
 
@@ -15,21 +14,12 @@
 _log = logbook.Logger('gateway')
 
 
-class _Ranking(NamedTuple):
-    """The targets for one key: own region first, then the others."""
-
-    local: list[steering.ObservedTarget]
-    remote: list[steering.ObservedTarget]
-
-
 class _Pool:
     """The targets of one pool that may get new requests."""
 
     def __init__(self, budget: steering.RepeatBudget) -> None:
         self.budget = budget
-        self.spill = steering.Spill()
-        self.local: list[steering.ObservedTarget] = []
-        self.remote: list[steering.ObservedTarget] = []
+        self.targets: list[steering.ObservedTarget] = []
 
 
 class Fleet:
@@ -49,7 +39,9 @@
         )
         self._targets: dict[ids.TargetId, steering.ObservedTarget] = {}
         self._pools: dict[ids.PoolName, _Pool] = {}
-        self._rankings: dict[tuple[str, str, str], _Ranking] = {}
+        self._rankings: dict[
+            tuple[str, str, str], list[steering.ObservedTarget]
+        ] = {}
         self._evacuated: frozenset[ids.DomainName] = frozenset()
         self.senders = 1
 
@@ -105,17 +97,14 @@
 
     def _group_targets(self) -> None:
         for pool in self._pools.values():
-            pool.local = []
-            pool.remote = []
+            pool.targets = []
         for observed in self._targets.values():
             record = observed.record
             if record.phase is not wire.TargetPhase.READY:
                 continue
             if record.failure_domain in self._evacuated:
                 continue
-            pool = self._get_pool(record.pool)
-            side = pool.remote if observed.is_remote else pool.local
-            side.append(observed)
+            self._get_pool(record.pool).targets.append(observed)
 
     def _get_pool(self, name: ids.PoolName) -> _Pool:
         pool = self._pools.get(name)
@@ -132,35 +121,24 @@
 
     def count_ready(self) -> int:
         """Return the number of targets that may get requests."""
-        return sum(
-            len(pool.local) + len(pool.remote) for pool in self._pools.values()
-        )
+        return sum(len(pool.targets) for pool in self._pools.values())
 
     def count_in_flight(self) -> int:
         """Return the number of requests on targets."""
         return sum(item.in_flight for item in self._targets.values())
 
-    def tick(self, now: float, elapsed_s: float) -> None:
-        """Adjust what follows the recent requests; called on a tick."""
-        slack = self._options.retry_slack * REPEAT_SHARE_USED / self.senders
+    def set_senders(self, senders: int) -> None:
+        """Take over the number of entries that share the bounds."""
+        self.senders = senders
+        slack = self._options.retry_slack * REPEAT_SHARE_USED / senders
         for pool in self._pools.values():
             pool.budget.slack = slack
-            steering.adjust_share(
-                pool.spill,
-                elapsed_s,
-                self._options.shift_share,
-                _find_failed_share(pool.local, now),
-            )
 
     # Placement
 
     def count_request(self, now: float, pool_name: ids.PoolName) -> None:
         """Count a request of a caller for a pool."""
-        pool = self._get_pool(pool_name)
-        pool.budget.count_request(now)
-        steering.note_arrival(
-            pool.spill, steering.has_room(now, pool.local)
-        )
+        self._get_pool(pool_name).budget.count_request(now)
 
     def take_repeat(self, now: float, pool_name: ids.PoolName) -> bool:
         """Count a repeat if the budget of the pool allows it."""
@@ -176,23 +154,20 @@
         time_left_s: float,
     ) -> steering.Placed:
         """Take a place on a target, or none when no target has room."""
-        pool = self._get_pool(pool_name)
-        ranking = self._rank(now, route, pool, pool_name, key)
-        prefers_remote = bool(ranking.remote) and (
-            not ranking.local or steering.take_remote(pool.spill)
-        )
         share = self._find_cold_share(pool_name)
         placed = steering.place_request(
             now,
-            _leave_out(ranking.local, avoided),
-            _leave_out(ranking.remote, avoided),
+            (
+                item
+                for item in self._rank(now, route, pool_name, key)
+                if item.target not in avoided
+            ),
             lambda item: steering.may_take(item, now, share),
-            prefers_remote,
             route.priority,
             time_left_s,
         )
         if placed.target is not None:
-            placed.target.in_flight += 1
+            steering.note_start(placed.target, now)
             if steering.is_cold(placed.target, now):
                 placed.target.tokens -= 1.0
         return placed
@@ -207,36 +182,36 @@
         self,
         now: float,
         route: wire.RouteItem,
-        pool: _Pool,
         pool_name: ids.PoolName,
         key: str | None,
-    ) -> _Ranking:
-        regions = route.allowed_regions
+    ) -> list[steering.ObservedTarget]:
+        """Return the targets for a request in the order of preference.
+
+        Every entry prefers the same target for an object, wherever its
+        caller is: a target that knows the object saves more than a target
+        in the same region does.
+        """
+        targets = _keep_allowed(
+            self._get_pool(pool_name).targets, route.allowed_regions
+        )
         if key is None or not route.sticky:
-            return _Ranking(
-                _order_by_load(now, _keep_allowed(pool.local, regions)),
-                _order_by_load(now, _keep_allowed(pool.remote, regions)),
-            )
-        name = (pool_name, ','.join(regions), key)
+            return sorted(targets, key=lambda item: _rate_load(now, item))
+        name = (pool_name, ','.join(route.allowed_regions), key)
         ranking = self._rankings.get(name)
         if ranking is None:
             if len(self._rankings) >= MAX_RANKINGS:
                 self._rankings.clear()
-            ranking = self._rankings[name] = _Ranking(
-                self._order_by_key(key, _keep_allowed(pool.local, regions)),
-                self._order_by_key(key, _keep_allowed(pool.remote, regions)),
-            )
+            ranking = self._rankings[name] = [
+                self._targets[target]
+                for target in steering.rank_targets(
+                    key, [item.target for item in targets]
+                )
+            ]
         return ranking
 
-    def _order_by_key(
-        self, key: str, targets: list[steering.ObservedTarget]
-    ) -> list[steering.ObservedTarget]:
-        ranked = steering.rank_targets(key, [item.target for item in targets])
-        return [self._targets[target] for target in ranked]
-
     def release(self, observed: steering.ObservedTarget) -> None:
         """End a placement."""
-        observed.in_flight -= 1
+        steering.note_end(observed)
 
     # Outcomes
 
@@ -261,9 +236,7 @@
         self, now: float, observed: steering.ObservedTarget, service_s: float
     ) -> None:
         """Count a full answer of a target."""
-        steering.note_answer(
-            observed, now, service_s, self._cold_s(observed)
-        )
+        steering.note_answer(observed, now, service_s, self._cold_s(observed))
 
     def note_failure(self, observed: steering.ObservedTarget) -> None:
         """Count a request that a target failed."""
@@ -286,23 +259,14 @@
 # Part of the retry bound that is used: requests and repeats of one window
 # arrive at the targets in another one after a delay.
 REPEAT_SHARE_USED = 0.5
+# Load per slot that a target in the own region may have above that of one
+# in another region before a request for no known object goes there.
+REMOTE_COST = 0.4
 # Rankings kept; the least of what the busiest deployments have is some
 # hundred objects for each route.
 MAX_RANKINGS = 20_000
 
 
-def _find_failed_share(
-    targets: list[steering.ObservedTarget], now: float
-) -> float:
-    slots = sum(item.record.slots for item in targets)
-    failed = sum(
-        item.record.slots
-        for item in targets
-        if steering.is_ejected(item, now)
-    )
-    return failed / slots if slots else 1.0
-
-
 def _keep_allowed(
     targets: list[steering.ObservedTarget], regions: list[ids.RegionName]
 ) -> list[steering.ObservedTarget]:
@@ -311,18 +275,7 @@
     return [item for item in targets if item.record.region in regions]
 
 
-def _leave_out(
-    targets: list[steering.ObservedTarget], avoided: Collection[ids.TargetId]
-) -> list[steering.ObservedTarget]:
-    if not avoided:
-        return targets
-    return [item for item in targets if item.target not in avoided]
-
-
-def _order_by_load(
-    now: float, targets: list[steering.ObservedTarget]
-) -> list[steering.ObservedTarget]:
-    return sorted(
-        targets,
-        key=lambda item: steering.estimate_load(item, now) / item.record.slots,
-    )
+def _rate_load(now: float, item: steering.ObservedTarget) -> float:
+    """Return the load of a target per slot, with the cost of the way."""
+    load = steering.estimate_load(item, now) / item.record.slots
+    return load + REMOTE_COST if item.is_remote else load
--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -80,9 +80,7 @@
     def _record(self, job: _requests.Job, trail: '_Trail') -> None:
         elapsed = self._loop.time() - job.arrived_at
         metrics = self._services.metrics
-        metrics.add(
-            'requests_total', route=trail.route, outcome=trail.outcome
-        )
+        metrics.add('requests_total', route=trail.route, outcome=trail.outcome)
         metrics.record('request_seconds', elapsed, outcome=trail.outcome)
         request_id = (job.request_id or b'').decode('latin-1')
         self._services.request_log.add(
@@ -185,6 +183,13 @@
         try:
             answer = await exchange.run()
             self._note_answer(target, exchange, answer, started)
+            if self._may_replace(job, target, answer):
+                return _Failure(
+                    errors.FulmarseamError(
+                        errors.ErrorKind.TARGET_FAILED, 'answered 500'
+                    ),
+                    True,
+                )
             trail.status = answer.response.status
             trail.outcome = ANSWERED
             await self._pass_on(job, exchange, answer)
@@ -236,6 +241,31 @@
         else:
             fleet.note_answer(now, target, now - started)
 
+    def _may_replace(
+        self,
+        job: _requests.Job,
+        target: steering.ObservedTarget,
+        answer: _exchange.Answer,
+    ) -> bool:
+        """Return whether a failure of a target is tried on another one."""
+        if answer.response.status != 500 or answer.body is None:
+            return False
+        job.attempts += 1
+        return self._may_repeat(job, target)
+
+    def _may_repeat(
+        self, job: _requests.Job, target: steering.ObservedTarget
+    ) -> bool:
+        """Count a repeat of a request that may have run, if allowed."""
+        now = self._loop.time()
+        return (
+            now < job.deadline
+            and job.route.idempotent
+            and job.is_replayable
+            and job.attempts < job.route.max_attempts
+            and self._services.fleet.take_repeat(now, target.record.pool)
+        )
+
     async def _pass_on(
         self,
         job: _requests.Job,
@@ -323,15 +353,9 @@
         else:
             fleet.eject(now, target)
             kind = errors.ErrorKind.TARGET_FAILED
-        may_repeat = (
-            not is_late
-            and job.route.idempotent
-            and job.is_replayable
-            and job.attempts < job.route.max_attempts
-            and fleet.take_repeat(now, target.record.pool)
-        )
         return _Failure(
-            errors.FulmarseamError(kind, error.detail), may_repeat
+            errors.FulmarseamError(kind, error.detail),
+            self._may_repeat(job, target),
         )
 
 
--- a/fulmarseam/platform/_programs.py
+++ b/fulmarseam/platform/_programs.py
@@ -52,9 +52,7 @@
     gc.set_threshold(GC_THRESHOLD)
 
 
-async def _serve_control(
-    path: str, options: settings.CatalogSettings
-) -> None:
+async def _serve_control(path: str, options: settings.CatalogSettings) -> None:
     stopping = asyncio.Event()
     _stop_on_signal(stopping)
     async with contextlib.AsyncExitStack() as stack:
@@ -66,7 +64,9 @@
             http.Server(options.api, calls.handle_order, gateway.make_answer)
         )
         await stack.enter_async_context(
-            http.Server(options.lookups, calls.handle_lookup, gateway.make_answer)
+            http.Server(
+                options.lookups, calls.handle_lookup, gateway.make_answer
+            )
         )
         watch = asyncio.create_task(
             _watch_settings(
--- a/fulmarseam/settings/_catalog.py
+++ b/fulmarseam/settings/_catalog.py
@@ -32,9 +32,7 @@
     region: ids.RegionName = _option(_options.identifier())
     failure_domain: ids.DomainName = _option(_options.identifier())
     domains: dict[ids.DomainName, ids.RegionName] = _option(
-        _options.mapping_of(
-            _options.identifier(), _options.identifier(), 1
-        )
+        _options.mapping_of(_options.identifier(), _options.identifier(), 1)
     )
     data_dir: str = _option(_options.text())
     listen: str = _option(_options.address())
@@ -45,7 +43,9 @@
     first_start: bool = _option(_options.boolean(), False)
     tolerated_hosts: int = _option(_options.integer(0, 20), 2)
     heartbeat: float = _option(_options.duration(0.01, 60.0), 1.5)
-    lookup_lifetime_limit: float = _option(_options.duration(0.1, 3_600.0), 5.0)
+    lookup_lifetime_limit: float = _option(
+        _options.duration(0.1, 3_600.0), 5.0
+    )
     log_level: str = _option(_levels(), 'info')
 
     @property
@@ -75,9 +75,7 @@
     region: ids.RegionName = _option(_options.identifier())
     failure_domain: ids.DomainName = _option(_options.identifier())
     domains: dict[ids.DomainName, ids.RegionName] = _option(
-        _options.mapping_of(
-            _options.identifier(), _options.identifier(), 1
-        )
+        _options.mapping_of(_options.identifier(), _options.identifier(), 1)
     )
     listen: str = _option(_options.address())
     readiness: str = _option(_options.address())
--- a/fulmarseam/steering/__init__.py
+++ b/fulmarseam/steering/__init__.py
@@ -25,12 +25,13 @@
 from fulmarseam.steering._observed import is_ejected
 from fulmarseam.steering._observed import may_take
 from fulmarseam.steering._observed import note_answer
+from fulmarseam.steering._observed import note_end
 from fulmarseam.steering._observed import note_failure
 from fulmarseam.steering._observed import note_report
+from fulmarseam.steering._observed import note_start
 from fulmarseam.steering._observed import ObservedTarget
 from fulmarseam.steering._outcomes import Judgement
 from fulmarseam.steering._outcomes import OutcomeTable
-from fulmarseam.steering._placement import has_room
 from fulmarseam.steering._placement import place_request
 from fulmarseam.steering._placement import Placement as Placed
 from fulmarseam.steering._placement import Room
@@ -45,10 +46,6 @@
 from fulmarseam.steering._shifts import ShiftBook
 from fulmarseam.steering._shifts import ShiftCredit
 from fulmarseam.steering._slots import SlotBook
-from fulmarseam.steering._spill import adjust_share
-from fulmarseam.steering._spill import note_arrival
-from fulmarseam.steering._spill import Spill
-from fulmarseam.steering._spill import take_remote
 from fulmarseam.steering._split import Splitter
 from fulmarseam.steering._suspects import compute_fingerprint
 from fulmarseam.steering._suspects import Strike
@@ -78,30 +75,27 @@
     'ShiftBook',
     'ShiftCredit',
     'SlotBook',
-    'Spill',
     'Splitter',
     'Strike',
     'SuspectState',
     'SuspectTable',
     'Ticket',
-    'adjust_share',
     'choose_target',
     'compile_routes',
     'compute_fingerprint',
     'eject',
     'estimate_load',
-    'has_room',
     'is_cold',
     'is_doubtful',
     'is_ejected',
     'match_route',
     'may_take',
     'note_answer',
-    'note_arrival',
+    'note_end',
     'note_failure',
     'note_report',
+    'note_start',
     'order_entries',
     'place_request',
     'rank_targets',
-    'take_remote',
 ]
--- a/fulmarseam/steering/_observed.py
+++ b/fulmarseam/steering/_observed.py
@@ -20,6 +20,10 @@
 OUTCOME_WEIGHT = 0.1
 # Above this failure rate a target is used only when no better one is free.
 DOUBTFUL_RATE = 0.25
+# A target with requests is silent after this many of its mean service times
+# without any answer, and not before the shortest time.
+SILENCE_SERVICE_TIMES = 5.0
+SILENCE_MIN_S = 0.6
 # Weight of the newest service time in the mean of a target, and the mean
 # assumed before the first answer, in seconds.
 SERVICE_WEIGHT = 0.1
@@ -32,7 +36,8 @@
 
     `others` is the load by other entries as of `others_at`. While
     `now < ejected_until` the target gets no requests, and while
-    `now < cold_until` only as many as `tokens` allow.
+    `now < cold_until` only as many as `tokens` allow. `silent_since` is
+    when the oldest of the present requests started, or the last answer.
     """
 
     record: wire.TargetRecord
@@ -47,6 +52,7 @@
     tokens: float = 0.0
     tokens_at: float = 0.0
     service_s: float = FIRST_SERVICE_S
+    silent_since: float = 0.0
     recovering: bool = False
 
     @property
@@ -62,6 +68,30 @@
     return target.in_flight + others
 
 
+def note_start(target: ObservedTarget, now: float) -> None:
+    """Count a request that is given to a target."""
+    if not target.in_flight:
+        target.silent_since = now
+    target.in_flight += 1
+
+
+def note_end(target: ObservedTarget) -> None:
+    """Count the end of a request, however it ended."""
+    target.in_flight -= 1
+
+
+def is_silent(target: ObservedTarget, now: float) -> bool:
+    """Return whether a target answers nothing although it should.
+
+    A host without power or behind a partition resets no connection, so
+    requests on open connections only stay without answers.
+    """
+    if not target.in_flight:
+        return False
+    limit_s = max(SILENCE_MIN_S, SILENCE_SERVICE_TIMES * target.service_s)
+    return now - target.silent_since > limit_s
+
+
 def note_report(
     target: ObservedTarget, now: float, running: int, waiting: int
 ) -> None:
@@ -81,6 +111,7 @@
     if target.recovering:
         target.recovering = False
         target.cold_until = max(target.cold_until, now + cold_s)
+    target.silent_since = now
     target.failures = 0
     target.ejected_until = 0.0
     target.failure_rate -= OUTCOME_WEIGHT * target.failure_rate
@@ -105,7 +136,7 @@
 
 def is_ejected(target: ObservedTarget, now: float) -> bool:
     """Return whether requests keep away from a target."""
-    return now < target.ejected_until
+    return now < target.ejected_until or is_silent(target, now)
 
 
 def is_doubtful(target: ObservedTarget) -> bool:
--- a/fulmarseam/wire/_catalog.py
+++ b/fulmarseam/wire/_catalog.py
@@ -18,9 +18,7 @@
     weight: float
 
 
-class RouteItem(
-    msgspec.Struct, tag='route_item', frozen=True, kw_only=True
-):
+class RouteItem(msgspec.Struct, tag='route_item', frozen=True, kw_only=True):
     """Requests matched by host and path prefix, and how they are served.
 
     `split` has one part for a route to one pool. `timeout_ms` is the
