--- a/fulmarseam/gateway/_daemon.py
+++ b/fulmarseam/gateway/_daemon.py
@@ -84,6 +84,7 @@
     def _take_change(self) -> None:
         """Put a changed catalog in force."""
         self.routes.update(self.mirror.routes.values())
+        self.fleet.set_senders(self.poller.senders)
         self.fleet.update(self._loop.time())
         limits = self.mirror.limits
         if limits is not None:
--- a/fulmarseam/gateway/_exchange.py
+++ b/fulmarseam/gateway/_exchange.py
@@ -59,6 +59,7 @@
         self._first_byte_by = first_byte_by
         self._loop = asyncio.get_running_loop()
         self._uploading = True
+        self._reused = False
         self._connection: http.TargetConnection | None = None
         self._pieces: list[bytes] = []
         self.progress = http.Progress.NOT_SENT
@@ -72,7 +73,7 @@
         """
         while True:
             connection = self._pool.take_idle(self._job.signal)
-            reused = connection is not None
+            self._reused = connection is not None
             if connection is None:
                 connection = await self._open()
             self._connection = connection
@@ -82,7 +83,7 @@
                 # An idle connection that the target had closed before any
                 # byte was written is replaced.
                 is_unsent = error.progress is http.Progress.NOT_SENT
-                if not reused or not is_unsent:
+                if not self._reused or not is_unsent:
                     raise
                 self.close()
             finally:
@@ -169,10 +170,24 @@
     ) -> http.Response:
         while True:
             response = connection.poll_response()
-            if response is not None:
+            if response is None:
+                self._upload(connection)
+                await self._wait(self._first_byte_by)
+            elif self._reused and self._is_stray(response):
+                await self._skip_body(connection)
+                connection.expect_another()
+            else:
                 return response
-            self._upload(connection)
-            await self._wait(self._first_byte_by)
+
+    def _is_stray(self, response: http.Response) -> bool:
+        """Return whether an answer names another request than this."""
+        answered_id = response.fields.get(self._dialect.request_id)
+        return answered_id is not None and answered_id != self._job.request_id
+
+    async def _skip_body(self, connection: http.TargetConnection) -> None:
+        while (piece := connection.poll_body()) != b'':
+            if piece is None:
+                await self._wait(self._first_byte_by)
 
     def _check_head(self, response: http.Response) -> None:
         """Refuse answers that are not to this request.
@@ -182,9 +197,9 @@
         arrive late on a connection that is used again.
         """
         dialect = self._dialect
-        answered_id = response.fields.get(dialect.request_id)
-        if answered_id != self._job.request_id and (
-            answered_id is not None or response.status < 300
+        is_anonymous = dialect.request_id not in response.fields
+        if self._is_stray(response) or (
+            is_anonymous and response.status < 300
         ):
             raise http.TargetError(
                 http.Reason.MALFORMED,
--- a/fulmarseam/gateway/_fleet.py
+++ b/fulmarseam/gateway/_fleet.py
@@ -113,7 +113,7 @@
             pool = self._pools[name] = _Pool(
                 steering.RepeatBudget(
                     options.retry_ratio * REPEAT_SHARE_USED,
-                    0.0,
+                    self._find_slack(),
                     options.retry_window,
                 )
             )
@@ -130,9 +130,12 @@
     def set_senders(self, senders: int) -> None:
         """Take over the number of entries that share the bounds."""
         self.senders = senders
-        slack = self._options.retry_slack * REPEAT_SHARE_USED / senders
         for pool in self._pools.values():
-            pool.budget.slack = slack
+            pool.budget.slack = self._find_slack()
+
+    def _find_slack(self) -> float:
+        """Return this entry's part of the repeats that are always allowed."""
+        return self._options.retry_slack * REPEAT_SHARE_USED / self.senders
 
     # Placement
 
--- a/fulmarseam/http/_target.py
+++ b/fulmarseam/http/_target.py
@@ -282,6 +282,31 @@
     ) -> _failures.TargetError:
         return _failures.TargetError(reason, self.progress, detail)
 
+    def expect_another(self) -> None:
+        """Get ready for the response that follows one that was read.
+
+        A target may send a response twice; the second one arrives in
+        place of the response to the next request. Raises `TargetError`
+        when no other response can follow on this connection.
+        """
+        self.progress = _failures.Progress.MAY_HAVE_SENT
+        if not self._keep_alive or not self.request_done:
+            raise self._fail(
+                _failures.Reason.MALFORMED, 'the response is a stray one'
+            )
+        left = bytes(self._h11.trailing_data[0])
+        if left:
+            self.put_back(left)
+        self._head_done = False
+        self._h11 = _open_parser()
+        # The parser has to know the method; the bytes were sent before.
+        self._h11.send(
+            h11.Request(
+                method=self._method, target=b'/', headers=[(b'host', b'x')]
+            )
+        )
+        self._h11.send(h11.EndOfMessage())
+
     # Reuse
 
     def is_reusable(self) -> bool:
--- /dev/null
+++ b/tests/test_catalog.py
@@ -0,0 +1,291 @@
+"""Tests of the catalog: items, targets, differences and presence."""
+
+import unittest
+
+from fulmarseam import catalog
+from fulmarseam import wire
+from tests import catalog_fixtures as fixtures
+
+
+class ItemTest(unittest.TestCase):
+    """Guards against an older version that comes into force again."""
+
+    def setUp(self) -> None:
+        self.machine = catalog.Catalog()
+        fixtures.put(self.machine, fixtures.make_pool('katalog', 1))
+
+    def _find(self, name: str) -> wire.Item:
+        return self.machine.items.get((wire.ItemKind.ROUTE, name))
+
+    def test_highest_version_wins_in_any_order(self) -> None:
+        fixtures.put(self.machine, fixtures.make_route('r', 9, timeout_ms=90))
+        result = fixtures.put(
+            self.machine, fixtures.make_route('r', 7, timeout_ms=70)
+        )
+        self.assertEqual(result.problems, [])
+        self.assertEqual(self._find('r').version, 9)
+
+    def test_equal_version_with_other_content_changes_nothing(self) -> None:
+        fixtures.put(self.machine, fixtures.make_route('r', 7, timeout_ms=70))
+        before = self.machine.revision
+        fixtures.put(self.machine, fixtures.make_route('r', 7, timeout_ms=99))
+        row = self._find('r').row
+        assert isinstance(row, wire.RouteItem)
+        self.assertEqual(row.timeout_ms, 70)
+        self.assertEqual(self.machine.revision, before)
+
+    def test_late_version_does_not_bring_back_a_dropped_item(self) -> None:
+        fixtures.put(self.machine, fixtures.make_route('r', 7))
+        fixtures.put(self.machine, fixtures.make_drop('r', 9))
+        fixtures.put(self.machine, fixtures.make_route('r', 8))
+        self.assertIsNone(self._find('r').row)
+
+    def test_nothing_of_an_invalid_call_is_in_force(self) -> None:
+        result = fixtures.put(
+            self.machine,
+            fixtures.make_route('good', 2),
+            fixtures.make_route('bad', 2, pool='nowhere'),
+        )
+        self.assertIn('nowhere', result.problems[0])
+        names = [item.name for item in self.machine.items.live()]
+        self.assertEqual(names, ['katalog'])
+
+    def test_every_problem_of_a_call_is_reported(self) -> None:
+        result = fixtures.put(
+            self.machine,
+            fixtures.make_route('a', 2, pool='nowhere'),
+            fixtures.make_route('b', 2, max_attempts=0),
+            fixtures.make_route('c', 2, target_latency_ms=61_000.0),
+        )
+        self.assertEqual(len(result.problems), 3)
+
+    def test_an_accepted_call_is_acknowledged_again_after_its_pool_went(
+        self,
+    ) -> None:
+        route = fixtures.make_route('r', 2)
+        fixtures.put(self.machine, route, digest=b'call')
+        drop = wire.Item(kind=wire.ItemKind.POOL, name='katalog', version=5)
+        fixtures.put(self.machine, drop)
+        again = fixtures.put(self.machine, route, digest=b'call')
+        self.assertEqual(again.problems, [])
+        other = fixtures.put(
+            self.machine, fixtures.make_route('r', 3), digest=b'new'
+        )
+        self.assertNotEqual(other.problems, [])
+
+
+class TargetTest(unittest.TestCase):
+    """Guards against late announcements that revive a dead incarnation."""
+
+    def setUp(self) -> None:
+        self.machine = catalog.Catalog()
+
+    def _phase(self, target: str) -> wire.TargetPhase | None:
+        record = self.machine.targets.get(fixtures.target_id(target))
+        return record.phase if record else None
+
+    def test_late_ready_does_not_undo_draining(self) -> None:
+        fixtures.announce(self.machine, 'a', sequence=3)
+        fixtures.announce(
+            self.machine, 'a', sequence=5, phase=wire.TargetPhase.DRAINING
+        )
+        fixtures.announce(self.machine, 'a', sequence=4)
+        self.assertIs(self._phase('a'), wire.TargetPhase.DRAINING)
+
+    def test_late_announcement_does_not_revive_what_left(self) -> None:
+        fixtures.announce(self.machine, 'a', born_ms=100, sequence=3)
+        fixtures.leave(self.machine, 'a')
+        fixtures.announce(self.machine, 'a', born_ms=100, sequence=9)
+        self.assertIsNone(self._phase('a'))
+        fixtures.announce(self.machine, 'a', born_ms=200, sequence=1)
+        self.assertIs(self._phase('a'), wire.TargetPhase.READY)
+
+    def test_an_id_that_starts_again_counts_anew(self) -> None:
+        fixtures.announce(
+            self.machine,
+            'a',
+            born_ms=100,
+            sequence=50,
+            phase=wire.TargetPhase.DRAINING,
+        )
+        fixtures.announce(self.machine, 'a', born_ms=200, sequence=1)
+        self.assertIs(self._phase('a'), wire.TargetPhase.READY)
+
+    def test_an_address_belongs_to_the_youngest_target(self) -> None:
+        fixtures.announce(self.machine, 'old', born_ms=100, address='x:1')
+        fixtures.announce(self.machine, 'new', born_ms=200, address='x:1')
+        self.assertIsNone(self._phase('old'))
+        fixtures.announce(
+            self.machine, 'old', born_ms=100, sequence=9, address='x:1'
+        )
+        self.assertIsNone(self._phase('old'))
+        self.assertIs(self._phase('new'), wire.TargetPhase.READY)
+
+    def test_a_silent_target_that_was_dropped_may_come_back(self) -> None:
+        fixtures.announce(self.machine, 'a', born_ms=100, sequence=3)
+        fixtures.apply(
+            self.machine,
+            catalog.DropTargets(targets=[(fixtures.target_id('a'), 100)]),
+        )
+        self.assertIsNone(self._phase('a'))
+        fixtures.announce(self.machine, 'a', born_ms=100, sequence=4)
+        self.assertIs(self._phase('a'), wire.TargetPhase.READY)
+
+
+class DifferenceTest(unittest.TestCase):
+    """Guards against entries that miss a change or go back."""
+
+    def setUp(self) -> None:
+        self.machine = catalog.Catalog()
+        fixtures.put(self.machine, fixtures.make_pool('katalog', 1))
+        fixtures.announce(self.machine, 'a')
+        self.mirror = catalog.Mirror()
+
+    def _sync(self, machine: catalog.Catalog) -> bool:
+        revision = self.mirror.revision
+        return self.mirror.apply(revision, machine.list_news(revision))
+
+    def test_a_mirror_follows_by_differences(self) -> None:
+        self.assertTrue(self._sync(self.machine))
+        fixtures.announce(self.machine, 'b', address='x:2')
+        fixtures.leave(self.machine, 'a')
+        fixtures.apply(
+            self.machine,
+            catalog.EvacuateDomain(
+                failure_domain=fixtures.domain('ost-wien'), active=True
+            ),
+        )
+        news = self.machine.list_news(self.mirror.revision)
+        self.assertFalse(news.full)
+        self.assertEqual(len(news.targets), 1)
+        self.assertTrue(self._sync(self.machine))
+        self.assertEqual(list(self.mirror.targets), ['b'])
+        self.assertEqual(self.mirror.evacuated, {'ost-wien'})
+
+    def test_a_member_that_is_behind_changes_nothing(self) -> None:
+        behind = catalog.Catalog()
+        behind.restore(self.machine.snapshot())
+        fixtures.put(self.machine, fixtures.make_route('r', 2))
+        self._sync(self.machine)
+        self.assertFalse(self._sync(behind))
+        self.assertIn('r', self.mirror.routes)
+
+    def test_differences_to_another_revision_are_not_applied(self) -> None:
+        asked = self.mirror.revision
+        news = self.machine.list_news(asked)
+        self._sync(self.machine)
+        fixtures.announce(self.machine, 'b', address='x:2')
+        late = self.machine.list_news(self.mirror.revision)
+        self._sync(self.machine)
+        fixtures.announce(self.machine, 'c', address='x:3')
+        newest = self.machine.list_news(late.revision - 1)
+        self.assertFalse(self.mirror.apply(asked, news))
+        self.assertFalse(self.mirror.apply(late.revision - 1, newest))
+
+    def test_a_snapshot_holds_everything(self) -> None:
+        fixtures.put(self.machine, fixtures.make_drop('gone', 4))
+        fixtures.leave(self.machine, 'a', born_ms=700)
+        restored = catalog.Catalog()
+        restored.restore(self.machine.snapshot())
+        self.assertEqual(restored.snapshot(), self.machine.snapshot())
+        fixtures.announce(restored, 'a', born_ms=700, sequence=99)
+        self.assertEqual(restored.targets.all(), [])
+        self._sync(restored)
+        self.assertEqual(self.mirror.revision, restored.revision)
+
+
+class BeatTest(unittest.TestCase):
+    """Guards against a log entry for every announcement."""
+
+    def test_only_changes_need_the_log(self) -> None:
+        book = catalog.BeatBook()
+        record = fixtures.make_record('a', sequence=1)
+        self.assertTrue(book.note(0.0, None, record))
+        renewal = fixtures.make_record('a', sequence=2)
+        self.assertFalse(book.note(1.5, record, renewal))
+        self.assertEqual(book.take_renewed(), ['a'])
+        self.assertEqual(book.take_renewed(), [])
+        draining = fixtures.make_record(
+            'a', sequence=3, phase=wire.TargetPhase.DRAINING
+        )
+        self.assertTrue(book.note(3.0, record, draining))
+
+    def test_a_target_that_turned_cold_again_is_news(self) -> None:
+        book = catalog.BeatBook()
+        known = fixtures.make_record('a', cold_ms=3_000.0)
+        book.note(0.0, None, known)
+        warming = fixtures.make_record('a', sequence=2, cold_ms=1_500.0)
+        self.assertFalse(book.note(1.5, known, warming))
+        cold = fixtures.make_record('a', sequence=3, cold_ms=3_000.0)
+        self.assertTrue(book.note(9.0, known, cold))
+
+
+class SilenceTest(unittest.TestCase):
+    """Guards against dropping live targets of a member that is cut off."""
+
+    def test_silent_targets_are_found_after_the_lease(self) -> None:
+        silences = catalog.Silences(5.0)
+        known = {
+            fixtures.target_id(name): fixtures.make_record(name, born_ms=7)
+            for name in 'abc'
+        }
+        self.assertEqual(silences.find_silent(0.0, known), [])
+        silences.note(4.0, [fixtures.target_id(name) for name in 'ab'])
+        self.assertEqual(silences.find_silent(5.5, known), [('c', 7)])
+
+    def test_none_are_silent_when_most_are(self) -> None:
+        silences = catalog.Silences(5.0)
+        known = {
+            fixtures.target_id(name): fixtures.make_record(name)
+            for name in 'abc'
+        }
+        silences.find_silent(0.0, known)
+        silences.note(4.0, [fixtures.target_id('a')])
+        self.assertEqual(silences.find_silent(6.0, known), [])
+
+
+class PresenceTest(unittest.TestCase):
+    """Guards against look-ups that name dead or draining entries."""
+
+    def setUp(self) -> None:
+        self.presence = catalog.Presence()
+        self.presence.note(0.0, fixtures.make_poll('e1', 'ost', 'ost-wien'))
+        self.presence.note(0.0, fixtures.make_poll('e2', 'ost', 'ost-stp'))
+        self.presence.note(0.0, fixtures.make_poll('e3', 'west', 'west-ibk'))
+
+    def _find(self, now: float, region: str) -> list[str]:
+        return self.presence.find_entries(
+            now, fixtures.region(region), fixtures.domain('ost-stp'), 64
+        )
+
+    def test_entries_of_the_region_come_with_the_own_domain_first(
+        self,
+    ) -> None:
+        self.assertEqual(self._find(1.0, 'ost'), ['e2:1', 'e1:1'])
+
+    def test_other_regions_serve_where_none_is_left(self) -> None:
+        self.assertEqual(len(self._find(1.0, 'sued')), 3)
+
+    def test_silent_and_draining_entries_are_left_out(self) -> None:
+        self.presence.note(
+            2.0,
+            fixtures.make_poll(
+                'e1', 'ost', 'ost-wien', wire.EntryState.DRAINING
+            ),
+        )
+        self.presence.note(2.0, fixtures.make_poll('e2', 'ost', 'ost-stp'))
+        self.assertEqual(self._find(4.0, 'ost'), ['e2:1'])
+        self.assertEqual(self._find(5.0, 'ost'), [])
+
+    def test_a_late_poll_of_an_ended_process_changes_nothing(self) -> None:
+        restarted = fixtures.make_poll('e1', 'ost', 'ost-wien', incarnation=9)
+        self.presence.note(1.0, restarted)
+        late = fixtures.make_poll(
+            'e1', 'ost', 'ost-wien', wire.EntryState.DRAINING, incarnation=3
+        )
+        self.assertFalse(self.presence.note(1.1, late))
+        self.assertIn('e1:1', self._find(1.2, 'ost'))
+
+    def test_dead_entries_still_count_as_senders(self) -> None:
+        self.assertEqual(self.presence.count_senders(30.0), 3)
+        self.assertEqual(self.presence.count_senders(61.0), 0)
--- /dev/null
+++ b/tests/test_consensus_repair.py
@@ -0,0 +1,119 @@
+"""Tests of founding by seeds and of the replacement of lost members."""
+
+import unittest
+
+from fulmarseam import ids
+from fulmarseam import wire
+from fulmarseam.consensus import _discovery
+from fulmarseam.consensus import _repair
+
+
+def make_info(
+    host: str, store: str = 's', voter: bool = True
+) -> wire.MemberInfo:
+    """Return a member that runs on a host."""
+    return wire.MemberInfo(
+        member=ids.MemberId(f'{host}.{store}'),
+        address=f'{host}:1',
+        region=ids.RegionName('ost'),
+        store=store,
+        voter=voter,
+        host=ids.HostId(host),
+    )
+
+
+FIVE = wire.GroupMembers([make_info(host) for host in 'abcde'])
+LEADER = ids.MemberId('a.s')
+
+
+def plan(
+    members: wire.GroupMembers,
+    candidates: list[wire.MemberInfo],
+    **silences: float,
+) -> _repair.Repair | None:
+    """Return the leader's next change; silences are by host."""
+    by_member = {
+        info.member: silences.get(str(info.host), 0.0)
+        for info in members.members
+    }
+    return _repair.plan_repair(LEADER, members, by_member, candidates, 5)
+
+
+class RepairTest(unittest.TestCase):
+    """Guards against a lost member that counts for a majority for ever."""
+
+    def test_a_sound_group_is_left_as_it_is(self) -> None:
+        self.assertIsNone(plan(FIVE, [], b=9.0))
+
+    def test_the_former_member_of_a_wiped_host_is_removed(self) -> None:
+        change = plan(FIVE, [make_info('b', 'new')])
+        self.assertEqual(change, _repair.RemoveMember(ids.MemberId('b.s')))
+
+    def test_a_wiped_host_is_added_once_its_former_member_is_gone(
+        self,
+    ) -> None:
+        left = wire.GroupMembers(
+            [info for info in FIVE.members if info.host != 'b'],
+            [ids.MemberId('b.s')],
+        )
+        new = make_info('b', 'new')
+        self.assertEqual(plan(left, [new]), _repair.AddLearner(new))
+
+    def test_a_new_host_is_added_before_the_silent_one_is_removed(
+        self,
+    ) -> None:
+        new = make_info('f')
+        self.assertEqual(plan(FIVE, [new], b=9.0), _repair.AddLearner(new))
+        six = wire.GroupMembers([*FIVE.members, new])
+        self.assertEqual(
+            plan(six, [], b=9.0, c=2.0),
+            _repair.RemoveMember(ids.MemberId('b.s')),
+        )
+
+    def test_a_short_silence_removes_nobody(self) -> None:
+        six = wire.GroupMembers([*FIVE.members, make_info('f')])
+        self.assertIsNone(plan(six, [], b=1.0))
+
+    def test_a_retired_id_is_not_added_again(self) -> None:
+        left = wire.GroupMembers(FIVE.members, [ids.MemberId('f.s')])
+        self.assertIsNone(plan(left, [make_info('f')]))
+
+    def test_a_learner_that_vanished_is_removed(self) -> None:
+        six = wire.GroupMembers([*FIVE.members, make_info('f', voter=False)])
+        self.assertEqual(
+            plan(six, [], f=3.0), _repair.RemoveMember(ids.MemberId('f.s'))
+        )
+
+
+class SilencesTest(unittest.TestCase):
+    """Guards against a new leader that finds everybody silent."""
+
+    def test_silence_counts_from_the_first_look(self) -> None:
+        silences = _repair.Silences()
+        member = ids.MemberId('b.s')
+        self.assertEqual(silences.update(50.0, {member: None}), {member: 0.0})
+        self.assertEqual(silences.update(52.0, {member: None}), {member: 2.0})
+        self.assertEqual(silences.update(53.0, {member: 52.5}), {member: 0.5})
+        silences.clear()
+        self.assertEqual(silences.update(60.0, {member: 52.5}), {member: 0.0})
+
+
+class FoundingTest(unittest.TestCase):
+    """Guards against two groups, and against one that is too small."""
+
+    def test_the_founder_waits_for_the_wanted_number(self) -> None:
+        three = [make_info(host) for host in 'abc']
+        five = list(FIVE.members)
+        decide = _discovery.decide_founding
+        self.assertFalse(decide(1.0, 0.9, three, 5))
+        self.assertTrue(decide(1.0, 0.9, five, 5))
+        self.assertFalse(decide(1.0, 0.2, five, 5))
+        self.assertTrue(decide(4.5, 0.9, three, 5))
+        self.assertFalse(decide(9.0, 0.9, three[:2], 5))
+
+    def test_candidates_that_stop_to_ask_are_forgotten(self) -> None:
+        candidates = _discovery.Candidates()
+        candidates.note(0.0, make_info('a'))
+        candidates.note(0.8, make_info('b'))
+        live = candidates.list_live(1.5)
+        self.assertEqual([info.host for info in live], ['b'])
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,340 @@
+"""Tests of the gateway against scripted targets on loopback."""
+
+import asyncio
+import time
+
+from fulmarseam import wire
+from tests import catalog_fixtures as fixtures
+from tests import gateway_case
+
+answer = gateway_case.answer
+
+
+async def serve(reader, writer, headers):
+    """Answer at once."""
+    await answer(writer, headers)
+
+
+async def shed(reader, writer, headers):
+    """Declare that the request was not run."""
+    await answer(writer, headers, 503, b'', fulmarseam_not_run='1')
+
+
+async def crash(reader, writer, headers):
+    """Close the connection while the request runs."""
+    writer.transport.abort()
+
+
+async def fail(reader, writer, headers):
+    """Run the request and fail."""
+    await answer(writer, headers, 500, b'oops')
+
+
+class ForwardingTest(gateway_case.GatewayCase):
+    """Guards the request and the answer against any change on the way."""
+
+    async def test_a_request_reaches_its_target_unchanged(self) -> None:
+        target = await self.add_target('t1', serve)
+        await self.put_route(timeout_ms=800.0)
+        reply = await self.call(
+            '/a/b?x=1',
+            b'abc',
+            'POST',
+            x_other='kept',
+            connection='x-mine',
+            x_mine='dropped',
+            fulmarseam_deadline_ms='5000',
+        )
+        self.assertEqual((reply.status, reply.body), (200, b'hello'))
+        self.assertEqual(target.heads, ['POST /a/b?x=1 HTTP/1.1'])
+        self.assertEqual(target.bodies, [b'abc'])
+        headers = target.headers[0]
+        self.assertEqual(headers['x-other'], 'kept')
+        self.assertEqual(headers['fulmarseam-target'], 't1')
+        self.assertEqual(headers['fulmarseam-request-id'], 'q1')
+        self.assertNotIn('x-mine', headers)
+        self.assertLessEqual(int(headers['fulmarseam-deadline-ms']), 800)
+
+    async def test_requests_before_any_configuration_are_not_run(self) -> None:
+        reply = await self.call()
+        self.assertEqual(reply.status, 503)
+        self.assertIn('retry-after', reply.headers)
+
+    async def test_a_path_without_route_is_unknown(self) -> None:
+        await self.put_route()
+        self.assertEqual((await self.call('/ab')).status, 404)
+        self.assertEqual((await self.call('/a')).status, 404)
+
+    async def test_the_longest_prefix_wins(self) -> None:
+        fixtures.announce(self.machine, 'none')
+        other = await self.add_target('t2', serve, pool='special')
+        fixtures.put(
+            self.machine,
+            fixtures.make_pool('special', 1),
+            fixtures.make_route('s', 1, 'special', path_prefix='/a/b/'),
+        )
+        await self.put_route()
+        self.assertEqual((await self.call('/a/b/c')).status, 200)
+        self.assertEqual(len(other.heads), 1)
+
+    async def test_a_chunked_body_arrives_whole(self) -> None:
+        async def echo(reader, writer, headers):
+            data = b''
+            while size := int(await reader.readline(), 16):
+                data += await reader.readexactly(size)
+                await reader.readline()
+            await reader.readline()
+            await answer(writer, headers, body=data)
+
+        await self.add_target('t1', echo)
+        await self.put_route()
+        host, _, port = self.options.listen.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            b'POST /a/b HTTP/1.1\r\nhost: shop.example\r\n'
+            b'fulmarseam-request-id: q1\r\ntransfer-encoding: chunked\r\n\r\n'
+            b'3\r\nabc\r\n'
+        )
+        await asyncio.sleep(0.1)
+        writer.write(b'2\r\nde\r\n0\r\n\r\n')
+        reply = await self.read_reply(reader)
+        writer.close()
+        self.assertEqual(reply.body, b'abcde')
+
+    async def test_a_large_answer_is_passed_on_whole(self) -> None:
+        body = bytes(range(256)) * 4_000
+
+        async def serve_much(reader, writer, headers):
+            await answer(writer, headers, body=body)
+
+        await self.add_target('t1', serve_much)
+        await self.put_route()
+        self.assertEqual((await self.call()).body, body)
+
+
+class RepeatTest(gateway_case.GatewayCase):
+    """Guards against requests that run twice or are refused untruly."""
+
+    async def test_what_a_target_did_not_run_goes_to_another(self) -> None:
+        await self.add_target('t1', shed)
+        await self.add_target('t2', shed)
+        await self.add_target('t3', serve)
+        await self.put_route(idempotent=False)
+        for _ in range(3):
+            self.assertEqual((await self.call(method='POST')).status, 200)
+
+    async def test_what_no_target_ran_is_refused_with_a_time_to_come_back(
+        self,
+    ) -> None:
+        await self.add_target('t1', shed)
+        await self.put_route(idempotent=False)
+        reply = await self.call(method='POST')
+        self.assertEqual(reply.status, 503)
+        self.assertGreater(float(reply.headers['retry-after']), 0.0)
+
+    async def test_what_may_have_run_is_not_sent_twice(self) -> None:
+        first = await self.add_target('t1', crash)
+        second = await self.add_target('t2', crash)
+        await self.put_route(idempotent=False)
+        reply = await self.call(method='POST')
+        self.assertEqual(reply.status, 502)
+        self.assertEqual(len(first.heads) + len(second.heads), 1)
+
+    async def test_a_lost_answer_of_an_idempotent_request_is_replaced(
+        self,
+    ) -> None:
+        await self.add_target('t1', crash)
+        await self.add_target('t2', serve)
+        await self.put_route()
+        for _ in range(3):
+            self.assertEqual((await self.call()).status, 200)
+
+    async def test_no_more_targets_than_the_route_allows(self) -> None:
+        targets = [
+            await self.add_target(f't{number}', fail) for number in range(4)
+        ]
+        await self.put_route(max_attempts=2)
+        reply = await self.call()
+        self.assertEqual((reply.status, reply.body), (500, b'oops'))
+        self.assertEqual(sum(len(item.heads) for item in targets), 2)
+
+    async def test_a_target_that_cannot_be_reached_is_passed_over(
+        self,
+    ) -> None:
+        gone = await self.add_target('t1', serve)
+        gone.stop()
+        await self.add_target('t2', serve)
+        await self.put_route(idempotent=False, sticky=True)
+        for key in range(6):
+            reply = await self.call(
+                method='POST', cookie=f'fulmarseam-object={key}'
+            )
+            self.assertEqual(reply.status, 200)
+
+
+class AnswerTest(gateway_case.GatewayCase):
+    """Guards against an answer that belongs to another request."""
+
+    async def test_a_late_answer_to_another_request_reaches_nobody(
+        self,
+    ) -> None:
+        async def answer_twice(reader, writer, headers):
+            await answer(writer, headers)
+            if not self.sent_extra:
+                self.sent_extra = True
+                await asyncio.sleep(0.05)
+                await answer(writer, headers, body=b'stale')
+
+        self.sent_extra = False
+        await self.add_target('t1', answer_twice)
+        await self.put_route()
+        for number in range(5):
+            reply = await self.call(fulmarseam_request_id=f'q{number}')
+            self.assertEqual(reply.body, b'hello')
+            self.assertEqual(
+                reply.headers['fulmarseam-request-id'], f'q{number}'
+            )
+            await asyncio.sleep(0.03)
+
+    async def test_another_request_id_is_no_answer(self) -> None:
+        async def confuse(reader, writer, headers):
+            await answer(writer, {'fulmarseam-request-id': 'other'})
+
+        await self.add_target('t1', confuse)
+        await self.put_route(idempotent=False)
+        self.assertEqual((await self.call(method='POST')).status, 502)
+
+    async def test_a_truncated_answer_is_no_success(self) -> None:
+        async def truncate(reader, writer, headers):
+            writer.write(
+                b'HTTP/1.1 200 OK\r\nfulmarseam-request-id: q1\r\n'
+                b'content-length: 10\r\n\r\nhalf'
+            )
+            await writer.drain()
+            writer.close()
+
+        await self.add_target('t1', truncate)
+        await self.put_route(idempotent=False)
+        self.assertEqual((await self.call(method='POST')).status, 502)
+
+    async def test_a_reset_ends_no_body_without_length(self) -> None:
+        """Guards against half a body that looks complete."""
+
+        async def reset(reader, writer, headers):
+            writer.write(
+                b'HTTP/1.1 200 OK\r\nfulmarseam-request-id: q1\r\n\r\nhalf'
+            )
+            await writer.drain()
+            await asyncio.sleep(0.1)
+            sock = writer.transport.get_extra_info('socket')
+            sock.setsockopt(1, 13, b'\x01\0\0\0\0\0\0\0')
+            writer.transport.abort()
+
+        await self.add_target('t1', reset)
+        await self.put_route(idempotent=False)
+        self.assertEqual((await self.call(method='POST')).status, 502)
+
+
+class TimeTest(gateway_case.GatewayCase):
+    """Guards against requests that are held or run for nobody."""
+
+    async def test_no_request_is_held_beyond_its_route(self) -> None:
+        async def hang(reader, writer, headers):
+            await reader.read(1)
+
+        await self.add_target('t1', hang)
+        await self.put_route(timeout_ms=300.0, idempotent=False)
+        started = time.monotonic()
+        reply = await self.call(method='POST', fulmarseam_deadline_ms='5000')
+        self.assertEqual(reply.status, 504)
+        self.assertLess(time.monotonic() - started, 0.5)
+
+    async def test_a_caller_that_leaves_ends_the_work(self) -> None:
+        async def hang(reader, writer, headers):
+            await reader.read(1)
+
+        target = await self.add_target('t1', hang)
+        await self.put_route()
+        _, writer = await self.open_call()
+        while not target.heads:
+            await asyncio.sleep(0.01)
+        writer.transport.abort()
+        async with asyncio.timeout(0.5):
+            await target.closed.wait()
+
+
+class MembershipTest(gateway_case.GatewayCase):
+    """Guards against new work for targets that leave."""
+
+    async def test_a_draining_target_gets_no_new_request(self) -> None:
+        leaving = await self.add_target('t1', serve)
+        await self.put_route()
+        self.assertEqual((await self.call()).status, 200)
+        fixtures.announce(
+            self.machine,
+            't1',
+            address=leaving.address,
+            sequence=2,
+            phase=wire.TargetPhase.DRAINING,
+        )
+        await self.wait_for_catalog()
+        self.assertEqual((await self.call()).status, 503)
+        self.assertEqual(len(leaving.heads), 1)
+
+    async def test_an_evacuated_domain_gets_no_request(self) -> None:
+        away = await self.add_target('t1', serve, failure_domain='west-ibk')
+        here = await self.add_target('t2', serve)
+        await self.put_route()
+        fixtures.evacuate(self.machine, 'west-ibk', True)
+        await self.wait_for_catalog()
+        for _ in range(4):
+            self.assertEqual((await self.call()).status, 200)
+        self.assertEqual((len(away.heads), len(here.heads)), (0, 4))
+
+    async def test_regions_that_a_route_forbids_get_no_request(self) -> None:
+        await self.add_target('t1', serve, region='west')
+        await self.put_route(allowed_regions=['ost'])
+        self.assertEqual((await self.call()).status, 503)
+
+    async def test_an_address_with_another_target_runs_nothing(self) -> None:
+        async def refuse_misdirected(reader, writer, headers):
+            await answer(writer, headers, 421, b'')
+
+        await self.add_target('t1', refuse_misdirected)
+        await self.add_target('t2', serve)
+        await self.put_route(idempotent=False)
+        for _ in range(3):
+            self.assertEqual((await self.call(method='POST')).status, 200)
+
+
+class StopTest(gateway_case.GatewayCase):
+    """Guards against a stop that cuts requests in flight."""
+
+    async def _check(self) -> int:
+        host, _, port = self.options.readiness.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b'GET /v1/ready HTTP/1.1\r\nhost: x\r\n\r\n')
+        reply = await self.read_reply(reader)
+        writer.close()
+        return reply.status
+
+    async def test_requests_are_served_until_callers_have_left(self) -> None:
+        async def serve_slowly(reader, writer, headers):
+            await asyncio.sleep(0.2)
+            await answer(writer, headers)
+
+        await self.add_target('t1', serve_slowly)
+        await self.put_route()
+        self.assertEqual(await self._check(), 200)
+        self.gateway.stopping.set()
+        await asyncio.sleep(0.1)
+        self.assertEqual(await self._check(), 503)
+        self.assertIs(self.polls[-1].state, wire.EntryState.DRAINING)
+        for _ in range(4):
+            reply = await self.call()
+            self.assertEqual(reply.status, 200)
+            self.assertEqual(reply.headers['connection'], 'close')
+        late = asyncio.create_task(self.call())
+        async with asyncio.timeout(self.options.grace):
+            await self.running
+        self.assertEqual((await late).status, 200)
--- /dev/null
+++ b/tests/test_observed_placement.py
@@ -0,0 +1,205 @@
+"""Tests of the choice of a target without grants; no network is used."""
+
+import random
+import unittest
+
+from fulmarseam import ids
+from fulmarseam import steering
+from fulmarseam import wire
+from tests import catalog_fixtures as fixtures
+
+
+def make_target(name: str, **fields: object) -> steering.ObservedTarget:
+    """Return an observed target with two slots."""
+    record = fixtures.make_record(name)
+    return steering.ObservedTarget(record, False, **fields)  # type: ignore[arg-type]
+
+
+def place(
+    targets: list[steering.ObservedTarget],
+    now: float = 0.0,
+    priority: int = 2,
+    time_left_s: float = 2.0,
+) -> steering.Placed:
+    """Place a request for which cold targets are not bounded."""
+    return steering.place_request(
+        now, targets, lambda item: True, priority, time_left_s
+    )
+
+
+class PlacementTest(unittest.TestCase):
+    """Guards against requests sent where nobody can run them in time."""
+
+    def test_the_first_free_target_is_taken(self) -> None:
+        busy = make_target('a', in_flight=2)
+        free = make_target('b')
+        self.assertIs(place([busy, free]).target, free)
+
+    def test_the_shortest_queue_is_taken_when_none_is_free(self) -> None:
+        longer = make_target('a', in_flight=4)
+        shorter = make_target('b', in_flight=3)
+        placed = place([longer, shorter])
+        self.assertIs(placed.target, shorter)
+        self.assertIs(placed.room, steering.Room.QUEUE)
+
+    def test_no_queue_that_ends_after_the_deadline(self) -> None:
+        target = make_target('a', in_flight=3, service_s=1.0)
+        self.assertIsNone(place([target], time_left_s=1.5).target)
+        self.assertIs(place([target], time_left_s=3.0).target, target)
+
+    def test_a_target_that_fails_requests_comes_last(self) -> None:
+        grey = make_target('a', failure_rate=0.5)
+        sound = make_target('b')
+        self.assertIs(place([grey, sound]).target, sound)
+        sound.in_flight = 2
+        self.assertIs(place([grey, sound]).target, grey)
+
+    def test_a_target_that_answers_nothing_is_left_alone(self) -> None:
+        """Guards against new requests for a host that lost its power."""
+        dark = make_target('a', service_s=0.1)
+        steering.note_start(dark, 0.0)
+        self.assertIs(place([dark], now=0.5).target, dark)
+        self.assertIsNone(place([dark], now=0.7).target)
+        steering.note_answer(dark, 0.8, 0.1, 0.0)
+        self.assertIs(place([dark], now=0.9).target, dark)
+
+    def test_an_ejected_target_returns_after_a_growing_pause(self) -> None:
+        target = make_target('a')
+        pauses = []
+        now = 0.0
+        for _ in range(5):
+            steering.eject(target, now)
+            pauses.append(target.ejected_until - now)
+            now = target.ejected_until
+        self.assertEqual(pauses, [0.5, 1.0, 2.0, 4.0, 4.0])
+
+
+class PriorityOverloadTest(unittest.TestCase):
+    """Pattern: callers ask for more than all targets run.
+
+    Guards against urgent requests that are refused beside less urgent
+    ones, which wait in the same queues.
+    """
+
+    def test_what_matters_most_is_refused_last(self) -> None:
+        target = make_target('a', service_s=0.1)
+        admitted = {0: 0, 1: 0, 2: 0}
+        for priority in (2, 1, 0):
+            while place([target], priority=priority).target is not None:
+                target.in_flight += 1
+                admitted[priority] += 1
+        self.assertGreater(admitted[1], 0)
+        self.assertGreater(admitted[0], 0)
+        self.assertLessEqual(target.in_flight, 3 * target.record.slots)
+
+
+class ColdTargetTest(unittest.TestCase):
+    """Pattern: a target returns cold and every entry has work for it.
+
+    Guards against a surge: the sum over all entries in any second stays
+    within rate x factor + slack.
+    """
+
+    RATE = 13.0
+    BOUND = steering.ColdBound(1.5, 5.0)
+
+    def _run(self, senders: int, seed: int) -> int:
+        rng = random.Random(seed)
+        share = self.BOUND.share(self.RATE, senders)
+        entries = [
+            make_target('a', cold_until=99.0, tokens_at=rng.random())
+            for _ in range(senders)
+        ]
+        sent: list[float] = []
+        now = 1.0
+        while now < 6.0:
+            now += rng.expovariate(400.0)
+            entry = rng.choice(entries)
+            if steering.may_take(entry, now, share):
+                entry.tokens -= 1.0
+                sent.append(now)
+        return max(
+            sum(start <= at < start + 1.0 for at in sent) for start in sent
+        )
+
+    def test_the_sum_stays_within_the_bound(self) -> None:
+        allowed = self.RATE * 1.5 + 5.0
+        for senders in (1, 3, 7, 12):
+            for seed in range(5):
+                with self.subTest(senders=senders, seed=seed):
+                    self.assertLessEqual(self._run(senders, seed), allowed)
+
+    def test_a_target_that_was_unreachable_counts_as_cold(self) -> None:
+        target = make_target('a')
+        steering.eject(target, 0.0)
+        self.assertTrue(steering.is_cold(target, 5.0))
+        steering.note_answer(target, 5.0, 0.1, cold_s=3.0)
+        self.assertTrue(steering.is_cold(target, 7.9))
+        self.assertFalse(steering.is_cold(target, 8.1))
+
+
+class AffinityTest(unittest.TestCase):
+    """Guards against objects that change their target for no reason."""
+
+    TARGETS = [ids.TargetId(f't{number}') for number in range(14)]
+
+    def test_a_target_that_leaves_moves_only_its_own_objects(self) -> None:
+        left = self.TARGETS[3]
+        others = [target for target in self.TARGETS if target != left]
+        for key in map(str, range(200)):
+            before = steering.rank_targets(key, self.TARGETS)
+            after = steering.rank_targets(key, others)
+            kept = [target for target in before if target != left]
+            self.assertEqual(kept, after)
+
+    def test_objects_are_spread_over_all_targets(self) -> None:
+        firsts = [
+            steering.rank_targets(str(key), self.TARGETS)[0]
+            for key in range(1_400)
+        ]
+        counts = [firsts.count(target) for target in self.TARGETS]
+        self.assertGreater(min(counts), 60)
+        self.assertLess(max(counts), 140)
+
+
+class RepeatBudgetTest(unittest.TestCase):
+    """Pattern: a target sheds most requests and each could be repeated.
+
+    Guards against repeats that make an overload worse.
+    """
+
+    def test_repeats_stay_within_ratio_and_slack(self) -> None:
+        budget = steering.RepeatBudget(0.1, 4.0, 10.0)
+        taken = 0
+        for number in range(1_000):
+            budget.count_request(number / 100)
+            taken += budget.take(number / 100)
+        self.assertLessEqual(taken, 104)
+        self.assertGreater(taken, 90)
+
+    def test_old_requests_allow_no_repeats(self) -> None:
+        budget = steering.RepeatBudget(0.1, 0.0, 10.0)
+        for _ in range(100):
+            budget.count_request(0.0)
+        self.assertTrue(budget.take(5.0))
+        self.assertFalse(budget.take(11.0))
+
+
+class SplitTest(unittest.TestCase):
+    """Guards against shares of a split that drift from their weights."""
+
+    def test_each_part_gets_its_weight(self) -> None:
+        splitter = steering.Splitter()
+        item = fixtures.make_route(
+            'r',
+            1,
+            split=[
+                wire.SplitPart(ids.PoolName('a'), 90),
+                wire.SplitPart(ids.PoolName('b'), 10),
+            ],
+        )
+        route = item.row
+        assert isinstance(route, wire.RouteItem)
+        pools = [splitter.choose_pool(route) for _ in range(100)]
+        self.assertEqual(pools.count(ids.PoolName('b')), 10)
+        self.assertLessEqual(pools[:20].count(ids.PoolName('b')), 3)
