--- a/fulmarseam/consensus/_runtime.py
+++ b/fulmarseam/consensus/_runtime.py
@@ -161,7 +161,9 @@
         A member that was cut off learns of it from the others, as nobody
         sends it the log any more.
         """
-        while not await self._binding.is_retired(self._driver.replica):
+        while True:
+            if await self._binding.is_retired(self._driver.replica):
+                return
             await asyncio.sleep(RETIRED_CHECK_S)
 
     def _fail(self, error: Exception) -> None:
--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -11,7 +11,6 @@
 from fulmarseam import ids
 from fulmarseam import steering
 from fulmarseam import telemetry
-from fulmarseam import wire
 from fulmarseam.gateway import _dialect
 from fulmarseam.gateway import _exchange
 from fulmarseam.gateway import _fleet
--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -70,6 +70,7 @@
         self.heads: list[str] = []
         self.headers: list[dict[str, str]] = []
         self.bodies: list[bytes] = []
+        self.called = asyncio.Event()
         self.closed = asyncio.Event()
         self.address = ''
         self._server: asyncio.Server | None = None
@@ -88,6 +89,7 @@
                 line, headers = found
                 length = int(headers.get('content-length', 0))
                 self.heads.append(line)
+                self.called.set()
                 self.headers.append(headers)
                 self.bodies.append(await reader.readexactly(length))
                 await self.script(reader, writer, headers)
@@ -178,7 +180,9 @@
     async def wait_for_catalog(self) -> None:
         """Wait until the gateway has the newest revision."""
         async with asyncio.timeout(5.0):
-            while self.gateway.mirror.revision < self.machine.revision:
+            while True:
+                if self.gateway.mirror.revision >= self.machine.revision:
+                    return
                 await asyncio.sleep(0.02)
 
     async def call(
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -256,8 +256,7 @@
         target = await self.add_target('t1', hang)
         await self.put_route()
         _, writer = await self.open_call()
-        while not target.heads:
-            await asyncio.sleep(0.01)
+        await target.called.wait()
         writer.transport.abort()
         async with asyncio.timeout(0.5):
             await target.closed.wait()
--- a/tests/test_observed_placement.py
+++ b/tests/test_observed_placement.py
@@ -1,6 +1,7 @@
 """Tests of the choice of a target without grants; no network is used."""
 
 import random
+from typing import Any
 import unittest
 
 from fulmarseam import ids
@@ -9,10 +10,10 @@
 from tests import catalog_fixtures as fixtures
 
 
-def make_target(name: str, **fields: object) -> steering.ObservedTarget:
+def make_target(name: str, **fields: Any) -> steering.ObservedTarget:
     """Return an observed target with two slots."""
     record = fixtures.make_record(name)
-    return steering.ObservedTarget(record, False, **fields)  # type: ignore[arg-type]
+    return steering.ObservedTarget(record, False, **fields)
 
 
 def place(
