--- a/fulmarseam/consensus/_discovery.py
+++ b/fulmarseam/consensus/_discovery.py
@@ -36,20 +36,24 @@
 
 
 class Candidates:
-    """New members that asked to be let in, by id; times in seconds."""
+    """New members that asked to be let in; times in seconds.
+
+    A host has one candidate: the identity that asked last is the one whose
+    directory the host has now.
+    """
 
     def __init__(self) -> None:
-        self._seen: dict[ids.MemberId, tuple[float, wire.MemberInfo]] = {}
+        self._seen: dict[ids.HostId, tuple[float, wire.MemberInfo]] = {}
 
     def note(self, now: float, info: wire.MemberInfo) -> None:
         """Record that a candidate has asked."""
-        self._seen[info.member] = (now, info)
+        self._seen[info.host] = (now, info)
 
     def list_live(self, now: float) -> list[wire.MemberInfo]:
-        """Return the candidates that asked lately, by id."""
-        for member, (seen_at, _) in list(self._seen.items()):
+        """Return the candidates that asked lately, by host."""
+        for host, (seen_at, _) in list(self._seen.items()):
             if now - seen_at > CANDIDATE_LIFE_S:
-                del self._seen[member]
+                del self._seen[host]
         return [info for _, (_, info) in sorted(self._seen.items())]
 
 
--- a/fulmarseam/consensus/_runtime_group.py
+++ b/fulmarseam/consensus/_runtime_group.py
@@ -66,7 +66,10 @@
         with `UNAVAILABLE` otherwise.
         """
         identity = self.identity
-        if identity.founding is None and message.store != identity.store:
+        is_known_elsewhere = (
+            identity.founding is None and message.store != identity.store
+        )
+        if is_known_elsewhere and self._settings.discovery is None:
             raise errors.DamagedDataError(
                 _core_founding.describe_refusal(identity)
             )
--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -88,6 +88,7 @@
             outcome=trail.outcome,
             route=trail.route,
             pool=trail.pool,
+            object=trail.key,
             targets=','.join(trail.targets),
             status=trail.status,
             elapsed_s=elapsed,
@@ -130,6 +131,7 @@
         whatever ends a later attempt.
         """
         key = _requests.read_affinity(job.request, self._services.dialect)
+        trail.key = key or ''
         avoided: set[ids.TargetId] = set()
         may_have_run: errors.FulmarseamError | None = None
         while True:
@@ -364,12 +366,21 @@
 class _Trail:
     """What the log line of a request says about its way."""
 
-    __slots__ = ('detail', 'outcome', 'pool', 'route', 'status', 'targets')
+    __slots__ = (
+        'detail',
+        'key',
+        'outcome',
+        'pool',
+        'route',
+        'status',
+        'targets',
+    )
 
     def __init__(self) -> None:
         self.route = ''
         self.pool = ''
         self.outcome = ''
         self.detail = ''
+        self.key = ''
         self.status = 0
         self.targets: list[str] = []
