Keep the requests for one object on two targets

Change: of the targets that can be used, the first two in the order of an object count. A test plays the load against remembering backends.

--- a/fulmarseam/gateway/_fleet.py
+++ b/fulmarseam/gateway/_fleet.py
@@ -168,6 +168,7 @@
             lambda item: steering.may_take(item, now, share),
             route.priority,
             time_left_s,
+            CHOICES_PER_OBJECT if route.sticky and key is not None else None,
         )
         if placed.target is not None:
             steering.note_start(placed.target, now)
@@ -262,6 +263,10 @@
 # Part of the retry bound that is used: requests and repeats of one window
 # arrive at the targets in another one after a delay.
 REPEAT_SHARE_USED = 0.5
+# Targets that share the requests for one object. With more of them an
+# overload spreads each object over all targets, which then keep none of
+# them and stay slow: the overload feeds itself.
+CHOICES_PER_OBJECT = 2
 # Load per slot that a target in the own region may have above that of one
 # in another region before a request for no known object goes there.
 REMOTE_COST = 0.4
--- a/fulmarseam/steering/_placement.py
+++ b/fulmarseam/steering/_placement.py
@@ -39,20 +39,26 @@
     may_take: MayTake,
     priority: int,
     time_left_s: float,
+    choices: int | None = None,
 ) -> Placement:
     """Return the target of an attempt.
 
-    `targets` are in the order of preference. The first free one is taken,
-    then a free one that fails many requests, then the shortest queue that
-    still leads to an answer in time.
+    `targets` are in the order of preference, and of those that can be used
+    only the first `choices` count. The first free one is taken, then a
+    free one that fails many requests, then the shortest queue that still
+    leads to an answer in time.
     """
+    sound = 0
     doubtful: _observed.ObservedTarget | None = None
     shortest: _observed.ObservedTarget | None = None
     shortest_wait = 0.0
     for item in targets:
         if _observed.is_ejected(item, now) or not may_take(item):
             continue
+        if sound == choices:
+            break
         is_doubtful = _observed.is_doubtful(item)
+        sound += not is_doubtful
         load = _observed.estimate_load(item, now)
         if load + 1.0 <= item.record.slots:
             if not is_doubtful:
--- a/tests/test_observed_placement.py
+++ b/tests/test_observed_placement.py
@@ -1,5 +1,6 @@
 """Tests of the choice of a target without grants; no network is used."""
 
+import heapq
 import random
 from typing import Any
 import unittest
@@ -94,6 +95,80 @@
         self.assertLessEqual(target.in_flight, 3 * target.record.slots)
 
 
+class SpreadOverloadTest(unittest.TestCase):
+    """Pattern: a day starts with more requests than unprepared targets run.
+
+    A request for an object that its target handled lately takes 0.1 s, any
+    other one 0.36 s, and a target remembers 67 objects. 84 slots run 233
+    unprepared requests a second; callers ask for 380. Guards against an
+    overload that spreads the objects over all targets and never ends.
+    """
+
+    OBJECTS = [str(number) for number in range(211)]
+    REMEMBERED = 67
+    RATE = 380.0
+
+    def _play(self, choices: int | None) -> float:
+        """Return the part of the requests of the last 4 s answered fast."""
+        rng = random.Random(7)
+        targets = [make_target(f't{number}') for number in range(14)]
+        for item in targets:
+            item.record = fixtures.make_record(item.target, slots=6)
+        by_id = {item.target: item for item in targets}
+        orders = {
+            key: [by_id[name] for name in steering.rank_targets(key, by_id)]
+            for key in self.OBJECTS
+        }
+        backends = {item.target: Backend(self.REMEMBERED) for item in targets}
+        ends: list[tuple[float, int, steering.ObservedTarget]] = []
+        now, number, asked, fast = 0.0, 0, 0, 0
+        while now < 12.0:
+            now += rng.expovariate(self.RATE)
+            while ends and ends[0][0] <= now:
+                steering.note_end(heapq.heappop(ends)[2])
+            key = rng.choice(self.OBJECTS)
+            placed = steering.place_request(
+                now, orders[key], lambda item: True, 2, 2.0, choices
+            )
+            asked += now >= 8.0
+            if placed.target is None:
+                continue
+            steering.note_start(placed.target, now)
+            end = backends[placed.target.target].run(now, key)
+            placed.target.silent_since = end
+            number += 1
+            heapq.heappush(ends, (end, number, placed.target))
+            fast += now >= 8.0 and end - now <= 0.25
+        return fast / asked
+
+    def test_two_targets_for_an_object_end_the_overload(self) -> None:
+        self.assertGreater(self._play(2), 0.95)
+
+    def test_any_target_for_an_object_keeps_it_going(self) -> None:
+        """Shows that the pattern is one: the bound is what ends it."""
+        self.assertLess(self._play(None), 0.5)
+
+
+class Backend:
+    """Runs requests on six slots and remembers the latest objects."""
+
+    def __init__(self, remembered: int) -> None:
+        self._remembered = remembered
+        self._free_at = [0.0] * 6
+        self._objects: dict[str, None] = {}
+
+    def run(self, now: float, key: str) -> float:
+        """Return when a request ends."""
+        start = max(now, heapq.heappop(self._free_at))
+        end = start + (0.1 if key in self._objects else 0.36)
+        heapq.heappush(self._free_at, end)
+        self._objects.pop(key, None)
+        self._objects[key] = None
+        if len(self._objects) > self._remembered:
+            del self._objects[next(iter(self._objects))]
+        return end
+
+
 class ColdTargetTest(unittest.TestCase):
     """Pattern: a target returns cold and every entry has work for it.
 
