--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -21,6 +21,11 @@
 from fulmarseam import transport
 from fulmarseam import wire
 
+# A member that hears no leader for the first time asks for votes; two ask
+# at the same moment less often the further both are apart. Heartbeats come
+# each 0.1 s and take up to 40 ms there and back.
+ELECTION_MIN_S = 0.4
+ELECTION_MAX_S = 0.8
 # Operators and targets wait 1 s for an answer. An order that has no result
 # by then is sent again to another member.
 ORDER_TIMEOUT_S = 0.9
@@ -131,6 +136,8 @@
                 address=options.listen,
                 data_dir=options.data_dir,
                 members={},
+                election_min_s=ELECTION_MIN_S,
+                election_max_s=ELECTION_MAX_S,
                 discovery=consensus.Discovery(
                     host=options.host,
                     seeds=self._seeds,
--- a/fulmarseam/gateway/_answers.py
+++ b/fulmarseam/gateway/_answers.py
@@ -6,13 +6,14 @@
 from fulmarseam import http
 
 # How long a caller should wait before it tries again, in seconds. Without
-# room a slot is free after about one service time; an entry that stops or
-# has just started is left for another one at once.
+# room a slot is free after about one service time. When all hosts start
+# again, the members need about a second to elect a leader, before which no
+# entry has a configuration.
 RETRY_AFTER_S = {
     errors.ErrorKind.NO_CAPACITY: 0.25,
     errors.ErrorKind.TARGET_SHED: 0.25,
     errors.ErrorKind.NO_TARGET: 0.25,
-    errors.ErrorKind.CONFIG_STALE: 0.1,
+    errors.ErrorKind.CONFIG_STALE: 1.0,
     errors.ErrorKind.ENTRY_DRAINING: 0.0,
 }
 
--- a/fulmarseam/gateway/_daemon.py
+++ b/fulmarseam/gateway/_daemon.py
@@ -10,7 +10,6 @@
 from fulmarseam import http
 from fulmarseam import settings
 from fulmarseam import telemetry
-from fulmarseam import wire
 from fulmarseam.gateway import _answers
 from fulmarseam.gateway import _dialect
 from fulmarseam.gateway import _fleet
@@ -151,7 +150,7 @@
         """Leave the look-ups, let their answers lapse, finish requests."""
         started = self._loop.time()
         grace = self._options.grace
-        self.poller.state = wire.EntryState.DRAINING
+        self.poller.is_draining = True
         self.poller.poll_now()
         self.callers.announce_close()
         _log.info(
--- a/fulmarseam/gateway/_poller.py
+++ b/fulmarseam/gateway/_poller.py
@@ -50,7 +50,7 @@
         self._reached: set[str] = set()
         self._wake = asyncio.Event()
         self._incarnation = time.time_ns() // 1_000_000
-        self.state = wire.EntryState.READY
+        self.is_draining = False
         self.senders = 1
         self.answered_at: float | None = None
 
@@ -70,6 +70,14 @@
         self._seeds = seeds
         self._follow(list(seeds))
 
+    def find_state(self) -> wire.EntryState:
+        """Return whether the entry may be named to new callers."""
+        if self.is_draining:
+            return wire.EntryState.DRAINING
+        if not self._mirror.revision:
+            return wire.EntryState.STARTING
+        return wire.EntryState.READY
+
     def poll_now(self) -> None:
         """Tell all members at once that the state has changed."""
         self._wake.set()
@@ -116,7 +124,7 @@
                 region=options.region,
                 failure_domain=options.failure_domain,
                 incarnation=self._incarnation,
-                state=self.state,
+                state=self.find_state(),
                 group=self._mirror.group,
                 revision=revision,
             ),
@@ -143,6 +151,9 @@
                 )
             )
             self._on_change()
+            if not revision:
+                # The members may name this entry from now on.
+                self.poll_now()
 
     def _note_reached(self, address: str, problem: str | None) -> None:
         """Log when a member stops or starts to answer."""
--- a/fulmarseam/wire/_catalog.py
+++ b/fulmarseam/wire/_catalog.py
@@ -151,8 +151,12 @@
 
 
 class EntryState(enum.Enum):
-    """Whether an entry may be named to new callers."""
+    """Whether an entry may be named to new callers.
 
+    An entry is starting until it holds a configuration.
+    """
+
+    STARTING = 'starting'
     READY = 'ready'
     DRAINING = 'draining'
 
