Weigh the targets of a pool by region

Change: a region serves up to 0.8 of its own objects, in proportion to its slots; the rest goes where slots are left.

--- a/fulmarseam/gateway/_fleet.py
+++ b/fulmarseam/gateway/_fleet.py
@@ -191,9 +191,7 @@
     ) -> list[steering.ObservedTarget]:
         """Return the targets for a request in the order of preference.
 
-        Every entry prefers the same target for an object, wherever its
-        caller is: a target that knows the object saves more than a target
-        in the same region does.
+        All entries of a region prefer the same targets for an object.
         """
         targets = _keep_allowed(
             self._get_pool(pool_name).targets, route.allowed_regions
@@ -207,12 +205,29 @@
                 self._rankings.clear()
             ranking = self._rankings[name] = [
                 self._targets[target]
-                for target in steering.rank_targets(
-                    key, [item.target for item in targets]
-                )
+                for target in steering.rank_targets(key, self._weigh(targets))
             ]
         return ranking
 
+    def _weigh(
+        self, targets: list[steering.ObservedTarget]
+    ) -> dict[ids.TargetId, float]:
+        """Return the part of the objects that each target is to serve."""
+        slots: dict[ids.RegionName, int] = {}
+        for item in targets:
+            region = item.record.region
+            slots[region] = slots.get(region, 0) + item.record.slots
+        options = self._options
+        shares = steering.share_regions(
+            options.region, slots, len(set(options.domains.values()))
+        )
+        return {
+            item.target: shares[item.record.region]
+            * item.record.slots
+            / slots[item.record.region]
+            for item in targets
+        }
+
     def release(self, observed: steering.ObservedTarget) -> None:
         """End a placement."""
         steering.note_end(observed)
--- a/fulmarseam/steering/__init__.py
+++ b/fulmarseam/steering/__init__.py
@@ -7,6 +7,7 @@
 """
 
 from fulmarseam.steering._affinity import rank_targets
+from fulmarseam.steering._affinity import share_regions
 from fulmarseam.steering._allocator import Allocator
 from fulmarseam.steering._allocator import AllocatorOptions
 from fulmarseam.steering._allocator import Grants
@@ -98,4 +99,5 @@
     'order_entries',
     'place_request',
     'rank_targets',
+    'share_regions',
 ]
--- a/tests/test_observed_placement.py
+++ b/tests/test_observed_placement.py
@@ -115,8 +115,9 @@
         for item in targets:
             item.record = fixtures.make_record(item.target, slots=6)
         by_id = {item.target: item for item in targets}
+        weights = dict.fromkeys(by_id, 1.0)
         orders = {
-            key: [by_id[name] for name in steering.rank_targets(key, by_id)]
+            key: [by_id[name] for name in steering.rank_targets(key, weights)]
             for key in self.OBJECTS
         }
         backends = {item.target: Backend(self.REMEMBERED) for item in targets}
@@ -217,26 +218,74 @@
 class AffinityTest(unittest.TestCase):
     """Guards against objects that change their target for no reason."""
 
-    TARGETS = [ids.TargetId(f't{number}') for number in range(14)]
+    WEIGHTS = {ids.TargetId(f't{number}'): 1.0 for number in range(14)}
 
     def test_a_target_that_leaves_moves_only_its_own_objects(self) -> None:
-        left = self.TARGETS[3]
-        others = [target for target in self.TARGETS if target != left]
+        left = ids.TargetId('t3')
+        others = [target for target in self.WEIGHTS if target != left]
         for key in map(str, range(200)):
-            before = steering.rank_targets(key, self.TARGETS)
-            after = steering.rank_targets(key, others)
+            before = steering.rank_targets(key, self.WEIGHTS)
+            after = steering.rank_targets(key, dict.fromkeys(others, 1.0))
             kept = [target for target in before if target != left]
             self.assertEqual(kept, after)
 
     def test_objects_are_spread_over_all_targets(self) -> None:
         firsts = [
-            steering.rank_targets(str(key), self.TARGETS)[0]
+            steering.rank_targets(str(key), self.WEIGHTS)[0]
             for key in range(1_400)
         ]
-        counts = [firsts.count(target) for target in self.TARGETS]
+        counts = [firsts.count(target) for target in self.WEIGHTS]
         self.assertGreater(min(counts), 60)
         self.assertLess(max(counts), 140)
 
+    def test_a_target_gets_objects_by_its_weight(self) -> None:
+        weights = {ids.TargetId('a'): 3.0, ids.TargetId('b'): 1.0}
+        firsts = [
+            steering.rank_targets(str(key), weights)[0] for key in range(800)
+        ]
+        self.assertAlmostEqual(firsts.count(ids.TargetId('a')), 600, delta=60)
+
+
+class RegionShareTest(unittest.TestCase):
+    """Pattern: regions with unequal slots and callers that ask alike.
+
+    Guards against a region that is overloaded beside idle ones, and
+    against bytes that cross the links without need.
+    """
+
+    def _load(self, slots: dict[str, int]) -> dict[str, float]:
+        """Return the use of each region's slots, 1.0 being the mean."""
+        regions = {
+            fixtures.region(name): count for name, count in slots.items()
+        }
+        used = dict.fromkeys(regions, 0.0)
+        for own in regions:
+            shares = steering.share_regions(own, regions, len(regions))
+            self.assertAlmostEqual(sum(shares.values()), 1.0)
+            for region, share in shares.items():
+                used[region] += share / len(regions)
+        total = sum(regions.values())
+        return {
+            str(region): used[region] * total / count
+            for region, count in regions.items()
+        }
+
+    def test_all_targets_are_used_alike(self) -> None:
+        for use in self._load({'ost': 12, 'west': 36, 'sued': 36}).values():
+            self.assertAlmostEqual(use, 1.0, delta=0.15)
+
+    def test_most_requests_stay_in_a_region_with_slots_enough(self) -> None:
+        slots = {fixtures.region('ost'): 12, fixtures.region('west'): 36}
+        own = fixtures.region('west')
+        self.assertGreaterEqual(
+            steering.share_regions(own, slots, 2)[own], 0.8
+        )
+
+    def test_a_region_without_targets_uses_the_others(self) -> None:
+        slots = {fixtures.region('west'): 36, fixtures.region('sued'): 12}
+        shares = steering.share_regions(fixtures.region('ost'), slots, 3)
+        self.assertAlmostEqual(sum(shares.values()), 1.0)
+
 
 class RepeatBudgetTest(unittest.TestCase):
     """Pattern: a target sheds most requests and each could be repeated.
