Never wait for a reader of the log

Cause: log lines were written to standard output directly, so a reader that stops would have stopped the entry. Change: a bounded buffer in front of a descriptor that does not block; what was dropped is counted in a line of its own. The setting shift_share had no effect and is gone.

--- a/fulmarseam/platform/_programs.py
+++ b/fulmarseam/platform/_programs.py
@@ -33,7 +33,7 @@
 def run_control(path: str) -> None:
     """Run a control member until it is told to stop."""
     options = settings.load_settings(path, settings.CatalogSettings)
-    with telemetry.open_log(None, options.log_level, sys.stdout):
+    with _open_log(options.log_level):
         _tune_collector()
         asyncio.run(_serve_control(path, options))
 
@@ -41,11 +41,16 @@
 def run_entry(path: str) -> None:
     """Run an entry until it is told to stop."""
     options = settings.load_settings(path, settings.GatewaySettings)
-    with telemetry.open_log(None, options.log_level, sys.stdout):
+    with _open_log(options.log_level):
         _tune_collector()
         asyncio.run(_serve_entry(path, options))
 
 
+def _open_log(level: str) -> contextlib.AbstractContextManager[None]:
+    stream = telemetry.BoundedStream(sys.stdout.fileno())
+    return telemetry.open_log(None, level, stream)
+
+
 def _tune_collector() -> None:
     gc.collect()
     gc.freeze()
--- a/fulmarseam/settings/_catalog.py
+++ b/fulmarseam/settings/_catalog.py
@@ -67,8 +67,7 @@
     bounds hold for the sum of all entries: in any `retry_window` a pool
     gets at most `retry_ratio` x its requests + `retry_slack` repeats. A
     cold target gets at most its rate x `cold_factor` + `cold_slack`
-    requests a second, and at most `shift_share` of a region's requests
-    change region between two windows of 2 s.
+    requests a second.
     """
 
     host: ids.HostId = _option(_options.identifier())
@@ -87,7 +86,6 @@
     retry_window: float = _option(_options.duration(0.1, 600.0), 10.0)
     cold_factor: float = _option(_options.number(0.0, 100.0), 1.5)
     cold_slack: float = _option(_options.number(0.0, 1e6), 5.0)
-    shift_share: float = _option(_options.number(0.0, 1.0), 0.15)
     max_connections: int = _option(_options.integer(1, 1_000_000), 4_000)
     log_level: str = _option(_levels(), 'info')
 
--- a/fulmarseam/telemetry/_logs.py
+++ b/fulmarseam/telemetry/_logs.py
@@ -4,7 +4,7 @@
 import contextlib
 import sys
 from typing import Any
-from typing import TextIO
+from typing import Protocol
 
 import logbook
 
@@ -17,6 +17,16 @@
 )
 
 
+class LineStream(Protocol):
+    """What log lines are written to."""
+
+    def write(self, text: str) -> object:
+        """Take a part of a line."""
+
+    def flush(self) -> None:
+        """Pass on what was written."""
+
+
 def format_event(event: str, **fields: Any) -> str:
     """Return the text of one event.
 
@@ -40,7 +50,7 @@
 
 @contextlib.contextmanager
 def open_log(
-    path: str | None, level: str, stream: TextIO | None = None
+    path: str | None, level: str, stream: LineStream | None = None
 ) -> Iterator[None]:
     """Send log lines to a file, or without a path to a stream.
 
--- a/tests/test_configuration_page.py
+++ b/tests/test_configuration_page.py
@@ -27,6 +27,28 @@
 WORDS = find_words(PAGE)
 
 
+CATALOG_PAGE = (ROOT / 'docs' / 'configuration-catalog.md').read_text(
+    encoding='utf-8'
+)
+
+
+class CatalogPageTest(unittest.TestCase):
+    """Guards against a page of a catalog group that is out of date."""
+
+    def test_every_setting_is_listed(self) -> None:
+        parts = CATALOG_PAGE.split('\n## ')
+        schemas = (settings.CatalogSettings, settings.GatewaySettings)
+        for schema, part in zip(schemas, parts[1:], strict=True):
+            for field in dataclasses.fields(schema):
+                with self.subTest(schema=schema.__name__, field=field.name):
+                    self.assertIn(field.name, find_words(part))
+
+    def test_examples_are_accepted(self) -> None:
+        control, entry = EXAMPLE.findall(CATALOG_PAGE)
+        settings.read_settings(control, settings.CatalogSettings)
+        settings.read_settings(entry, settings.GatewaySettings)
+
+
 class ConfigurationPageTest(unittest.TestCase):
     """Guards against a page that says other than the code."""
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -181,7 +181,6 @@
     'bounds.retryWindow': '10s',
     'bounds.warmupFactor': '1.5',
     'bounds.warmupSlack': '5',
-    'bounds.maxShift': '0.15',
 }
 
 
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -1,6 +1,8 @@
 """Tests of the telemetry package."""
 
+import contextlib
 import json
+import os
 import pathlib
 import tempfile
 import unittest
@@ -76,3 +78,53 @@
         median = metrics.percentile('latency_seconds', 50.0)
         self.assertIsNotNone(median)
         self.assertAlmostEqual(0.05, median or 0, delta=0.001)
+
+
+class BoundedStreamTest(unittest.TestCase):
+    """Guards against a process that waits for a reader of its log."""
+
+    def test_a_full_pipe_holds_up_nothing_and_loses_the_oldest(self) -> None:
+        reader, writer = os.pipe()
+        stream = telemetry.BoundedStream(writer)
+        for number in range(20_000):
+            stream.write(f'event=line number={number:06d} {"x" * 100}\n')
+            stream.flush()
+        self.assertGreater(stream.dropped, 0)
+        text = b''
+        os.set_blocking(reader, False)
+        for _ in range(1_000):
+            stream.flush()
+            with contextlib.suppress(BlockingIOError):
+                text += os.read(reader, 65_536)
+        lines = text.decode().splitlines()
+        self.assertIn('number=019999', lines[-1])
+        reports = [line for line in lines if 'log_lines_dropped' in line]
+        dropped = sum(int(line.rpartition('=')[2]) for line in reports)
+        self.assertEqual(len(lines) - len(reports) + dropped, 20_000)
+        os.close(reader)
+        os.close(writer)
+
+    def test_a_reader_that_left_ends_nothing(self) -> None:
+        reader, writer = os.pipe()
+        stream = telemetry.BoundedStream(writer)
+        os.close(reader)
+        stream.write('event=lost\n')
+        stream.flush()
+        os.close(writer)
+
+
+class RequestLogTest(unittest.TestCase):
+    """Guards against a flood of lines that hides the failed requests."""
+
+    def test_failed_requests_have_a_bound_of_their_own(self) -> None:
+        handler = logbook.TestHandler()
+        log = telemetry.RequestLog()
+        with handler.applicationbound():
+            for number in range(1_000):
+                log.add(True, id=number)
+            log.add(False, id='failed')
+            log.tick()
+        records = handler.formatted_records
+        self.assertTrue(any('id=failed' in line for line in records))
+        self.assertIn('answered=980', records[-1])
+        self.assertLess(len(records), 30)
