Keep a member's process alive when its disk refuses a write

Change: the member is closed and opened again from its files every 0.5 s; tests run members that find each other by seeds, lose disks, are replaced, and find their disk full.

--- a/fulmarseam/consensus/__init__.py
+++ b/fulmarseam/consensus/__init__.py
@@ -19,6 +19,7 @@
 from fulmarseam.consensus._runtime import Member
 from fulmarseam.consensus._storage import assign_member_id
 from fulmarseam.consensus._storage import clear_directory
+from fulmarseam.consensus._storage import StorageFailedError
 
 PEER_MESSAGES = (
     wire.MemberRequest,
@@ -33,6 +34,7 @@
     'MemberSettings',
     'MemberStatus',
     'Role',
+    'StorageFailedError',
     'assign_member_id',
     'clear_directory',
 ]
--- a/fulmarseam/consensus/_runtime.py
+++ b/fulmarseam/consensus/_runtime.py
@@ -79,7 +79,7 @@
         except BaseException as error:
             self._storage.close()
             if isinstance(error, _storage.StorageFailedError):
-                self._end_process(error)
+                self._give_up_storage(error)
             raise
         self._task = asyncio.create_task(self._run())
         return self
@@ -102,6 +102,8 @@
             await self._driver.run()
         except errors.FulmarseamError as error:
             self._fail(error)
+        except _storage.StorageFailedError as error:
+            self._give_up_storage(error)
         except Exception as error:
             self._end_process(error)
         finally:
@@ -175,6 +177,17 @@
         self._failed.set()
         _log.error(telemetry.format_event('member_failed', reason=str(error)))
 
+    def _give_up_storage(self, error: _storage.StorageFailedError) -> None:
+        """End the process, or only this member where its owner reopens it.
+
+        Either way what the files hold is read anew before the member takes
+        part again, and what was not synced counts as never written.
+        """
+        if self._settings.discovery is None:
+            self._end_process(error)
+        else:
+            self._fail(error)
+
     def _end_process(self, error: Exception) -> None:
         """End the process at once, without clean-up that may write."""
         _log.critical(
@@ -218,8 +231,10 @@
                 self._task.cancel()
             raise
         except _storage.StorageFailedError as error:
-            self._end_process(error)
-            raise
+            self._give_up_storage(error)
+            raise errors.FulmarseamError(
+                errors.ErrorKind.UNAVAILABLE, str(error)
+            ) from error
 
     def _describe_identity(self) -> wire.IdentityResponse:
         founding = self._binding.identity.founding
--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -38,6 +38,9 @@
 # one that is late.
 MISSED_BEATS = 3
 BEAT_MARGIN_S = 1.0
+# Pause before a member whose disk refused a write opens it again. A full
+# disk stays so for seconds.
+DISK_PAUSE_S = 0.5
 # Pause before a member takes part again under a new identity.
 REJOIN_PAUSE_S = 0.1
 
@@ -66,6 +69,8 @@
         self._member: consensus.Member | None = None
         self._stack = contextlib.AsyncExitStack()
         self._tasks: list[asyncio.Task[None]] = []
+        # Gets the exception of work that must never end.
+        self.failed: asyncio.Future[None] = self._loop.create_future()
         self._observe()
 
     def _observe(self) -> None:
@@ -74,7 +79,7 @@
         observe('revision', lambda: self.catalog.revision)
         observe('targets', lambda: len(self.catalog.targets.all()))
         observe('entries', lambda: self.presence.count_senders(self._now()))
-        observe('leads', lambda: self._leads())
+        observe('leads', lambda: self.leads())
         observe('term', lambda: self._status_value('term'))
         observe('commit_index', lambda: self._status_value('commit_index'))
 
@@ -96,13 +101,23 @@
             self._take_part(),
             self._pass_renewals(),
         ):
-            self._tasks.append(asyncio.create_task(work))
+            task = asyncio.create_task(work)
+            task.add_done_callback(self._note_end)
+            self._tasks.append(task)
         return self
 
+    def _note_end(self, task: asyncio.Task[None]) -> None:
+        if task.cancelled() or self.failed.done():
+            return
+        error = task.exception()
+        if error is not None:
+            self.failed.set_exception(error)
+
     async def __aexit__(self, *exc_info: object) -> None:
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.failed.cancel()
         await self._stack.aclose()
 
     def update_seeds(self, seeds: tuple[str, ...]) -> None:
@@ -114,6 +129,12 @@
         while True:
             try:
                 await self._run_member()
+            except consensus.StorageFailedError as error:
+                _log.error(
+                    telemetry.format_event('disk_failed', reason=str(error))
+                )
+                await asyncio.sleep(DISK_PAUSE_S)
+                continue
             except errors.DamagedDataError as error:
                 # What the directory held is with the other members; this
                 # one goes on as a new member, like after a lost disk.
@@ -266,7 +287,7 @@
 
     async def _offer(self, data: bytes) -> wire.CatalogResult:
         """Pass a command to the leader, which may be this member."""
-        if self._leads():
+        if self.leads():
             return await self._propose(data)
         address = self._find_leader()
         if address is None:
@@ -286,7 +307,8 @@
             raise errors.NotLeaderError()
         return catalog.decode_result(await self._member.propose(data))
 
-    def _leads(self) -> bool:
+    def leads(self) -> bool:
+        """Return whether this member is the leader for certain."""
         return (
             self._member is not None
             and self._member.leadership_age() is not None
@@ -302,9 +324,21 @@
                 return info.address
         return None
 
+    def status(self) -> consensus.MemberStatus:
+        """Return this member's view of the group.
+
+        Raises `errors.FulmarseamError` with `UNAVAILABLE` while the member
+        is starting.
+        """
+        if self._member is None:
+            raise errors.FulmarseamError(
+                errors.ErrorKind.UNAVAILABLE, 'the member is starting'
+            )
+        return self._member.status()
+
     def follows_group(self) -> bool:
         """Return whether this member leads or follows a leader."""
-        return self._leads() or self._find_leader() is not None
+        return self.leads() or self._find_leader() is not None
 
     # Targets
 
@@ -355,7 +389,7 @@
             self._clients.keep(
                 {info.address for info in status.members} if status else ()
             )
-            if self._leads():
+            if self.leads():
                 self._silences.note(self._now(), renewed)
                 await self._drop_silent()
                 continue
--- a/fulmarseam/platform/_programs.py
+++ b/fulmarseam/platform/_programs.py
@@ -86,7 +86,13 @@
                 'started', host=options.host, api=options.api
             )
         )
-        await stopping.wait()
+        waiting = asyncio.ensure_future(stopping.wait())
+        await asyncio.wait(
+            (waiting, member.failed), return_when=asyncio.FIRST_COMPLETED
+        )
+        waiting.cancel()
+        if member.failed.done():
+            member.failed.result()
     _log.info(telemetry.format_event('stopped', host=options.host))
 
 
--- /dev/null
+++ b/tests/test_catalog_member.py
@@ -0,0 +1,278 @@
+"""Tests of catalog members that find each other by seeds on loopback."""
+
+import asyncio
+import contextlib
+import dataclasses
+import pathlib
+import shutil
+import tempfile
+import unittest
+from unittest import mock
+
+from fulmarseam import catalog
+from fulmarseam import control
+from fulmarseam import errors
+from fulmarseam import ids
+from fulmarseam import settings
+from fulmarseam import wire
+from fulmarseam.consensus import _storage
+from tests import catalog_fixtures as fixtures
+from tests import fakes
+
+WAIT_S = 12.0
+# Members listen on addresses of their own with one port, as on hosts.
+HOSTS = ('127.0.7.1', '127.0.7.2', '127.0.7.3', '127.0.7.4')
+
+
+class Host:
+    """One host: its settings, its directory and its member when it runs."""
+
+    def __init__(self, options: settings.CatalogSettings) -> None:
+        self.options = options
+        self.member: control.CatalogMember | None = None
+        self._stack = contextlib.AsyncExitStack()
+
+    async def start(self) -> None:
+        """Start the member."""
+        self._stack = contextlib.AsyncExitStack()
+        self.member = await self._stack.enter_async_context(
+            control.CatalogMember(self.options)
+        )
+
+    async def stop(self) -> None:
+        """End the member without any farewell."""
+        self.member = None
+        await self._stack.aclose()
+
+    async def wipe(self) -> None:
+        """Lose the disk; the platform then clears the first start."""
+        await self.stop()
+        shutil.rmtree(self.options.data_dir)
+        self.options = dataclasses.replace(self.options, first_start=False)
+
+
+class CatalogMemberCase(unittest.IsolatedAsyncioTestCase):
+    """Runs a group of three members; the loss of one is borne."""
+
+    async def asyncSetUp(self) -> None:
+        asyncio.get_running_loop().set_debug(False)
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.directory = pathlib.Path(directory.name)
+        self.port = int(fakes.find_free_address().rpartition(':')[2])
+        self.hosts = [self.make_host(number) for number in range(3)]
+        # The founder comes last: nobody may need it to listen first.
+        for host in reversed(self.hosts):
+            await host.start()
+        await self.wait_for_voters(3)
+
+    async def asyncTearDown(self) -> None:
+        for host in self.hosts:
+            await host.stop()
+
+    def make_host(self, number: int) -> Host:
+        """Return a host that knows the first two as seeds."""
+        return Host(
+            settings.CatalogSettings(
+                host=ids.HostId(f'core-{number}'),
+                region=fixtures.region('ost'),
+                failure_domain=fixtures.domain('ost-wien'),
+                domains={},
+                data_dir=str(self.directory / str(number)),
+                listen=f'{HOSTS[number]}:{self.port}',
+                api=f'{HOSTS[number]}:1',
+                lookups=f'{HOSTS[number]}:2',
+                seeds=[f'{HOSTS[0]}:1', f'{HOSTS[1]}:1'],
+                peer_port=self.port,
+                first_start=number < 3,
+                tolerated_hosts=1,
+                heartbeat=0.3,
+            )
+        )
+
+    def members(self) -> list[control.CatalogMember]:
+        """Return the members that run."""
+        return [host.member for host in self.hosts if host.member]
+
+    def find_voters(self) -> set[str]:
+        """Return the hosts of the voters, as the leader sees them."""
+        for member in self.members():
+            if member.leads():
+                return {
+                    str(info.host)
+                    for info in member.status().members
+                    if info.voter
+                }
+        return set()
+
+    async def wait_for_voters(self, count: int, *hosts: str) -> None:
+        """Wait until that many voters, and these among them, are there."""
+        async with asyncio.timeout(WAIT_S):
+            while True:
+                voters = self.find_voters()
+                if len(voters) == count and voters.issuperset(hosts):
+                    return
+                await asyncio.sleep(0.05)
+
+    async def put(
+        self, member: control.CatalogMember, *items: wire.Item
+    ) -> wire.CatalogResult:
+        """Have items accepted, resending as an operator does."""
+        command = catalog.PutItems(
+            items=list(items), digest=repr(items).encode()
+        )
+        async with asyncio.timeout(WAIT_S):
+            while True:
+                with contextlib.suppress(errors.FulmarseamError):
+                    return await member.submit(command)
+
+    async def wait_for_item(self, name: str) -> None:
+        """Wait until all running members hold an item."""
+        async with asyncio.timeout(WAIT_S):
+            while True:
+                names = [
+                    {item.name for item in member.catalog.items.live()}
+                    for member in self.members()
+                ]
+                if all(name in found for found in names):
+                    return
+                await asyncio.sleep(0.05)
+
+
+class FoundingTest(CatalogMemberCase):
+    """Guards against members that do not find each other."""
+
+    async def test_an_order_at_any_member_reaches_all(self) -> None:
+        for number, member in enumerate(self.members()):
+            name = f'pool-{number}'
+            await self.put(member, fixtures.make_pool(name, 1))
+            await self.wait_for_item(name)
+
+    async def test_a_refused_order_names_every_problem(self) -> None:
+        result = await self.put(
+            self.members()[0], fixtures.make_route('r', 1, pool='nowhere')
+        )
+        self.assertIn('nowhere', result.problems[0])
+
+    async def test_reading_waits_for_what_was_accepted(self) -> None:
+        first, second, third = self.members()
+        await self.put(first, fixtures.make_pool('katalog', 1))
+        for member in (first, second, third):
+            await member.confirm()
+            self.assertEqual(len(member.catalog.items.live()), 1)
+
+
+class RepairTest(CatalogMemberCase):
+    """Guards against lost members that nobody replaces."""
+
+    async def test_a_wiped_member_counts_again_within_four_seconds(
+        self,
+    ) -> None:
+        await self.put(self.members()[1], fixtures.make_pool('katalog', 1))
+        for number in (2, 0, 1):
+            host = self.hosts[number]
+            await host.wipe()
+            await host.start()
+            async with asyncio.timeout(4.0):
+                await self.wait_for_voters(3, f'core-{number}')
+                await self.wait_for_item('katalog')
+
+    async def test_a_new_host_replaces_one_that_is_gone(self) -> None:
+        await self.put(self.members()[1], fixtures.make_pool('katalog', 1))
+        await self.hosts[2].stop()
+        self.hosts.append(self.make_host(3))
+        await self.hosts[3].start()
+        await self.wait_for_voters(3, 'core-0', 'core-1', 'core-3')
+        await self.wait_for_item('katalog')
+
+    async def test_a_member_that_was_replaced_comes_back_as_a_new_one(
+        self,
+    ) -> None:
+        await self.hosts[2].stop()
+        self.hosts.append(self.make_host(3))
+        await self.hosts[3].start()
+        await self.wait_for_voters(3, 'core-3')
+        await self.hosts[2].start()
+        await self.wait_for_voters(4, 'core-2', 'core-3')
+
+    async def test_all_restart_with_stale_seeds(self) -> None:
+        await self.put(self.members()[0], fixtures.make_pool('katalog', 1))
+        for host in self.hosts:
+            await host.stop()
+        for host in self.hosts:
+            host.options = dataclasses.replace(
+                host.options, seeds=['127.0.7.99:1']
+            )
+            await host.start()
+        await self.wait_for_voters(3)
+        await self.wait_for_item('katalog')
+
+    async def test_a_full_disk_ends_no_process(self) -> None:
+        full = mock.patch.object(
+            _storage.os, 'fdatasync', side_effect=OSError(28, 'no space')
+        )
+        with full:
+            with self.assertRaises(errors.FulmarseamError):
+                await self.members()[0].submit(
+                    catalog.EvacuateDomain(
+                        failure_domain=fixtures.domain('ost'), active=True
+                    )
+                )
+        await self.wait_for_voters(3)
+        await self.put(self.members()[0], fixtures.make_pool('katalog', 1))
+        await self.wait_for_item('katalog')
+
+
+class TargetTest(CatalogMemberCase):
+    """Guards against targets that are lost or kept too long."""
+
+    async def _wait_for_targets(self, expected: set[str]) -> None:
+        async with asyncio.timeout(WAIT_S):
+            while True:
+                found = [
+                    {item.target for item in member.catalog.targets.all()}
+                    for member in self.members()
+                ]
+                if all(targets == expected for targets in found):
+                    return
+                await asyncio.sleep(0.05)
+
+    async def test_a_leave_reaches_all_members_through_any(self) -> None:
+        first, second, third = self.members()
+        await first.announce(fixtures.make_record('a', born_ms=7))
+        await second.announce(fixtures.make_record('b', born_ms=7))
+        await self._wait_for_targets({'a', 'b'})
+        await third.leave(fixtures.target_id('a'), 0)
+        await first.announce(fixtures.make_record('a', born_ms=7, sequence=99))
+        await self._wait_for_targets({'b'})
+
+    async def test_a_silent_target_is_dropped_and_a_live_one_kept(
+        self,
+    ) -> None:
+        first, second, _ = self.members()
+        for name in 'abc':
+            await first.announce(fixtures.make_record(name, born_ms=7))
+        async with asyncio.timeout(WAIT_S):
+            sequence = 1
+            while len(second.catalog.targets.all()) != 2:
+                sequence += 1
+                for name in 'bc':
+                    await second.announce(
+                        fixtures.make_record(
+                            name, born_ms=7, sequence=sequence
+                        )
+                    )
+                await asyncio.sleep(0.3)
+        await self._wait_for_targets({'b', 'c'})
+
+    async def test_a_member_without_the_group_takes_no_announcement(
+        self,
+    ) -> None:
+        for host in self.hosts[1:]:
+            await host.stop()
+        member = self.members()[0]
+        async with asyncio.timeout(WAIT_S):
+            while member.follows_group():
+                await asyncio.sleep(0.05)
+        with self.assertRaises(errors.FulmarseamError):
+            await member.announce(fixtures.make_record('a'))
