Judge a target that answers nothing like one that cannot be reached

Cause: requests to a host without power only timed out one by one, and an entry that lost its own links treated every target as cold afterwards; an entry that restarted with an earlier clock was not named for a minute. Change: a time-out of a silent target ejects it; targets stay warm when most of a pool is out of reach; a known incarnation yields when silent.

--- a/fulmarseam/catalog/_presence.py
+++ b/fulmarseam/catalog/_presence.py
@@ -29,10 +29,13 @@
         """Record a poll; return whether the entry's state changed.
 
         A poll of an earlier incarnation that arrives late changes nothing.
+        It counts once the known one is silent, since the clock that numbers
+        the incarnations may have been set back.
         """
         known = self._rows.get(poll.entry)
         if known is not None and known.poll.incarnation > poll.incarnation:
-            return False
+            if now - known.heard_at <= ENTRY_LEASE_S:
+                return False
         is_change = (
             known is None
             or known.poll.state is not poll.state
--- a/fulmarseam/gateway/_fleet.py
+++ b/fulmarseam/gateway/_fleet.py
@@ -255,15 +255,34 @@
         self, now: float, observed: steering.ObservedTarget, service_s: float
     ) -> None:
         """Count a full answer of a target."""
-        steering.note_answer(observed, now, service_s, self._cold_s(observed))
+        cold_s = min(self._cold_s(observed), RECOVERY_COLD_S)
+        steering.note_answer(observed, now, service_s, cold_s)
 
     def note_failure(self, observed: steering.ObservedTarget) -> None:
         """Count a request that a target failed."""
         steering.note_failure(observed)
 
+    def _is_cut_off(self, now: float, pool_name: ids.PoolName) -> bool:
+        """Return whether most targets of a pool cannot be reached."""
+        targets = self._get_pool(pool_name).targets
+        ejected = sum(steering.is_ejected(item, now) for item in targets)
+        return 2 * ejected > len(targets)
+
+    def note_time_out(
+        self, now: float, observed: steering.ObservedTarget
+    ) -> None:
+        """Count a request that got no answer in time."""
+        if steering.is_silent(observed, now):
+            self.eject(now, observed)
+        else:
+            steering.note_failure(observed)
+
     def eject(self, now: float, observed: steering.ObservedTarget) -> None:
         """Keep away from a target that is silent or unreachable."""
         steering.eject(observed, now)
+        if self._is_cut_off(now, observed.record.pool):
+            # The entry has lost its own links, so the targets stay warm.
+            observed.recovering = False
         _log.info(
             telemetry.format_event(
                 'target_ejected',
@@ -275,6 +294,9 @@
         )
 
 
+# A target that can be reached again may have restarted. What it announces
+# about that arrives within one heartbeat of 1.5 s and a poll.
+RECOVERY_COLD_S = 2.0
 # Part of the retry bound that is used: requests and repeats of one window
 # arrive at the targets in another one after a delay.
 REPEAT_SHARE_USED = 0.5
--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -349,7 +349,7 @@
             )
         job.attempts += 1
         if error.reason is http.Reason.TIMED_OUT:
-            fleet.note_failure(target)
+            fleet.note_time_out(now, target)
             kind = errors.ErrorKind.TARGET_TIMEOUT
         else:
             fleet.eject(now, target)
--- a/fulmarseam/steering/__init__.py
+++ b/fulmarseam/steering/__init__.py
@@ -24,6 +24,7 @@
 from fulmarseam.steering._observed import is_cold
 from fulmarseam.steering._observed import is_doubtful
 from fulmarseam.steering._observed import is_ejected
+from fulmarseam.steering._observed import is_silent
 from fulmarseam.steering._observed import may_take
 from fulmarseam.steering._observed import note_answer
 from fulmarseam.steering._observed import note_end
@@ -90,6 +91,7 @@
     'is_cold',
     'is_doubtful',
     'is_ejected',
+    'is_silent',
     'match_route',
     'may_take',
     'note_answer',
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -286,6 +286,13 @@
         self.assertFalse(self.presence.note(1.1, late))
         self.assertIn('e1:1', self._find(1.2, 'ost'))
 
+    def test_a_process_that_restarts_with_an_earlier_clock_is_heard(
+        self,
+    ) -> None:
+        earlier = fixtures.make_poll('e1', 'ost', 'ost-wien', incarnation=3)
+        self.assertTrue(self.presence.note(3.0, earlier))
+        self.assertEqual(self._find(3.1, 'ost'), ['e1:1'])
+
     def test_dead_entries_still_count_as_senders(self) -> None:
         self.assertEqual(self.presence.count_senders(30.0), 3)
         self.assertEqual(self.presence.count_senders(61.0), 0)
