Read bodies and decode messages in one place each

Cause: the entry's api and the adapter read request bodies with twin loops; three modules turned decoding errors into the same exception. Change: http.read_body and wire.decode_with serve all of them.

--- a/fulmarseam/catalog/_commands.py
+++ b/fulmarseam/catalog/_commands.py
@@ -2,7 +2,6 @@
 
 import msgspec
 
-from fulmarseam import errors
 from fulmarseam import ids
 from fulmarseam import wire
 
@@ -83,10 +82,7 @@
 
     Raises `errors.WireError` when the data is no known command.
     """
-    try:
-        return _decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise errors.WireError(str(error)) from error
+    return wire.decode_with(_decoder, data)
 
 
 def decode_result(data: bytes) -> wire.CatalogResult:
--- a/fulmarseam/entry/_api.py
+++ b/fulmarseam/entry/_api.py
@@ -92,7 +92,7 @@
     async def _take_announcement(
         self, request: http.Request, caller: http.CallerConnection
     ) -> http.OwnAnswer:
-        body = await read_body(caller)
+        body = await http.read_body(caller, MAX_BODY_BYTES)
         try:
             report = _report_decoder.decode(body)
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
@@ -105,32 +105,6 @@
         return http.OwnAnswer(200, JSON_HEADERS, b'{}\n')
 
 
-async def read_body(caller: http.CallerConnection) -> bytes:
-    """Return the whole body of a small request.
-
-    Raises `errors.FulmarseamError` when it is too large.
-    """
-    assert caller.signal is not None
-    pieces: list[bytes] = []
-    size = 0
-    while True:
-        piece = caller.poll_body()
-        if piece == b'':
-            caller.stop_body_timeout()
-            return b''.join(pieces)
-        if piece is None:
-            caller.start_body_timeout()
-            await caller.signal.wait()
-            continue
-        pieces.append(piece)
-        size += len(piece)
-        if size > MAX_BODY_BYTES:
-            raise errors.FulmarseamError(
-                errors.ErrorKind.BODY_TOO_LARGE,
-                f'the body exceeds {MAX_BODY_BYTES} bytes',
-            )
-
-
 def check_report(report: wire.TargetReport) -> None:
     """Refuse an announcement with values that cannot be.
 
--- a/fulmarseam/http/_bodies.py
+++ b/fulmarseam/http/_bodies.py
@@ -1,25 +1,37 @@
 """Reading of whole request bodies."""
 
+from fulmarseam import errors
 from fulmarseam.http import _caller
-from fulmarseam.http import _failures
 
 
-async def read_body(caller: _caller.CallerConnection) -> bytes:
+async def read_body(
+    caller: _caller.CallerConnection, max_bytes: int | None = None
+) -> bytes:
     """Return the whole body of the request in progress.
 
-    The limits of the server bound its size. Raises `CallerGoneError`, and
-    `errors.FulmarseamError` for a body to be refused.
+    The limits of the server bound its size unless `max_bytes` is less.
+    Raises `CallerGoneError`, and `errors.FulmarseamError` for a body that
+    is too large or otherwise to be refused.
     """
     assert caller.signal is not None
-    pieces = []
-    while not caller.body_done:
+    pieces: list[bytes] = []
+    size = 0
+    while True:
         piece = caller.poll_body()
-        if piece:
-            pieces.append(piece)
-        elif piece is None:
+        if piece == b'':
+            break
+        if piece is None:
             caller.start_body_timeout()
             await caller.signal.wait()
-            if caller.gone and not caller.has_pieces():
-                raise _failures.CallerGoneError('the caller has left')
+            continue
+        pieces.append(piece)
+        size += len(piece)
+        if max_bytes is not None and size > max_bytes:
+            raise errors.FulmarseamError(
+                errors.ErrorKind.BODY_TOO_LARGE,
+                f'the body exceeds {max_bytes} bytes',
+            )
+        if caller.body_done:
+            break
     caller.stop_body_timeout()
     return b''.join(pieces)
--- a/fulmarseam/store/_commands.py
+++ b/fulmarseam/store/_commands.py
@@ -4,7 +4,6 @@
 
 import msgspec
 
-from fulmarseam import errors
 from fulmarseam import wire
 
 
@@ -41,10 +40,7 @@
 
     Raises `errors.WireError` when the data is no known command.
     """
-    try:
-        return _decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise errors.WireError(str(error)) from error
+    return wire.decode_with(_decoder, data)
 
 
 def digest_content(command: wire.Edit | wire.Restore) -> bytes:
--- a/fulmarseam/wire/__init__.py
+++ b/fulmarseam/wire/__init__.py
@@ -40,6 +40,7 @@
 from fulmarseam.wire._catalog import TargetRecord
 from fulmarseam.wire._catalog import TargetRenewal
 from fulmarseam.wire._codec import decode
+from fulmarseam.wire._codec import decode_with
 from fulmarseam.wire._codec import encode
 from fulmarseam.wire._codec import Message
 from fulmarseam.wire._common import Failure
@@ -212,5 +213,6 @@
     'VoteRequest',
     'VoteResponse',
     'decode',
+    'decode_with',
     'encode',
 ]
--- a/fulmarseam/wire/_codec.py
+++ b/fulmarseam/wire/_codec.py
@@ -1,5 +1,7 @@
 """The codec of messages between processes."""
 
+from typing import TypeVar
+
 import msgspec
 
 from fulmarseam import errors
@@ -26,6 +28,8 @@
     | _consensus.IdentityResponse
 )
 
+T = TypeVar('T')
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
 
@@ -40,7 +44,15 @@
 
     Raises `errors.WireError` when the data is no known message.
     """
+    return decode_with(_decoder, data)
+
+
+def decode_with(decoder: msgspec.msgpack.Decoder[T], data: bytes) -> T:
+    """Return what a decoder of another type finds in `data`.
+
+    Raises `errors.WireError` when the data does not have that type.
+    """
     try:
-        return _decoder.decode(data)
+        return decoder.decode(data)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise errors.WireError(str(error)) from error
--- a/tests/test_catalog_member.py
+++ b/tests/test_catalog_member.py
@@ -272,7 +272,9 @@
             await host.stop()
         member = self.members()[0]
         async with asyncio.timeout(WAIT_S):
-            while member.follows_group():
+            while True:
+                if not member.follows_group():
+                    break
                 await asyncio.sleep(0.05)
         with self.assertRaises(errors.FulmarseamError):
             await member.announce(fixtures.make_record('a'))
