Bind a wiped member only to a group that has added it

A message for the former identity of a wiped member bound it to the group, so it stopped to ask to be let in and was never added; two further lost disks took the majority. Ruled out: the repair of the leader, which added every candidate. Change: a member is bound by a message for its own directory only, and one that no member lists any more joins again.

--- a/fulmarseam/consensus/_runtime_group.py
+++ b/fulmarseam/consensus/_runtime_group.py
@@ -14,12 +14,16 @@
 from fulmarseam import wire
 from fulmarseam.consensus import _core
 from fulmarseam.consensus import _core_founding
+from fulmarseam.consensus import _core_members
 from fulmarseam.consensus import _discovery
 from fulmarseam.consensus import _interface
 from fulmarseam.consensus import _storage
 
 # How often the initial members are asked until this one is bound.
 POLL_S = 0.1
+# Checks in a row, 0.3 s apart, in which no member lists this one, before it
+# takes itself for forgotten. A change under way is listed within one.
+UNLISTED_CHECKS = 4
 
 _log = logbook.Logger('consensus')
 
@@ -39,6 +43,7 @@
         self.identity = _core_founding.Identity(settings.member_id, '')
         self.candidates = _discovery.Candidates()
         self._finder: _discovery.Finder | None = None
+        self._unlisted = 0
 
     @property
     def group(self) -> str:
@@ -66,17 +71,16 @@
         with `UNAVAILABLE` otherwise.
         """
         identity = self.identity
-        is_known_elsewhere = (
-            identity.founding is None and message.store != identity.store
-        )
-        if is_known_elsewhere and self._settings.discovery is None:
-            raise errors.DamagedDataError(
-                _core_founding.describe_refusal(identity)
-            )
-        if identity.founding is None and self._may_follow(message.group):
-            self._bind(
-                wire.Founding(group=message.group, members=wire.GroupMembers())
-            )
+        if identity.founding is None:
+            if message.store == identity.store:
+                self._bind_if_joining(message.group)
+            elif self._settings.discovery is None:
+                raise errors.DamagedDataError(
+                    _core_founding.describe_refusal(identity)
+                )
+            # Found by discovery, the message is for the former identity of
+            # a host that lost its directory.
+            identity = self.identity
         if (message.group, message.store) != (self.group, identity.store):
             raise errors.FulmarseamError(
                 errors.ErrorKind.UNAVAILABLE,
@@ -85,15 +89,18 @@
                 f'{self.group or "none"}, store {identity.store}',
             )
 
-    def _may_follow(self, group: str) -> bool:
-        """Return whether the group may add this member.
+    def _bind_if_joining(self, group: str) -> None:
+        """Bind this member to a group whose leader has added it.
 
         A member that is still to learn of a founding that names it must
         not start without the members that the founding lists.
         """
         if self._finder is not None:
-            return self._finder.group == group
-        return self._settings.join
+            is_joining = self._finder.group == group
+        else:
+            is_joining = self._settings.join
+        if is_joining:
+            self._bind(wire.Founding(group=group, members=wire.GroupMembers()))
 
     async def run(self) -> None:
         """Find the group and bind this member to it."""
@@ -148,13 +155,18 @@
                 await asyncio.sleep(POLL_S)
 
     async def is_retired(self, replica: _core.Replica | None) -> bool:
-        """Return whether the group lists this member as removed."""
+        """Return whether the group does without this member for good.
+
+        Either it lists the member as removed, or nobody lists it at all:
+        the change that added it was lost with the leader that proposed it.
+        """
         if replica is None:
             return False
         me = self.identity.member
         if me in replica.members.retired:
             return True
         if replica.leader is not None or self._settings.discovery is None:
+            self._unlisted = 0
             return False
         addresses = {info.address for info in replica.members.members}
         addresses.update(self._settings.discovery.seeds)
@@ -162,12 +174,20 @@
         answers = await asyncio.gather(
             *(self._ask_member(address) for address in sorted(addresses))
         )
-        return any(
-            answer is not None
-            and answer.group == self.group
-            and me in answer.members.retired
+        lists = [
+            answer.members
             for answer in answers
-        )
+            if answer is not None and answer.group == self.group
+        ]
+        if any(me in members.retired for members in lists):
+            return True
+        if not lists or any(
+            _core_members.find_member(members, me) for members in lists
+        ):
+            self._unlisted = 0
+            return False
+        self._unlisted += 1
+        return self._unlisted >= UNLISTED_CHECKS
 
     async def _ask_member(self, address: str) -> wire.IdentityResponse | None:
         async with transport.RpcClient(address) as client:
--- a/tests/test_catalog_member.py
+++ b/tests/test_catalog_member.py
@@ -278,3 +278,61 @@
                 await asyncio.sleep(0.05)
         with self.assertRaises(errors.FulmarseamError):
             await member.announce(fixtures.make_record('a'))
+
+
+class FormerIdentityTest(CatalogMemberCase):
+    """Guards against a wiped member that stops to ask to be let in.
+
+    On a day with two lost disks one after the other, such a member was
+    bound to its group by a message for its former identity and was never
+    added, so the second loss took the majority.
+    """
+
+    async def test_a_message_for_the_former_identity_binds_nobody(
+        self,
+    ) -> None:
+        host = self.hosts[2]
+        former = next(
+            info
+            for info in self.members()[0].status().members
+            if info.host == 'core-2'
+        )
+        group = self.members()[0].status().group
+        # Without a leader nobody adds the wiped member meanwhile.
+        await host.wipe()
+        await self.hosts[1].stop()
+        await host.start()
+        assert host.member is not None
+        message = wire.MemberRequest(
+            group=group,
+            sender=ids.MemberId('core-0.x'),
+            store=former.store,
+            body=wire.VoteRequest(
+                term=9, last_index=9, last_term=9, pre_vote=False
+            ),
+        )
+        # By then the member knows of the group from its first answer.
+        for _ in range(10):
+            await asyncio.sleep(0.1)
+            with self.assertRaises(errors.FulmarseamError):
+                await host.member.handle(message)
+        self.assertEqual(host.member.status().group, '')
+        await self.hosts[1].start()
+        await self.wait_for_voters(3, 'core-2')
+
+    async def test_a_member_that_nobody_lists_joins_again(self) -> None:
+        """Guards against a member added by a change that was lost."""
+        self.hosts.append(self.make_host(3))
+        host = self.hosts[3]
+        group = self.members()[0].status().group
+        pathlib.Path(host.options.data_dir).mkdir()
+        storage = _storage.Storage(
+            host.options.data_dir, ids.MemberId('core-3.lost')
+        )
+        identity = storage.open('f' * 32)
+        storage.bind(
+            identity, wire.Founding(group=group, members=wire.GroupMembers())
+        )
+        storage.close()
+        await host.start()
+        await self.wait_for_voters(4, 'core-3')
