--- a/tests/test_catalog_member.py
+++ b/tests/test_catalog_member.py
@@ -325,7 +325,6 @@
         self.hosts.append(self.make_host(3))
         host = self.hosts[3]
         group = self.members()[0].status().group
-        pathlib.Path(host.options.data_dir).mkdir()
         storage = _storage.Storage(
             host.options.data_dir, ids.MemberId('core-3.lost')
         )
