Say in the line of a refused request what decided it

Cause: a refusal for lack of room named neither the targets out of reach nor the estimated load, so nobody could tell one cause from the other. Change: the line names both, and each attempt with the kind of its failure.

--- a/fulmarseam/gateway/_fleet.py
+++ b/fulmarseam/gateway/_fleet.py
@@ -123,6 +123,18 @@
         """Return the number of targets that may get requests."""
         return sum(len(pool.targets) for pool in self._pools.values())
 
+    def describe_pool(self, now: float, pool_name: ids.PoolName) -> str:
+        """Return what a refusal for lack of room was decided by."""
+        targets = self._get_pool(pool_name).targets
+        ejected = sum(steering.is_ejected(item, now) for item in targets)
+        cold = sum(steering.is_cold(item, now) for item in targets)
+        load = sum(steering.estimate_load(item, now) for item in targets)
+        slots = sum(item.record.slots for item in targets)
+        return (
+            f'targets {len(targets)}, ejected {ejected}, cold {cold}, '
+            f'estimated load {load:.1f} of {slots} slots'
+        )
+
     def count_in_flight(self) -> int:
         """Return the number of requests on targets."""
         return sum(item.in_flight for item in self._targets.values())
--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -16,6 +16,7 @@
 from fulmarseam.gateway import _fleet
 from fulmarseam.gateway import _requests
 from fulmarseam.gateway import _routes
+from fulmarseam.gateway import _trails
 
 # Time kept back so that the answer reaches the caller before its deadline.
 ANSWER_MARGIN_S = 0.02
@@ -56,7 +57,7 @@
         """Handle one request; the handler of the callers' server."""
         now = self._loop.time()
         job = _requests.Job(request, caller, now, self._services.dialect)
-        trail = _Trail()
+        trail = _trails.Trail()
         try:
             await self._serve(job, trail)
         except errors.FulmarseamError as error:
@@ -69,28 +70,19 @@
         finally:
             self._record(job, trail)
 
-    def _record(self, job: _requests.Job, trail: '_Trail') -> None:
-        elapsed = self._loop.time() - job.arrived_at
-        metrics = self._services.metrics
-        metrics.add('requests_total', route=trail.route, outcome=trail.outcome)
-        metrics.record('request_seconds', elapsed, outcome=trail.outcome)
-        request_id = (job.request_id or b'').decode('latin-1')
-        self._services.request_log.add(
-            trail.outcome == ANSWERED,
-            id=request_id,
-            outcome=trail.outcome,
-            route=trail.route,
-            pool=trail.pool,
-            object=trail.key,
-            targets=','.join(trail.targets),
-            status=trail.status,
-            elapsed_s=elapsed,
-            time_left_s=job.deadline - self._loop.time(),
-            revision=self._services.mirror.revision,
-            detail=trail.detail,
+    def _record(self, job: _requests.Job, trail: _trails.Trail) -> None:
+        """Count the request and write its line."""
+        now = self._loop.time()
+        services = self._services
+        services.metrics.add(
+            'requests_total', route=trail.route, outcome=trail.outcome
+        )
+        services.metrics.record(
+            'request_seconds', now - job.arrived_at, outcome=trail.outcome
         )
+        trail.write(services.request_log, job, now, services.mirror.revision)
 
-    async def _serve(self, job: _requests.Job, trail: '_Trail') -> None:
+    async def _serve(self, job: _requests.Job, trail: _trails.Trail) -> None:
         """Answer a request, or raise why it cannot be."""
         services = self._services
         if not services.mirror.revision:
@@ -116,7 +108,7 @@
         job.deadline = job.arrived_at + time_ms / 1_000 - ANSWER_MARGIN_S
 
     async def _attempt_all(
-        self, job: _requests.Job, pool_name: ids.PoolName, trail: '_Trail'
+        self, job: _requests.Job, pool_name: ids.PoolName, trail: _trails.Trail
     ) -> None:
         """Attempt a job until it is answered or may not be repeated.
 
@@ -138,6 +130,7 @@
             failure = await self._attempt(job, placed.target, trail)
             if failure is None:
                 return
+            trail.targets[-1] += f':{failure.error.kind.value}'
             if failure.error.answer.outcome is not errors.Outcome.NOT_RUN:
                 may_have_run = failure.error
             avoided.add(placed.target.target)
@@ -147,20 +140,24 @@
     def _refuse(
         self, pool_name: ids.PoolName, avoided: set[ids.TargetId]
     ) -> errors.FulmarseamError:
+        inputs = self._services.fleet.describe_pool(
+            self._loop.time(), pool_name
+        )
         if avoided:
             return errors.FulmarseamError(
                 errors.ErrorKind.TARGET_SHED,
-                f'{len(avoided)} targets did not run it, no other has room',
+                f'{len(avoided)} targets did not run it, no other has room: '
+                + inputs,
             )
         return errors.FulmarseamError(
-            errors.ErrorKind.NO_CAPACITY, f'no target of {pool_name} has room'
+            errors.ErrorKind.NO_CAPACITY, f'no target has room: {inputs}'
         )
 
     async def _attempt(
         self,
         job: _requests.Job,
         target: steering.ObservedTarget,
-        trail: '_Trail',
+        trail: _trails.Trail,
     ) -> _Failure | None:
         """Use a target; None when the caller has its answer."""
         services = self._services
@@ -185,7 +182,7 @@
                     True,
                 )
             trail.status = answer.response.status
-            trail.outcome = ANSWERED
+            trail.outcome = _trails.ANSWERED
             await self._pass_on(job, exchange, answer)
             return None
         except _exchange.NotRunError as error:
@@ -319,7 +316,7 @@
         target: steering.ObservedTarget,
         exchange: _exchange.Exchange,
         error: http.TargetError,
-        trail: '_Trail',
+        trail: _trails.Trail,
     ) -> _Failure:
         """Decide what follows an attempt without a usable answer."""
         if job.caller.response_started:
@@ -347,29 +344,3 @@
             errors.FulmarseamError(kind, error.detail),
             self._may_repeat(job, target),
         )
-
-
-ANSWERED = errors.Outcome.ANSWERED.value
-
-
-class _Trail:
-    """What the log line of a request says about its way."""
-
-    __slots__ = (
-        'detail',
-        'key',
-        'outcome',
-        'pool',
-        'route',
-        'status',
-        'targets',
-    )
-
-    def __init__(self) -> None:
-        self.route = ''
-        self.pool = ''
-        self.outcome = ''
-        self.detail = ''
-        self.key = ''
-        self.status = 0
-        self.targets: list[str] = []
