Use four fifths of the retry bound

Change: 0.8 of the bound instead of 0.5; the windows of the entries slide, so the rest covers the way to the targets only.

--- a/fulmarseam/gateway/_fleet.py
+++ b/fulmarseam/gateway/_fleet.py
@@ -311,7 +311,7 @@
 RECOVERY_COLD_S = 2.0
 # Part of the retry bound that is used: requests and repeats of one window
 # arrive at the targets in another one after a delay.
-REPEAT_SHARE_USED = 0.5
+REPEAT_SHARE_USED = 0.8
 # Targets that share the requests for one object. With more of them an
 # overload spreads each object over all targets, which then keep none of
 # them and stay slow: the overload feeds itself.
