Learn from a lost idle connection instead of leaving its target

Change: an idle connection that is lost bounds the idle time of the others; the target stays in use and an idempotent request goes to it again.

--- a/fulmarseam/gateway/_exchange.py
+++ b/fulmarseam/gateway/_exchange.py
@@ -64,6 +64,7 @@
         self._pieces: list[bytes] = []
         self.progress = http.Progress.NOT_SENT
         self.load_report = b''
+        self.has_answered = False
 
     async def run(self) -> Answer:
         """Return the answer, held completely if it is not too large.
@@ -89,6 +90,18 @@
             finally:
                 self.progress = connection.progress
 
+    def note_lost_idle(self) -> bool:
+        """Return whether a connection was lost that had been idle.
+
+        It says nothing of the target, only that it had forgotten the
+        connection.
+        """
+        connection = self._connection
+        if connection is None or not self._reused or self.has_answered:
+            return False
+        self._pool.note_lost_idle(connection.idle_s)
+        return True
+
     def close(self) -> None:
         """Give the connection back; it is closed unless it is reusable."""
         if self._connection is not None:
@@ -106,6 +119,7 @@
     async def _run_on(self, connection: http.TargetConnection) -> Answer:
         self._send(connection)
         response = await self._wait_for_head(connection)
+        self.has_answered = True
         self._pool.note_keep_alive(response)
         self.load_report = response.fields.get(self._dialect.load, b'')
         self._check_head(response)
--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -37,10 +37,14 @@
 
 
 class _Failure(NamedTuple):
-    """An attempt that failed, and whether another one may follow."""
+    """An attempt that failed, and whether another one may follow.
+
+    `same_target` is set when the target is as good as any other for it.
+    """
 
     error: errors.FulmarseamError
     may_repeat: bool
+    same_target: bool = False
 
 
 class Forwarder:
@@ -134,7 +138,8 @@
             trail.targets[-1] += f':{failure.error.kind.value}'
             if failure.error.answer.outcome is not errors.Outcome.NOT_RUN:
                 may_have_run = failure.error
-            avoided.add(placed.target.target)
+            if not failure.same_target:
+                avoided.add(placed.target.target)
             if not failure.may_repeat:
                 raise may_have_run or failure.error
 
@@ -335,13 +340,17 @@
                 errors.FulmarseamError(kind, error.detail), not is_late
             )
         job.attempts += 1
+        kind = errors.ErrorKind.TARGET_FAILED
+        was_idle = False
         if error.reason is http.Reason.TIMED_OUT:
             fleet.note_time_out(now, target)
             kind = errors.ErrorKind.TARGET_TIMEOUT
+        elif error.reason is http.Reason.BROKEN and exchange.note_lost_idle():
+            was_idle = True
         else:
             fleet.eject(now, target)
-            kind = errors.ErrorKind.TARGET_FAILED
         return _Failure(
             errors.FulmarseamError(kind, error.detail),
             self._may_repeat(job, target),
+            same_target=was_idle,
         )
--- a/fulmarseam/http/_pool.py
+++ b/fulmarseam/http/_pool.py
@@ -19,6 +19,8 @@
 # Time before the end of the keep-alive that a target states in which its
 # connections are not used any more: the request would cross the close.
 KEEP_ALIVE_MARGIN_S = 1.5
+# Connections that were idle for less are always used again.
+IDLE_CAP_MIN_S = 0.2
 # A connection whose sent bytes nobody acknowledges is given up after this
 # time. A single lost packet is sent again after 0.2 to 0.6 s.
 USER_TIMEOUT_MS = 1_500
@@ -34,6 +36,8 @@
         self.limit = limit
         self.in_use = 0
         self.idle_timeout_s = IDLE_TIMEOUT_S
+        # Below what the target states, once it has closed sooner.
+        self._idle_cap_s = IDLE_TIMEOUT_S
         self._idle: list[_target.TargetConnection] = []
 
     @property
@@ -51,7 +55,8 @@
         self, signal: _signal.Signal
     ) -> _target.TargetConnection | None:
         """Return an idle connection that is still open, if any."""
-        oldest = asyncio.get_running_loop().time() - self.idle_timeout_s
+        now = asyncio.get_running_loop().time()
+        oldest = now - self.idle_timeout_s
         while self._idle:
             connection = self._idle.pop()
             is_old = connection.idle_since < oldest
@@ -59,6 +64,7 @@
                 connection.abort()
                 continue
             connection.signal = signal
+            connection.idle_s = now - connection.idle_since
             self.in_use += 1
             return connection
         return None
@@ -69,7 +75,21 @@
         if stated is None:
             return
         idle_s = max(0.0, int(stated[1]) - KEEP_ALIVE_MARGIN_S)
-        self.idle_timeout_s = min(idle_s, IDLE_TIMEOUT_S)
+        self.idle_timeout_s = min(idle_s, self._idle_cap_s)
+
+    def note_lost_idle(self, idle_s: float) -> None:
+        """Note that a connection was lost after it had been idle.
+
+        Connections that were idle for half as long are not used again, and
+        those that wait now are as doubtful as the lost one.
+        """
+        self._idle_cap_s = min(
+            self._idle_cap_s, max(idle_s / 2, IDLE_CAP_MIN_S)
+        )
+        self.idle_timeout_s = min(self.idle_timeout_s, self._idle_cap_s)
+        self.close_idle(
+            asyncio.get_running_loop().time() - self.idle_timeout_s
+        )
 
     async def open(
         self, signal: _signal.Signal, timeout_s: float = CONNECT_TIMEOUT_S
--- a/fulmarseam/http/_target.py
+++ b/fulmarseam/http/_target.py
@@ -55,6 +55,8 @@
         self.progress = _failures.Progress.NOT_SENT
         self.request_done = False
         self.idle_since = 0.0
+        # How long the connection was idle before its present request.
+        self.idle_s = 0.0
         self.on_idle_event: Any = None
 
     def handle_idle_event(self) -> None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -172,6 +172,44 @@
             self.assertEqual(reply.status, 200)
 
 
+class IdleConnectionTest(gateway_case.GatewayCase):
+    """Pattern: targets forget idle connections sooner than they say.
+
+    Guards against a sound target that is left alone for it, and against
+    the loss of further requests on connections as old as the first.
+    """
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.answered_on: set[object] = set()
+
+    async def _forget(self, reader, writer, headers):
+        """Answer the first request of each connection and reset it then."""
+        if writer in self.answered_on:
+            writer.transport.abort()
+            return
+        self.answered_on.add(writer)
+        await answer(writer, headers, keep_alive='timeout=30')
+
+    async def test_an_idempotent_request_gets_a_new_connection(self) -> None:
+        await self.add_target('t1', self._forget)
+        await self.put_route(max_attempts=3)
+        for _ in range(3):
+            self.assertEqual((await self.call()).status, 200)
+            await asyncio.sleep(0.3)
+
+    async def test_one_loss_is_enough_to_learn_from(self) -> None:
+        await self.add_target('t1', self._forget)
+        await self.put_route(idempotent=False)
+        statuses = []
+        for _ in range(5):
+            reply = await self.call(method='POST')
+            statuses.append(reply.status)
+            await asyncio.sleep(0.5)
+        self.assertEqual(statuses.count(502), 1)
+        self.assertEqual(statuses.count(200), 4)
+
+
 class AnswerTest(gateway_case.GatewayCase):
     """Guards against an answer that belongs to another request."""
 
