--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -32,6 +32,25 @@
         self.assertEqual({kind.value for kind in errors.ErrorKind}, seen)
 
 
+class EventPageTest(unittest.TestCase):
+    """Guards against log lines that the page for operators does not know."""
+
+    PACKAGES = ('catalog', 'gateway', 'platform')
+    MODULES = ('control/_catalog.py', 'telemetry/_requests.py')
+    EVENT = re.compile(r"format_event\(\s*'(\w+)'")
+
+    def test_every_event_is_listed(self) -> None:
+        page = (ROOT / 'docs' / 'OPERATIONS.md').read_text(encoding='utf-8')
+        source = ROOT / 'fulmarseam'
+        paths = [source / name for name in self.MODULES]
+        for package in self.PACKAGES:
+            paths.extend(sorted((source / package).glob('*.py')))
+        for path in paths:
+            for event in self.EVENT.findall(path.read_text('utf-8')):
+                with self.subTest(path=path.name, event=event):
+                    self.assertIn(f'`{event}`', page)
+
+
 class CapacityPageTest(unittest.TestCase):
     """Guards against a capacity page that differs from its results."""
 
