--- a/fulmarseam/gateway/_fleet.py
+++ b/fulmarseam/gateway/_fleet.py
@@ -12,6 +12,25 @@
 from fulmarseam import telemetry
 from fulmarseam import wire
 
+# A target that can be reached again may have restarted. What it announces
+# about that arrives within one heartbeat of 1.5 s and a poll.
+RECOVERY_COLD_S = 2.0
+# Part of the retry bound that is used: requests and repeats of one window
+# arrive at the targets in another one after a delay.
+REPEAT_SHARE_USED = 0.8
+# Targets that share the requests for one object. With more of them an
+# overload spreads each object over all targets, which then keep none of
+# them and stay slow: the overload feeds itself.
+CHOICES_PER_OBJECT = 2
+# Load per slot that a target in the own region may have above that of one
+# in another region before a request for no known object goes there.
+REMOTE_COST = 0.4
+# Steps between 0 and 1 of the phase of an entry.
+PHASES = 1_000
+# Rankings kept; the least of what the busiest deployments have is some
+# hundred objects for each route.
+MAX_RANKINGS = 20_000
+
 _log = logbook.Logger('gateway')
 
 
@@ -306,26 +325,6 @@
         )
 
 
-# A target that can be reached again may have restarted. What it announces
-# about that arrives within one heartbeat of 1.5 s and a poll.
-RECOVERY_COLD_S = 2.0
-# Part of the retry bound that is used: requests and repeats of one window
-# arrive at the targets in another one after a delay.
-REPEAT_SHARE_USED = 0.8
-# Targets that share the requests for one object. With more of them an
-# overload spreads each object over all targets, which then keep none of
-# them and stay slow: the overload feeds itself.
-CHOICES_PER_OBJECT = 2
-# Load per slot that a target in the own region may have above that of one
-# in another region before a request for no known object goes there.
-REMOTE_COST = 0.4
-# Steps between 0 and 1 of the phase of an entry.
-PHASES = 1_000
-# Rankings kept; the least of what the busiest deployments have is some
-# hundred objects for each route.
-MAX_RANKINGS = 20_000
-
-
 def _keep_allowed(
     targets: list[steering.ObservedTarget], regions: list[ids.RegionName]
 ) -> list[steering.ObservedTarget]:
--- a/fulmarseam/steering/_observed.py
+++ b/fulmarseam/steering/_observed.py
@@ -34,6 +34,13 @@
 PATIENCE_SERVICE_TIMES = 6.0
 PATIENCE_MIN_S = 0.5
 PATIENCE_MIN_ANSWERS = 10
+# Part of an entry's share that is used; the rest covers requests whose
+# arrival a link delays into the next second.
+COLD_SHARE_USED = 0.8
+# Up to this share, in requests/s, an entry sends single requests, at this
+# part of the share: a second that holds one of them has used it up.
+SINGLE_SHARE = 1.5
+SINGLE_RATE = 0.5
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -183,19 +190,17 @@
         return (cold_per_s * self.factor + self.slack) / max(1, senders)
 
 
-# Part of an entry's share that is used; the rest covers requests whose
-# arrival a link delays into the next second.
-COLD_SHARE_USED = 0.8
-
-
 def refill(target: ObservedTarget, now: float, share: float) -> None:
     """Add the tokens of a cold target since the last call.
 
-    A burst of one and the rate add up to the share in any second.
+    The burst and the rate add up to the used share in any second. A share
+    that a burst of one would use up is spread by a lower rate instead.
     """
     used = share * COLD_SHARE_USED
     burst = min(1.0, used)
-    rate = used - burst if used > 1.5 else used * 0.5
+    rate = used - burst
+    if used <= SINGLE_SHARE:
+        rate = used * SINGLE_RATE
     elapsed = now - target.tokens_at
     target.tokens = min(burst, target.tokens + elapsed * rate)
     target.tokens_at = now
