--- a/fulmarseam/catalog/__init__.py
+++ b/fulmarseam/catalog/__init__.py
@@ -6,8 +6,6 @@
     result = machine.apply(catalog.encode_command(command))
 """
 
-from fulmarseam.catalog._beats import BeatBook
-from fulmarseam.catalog._beats import Silences
 from fulmarseam.catalog._commands import AnnounceTargets
 from fulmarseam.catalog._commands import Command
 from fulmarseam.catalog._commands import decode_result
@@ -17,13 +15,15 @@
 from fulmarseam.catalog._commands import LeaveTarget
 from fulmarseam.catalog._commands import PutItems
 from fulmarseam.catalog._commands import ReadRevision
+from fulmarseam.catalog._heartbeats import HeartbeatBook
+from fulmarseam.catalog._heartbeats import Silences
 from fulmarseam.catalog._machine import Catalog
 from fulmarseam.catalog._mirror import Mirror
 from fulmarseam.catalog._presence import Presence
 
 __all__ = [
     'AnnounceTargets',
-    'BeatBook',
+    'HeartbeatBook',
     'Catalog',
     'Command',
     'DropTargets',
--- a/fulmarseam/catalog/_beats.py
+++ b/fulmarseam/catalog/_heartbeats.py
@@ -10,7 +10,7 @@
 COLD_MARGIN_MS = 1_000.0
 
 
-class BeatBook:
+class HeartbeatBook:
     """Tells announcements that change something from mere renewals.
 
     Times are in seconds. `take_renewed` hands out the targets that have
--- a/fulmarseam/catalog/_machine.py
+++ b/fulmarseam/catalog/_machine.py
@@ -147,9 +147,9 @@
 
     # Differences
 
-    def list_news(
+    def list_changes(
         self, revision: int, removals_revision: int
-    ) -> wire.CatalogNews:
+    ) -> wire.CatalogChanges:
         """Return the next changes after `revision`, at most `MAX_ROWS`.
 
         `removals_revision` is up to where the entry knows the removals. One
@@ -160,7 +160,7 @@
         keys = self._list_changed(after)
         is_last = len(keys) <= MAX_ROWS
         keys = keys[:MAX_ROWS]
-        return wire.CatalogNews(
+        return wire.CatalogChanges(
             revision=self.revision if is_last else self._changes[keys[-1]],
             newest=self.revision,
             full=full,
--- a/fulmarseam/catalog/_mirror.py
+++ b/fulmarseam/catalog/_mirror.py
@@ -9,7 +9,7 @@
 
     `revision` only grows, so what is in force never becomes older while
     the process lives. `is_complete` is set once everything was taken over
-    that was agreed on when the first news were listed.
+    that was agreed on when the first changes were listed.
     """
 
     def __init__(self) -> None:
@@ -21,32 +21,32 @@
         self.limits: wire.LimitsItem | None = None
         self.targets: dict[ids.TargetId, wire.TargetRecord] = {}
         self.evacuated: frozenset[ids.DomainName] = frozenset()
-        # Targets that full news have not listed again so far.
+        # Targets that full changes have not listed again so far.
         self._unconfirmed: set[ids.TargetId] = set()
 
-    def apply(self, asked_revision: int, news: wire.CatalogNews) -> bool:
-        """Take over news that answer a poll; return whether any were new.
+    def apply(self, asked_revision: int, changes: wire.CatalogChanges) -> bool:
+        """Take over changes that answer a poll; return whether any were new.
 
         News count only if nothing else was applied since the poll was
         sent, and if the member that lists them is not behind.
         """
-        if asked_revision != self.revision or news.newest <= self.revision:
+        if asked_revision != self.revision or changes.newest <= self.revision:
             return False
-        if news.full:
+        if changes.full:
             # Nothing is dropped before the list is complete, as requests
             # for what it has still to name are served meanwhile.
             self._unconfirmed = set(self.targets)
-        for item in news.items:
+        for item in changes.items:
             self._put(item)
-        for record in news.targets:
+        for record in changes.targets:
             self.targets[record.target] = record
             self._unconfirmed.discard(record.target)
-        for target in news.removed_targets:
+        for target in changes.removed_targets:
             self.targets.pop(target, None)
-        self.evacuated = frozenset(news.evacuated)
-        self.removals_revision = news.newest
-        self.revision = news.revision
-        if news.revision == news.newest:
+        self.evacuated = frozenset(changes.evacuated)
+        self.removals_revision = changes.newest
+        self.revision = changes.revision
+        if changes.revision == changes.newest:
             self._finish()
         return True
 
--- a/fulmarseam/catalog/_targets.py
+++ b/fulmarseam/catalog/_targets.py
@@ -47,7 +47,7 @@
         """Return the incarnations that have ended, oldest first."""
         return list(self._ended.items())
 
-    def is_news(self, record: wire.TargetRecord) -> bool:
+    def is_newer(self, record: wire.TargetRecord) -> bool:
         """Return whether an announcement is newer than what is known.
 
         One from an incarnation that ended, that has an older place in the
@@ -76,7 +76,7 @@
         """Take over newer records; return the targets changed."""
         changed: Changes = []
         for record in records:
-            if not self.is_news(record):
+            if not self.is_newer(record):
                 continue
             holder = self._find_holder(record)
             if holder is not None:
--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -36,8 +36,8 @@
 RENEWAL_TIMEOUT_S = 0.4
 # A target is dropped after this many missed announcements and a margin for
 # one that is late.
-MISSED_BEATS = 3
-BEAT_MARGIN_S = 1.0
+MISSED_HEARTBEATS = 3
+HEARTBEAT_MARGIN_S = 1.0
 # Pause before a member whose disk refused a write opens it again. A full
 # disk stays so for seconds.
 DISK_PAUSE_S = 0.5
@@ -61,9 +61,9 @@
         self.catalog = catalog.Catalog()
         self.presence = catalog.Presence()
         self.metrics = telemetry.Metrics()
-        self._beats = catalog.BeatBook()
+        self._heartbeats = catalog.HeartbeatBook()
         self._silences = catalog.Silences(
-            MISSED_BEATS * options.heartbeat + BEAT_MARGIN_S
+            MISSED_HEARTBEATS * options.heartbeat + HEARTBEAT_MARGIN_S
         )
         self._clients = transport.RpcClients()
         self._member: consensus.Member | None = None
@@ -206,7 +206,7 @@
             )
         return await self._member.handle(message)
 
-    def _answer_poll(self, poll: wire.EntryPoll) -> wire.EntryNews:
+    def _answer_poll(self, poll: wire.EntryPoll) -> wire.EntryPollResponse:
         now = self._now()
         if self.presence.note(now, poll):
             _log.info(
@@ -217,15 +217,15 @@
                     incarnation=poll.incarnation,
                 )
             )
-        news = None
-        if poll.wants_news and poll.revision < self.catalog.revision:
-            news = self.catalog.list_news(
+        changes = None
+        if poll.wants_changes and poll.revision < self.catalog.revision:
+            changes = self.catalog.list_changes(
                 poll.revision, poll.removals_revision
             )
         members = self._member.status().members if self._member else ()
-        return wire.EntryNews(
+        return wire.EntryPollResponse(
             revision=self.catalog.revision,
-            news=news,
+            changes=changes,
             members=[info.address for info in members],
             entry_count=self.presence.count_senders(now),
         )
@@ -348,8 +348,8 @@
                 errors.ErrorKind.UNAVAILABLE, 'no leader is known'
             )
         known = self.catalog.targets.get(record.target)
-        is_news = self._beats.note(self._now(), known, record)
-        if not is_news or not self.catalog.targets.is_news(record):
+        is_change = self._heartbeats.note(self._now(), known, record)
+        if not is_change or not self.catalog.targets.is_newer(record):
             return
         await self.submit(catalog.AnnounceTargets(records=[record]))
         _log.info(
@@ -378,7 +378,7 @@
         """Tell the leader who is alive; as the leader, drop who is not."""
         while True:
             await asyncio.sleep(RENEWAL_INTERVAL_S)
-            renewed = self._beats.take_renewed()
+            renewed = self._heartbeats.take_renewed()
             status = self._member.status() if self._member else None
             self._clients.keep(
                 {info.address for info in status.members} if status else ()
--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -16,7 +16,7 @@
 from fulmarseam.gateway import _fleet
 from fulmarseam.gateway import _requests
 from fulmarseam.gateway import _routes
-from fulmarseam.gateway import _trails
+from fulmarseam.gateway import _summaries
 
 # Time kept back so that the answer reaches the caller before its deadline.
 ANSWER_MARGIN_S = 0.02
@@ -61,32 +61,36 @@
         """Handle one request; the handler of the callers' server."""
         now = self._loop.time()
         job = _requests.Job(request, caller, now, self._services.dialect)
-        trail = _trails.Trail()
+        summary = _summaries.RequestSummary()
         try:
-            await self._serve(job, trail)
+            await self._serve(job, summary)
         except errors.FulmarseamError as error:
-            trail.outcome = error.kind.value
-            trail.detail = error.detail
+            summary.outcome = error.kind.value
+            summary.detail = error.detail
             raise
         except http.CallerGoneError:
-            trail.outcome = errors.ErrorKind.CALLER_GONE.value
+            summary.outcome = errors.ErrorKind.CALLER_GONE.value
             raise
         finally:
-            self._record(job, trail)
+            self._record(job, summary)
 
-    def _record(self, job: _requests.Job, trail: _trails.Trail) -> None:
+    def _record(
+        self, job: _requests.Job, summary: _summaries.RequestSummary
+    ) -> None:
         """Count the request and write its line."""
         now = self._loop.time()
         services = self._services
         services.metrics.add(
-            'requests_total', route=trail.route, outcome=trail.outcome
+            'requests_total', route=summary.route, outcome=summary.outcome
         )
         services.metrics.record(
-            'request_seconds', now - job.arrived_at, outcome=trail.outcome
+            'request_seconds', now - job.arrived_at, outcome=summary.outcome
         )
-        trail.write(services.request_log, job, now, services.mirror.revision)
+        summary.write(services.request_log, job, now, services.mirror.revision)
 
-    async def _serve(self, job: _requests.Job, trail: _trails.Trail) -> None:
+    async def _serve(
+        self, job: _requests.Job, summary: _summaries.RequestSummary
+    ) -> None:
         """Answer a request, or raise why it cannot be."""
         services = self._services
         if not services.mirror.is_complete:
@@ -95,13 +99,13 @@
                 'the configuration is not known yet',
             )
         job.route = services.routes.match(job.host, job.path)
-        trail.route = job.route.name
+        summary.route = job.route.name
         self._set_deadline(job)
         pool_name = self._splitter.choose_pool(job.route)
-        trail.pool = pool_name
+        summary.pool = pool_name
         services.fleet.count_request(self._loop.time(), pool_name)
         await job.hold_body()
-        await self._attempt_all(job, pool_name, trail)
+        await self._attempt_all(job, pool_name, summary)
 
     def _set_deadline(self, job: _requests.Job) -> None:
         stated_ms = _requests.read_deadline_ms(
@@ -113,7 +117,10 @@
         job.deadline = job.arrived_at + time_ms / 1_000 - ANSWER_MARGIN_S
 
     async def _attempt_all(
-        self, job: _requests.Job, pool_name: ids.PoolName, trail: _trails.Trail
+        self,
+        job: _requests.Job,
+        pool_name: ids.PoolName,
+        summary: _summaries.RequestSummary,
     ) -> None:
         """Attempt a job until it is answered or may not be repeated.
 
@@ -121,7 +128,7 @@
         whatever ends a later attempt.
         """
         key = _requests.read_affinity(job.request, self._services.dialect)
-        trail.key = key or ''
+        summary.key = key or ''
         avoided: set[ids.TargetId] = set()
         may_have_run: errors.FulmarseamError | None = None
         while True:
@@ -131,11 +138,11 @@
             )
             if placed.target is None:
                 raise may_have_run or self._refuse(pool_name, avoided)
-            trail.targets.append(placed.target.target)
-            failure = await self._attempt(job, placed.target, trail)
+            summary.targets.append(placed.target.target)
+            failure = await self._attempt(job, placed.target, summary)
             if failure is None:
                 return
-            trail.targets[-1] += f':{failure.error.kind.value}'
+            summary.targets[-1] += f':{failure.error.kind.value}'
             if failure.error.answer.outcome is not errors.Outcome.NOT_RUN:
                 may_have_run = failure.error
             if not failure.same_target:
@@ -163,7 +170,7 @@
         self,
         job: _requests.Job,
         target: steering.ObservedTarget,
-        trail: _trails.Trail,
+        summary: _summaries.RequestSummary,
     ) -> _Failure | None:
         """Use a target; None when the caller has its answer."""
         services = self._services
@@ -187,14 +194,14 @@
                     ),
                     True,
                 )
-            trail.status = answer.response.status
-            trail.outcome = _trails.ANSWERED
+            summary.status = answer.response.status
+            summary.outcome = _summaries.ANSWERED
             await self._pass_on(job, exchange, answer)
             return None
         except _exchange.NotRunError as error:
             return self._judge_not_run(job, target, exchange, error)
         except http.TargetError as error:
-            return self._judge_failure(job, target, exchange, error, trail)
+            return self._judge_failure(job, target, exchange, error, summary)
         except errors.FulmarseamError as error:
             if exchange.progress is http.Progress.NOT_SENT:
                 raise
@@ -322,7 +329,7 @@
         target: steering.ObservedTarget,
         exchange: _exchange.Exchange,
         error: http.TargetError,
-        trail: _trails.Trail,
+        summary: _summaries.RequestSummary,
     ) -> _Failure:
         """Decide what follows an attempt without a usable answer."""
         if job.caller.response_started:
@@ -331,7 +338,7 @@
             ) from error
         fleet = self._services.fleet
         now = self._loop.time()
-        trail.outcome = ''
+        summary.outcome = ''
         is_late = now >= job.deadline
         if exchange.progress is http.Progress.NOT_SENT:
             fleet.eject(now, target)
--- a/fulmarseam/gateway/_poller.py
+++ b/fulmarseam/gateway/_poller.py
@@ -138,22 +138,22 @@
             finally:
                 self._fetching = False
 
-    async def _fetch(self, address: str) -> wire.EntryNews:
+    async def _fetch(self, address: str) -> wire.EntryPollResponse:
         """Take over the next changes that a member lists."""
         revision = self._mirror.revision
         was_complete = self._mirror.is_complete
         answer = await self._call(address, True, FETCH_TIMEOUT_S)
-        news = answer.news
-        if news is not None and self._mirror.apply(revision, news):
+        changes = answer.changes
+        if changes is not None and self._mirror.apply(revision, changes):
             _log.info(
                 telemetry.format_event(
                     'catalog_in_force',
-                    revision=news.revision,
-                    newest=news.newest,
+                    revision=changes.revision,
+                    newest=changes.newest,
                     source=address,
-                    items=len(news.items),
-                    targets=len(news.targets),
-                    removed_targets=len(news.removed_targets),
+                    items=len(changes.items),
+                    targets=len(changes.targets),
+                    removed_targets=len(changes.removed_targets),
                 )
             )
             self._on_change()
@@ -163,8 +163,8 @@
         return answer
 
     async def _call(
-        self, address: str, wants_news: bool, timeout_s: float
-    ) -> wire.EntryNews:
+        self, address: str, wants_changes: bool, timeout_s: float
+    ) -> wire.EntryPollResponse:
         """Poll a member; raises `errors.FulmarseamError`."""
         options = self._options
         answer = await self._clients.call(
@@ -176,13 +176,13 @@
                 failure_domain=options.failure_domain,
                 incarnation=self._incarnation,
                 state=self.find_state(),
-                wants_news=wants_news,
+                wants_changes=wants_changes,
                 revision=self._mirror.revision,
                 removals_revision=self._mirror.removals_revision,
             ),
             timeout_s,
         )
-        if not isinstance(answer, wire.EntryNews):
+        if not isinstance(answer, wire.EntryPollResponse):
             raise errors.FulmarseamError(
                 errors.ErrorKind.UNAVAILABLE,
                 getattr(answer, 'detail', type(answer).__name__),
--- a/fulmarseam/gateway/_trails.py
+++ b/fulmarseam/gateway/_summaries.py
@@ -7,7 +7,7 @@
 ANSWERED = errors.Outcome.ANSWERED.value
 
 
-class Trail:
+class RequestSummary:
     """What decided about one request and how it ended.
 
     `targets` names the targets in the order of the attempts, each with the
--- a/fulmarseam/platform/_calls.py
+++ b/fulmarseam/platform/_calls.py
@@ -114,7 +114,7 @@
             await self._member.leave(ids.TargetId(target), born_ms)
             return
         _require_method(method, 'PUT')
-        record = _targets.read_beat(target, body, self._options.domains)
+        record = _targets.read_heartbeat(target, body, self._options.domains)
         await self._member.announce(record)
 
     async def _handle_evacuation(self, method: str, domain: str) -> None:
--- a/fulmarseam/platform/_targets.py
+++ b/fulmarseam/platform/_targets.py
@@ -15,7 +15,7 @@
 _MIN_SLOTS = 1
 
 
-def read_beat(
+def read_heartbeat(
     target: str, body: bytes, domains: Mapping[ids.DomainName, ids.RegionName]
 ) -> wire.TargetRecord:
     """Return the record of an announcement.
--- a/fulmarseam/wire/__init__.py
+++ b/fulmarseam/wire/__init__.py
@@ -24,11 +24,11 @@
 from fulmarseam.wire._admin import TablesRequest
 from fulmarseam.wire._admin import TablesResponse
 from fulmarseam.wire._admin import TargetProgress
+from fulmarseam.wire._catalog import CatalogChanges
 from fulmarseam.wire._catalog import CatalogCommand
-from fulmarseam.wire._catalog import CatalogNews
 from fulmarseam.wire._catalog import CatalogResult
-from fulmarseam.wire._catalog import EntryNews
 from fulmarseam.wire._catalog import EntryPoll
+from fulmarseam.wire._catalog import EntryPollResponse
 from fulmarseam.wire._catalog import EntryState
 from fulmarseam.wire._catalog import Item
 from fulmarseam.wire._catalog import ItemKind
@@ -116,7 +116,7 @@
     'AppendResponse',
     'Block',
     'CatalogCommand',
-    'CatalogNews',
+    'CatalogChanges',
     'CatalogResult',
     'Change',
     'Drain',
@@ -126,7 +126,7 @@
     'Edit',
     'EditResult',
     'EntryInfo',
-    'EntryNews',
+    'EntryPollResponse',
     'EntryPoll',
     'EntryProgress',
     'EntryRow',
--- a/fulmarseam/wire/_catalog.py
+++ b/fulmarseam/wire/_catalog.py
@@ -179,7 +179,7 @@
     """An entry presents itself and may ask for what it does not hold.
 
     `incarnation` is the start of its process in milliseconds since the
-    epoch. With `wants_news` the answer lists what changed after
+    epoch. With `wants_changes` the answer lists what changed after
     `revision`; the entry knows of the removals up to `removals_revision`,
     which is -1 before its first answer.
     """
@@ -190,12 +190,12 @@
     failure_domain: ids.DomainName
     incarnation: int
     state: EntryState
-    wants_news: bool = False
+    wants_changes: bool = False
     revision: int = 0
     removals_revision: int = -1
 
 
-class CatalogNews(msgspec.Struct, frozen=True, kw_only=True):
+class CatalogChanges(msgspec.Struct, frozen=True, kw_only=True):
     """Changes of a catalog in the order in which they were made.
 
     They lead to `revision`; more follow when that is below `newest`. With
@@ -213,7 +213,9 @@
     evacuated: list[ids.DomainName] = []
 
 
-class EntryNews(msgspec.Struct, tag='entry_news', frozen=True, kw_only=True):
+class EntryPollResponse(
+    msgspec.Struct, tag='entry_poll_response', frozen=True, kw_only=True
+):
     """The answer to an `EntryPoll`.
 
     `members` are the addresses of the control members, and `entry_count`
@@ -221,11 +223,15 @@
     """
 
     revision: int
-    news: CatalogNews | None = None
+    changes: CatalogChanges | None = None
     members: list[str] = []
     entry_count: int = 0
 
 
 CatalogMessage = (
-    CatalogCommand | CatalogResult | TargetRenewal | EntryPoll | EntryNews
+    CatalogCommand
+    | CatalogResult
+    | TargetRenewal
+    | EntryPoll
+    | EntryPollResponse
 )
--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -145,13 +145,13 @@
     async def _handle(self, message: wire.Message) -> wire.Message:
         assert isinstance(message, wire.EntryPoll)
         self.polls.append(message)
-        news = None
-        if message.wants_news:
-            news = self.machine.list_news(
+        changes = None
+        if message.wants_changes:
+            changes = self.machine.list_changes(
                 message.revision, message.removals_revision
             )
-        return wire.EntryNews(
-            revision=self.machine.revision, news=news, entry_count=1
+        return wire.EntryPollResponse(
+            revision=self.machine.revision, changes=changes, entry_count=1
         )
 
     async def add_target(
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -146,8 +146,10 @@
         count = 0
         while True:
             asked = self.mirror.revision
-            news = machine.list_news(asked, self.mirror.removals_revision)
-            if not self.mirror.apply(asked, news):
+            changes = machine.list_changes(
+                asked, self.mirror.removals_revision
+            )
+            if not self.mirror.apply(asked, changes):
                 return count
             count += 1
 
@@ -156,11 +158,11 @@
         fixtures.announce(self.machine, 'b', address='x:2')
         fixtures.leave(self.machine, 'a')
         fixtures.evacuate(self.machine, 'ost-wien', True)
-        news = self.machine.list_news(
+        changes = self.machine.list_changes(
             self.mirror.revision, self.mirror.removals_revision
         )
-        self.assertFalse(news.full)
-        self.assertEqual((len(news.items), len(news.targets)), (0, 1))
+        self.assertFalse(changes.full)
+        self.assertEqual((len(changes.items), len(changes.targets)), (0, 1))
         self.assertEqual(self._sync(self.machine), 1)
         self.assertEqual(list(self.mirror.targets), ['b'])
         self.assertEqual(self.mirror.evacuated, {'ost-wien'})
@@ -182,11 +184,15 @@
         parts = 0
         while True:
             asked = self.mirror.revision
-            news = self.machine.list_news(asked, self.mirror.removals_revision)
-            message = wire.EntryNews(revision=news.newest, news=news)
+            changes = self.machine.list_changes(
+                asked, self.mirror.removals_revision
+            )
+            message = wire.EntryPollResponse(
+                revision=changes.newest, changes=changes
+            )
             self.assertLess(len(wire.encode(message)), 32 * 1024)
             self.assertEqual(self.mirror.is_complete, parts > 5)
-            if not self.mirror.apply(asked, news):
+            if not self.mirror.apply(asked, changes):
                 break
             parts += 1
         self.assertEqual(parts, 6)
@@ -197,8 +203,8 @@
             fixtures.announce(
                 self.machine, f't{number}', address=f'y:{number}'
             )
-        news = self.machine.list_news(0, -1)
-        self.mirror.apply(0, news)
+        changes = self.machine.list_changes(0, -1)
+        self.mirror.apply(0, changes)
         fixtures.leave(self.machine, 't3')
         fixtures.leave(self.machine, 't450')
         fixtures.announce(self.machine, 't4', address='y:4', sequence=9)
@@ -223,9 +229,11 @@
             )
         fixtures.leave(self.machine, 'a')
         asked = self.mirror.revision
-        news = self.machine.list_news(asked, self.mirror.removals_revision)
-        self.assertTrue(news.full)
-        self.mirror.apply(asked, news)
+        changes = self.machine.list_changes(
+            asked, self.mirror.removals_revision
+        )
+        self.assertTrue(changes.full)
+        self.mirror.apply(asked, changes)
         self.assertIn('katalog', self.mirror.pools)
         self._sync(self.machine)
         self.assertEqual(
@@ -242,10 +250,10 @@
         self.assertIn('r', self.mirror.routes)
 
     def test_news_for_another_revision_are_not_applied(self) -> None:
-        news = self.machine.list_news(0, -1)
+        changes = self.machine.list_changes(0, -1)
         self._sync(self.machine)
         fixtures.announce(self.machine, 'b', address='x:2')
-        self.assertFalse(self.mirror.apply(0, news))
+        self.assertFalse(self.mirror.apply(0, changes))
 
     def test_a_snapshot_holds_everything(self) -> None:
         fixtures.put(self.machine, fixtures.make_drop('gone', 4))
@@ -256,10 +264,10 @@
         self.assertEqual(restored.snapshot(), self.machine.snapshot())
         fixtures.announce(restored, 'a', born_ms=700, sequence=99)
         self.assertEqual(restored.targets.all(), [])
-        news = restored.list_news(
+        changes = restored.list_changes(
             self.mirror.revision, self.mirror.removals_revision
         )
-        self.assertFalse(news.full)
+        self.assertFalse(changes.full)
         self._sync(restored)
         self.assertEqual(self.mirror.targets, {})
 
@@ -268,7 +276,7 @@
     """Guards against a log entry for every announcement."""
 
     def test_only_changes_need_the_log(self) -> None:
-        book = catalog.BeatBook()
+        book = catalog.HeartbeatBook()
         record = fixtures.make_record('a', sequence=1)
         self.assertTrue(book.note(0.0, None, record))
         renewal = fixtures.make_record('a', sequence=2)
@@ -281,7 +289,7 @@
         self.assertTrue(book.note(3.0, record, draining))
 
     def test_a_target_that_turned_cold_again_is_news(self) -> None:
-        book = catalog.BeatBook()
+        book = catalog.HeartbeatBook()
         known = fixtures.make_record('a', cold_ms=3_000.0)
         book.note(0.0, None, known)
         warming = fixtures.make_record('a', sequence=2, cold_ms=1_500.0)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -126,7 +126,7 @@
             },
         }
         body = json.dumps({**beat, **fields}).encode()
-        return _targets.read_beat('i-1', body, self.DOMAINS)
+        return _targets.read_heartbeat('i-1', body, self.DOMAINS)
 
     def test_a_beat_becomes_a_record(self) -> None:
         record = self._read()
@@ -151,7 +151,7 @@
                 with self.assertRaises(_values.UnreadableError):
                     self._read(**fields)
         with self.assertRaises(_values.UnreadableError):
-            _targets.read_beat('i-1', b'\xff\x00', self.DOMAINS)
+            _targets.read_heartbeat('i-1', b'\xff\x00', self.DOMAINS)
 
     def test_the_incarnation_that_leaves_may_be_unnamed(self) -> None:
         self.assertEqual(_targets.read_leave(b''), 0)
