--- a/tests/control_fixtures.py
+++ b/tests/control_fixtures.py
@@ -2,22 +2,17 @@
 
 from collections.abc import Iterable
 import pathlib
-import socket
 
 from fulmarseam import ids
 from fulmarseam import settings
 from fulmarseam import wire
+from tests import _loopback
 
 
 def find_free_ports(count: int) -> list[int]:
     """Return loopback ports that are free at the moment."""
-    probes = [socket.socket() for _ in range(count)]
-    for probe in probes:
-        probe.bind(('127.0.0.1', 0))
-    ports = [probe.getsockname()[1] for probe in probes]
-    for probe in probes:
-        probe.close()
-    return ports
+    addresses = [_loopback.find_free_address() for _ in range(count)]
+    return [int(address.rpartition(':')[2]) for address in addresses]
 
 
 def make_group_settings(
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-import socket
 from typing import Self
 
 from fulmarseam import ids
@@ -12,15 +11,12 @@
 from fulmarseam import store
 from fulmarseam import transport
 from fulmarseam import wire
+from tests import _loopback
 
 POOL = ids.PoolName('katalog')
 
 
-def find_free_address() -> str:
-    """Return a loopback address that is free at the moment."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{probe.getsockname()[1]}'
+find_free_address = _loopback.find_free_address
 
 
 class FakeLeader:
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import socket
 import unittest
 from unittest import mock
 
@@ -11,13 +10,9 @@
 from fulmarseam import errors
 from fulmarseam import transport
 from fulmarseam import wire
+from tests import _loopback
 
-
-def find_free_address() -> str:
-    """Return a loopback address that is free at the moment."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{probe.getsockname()[1]}'
+find_free_address = _loopback.find_free_address
 
 
 class RpcTest(unittest.IsolatedAsyncioTestCase):
