--- a/fulmarseam/gateway/_poller.py
+++ b/fulmarseam/gateway/_poller.py
@@ -59,7 +59,6 @@
         self.is_draining = False
         self._fetching = False
         self.senders = 1
-        self.answered_at: float | None = None
 
     async def __aenter__(self) -> Self:
         await self._clients.__aenter__()
@@ -188,7 +187,6 @@
                 getattr(answer, 'detail', type(answer).__name__),
             )
         self._note_reached(address, None)
-        self.answered_at = time.monotonic()
         self.senders = max(1, answer.entry_count)
         if answer.members:
             self._follow(answer.members)
