Add a randomized fault soak of the real programs

Change: tests/soak runs 5 members, 4 entries, targets, callers and an operator under a seeded plan of signals, lost and torn directories, and links that are held, reset or delayed, and checks the promises from what callers and targets see. A member gets the setting advertise, so that a proxy can stand before it.

--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -154,7 +154,7 @@
             consensus.MemberSettings(
                 member_id=member_id,
                 region=options.region,
-                address=options.listen,
+                address=options.advertise or options.listen,
                 data_dir=options.data_dir,
                 members={},
                 election_min_s=ELECTION_MIN_S,
--- a/fulmarseam/settings/_catalog.py
+++ b/fulmarseam/settings/_catalog.py
@@ -22,10 +22,11 @@
     """Settings of a control member of a catalog group.
 
     `listen` is for the other processes, `api` for operators and targets,
-    `lookups` for callers. `seeds` are the `api` addresses of some members,
-    whose `listen` address has the port `peer_port`. `first_start` is set
-    when the whole system starts for the first time. `domains` maps failure
-    domains to regions.
+    `lookups` for callers. Other processes call `advertise` where it differs
+    from `listen`, as behind a proxy. `seeds` are the `api` addresses of some
+    members, whom other processes call at the port `peer_port`. `first_start`
+    is set when the whole system starts for the first time. `domains` maps
+    failure domains to regions.
     """
 
     host: ids.HostId = _option(_options.identifier())
@@ -40,6 +41,9 @@
     lookups: str = _option(_options.address())
     seeds: list[str] = _option(_options.list_of(_options.address(), 0))
     peer_port: int = _option(_options.integer(1, 65_535))
+    advertise: str | None = _option(
+        _options.optional(_options.address()), None
+    )
     first_start: bool = _option(_options.boolean(), False)
     tolerated_hosts: int = _option(_options.integer(0, 20), 2)
     heartbeat: float = _option(_options.duration(0.01, 60.0), 1.5)
--- /dev/null
+++ b/tests/soak/_operator.py
@@ -0,0 +1,150 @@
+"""The operator of the soak: it moves a route and evacuates a domain."""
+
+import asyncio
+import json
+import random
+import time
+from typing import Any
+
+from tests.soak import _callers
+from tests.soak import _calls
+from tests.soak import _record
+from tests.soak import _system
+from tests.soak import _targets
+
+MOVE_GAP_S = (0.3, 2.5)
+FIRST_VERSION = 7
+# An order is sent again to another member until it is acknowledged.
+ORDER_TIMEOUT_S = 30.0
+EVACUATED = 'z2'
+EVACUATE_AT_S = 4.0
+EVACUATE_FOR_S = 8.0
+
+
+def make_route(name: str, path: str, pool: str, version: int) -> Any:
+    """Return a route in the platform's form."""
+    is_write = path == _callers.WRITE_PATH
+    return {
+        'name': name,
+        'pathPrefix': path,
+        'type': 'non_idempotent' if is_write else 'idempotent',
+        'timeout': '1500ms',
+        'targetLatency': '300ms',
+        'priority': 0 if is_write else 2,
+        'service': pool,
+        'maxAttempts': 2,
+        'sessionAffinity': True,
+        'allowedRegions': [],
+        'version': version,
+    }
+
+
+def find_pool(version: int) -> str:
+    """Return the pool to which a version moves the route."""
+    return _targets.POOLS[version % len(_targets.POOLS)]
+
+
+class Operator:
+    """Sends orders to any member until they are acknowledged."""
+
+    def __init__(self, system: _system.System, record: _record.Record) -> None:
+        self._system = system
+        self._record = record
+
+    async def set_up(self) -> None:
+        """Send the first configuration."""
+        services = [
+            {
+                'name': pool,
+                'healthPath': '/health',
+                'maxConns': 200,
+                'warmup': '1s',
+                'warmupPerS': 20.0,
+                'version': FIRST_VERSION,
+            }
+            for pool in _targets.POOLS
+        ]
+        routes = [
+            make_route('read', _callers.READ_PATH, 'alpha', FIRST_VERSION),
+            make_route('write', _callers.WRITE_PATH, 'beta', FIRST_VERSION),
+            self._move(FIRST_VERSION),
+        ]
+        limits = {
+            'maxHeaderBytes': 16_384,
+            'maxBodyBytes': 1_000_000,
+            'headerTimeout': '3000ms',
+            'idleTimeout': '15000ms',
+            'version': FIRST_VERSION,
+        }
+        upsert = {
+            'services': services,
+            'limits': limits,
+            'hosts': [{'host': _callers.HOST, 'paths': routes}],
+        }
+        await self._order('PATCH', '/api/config', {'upsert': upsert})
+        self._record.acknowledged[FIRST_VERSION] = time.monotonic()
+
+    def _move(self, version: int) -> Any:
+        pool = find_pool(version)
+        self._record.moves.append(
+            _record.Move(version, pool, time.monotonic())
+        )
+        return make_route('move', _callers.MOVE_PATH, pool, version)
+
+    async def move_often(self) -> None:
+        """Move the route to the next pool again and again."""
+        version = FIRST_VERSION
+        while True:
+            await asyncio.sleep(random.uniform(*MOVE_GAP_S))
+            version += random.randint(1, 2)
+            paths = [self._move(version)]
+            upsert = {'hosts': [{'host': _callers.HOST, 'paths': paths}]}
+            if await self._order('PATCH', '/api/config', {'upsert': upsert}):
+                self._record.acknowledged[version] = time.monotonic()
+
+    async def evacuate(self) -> None:
+        """Evacuate a failure domain and take it back."""
+        await asyncio.sleep(EVACUATE_AT_S)
+        path = f'/api/evacuate/{EVACUATED}'
+        if not await self._order('POST', path):
+            return
+        started = time.monotonic()
+        await asyncio.sleep(EVACUATE_FOR_S)
+        self._record.evacuations.append((EVACUATED, started, time.monotonic()))
+        await self._order('DELETE', path)
+
+    async def _order(self, method: str, path: str, body: Any = None) -> bool:
+        """Send an order until it is acknowledged; return whether it was."""
+        data = b'' if body is None else json.dumps(body).encode()
+        deadline = time.monotonic() + ORDER_TIMEOUT_S
+        while time.monotonic() < deadline:
+            api = random.choice(self._system.list_apis())
+            reply = await _calls.call(api, method, path, data)
+            if reply is not None and reply.status == 200:
+                return True
+            if reply is not None and reply.status in (400, 409, 422):
+                self._record.find(
+                    f'{method} {path} was refused: {reply.body!r}'
+                )
+                return False
+            await asyncio.sleep(0.1)
+        self._record.find(
+            f'{method} {path}: no acknowledgement in {ORDER_TIMEOUT_S} s'
+        )
+        return False
+
+    async def read_back(self) -> None:
+        """Record the routes in force, by name."""
+        deadline = time.monotonic() + ORDER_TIMEOUT_S
+        while time.monotonic() < deadline:
+            api = random.choice(self._system.list_apis())
+            reply = await _calls.call(api, 'GET', '/api/config')
+            if reply is not None and reply.status == 200:
+                answer = json.loads(reply.body)
+                self._record.read_back = {
+                    route['name']: route
+                    for host in answer['hosts']
+                    for route in host['paths']
+                }
+                return
+            await asyncio.sleep(0.1)
--- /dev/null
+++ b/tests/soak/_plan.py
@@ -0,0 +1,123 @@
+"""The faults of one soak, drawn from a seed."""
+
+import enum
+import random
+from typing import NamedTuple
+
+MEMBERS = 5
+ENTRIES = 4
+TARGETS = 9
+TOLERATED_MEMBERS = 2
+# A member counts again this long after its return; see the design of the
+# repair of the group.
+CATCH_UP_S = 4.0
+MEAN_GAP_S = 0.8
+FIRST_AT_S = 1.0
+
+
+class FaultKind(enum.Enum):
+    """What happens to a subject."""
+
+    PAUSE = 'pause'
+    KILL = 'kill'
+    STOP = 'stop'
+    WIPE = 'wipe'
+    TEAR = 'tear'
+    KILL_ALL = 'kill-all'
+    HOLD = 'hold'
+    HOLD_THERE = 'hold-there'
+    HOLD_BACK = 'hold-back'
+    RESET = 'reset'
+    DELAY = 'delay'
+    LEAVE = 'leave'
+    REPLACE = 'replace'
+    SLOW = 'slow'
+    SHED = 'shed'
+
+
+class Fault(NamedTuple):
+    """One fault; times in seconds from the start of the traffic."""
+
+    at_s: float
+    kind: FaultKind
+    subject: str
+    for_s: float
+
+
+_LINK_KINDS = (
+    FaultKind.HOLD,
+    FaultKind.HOLD_THERE,
+    FaultKind.HOLD_BACK,
+    FaultKind.RESET,
+    FaultKind.DELAY,
+)
+_MEMBER_KINDS = (
+    FaultKind.PAUSE,
+    FaultKind.KILL,
+    FaultKind.STOP,
+    FaultKind.WIPE,
+    FaultKind.TEAR,
+    *_LINK_KINDS,
+)
+_ENTRY_KINDS = (FaultKind.PAUSE, FaultKind.KILL, FaultKind.STOP)
+_TARGET_KINDS = (
+    FaultKind.KILL,
+    FaultKind.LEAVE,
+    FaultKind.REPLACE,
+    FaultKind.SLOW,
+    FaultKind.SHED,
+    *_LINK_KINDS,
+)
+
+
+def draw_plan(seed: int, length_s: float) -> list[Fault]:
+    """Return the faults of a seed, which come in series and overlap.
+
+    Of the members no more are lost at a time than the group bears, except
+    that all of them may be killed at the same moment and start again.
+    """
+    rng = random.Random(seed)
+    faults: list[Fault] = []
+    lost_until: dict[str, float] = {}
+    at_s = FIRST_AT_S
+    while at_s < length_s:
+        fault = _draw_fault(rng, at_s)
+        at_s += rng.expovariate(1.0 / MEAN_GAP_S)
+        if fault.subject.startswith('core'):
+            if not _bear(fault, lost_until):
+                continue
+        faults.append(fault)
+    return faults
+
+
+def _draw_fault(rng: random.Random, at_s: float) -> Fault:
+    for_s = rng.choice((0.2, 0.8, 2.0, 4.0))
+    group = rng.random()
+    if group < 0.03:
+        return Fault(at_s, FaultKind.KILL_ALL, 'core', for_s=0.3)
+    if group < 0.4:
+        number = rng.randint(1, MEMBERS)
+        kind = rng.choice(_MEMBER_KINDS)
+        return Fault(at_s, kind, f'core-{number}', for_s)
+    if group < 0.6:
+        number = rng.randint(1, ENTRIES)
+        return Fault(at_s, rng.choice(_ENTRY_KINDS), f'edge-{number}', for_s)
+    number = rng.randint(1, TARGETS)
+    return Fault(at_s, rng.choice(_TARGET_KINDS), f'target-{number}', for_s)
+
+
+def _bear(fault: Fault, lost_until: dict[str, float]) -> bool:
+    """Return whether the group bears a fault now, and note it if so."""
+    lost = {name for name, until in lost_until.items() if until > fault.at_s}
+    if fault.kind is FaultKind.KILL_ALL:
+        if lost:
+            return False
+        names = [f'core-{number}' for number in range(1, MEMBERS + 1)]
+    else:
+        # One fault at a time for each member keeps their ends in order.
+        if fault.subject in lost or len(lost) >= TOLERATED_MEMBERS:
+            return False
+        names = [fault.subject]
+    for name in names:
+        lost_until[name] = fault.at_s + fault.for_s + CATCH_UP_S + 1.0
+    return True
--- /dev/null
+++ b/tests/soak/_soak.py
@@ -0,0 +1,96 @@
+"""One soak: the system, its traffic and the faults of a seed."""
+
+import asyncio
+import pathlib
+import random
+import time
+
+from tests.soak import _callers
+from tests.soak import _checks
+from tests.soak import _operator
+from tests.soak import _plan
+from tests.soak import _record
+from tests.soak import _system
+from tests.soak import _targets
+
+CALLERS = 12
+# The last seconds, in which what has recovered is measured.
+MEASURED_S = 3.0
+
+
+def play_seed(seed: int, faults_s: float, logs: str) -> list[str]:
+    """Play one seed in a process of its own."""
+    directory = pathlib.Path(logs) / f'{seed}-{time.time_ns()}'
+    directory.mkdir(parents=True)
+    return asyncio.run(run_soak(seed, faults_s, directory))
+
+
+async def run_soak(
+    seed: int, faults_s: float, directory: pathlib.Path
+) -> list[str]:
+    """Play the faults of a seed and return a line for each broken promise.
+
+    The logs of the processes stay in `directory`.
+    """
+    random.seed(seed)
+    record = _record.Record()
+    system = _system.System(directory, record)
+    hosts = [
+        _targets.TargetHost(number, system, record)
+        for number in range(1, _plan.TARGETS + 1)
+    ]
+    async with system:
+        for host in hosts:
+            await host.start()
+        operator = _operator.Operator(system, record)
+        await operator.set_up()
+        await system.wait_until_ready()
+        callers = [
+            _callers.Caller(number, system, record)
+            for number in range(CALLERS)
+        ]
+        asking = asyncio.gather(*(caller.run() for caller in callers))
+        background = [
+            asyncio.create_task(work)
+            for work in (
+                operator.move_often(),
+                operator.evacuate(),
+                system.watch(),
+            )
+        ]
+        try:
+            await _play(_plan.draw_plan(seed, faults_s), system, hosts)
+            record.faults_ended_at = time.monotonic()
+            await asyncio.sleep(_checks.RECOVERY_S + MEASURED_S)
+        finally:
+            for caller in callers:
+                caller.is_stopping = True
+            await asking
+            for task in background:
+                task.cancel()
+            results = await asyncio.gather(*background, return_exceptions=True)
+        await operator.read_back()
+        for host in hosts:
+            await host.crash()
+    for result in results:
+        if isinstance(result, Exception):
+            raise result
+    return _checks.check_record(record)
+
+
+async def _play(
+    plan: list[_plan.Fault],
+    system: _system.System,
+    hosts: list[_targets.TargetHost],
+) -> None:
+    """Carry out all faults at their times; return when all have ended."""
+    by_name = {host.name: host for host in hosts}
+    start = time.monotonic()
+    async with asyncio.TaskGroup() as group:
+        for fault in plan:
+            await asyncio.sleep(
+                max(0.0, start + fault.at_s - time.monotonic())
+            )
+            host = by_name.get(fault.subject)
+            work = host.apply(fault) if host else system.apply(fault)
+            group.create_task(work)
--- /dev/null
+++ b/tests/soak/_system.py
@@ -0,0 +1,357 @@
+"""The processes of one soak and the proxies before them."""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import shutil
+import signal
+import sys
+import time
+from typing import Any
+from typing import Self
+
+import msgspec
+import yaml
+
+from fulmarseam import settings
+from fulmarseam import standin
+from fulmarseam.standin import _proxy
+from tests import fakes
+from tests.soak import _calls
+from tests.soak import _plan
+from tests.soak import _record
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+DOMAINS = {'z1': 'north', 'z2': 'north', 'z3': 'south'}
+# Bounds of the deployment that the soak plays.
+GRACE_S = 6.0
+HEARTBEAT_S = 1.0
+RESTART_DELAY_S = 0.2
+# The log of a member; a torn write leaves a part of a frame at its end.
+LOG_NAME = 'log'
+TORN_BYTES = 11
+# The start of an interpreter beside other soaks.
+START_S = 8.0
+
+
+def find_domain(number: int) -> str:
+    """Return the failure domain of the process or target of a number."""
+    return list(DOMAINS)[number % len(DOMAINS)]
+
+
+def _write_s(value: float) -> str:
+    return f'{value}s'
+
+
+class Process:
+    """One program of the system, started again when it ends."""
+
+    def __init__(
+        self, name: str, role: str, directory: pathlib.Path, options: Any
+    ) -> None:
+        self.name = name
+        self.options = options
+        self._role = role
+        self._path = directory / f'{name}.yaml'
+        self._log = directory / f'{name}.log'
+        self._log_start = 0
+        self._process: asyncio.subprocess.Process | None = None
+        # Held while a fault keeps the process down.
+        self.control = asyncio.Lock()
+
+    async def start(self) -> None:
+        """Start the program with its present settings."""
+        self._path.write_text(yaml.safe_dump(self.options), encoding='utf-8')
+        with self._log.open('ab') as log:
+            self._log_start = log.tell()
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'fulmarseam.platform',
+                self._role,
+                cwd=ROOT,
+                env={**os.environ, 'FULMARSEAM_BOOT': str(self._path)},
+                stdout=log,
+                stderr=log,
+            )
+        # The whole system starts for the first time only once.
+        self.options.pop('first_start', None)
+
+    @property
+    def runs(self) -> bool:
+        """Return whether the process has not ended."""
+        return self._process is not None and self._process.returncode is None
+
+    def has_started(self) -> bool:
+        """Return whether the program has said so since its last start."""
+        with self._log.open('rb') as log:
+            log.seek(self._log_start)
+            return b'event=started' in log.read()
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal, unless the process has ended."""
+        if self._process is not None and self.runs:
+            self._process.send_signal(number)
+
+    async def kill(self) -> None:
+        """End the process at once."""
+        self.send(signal.SIGKILL)
+        if self._process is not None:
+            await self._process.wait()
+
+    async def stop(self, timeout_s: float) -> int | None:
+        """Ask the process to end; return its code, or None when killed."""
+        assert self._process is not None
+        self.send(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._process.wait()
+        except TimeoutError:
+            await self.kill()
+            return None
+
+
+class System:
+    """Members, entries and proxies; a context manager."""
+
+    def __init__(
+        self, directory: pathlib.Path, record: _record.Record
+    ) -> None:
+        self._directory = directory
+        self._record = record
+        ports = [
+            int(fakes.find_free_address().rpartition(':')[2]) for _ in range(5)
+        ]
+        self.peer_port, self.api_port, self.lookup_port = ports[:3]
+        self._entry_port, self._ready_port = ports[3:]
+        self.proxy_control = fakes.find_free_address()
+        self.processes: dict[str, Process] = {}
+        self._forwards: list[settings.Forward] = []
+        self._stack = contextlib.AsyncExitStack()
+        for number in range(1, _plan.MEMBERS + 1):
+            self._add_member(number)
+        for number in range(1, _plan.ENTRIES + 1):
+            self._add_entry(number)
+
+    def _seeds(self) -> list[str]:
+        return [f'127.0.20.{number}:{self.api_port}' for number in (1, 2, 3)]
+
+    def _add_member(self, number: int) -> None:
+        name = f'core-{number}'
+        real = f'127.0.21.{number}'
+        seen = f'127.0.20.{number}'
+        self.add_link(
+            name, f'{seen}:{self.peer_port}', f'{real}:{self.peer_port}'
+        )
+        self._add_process(
+            name,
+            'control',
+            number,
+            listen=f'{real}:{self.peer_port}',
+            advertise=f'{seen}:{self.peer_port}',
+            api=f'{real}:{self.api_port}',
+            lookups=f'{real}:{self.lookup_port}',
+            data_dir=str(self._directory / f'{name}.data'),
+            first_start=True,
+            heartbeat=_write_s(HEARTBEAT_S),
+            tolerated_hosts=_plan.TOLERATED_MEMBERS,
+        )
+
+    def _add_entry(self, number: int) -> None:
+        host = f'127.0.22.{number}'
+        self._add_process(
+            f'edge-{number}',
+            'entry',
+            number,
+            listen=f'{host}:{self._entry_port}',
+            readiness=f'{host}:{self._ready_port}',
+            grace=_write_s(GRACE_S),
+            retry_slack=40.0,
+        )
+
+    def _add_process(
+        self, name: str, role: str, number: int, **options: Any
+    ) -> None:
+        domain = find_domain(number)
+        self.processes[name] = Process(
+            name,
+            role,
+            self._directory,
+            {
+                'host': name,
+                'region': DOMAINS[domain],
+                'failure_domain': domain,
+                'domains': DOMAINS,
+                'seeds': self._seeds(),
+                'peer_port': self.peer_port,
+                **options,
+            },
+        )
+
+    def add_link(self, name: str, listen: str, to: str) -> None:
+        """Put a proxy before an address; called before the start."""
+        self._forwards.append(
+            settings.Forward(name=name, listen=listen, to=to)
+        )
+
+    def list_apis(self) -> list[str]:
+        """Return the addresses for operators and targets."""
+        return [
+            f'127.0.21.{number}:{self.api_port}'
+            for number in range(1, _plan.MEMBERS + 1)
+        ]
+
+    def list_lookups(self) -> list[str]:
+        """Return the addresses for callers."""
+        return [
+            f'127.0.21.{number}:{self.lookup_port}'
+            for number in range(1, _plan.MEMBERS + 1)
+        ]
+
+    def find_entry(self, address: str) -> str:
+        """Return the name of the entry that listens on an address."""
+        return f'edge-{address.partition(":")[0].rpartition(".")[2]}'
+
+    # Life
+
+    async def __aenter__(self) -> Self:
+        await self._stack.enter_async_context(
+            _proxy.FaultProxy(
+                settings.FaultProxySettings(
+                    control=self.proxy_control, forwards=self._forwards
+                )
+            )
+        )
+        self._stack.push_async_callback(self._end_all)
+        for process in self.processes.values():
+            await process.start()
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self._stack.aclose()
+
+    async def _end_all(self) -> None:
+        for process in self.processes.values():
+            await process.kill()
+
+    async def watch(self) -> None:
+        """Report and start again what ends although nobody ended it."""
+        while True:
+            await asyncio.sleep(0.1)
+            for process in self.processes.values():
+                if process.control.locked() or process.runs:
+                    continue
+                self._record.find(f'{process.name} ended by itself')
+                await process.start()
+
+    # Faults
+
+    async def shape_link(self, name: str, **fields: Any) -> None:
+        """Change a link; see `standin.ProxyCommand`."""
+        command = standin.ProxyCommand(links=[name], **fields)
+        await _calls.call(
+            self.proxy_control, 'POST', '/', msgspec.json.encode(command), 5.0
+        )
+
+    async def apply(self, fault: _plan.Fault) -> None:
+        """Carry out a fault of a process until it has ended."""
+        if fault.kind is _plan.FaultKind.KILL_ALL:
+            names = [name for name in self.processes if 'core' in name]
+            await asyncio.gather(
+                *(
+                    self.apply(
+                        fault._replace(kind=_plan.FaultKind.KILL, subject=name)
+                    )
+                    for name in names
+                )
+            )
+            return
+        process = self.processes[fault.subject]
+        async with process.control:
+            started = time.monotonic()
+            await self._harm(process, fault)
+            self._record.disturbances.append(
+                _record.Disturbance(
+                    fault.subject,
+                    fault.kind.value,
+                    started,
+                    time.monotonic(),
+                    is_planned=fault.kind is _plan.FaultKind.STOP,
+                )
+            )
+
+    async def _harm(self, process: Process, fault: _plan.Fault) -> None:
+        match fault.kind:
+            case _plan.FaultKind.PAUSE:
+                process.send(signal.SIGSTOP)
+                await asyncio.sleep(fault.for_s)
+                process.send(signal.SIGCONT)
+            case _plan.FaultKind.STOP:
+                # A program that still starts ends at once by the signal.
+                expected = 0 if process.has_started() else -signal.SIGTERM
+                code = await process.stop(GRACE_S)
+                if code not in (0, expected):
+                    self._record.find(
+                        f'{process.name} ended with {code} after SIGTERM, '
+                        f'expected 0 within {GRACE_S} s'
+                    )
+                await asyncio.sleep(RESTART_DELAY_S)
+                await process.start()
+            case (
+                _plan.FaultKind.KILL
+                | _plan.FaultKind.WIPE
+                | _plan.FaultKind.TEAR
+            ):
+                await process.kill()
+                self._harm_disk(process, fault.kind)
+                await asyncio.sleep(fault.for_s)
+                await process.start()
+            case _:
+                await self.harm_link(fault)
+
+    def _harm_disk(self, process: Process, kind: _plan.FaultKind) -> None:
+        directory = pathlib.Path(process.options.get('data_dir', ''))
+        if kind is _plan.FaultKind.WIPE:
+            shutil.rmtree(directory, ignore_errors=True)
+        log = directory / LOG_NAME
+        if kind is _plan.FaultKind.TEAR and log.exists():
+            with open(log, 'ab') as file:
+                file.write(os.urandom(TORN_BYTES))
+
+    async def harm_link(self, fault: _plan.Fault) -> None:
+        """Hold, reset or delay the link of a subject, then heal it."""
+        name = fault.subject
+        directions = {
+            _plan.FaultKind.HOLD: standin.Direction.BOTH,
+            _plan.FaultKind.HOLD_THERE: standin.Direction.THERE,
+            _plan.FaultKind.HOLD_BACK: standin.Direction.BACK,
+        }
+        if fault.kind is _plan.FaultKind.RESET:
+            await self.shape_link(name, action=standin.Action.CUT)
+            await asyncio.sleep(fault.for_s)
+            await self.shape_link(name, action=standin.Action.HEAL_RESET)
+        elif fault.kind is _plan.FaultKind.DELAY:
+            shape = standin.Action.SHAPE
+            await self.shape_link(name, action=shape, delay_ms=150.0)
+            await asyncio.sleep(fault.for_s)
+            await self.shape_link(name, action=shape, delay_ms=0.0)
+        else:
+            direction = directions[fault.kind]
+            await self.shape_link(
+                name, action=standin.Action.HOLD, direction=direction
+            )
+            await asyncio.sleep(fault.for_s)
+            # Late bytes of a partition that heals are delivered.
+            await self.shape_link(name, action=standin.Action.HEAL_LATE)
+
+    async def wait_until_ready(self) -> None:
+        """Wait until every entry says that it is ready."""
+        async with asyncio.timeout(START_S):
+            for number in range(1, _plan.ENTRIES + 1):
+                address = f'127.0.22.{number}:{self._ready_port}'
+                while True:
+                    reply = await _calls.call(address, 'GET', '/api/ready')
+                    if reply is not None and reply.status == 200:
+                        break
+                    await asyncio.sleep(0.1)
--- /dev/null
+++ b/tests/soak/_targets.py
@@ -0,0 +1,222 @@
+"""Targets of the soak: they announce themselves and run requests."""
+
+import asyncio
+import json
+import random
+import time
+
+from fulmarseam.standin import _server
+from tests import fakes
+from tests.soak import _calls
+from tests.soak import _plan
+from tests.soak import _record
+from tests.soak import _system
+
+POOLS = ('alpha', 'beta', 'gamma')
+SLOTS = 4
+QUEUE = 8
+WORK_S = (0.02, 0.12)
+SLOW_FACTOR = 8.0
+# A target goes on serving this long after its leave was acknowledged.
+LEAVE_S = 4.0
+# An address is used again by a target of another pool after this time.
+ADDRESS_REUSE_S = 2.0
+
+
+class _Incarnation:
+    """One start of a target; a context manager listens and runs."""
+
+    def __init__(
+        self, target: str, pool: str, domain: str, record: _record.Record
+    ) -> None:
+        self.target = target
+        self.pool = pool
+        self.domain = domain
+        self.born_ms = int(time.time() * 1_000)
+        self.sequence = 0
+        self.state = 'ready'
+        self.slowdown = 1.0
+        self.sheds = False
+        self._record = record
+        self._slots = asyncio.Semaphore(SLOTS)
+        self._present = 0
+
+    async def handle(
+        self, request: _server.ServerRequest
+    ) -> _server.ServerResponse:
+        """Run a request, or say that it was not run."""
+        headers = {
+            'X-Request-Id': request.headers.get('x-request-id', ''),
+            'X-Server-Load': f'{min(self._present, SLOTS)},'
+            f'{max(0, self._present - SLOTS)},{SLOTS}',
+        }
+        if request.headers.get('x-expect-instance') != self.target:
+            return _server.ServerResponse(421, {**headers}, b'')
+        if self.sheds or self._present >= SLOTS + QUEUE:
+            return _server.ServerResponse(
+                503, {**headers, 'X-Not-Executed': '1'}, b''
+            )
+        self._present += 1
+        try:
+            async with self._slots:
+                return await self._run(request, headers)
+        finally:
+            self._present -= 1
+
+    async def _run(
+        self, request: _server.ServerRequest, headers: dict[str, str]
+    ) -> _server.ServerResponse:
+        name = request.headers.get('x-request-id', '')
+        self._record.runs.append(
+            _record.Run(
+                name, self.target, self.pool, self.domain, time.monotonic()
+            )
+        )
+        await asyncio.sleep(random.uniform(*WORK_S) * self.slowdown)
+        headers['X-Server-Stamp'] = f'{self.target}|{self.pool}|{name}'
+        return _server.ServerResponse(200, headers, sign(name, request.body))
+
+
+def sign(request: str, body: bytes) -> bytes:
+    """Return the body of the answer to a request."""
+    return f'{request}:{len(body)}:'.encode() + request.encode() * 20
+
+
+class TargetHost:
+    """A place for targets, one incarnation after the other."""
+
+    def __init__(
+        self,
+        number: int,
+        system: _system.System,
+        record: _record.Record,
+    ) -> None:
+        self.name = f'target-{number}'
+        self._number = number
+        self._system = system
+        self._record = record
+        self._real = fakes.find_free_address()
+        self._seen = fakes.find_free_address()
+        self._pool = POOLS[number % len(POOLS)]
+        self._starts = 0
+        self._current: _Incarnation | None = None
+        self._server: _server.Server | None = None
+        self._announcing: asyncio.Task[None] | None = None
+        self.control = asyncio.Lock()
+        system.add_link(self.name, self._seen, self._real)
+
+    async def start(self) -> None:
+        """Start a new incarnation with an id of its own."""
+        self._starts += 1
+        self._current = _Incarnation(
+            f'{self.name}-{self._starts}',
+            self._pool,
+            _system.find_domain(self._number),
+            self._record,
+        )
+        self._server = _server.Server(self._real, self._current.handle)
+        await self._server.__aenter__()
+        self._announcing = asyncio.create_task(self._announce_often())
+
+    async def crash(self) -> None:
+        """End without a word; all connections break."""
+        if self._announcing is not None:
+            self._announcing.cancel()
+        if self._server is not None:
+            await self._server.__aexit__()
+
+    async def _announce_often(self) -> None:
+        while True:
+            await self._announce()
+            await asyncio.sleep(_system.HEARTBEAT_S)
+
+    async def _announce(self) -> bool:
+        """Announce the present state; return whether that was taken."""
+        current = self._current
+        assert current is not None
+        current.sequence += 1
+        body = {
+            'address': self._seen,
+            'born': current.born_ms,
+            'info': {
+                'service': current.pool,
+                'version': 'v1',
+                'zone': current.domain,
+                'slots': SLOTS,
+            },
+            'status': {
+                'state': current.state,
+                'sequence': current.sequence,
+                'warmupLeft': '0ms',
+            },
+        }
+        return await self._send('PUT', json.dumps(body).encode())
+
+    async def _send(self, method: str, body: bytes) -> bool:
+        current = self._current
+        assert current is not None
+        path = f'/api/instances/{current.target}'
+        apis = self._system.list_apis()
+        for api in random.sample(apis, len(apis)):
+            reply = await _calls.call(api, method, path, body)
+            if reply is not None and reply.status < 300:
+                return True
+        return False
+
+    # Faults
+
+    async def apply(self, fault: _plan.Fault) -> None:
+        """Carry out a fault until it has ended."""
+        async with self.control:
+            started = time.monotonic()
+            await self._harm(fault)
+            self._record.disturbances.append(
+                _record.Disturbance(
+                    self.name,
+                    fault.kind.value,
+                    started,
+                    time.monotonic(),
+                    is_planned=fault.kind is _plan.FaultKind.LEAVE,
+                )
+            )
+
+    async def _harm(self, fault: _plan.Fault) -> None:
+        current = self._current
+        assert current is not None
+        match fault.kind:
+            case _plan.FaultKind.KILL:
+                await self.crash()
+                await asyncio.sleep(fault.for_s)
+                await self.start()
+            case _plan.FaultKind.REPLACE:
+                await self.crash()
+                await asyncio.sleep(max(fault.for_s, ADDRESS_REUSE_S))
+                position = (POOLS.index(self._pool) + 1) % len(POOLS)
+                self._pool = POOLS[position]
+                await self.start()
+            case _plan.FaultKind.LEAVE:
+                await self._leave(current)
+                await self.start()
+            case _plan.FaultKind.SLOW:
+                current.slowdown = SLOW_FACTOR
+                await asyncio.sleep(fault.for_s)
+                current.slowdown = 1.0
+            case _plan.FaultKind.SHED:
+                current.sheds = True
+                await asyncio.sleep(fault.for_s)
+                current.sheds = False
+            case _:
+                await self._system.harm_link(fault)
+
+    async def _leave(self, current: _Incarnation) -> None:
+        """Announce the leave, serve on for a while, then end."""
+        current.state = 'draining'
+        if self._announcing is not None:
+            self._announcing.cancel()
+        for _ in range(5):
+            if await self._announce():
+                self._record.left[current.target] = time.monotonic()
+                break
+        await asyncio.sleep(LEAVE_S)
+        await self._send('DELETE', b'')
+        await self.crash()
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,193 @@
+"""Tests of the fault soak: a short run, failed seeds and its checks."""
+
+import asyncio
+import pathlib
+import tempfile
+import unittest
+
+from tests.soak import _callers
+from tests.soak import _checks
+from tests.soak import _operator
+from tests.soak import _plan
+from tests.soak import _record
+from tests.soak import _soak
+
+SEED = 1
+FAULTS_S = 8.0
+
+
+class ShortSoakTest(unittest.TestCase):
+    """Guards against promises that break under faults in series."""
+
+    def test_a_short_soak_keeps_all_promises(self) -> None:
+        with tempfile.TemporaryDirectory() as directory:
+            findings = asyncio.run(
+                _soak.run_soak(SEED, FAULTS_S, pathlib.Path(directory))
+            )
+        self.assertEqual([], findings)
+
+
+class PlanTest(unittest.TestCase):
+    """Guards against plans that differ or that the group does not bear."""
+
+    def test_a_seed_gives_one_plan(self) -> None:
+        self.assertEqual(_plan.draw_plan(5, 20.0), _plan.draw_plan(5, 20.0))
+        self.assertNotEqual(_plan.draw_plan(5, 20.0), _plan.draw_plan(6, 20.0))
+
+    def test_no_more_members_are_lost_than_the_group_bears(self) -> None:
+        for seed in range(50):
+            lost: list[tuple[float, float]] = []
+            for fault in _plan.draw_plan(seed, 30.0):
+                if not fault.subject.startswith('core-'):
+                    continue
+                present = [end for start, end in lost if end > fault.at_s]
+                self.assertLess(len(present), _plan.TOLERATED_MEMBERS)
+                end = fault.at_s + fault.for_s + _plan.CATCH_UP_S
+                lost.append((fault.at_s, end))
+
+
+def make_record() -> _record.Record:
+    """Return a record of a sound day: one write and one moved read."""
+    record = _record.Record()
+    record.moves = [
+        _record.Move(version, _operator.find_pool(version), float(version))
+        for version in (7, 8)
+    ]
+    record.acknowledged = {7: 7.1, 8: 8.1}
+    record.read_back = {
+        'move': _operator.make_route(
+            'move', _callers.MOVE_PATH, _operator.find_pool(8), 8
+        )
+    }
+    record.faults_ended_at = 0.0
+    add_call(record, 'w', _callers.WRITE_PATH, 100.0, 'beta')
+    add_call(record, 'm', _callers.MOVE_PATH, 101.0, _operator.find_pool(8))
+    return record
+
+
+def add_call(
+    record: _record.Record,
+    request: str,
+    path: str,
+    at: float,
+    pool: str,
+    status: int = 200,
+    was_cut: bool = False,
+) -> None:
+    """Add a request that ran on a target of a pool."""
+    record.calls.append(
+        _record.Call(
+            request,
+            'edge-1',
+            path,
+            path != _callers.WRITE_PATH,
+            at,
+            at + 0.1,
+            status,
+            was_cut=was_cut,
+        )
+    )
+    add_run(record, request, at, pool)
+
+
+def add_run(
+    record: _record.Record, request: str, at: float, pool: str
+) -> None:
+    """Add one run of a request."""
+    record.runs.append(
+        _record.Run(request, f'{pool}-1', pool, 'z1', at + 0.01)
+    )
+
+
+class ChecksTest(unittest.TestCase):
+    """Guards against checks that see nothing."""
+
+    def setUp(self) -> None:
+        self.record = make_record()
+
+    def assert_found(self, text: str) -> None:
+        """Check that one finding names a text."""
+        findings = _checks.check_record(self.record)
+        self.assertEqual(1, len(findings), findings)
+        self.assertIn(text, findings[0])
+
+    def test_a_sound_record_has_no_findings(self) -> None:
+        self.assertEqual([], _checks.check_record(self.record))
+
+    def test_a_write_that_ran_twice(self) -> None:
+        add_run(self.record, 'w', 100.0, 'beta')
+        self.assert_found('ran 2 times')
+
+    def test_a_refused_write_that_ran(self) -> None:
+        add_call(
+            self.record, 'w2', _callers.WRITE_PATH, 102.0, 'beta', status=503
+        )
+        add_call(self.record, 'r', _callers.READ_PATH, 102.0, 'alpha')
+        self.record.calls += [self.record.calls[-1]] * 40
+        self.assert_found('was refused and ran')
+
+    def test_work_for_a_target_that_left(self) -> None:
+        self.record.left['beta-1'] = 100.0 - _checks.DRAIN_S
+        self.assert_found('after the leave')
+
+    def test_work_for_an_evacuated_domain(self) -> None:
+        started = 100.5 - _checks.EVACUATE_S
+        self.record.evacuations.append(('z1', started, 110.0))
+        self.assert_found('during the evacuation')
+
+    def test_a_version_that_is_not_in_force_in_time(self) -> None:
+        add_call(
+            self.record, 'm2', _callers.MOVE_PATH, 90.0, _operator.find_pool(7)
+        )
+        self.assert_found('version 8 was due')
+
+    def test_no_time_bound_holds_beside_a_fault(self) -> None:
+        add_call(
+            self.record, 'm2', _callers.MOVE_PATH, 90.0, _operator.find_pool(7)
+        )
+        self.record.disturbances.append(
+            _record.Disturbance('core-1', 'pause', 86.0, 88.0)
+        )
+        self.assertEqual([], _checks.check_record(self.record))
+
+    def test_a_version_that_reverts_also_beside_a_fault(self) -> None:
+        add_call(
+            self.record,
+            'm2',
+            _callers.MOVE_PATH,
+            102.0,
+            _operator.find_pool(7),
+        )
+        self.record.disturbances.append(
+            _record.Disturbance('core-1', 'pause', 101.5, 101.9)
+        )
+        self.assert_found('older than version 8')
+
+    def test_a_request_cut_by_a_graceful_stop(self) -> None:
+        add_call(
+            self.record,
+            'r',
+            _callers.READ_PATH,
+            102.0,
+            'alpha',
+            status=0,
+            was_cut=True,
+        )
+        self.record.calls += [self.record.calls[0]] * 40
+        self.record.disturbances.append(
+            _record.Disturbance('edge-1', 'stop', 101.9, 105.0, True)
+        )
+        found = _checks.check_record(self.record)
+        self.assertTrue(any('graceful stop' in line for line in found), found)
+
+    def test_an_acknowledged_version_that_is_gone(self) -> None:
+        self.record.read_back = {}
+        self.assert_found('expected one of')
+
+    def test_no_service_after_the_recovery(self) -> None:
+        self.record.faults_ended_at = 200.0
+        self.assert_found('served after the recovery')
+
+
+if __name__ == '__main__':
+    unittest.main()
