Doubt a target only when it fails more than its pool

Change: a target is doubtful only above 1.5 times the mean rate of its pool. What a pool that refuses evenly did not run is tried again at the same target, which may remember the object. EvenFailureTest fails with the absolute bound.

--- a/fulmarseam/gateway/_fleet.py
+++ b/fulmarseam/gateway/_fleet.py
@@ -27,6 +27,8 @@
 REMOTE_COST = 0.4
 # Steps between 0 and 1 of the phase of an entry.
 PHASES = 1_000
+# The failure rate of a pool is taken anew after this time.
+RATE_INTERVAL_S = 0.2
 # Rankings kept; the least of what the busiest deployments have is some
 # hundred objects for each route.
 MAX_RANKINGS = 20_000
@@ -40,6 +42,15 @@
     def __init__(self, budget: steering.RepeatBudget) -> None:
         self.budget = budget
         self.targets: list[steering.ObservedTarget] = []
+        self._failure_rate = 0.0
+        self._rated_at = float('-inf')
+
+    def find_failure_rate(self, now: float) -> float:
+        """Return the mean failure rate of the targets."""
+        if now - self._rated_at >= RATE_INTERVAL_S:
+            self._rated_at = now
+            self._failure_rate = steering.find_failure_rate(self.targets)
+        return self._failure_rate
 
 
 class Fleet:
@@ -200,6 +211,7 @@
             route.priority,
             time_left_s,
             CHOICES_PER_OBJECT if route.sticky and key is not None else None,
+            self._get_pool(pool_name).find_failure_rate(now),
         )
         if placed.target is not None:
             steering.note_start(placed.target, now)
@@ -293,6 +305,11 @@
         """Count a request that a target failed."""
         steering.note_failure(observed)
 
+    def fails_evenly(self, now: float, pool_name: ids.PoolName) -> bool:
+        """Return whether a whole pool refuses or fails many requests."""
+        rate = self._get_pool(pool_name).find_failure_rate(now)
+        return rate >= steering.DOUBTFUL_RATE
+
     def _is_cut_off(self, now: float, pool_name: ids.PoolName) -> bool:
         """Return whether most targets of a pool cannot be reached."""
         targets = self._get_pool(pool_name).targets
--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -318,9 +318,12 @@
             fleet.note_failure(target)
         if exchange.load_report:
             fleet.note_load(now, target, exchange.load_report)
+        pool_name = target.record.pool
         return _Failure(
             errors.FulmarseamError(errors.ErrorKind.TARGET_SHED, str(error)),
-            job.is_replayable and fleet.take_repeat(now, target.record.pool),
+            job.is_replayable and fleet.take_repeat(now, pool_name),
+            same_target=not error.is_misdirected
+            and fleet.fails_evenly(now, pool_name),
         )
 
     def _judge_failure(
--- a/fulmarseam/steering/__init__.py
+++ b/fulmarseam/steering/__init__.py
@@ -19,8 +19,10 @@
 from fulmarseam.steering._links import LinkTokens
 from fulmarseam.steering._lookups import order_entries
 from fulmarseam.steering._observed import ColdBound
+from fulmarseam.steering._observed import DOUBTFUL_RATE
 from fulmarseam.steering._observed import eject
 from fulmarseam.steering._observed import estimate_load
+from fulmarseam.steering._observed import find_failure_rate
 from fulmarseam.steering._observed import find_patience
 from fulmarseam.steering._observed import is_cold
 from fulmarseam.steering._observed import is_doubtful
@@ -57,6 +59,7 @@
 from fulmarseam.steering._suspects import SuspectTable
 
 __all__ = [
+    'DOUBTFUL_RATE',
     'Admission',
     'Allocator',
     'AllocatorOptions',
@@ -89,6 +92,7 @@
     'compute_fingerprint',
     'eject',
     'estimate_load',
+    'find_failure_rate',
     'find_patience',
     'is_cold',
     'is_doubtful',
--- a/fulmarseam/steering/_observed.py
+++ b/fulmarseam/steering/_observed.py
@@ -4,6 +4,7 @@
 its own requests and from what the target reports with its answers.
 """
 
+from collections.abc import Collection
 import dataclasses
 
 from fulmarseam import ids
@@ -18,8 +19,11 @@
 EJECT_MAX_S = 4.0
 # Weight of the newest outcome in the failure rate of a target.
 OUTCOME_WEIGHT = 0.1
-# Above this failure rate a target is used only when no better one is free.
+# Above this failure rate a target is used only when no better one is free,
+# unless the others of its pool fail nearly as much: then another one is no
+# better, and only this one may remember the object of a request.
 DOUBTFUL_RATE = 0.25
+DOUBTFUL_FACTOR = 1.5
 # A target with requests is silent after this many of its mean service times
 # without any answer, and not before the shortest time.
 SILENCE_SERVICE_TIMES = 5.0
@@ -173,9 +177,20 @@
     return now < target.ejected_until or is_silent(target, now)
 
 
-def is_doubtful(target: ObservedTarget) -> bool:
-    """Return whether a target fails more requests than others do."""
-    return target.failure_rate >= DOUBTFUL_RATE
+def is_doubtful(target: ObservedTarget, pool_rate: float) -> bool:
+    """Return whether a target fails more requests than others do.
+
+    `pool_rate` is the mean failure rate of its pool.
+    """
+    bound = max(DOUBTFUL_RATE, DOUBTFUL_FACTOR * pool_rate)
+    return target.failure_rate >= bound
+
+
+def find_failure_rate(targets: Collection[ObservedTarget]) -> float:
+    """Return the mean failure rate of the targets of a pool."""
+    if not targets:
+        return 0.0
+    return sum(item.failure_rate for item in targets) / len(targets)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/fulmarseam/steering/_placement.py
+++ b/fulmarseam/steering/_placement.py
@@ -40,13 +40,14 @@
     priority: int,
     time_left_s: float,
     choices: int | None = None,
+    pool_failure_rate: float = 0.0,
 ) -> Placement:
     """Return the target of an attempt.
 
     `targets` are in the order of preference, and of those that can be used
     only the first `choices` count. The first free one is taken, then a
-    free one that fails many requests, then the shortest queue that still
-    leads to an answer in time.
+    free one that fails far more requests than its pool, then the shortest
+    queue that still leads to an answer in time.
     """
     sound = 0
     doubtful: _observed.ObservedTarget | None = None
@@ -57,7 +58,7 @@
             continue
         if sound == choices:
             break
-        is_doubtful = _observed.is_doubtful(item)
+        is_doubtful = _observed.is_doubtful(item, pool_failure_rate)
         sound += not is_doubtful
         load = _observed.estimate_load(item, now)
         if load + 1.0 <= item.record.slots:
--- a/tests/test_observed_placement.py
+++ b/tests/test_observed_placement.py
@@ -76,6 +76,43 @@
         self.assertEqual(pauses, [0.5, 1.0, 2.0, 4.0, 4.0])
 
 
+class EvenFailureTest(unittest.TestCase):
+    """Pattern: all targets of a pool refuse half of their requests.
+
+    Guards against requests for an object that wander over the whole pool,
+    where every target runs them unprepared.
+    """
+
+    def place_all(self, rates: list[float], count: int) -> set[str]:
+        """Return the targets of requests for one object."""
+        targets = [
+            make_target(f't{number}', failure_rate=rate)
+            for number, rate in enumerate(rates)
+        ]
+        found = set()
+        for _ in range(count):
+            placed = steering.place_request(
+                0.0,
+                targets,
+                lambda item: True,
+                priority=2,
+                time_left_s=2.0,
+                choices=2,
+                pool_failure_rate=steering.find_failure_rate(targets),
+            )
+            if placed.target is not None:
+                placed.target.in_flight += 1
+                found.add(str(placed.target.target))
+        return found
+
+    def test_an_object_stays_on_its_targets(self) -> None:
+        self.assertEqual({'t0', 't1'}, self.place_all([0.55] * 8, 6))
+
+    def test_a_target_that_alone_refuses_is_left(self) -> None:
+        found = self.place_all([0.55, *[0.02] * 7], 4)
+        self.assertEqual({'t1', 't2'}, found)
+
+
 class PatienceTest(unittest.TestCase):
     """Pattern: a day starts and most runs are for unknown objects.
 
