Explain a request from the log lines of all processes

Change: fulmarseam-ctl explain REQUEST_ID LOG... finds the lines of the request, says in words what its outcome means, lists its attempts and shows, in order, the lines about its targets, its entry and the control group that can have decided. It reads files and standard input.

--- /dev/null
+++ b/fulmarseam/commands/_ctl_explain.py
@@ -0,0 +1,202 @@
+"""The way of one request, from the log lines of all processes."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import datetime
+import re
+import sys
+from typing import NamedTuple
+
+from fulmarseam import errors
+from fulmarseam import telemetry
+
+STANDARD_INPUT = '-'
+# Lines about the targets and the entry of a request are shown from this
+# time before its arrival on. A target is dropped after 4 missed
+# announcements of 1.5 s, so what decided is at most about as old.
+CONTEXT_S = 6.0
+# How far the clocks of two hosts may differ.
+CLOCK_SKEW_S = 1.0
+
+_FIELD = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
+_REQUEST_EVENT = 'request_ended'
+# What the entry itself did or believed.
+_ENTRY_EVENTS = frozenset(
+    {
+        'catalog_in_force',
+        'drain_started',
+        'drained',
+        'member_reachable',
+        'member_unreachable',
+        'started',
+        'stopped',
+    }
+)
+# What the control members decided.
+_GROUP_EVENTS = frozenset(
+    {
+        'evacuation',
+        'items_accepted',
+        'leadership_ended',
+        'leadership_started',
+        'member_added',
+        'member_removed',
+    }
+)
+
+_MEANINGS = {
+    'answered': 'The target ran the request and its answer was passed on.',
+    errors.ErrorKind.NO_CAPACITY.value: (
+        'It was never sent: no target had room for it, as the detail says.'
+    ),
+    errors.ErrorKind.TARGET_SHED.value: (
+        'No target ran it: those that were asked refused it.'
+    ),
+    errors.ErrorKind.TARGET_FAILED.value: (
+        'It was sent and may have run: the connection or the target failed.'
+    ),
+    errors.ErrorKind.TARGET_TIMEOUT.value: (
+        'It was sent and may have run: no answer came in time.'
+    ),
+    errors.ErrorKind.CONFIG_STALE.value: (
+        'It was never sent: the entry had no configuration yet.'
+    ),
+    errors.ErrorKind.NO_ROUTE.value: (
+        'It was never sent: no route of the configuration in force takes it.'
+    ),
+    errors.ErrorKind.CALLER_GONE.value: (
+        'The caller closed its connection before the answer was there.'
+    ),
+}
+
+
+class Event(NamedTuple):
+    """One log line; `time_s` in seconds of the epoch."""
+
+    time_s: float
+    source: str
+    fields: dict[str, str]
+
+    @property
+    def name(self) -> str:
+        """Return the name of the event."""
+        return self.fields.get('event', '')
+
+
+def explain(request_id: str, paths: list[str]) -> str:
+    """Return what the logs tell about a request, the oldest line first.
+
+    `paths` are log files of any processes, or `-` for standard input.
+    Raises `errors.UsageError` for a file that cannot be read, and
+    `errors.FulmarseamError` with `NOT_FOUND` when no line has the id.
+    """
+    events = sorted(_read_all(paths), key=lambda event: event.time_s)
+    ended = [
+        event
+        for event in events
+        if event.name == _REQUEST_EVENT
+        and event.fields.get('id') == request_id
+    ]
+    if not ended:
+        raise errors.FulmarseamError(
+            errors.ErrorKind.NOT_FOUND,
+            f'{request_id}: found no line in {len(events)}, expected one of '
+            'an entry; it reached none of these entries, or requests_omitted '
+            'counts it',
+        )
+    lines: list[str] = []
+    for event in ended:
+        lines.extend(_explain_end(event, events))
+    return '\n'.join(lines)
+
+
+def _explain_end(ended: Event, events: list[Event]) -> list[str]:
+    """Return the lines about one pass of a request through an entry."""
+    fields = ended.fields
+    outcome = fields.get('outcome', '')
+    lines = [
+        f'{fields.get("id")} through {ended.source}: {outcome}, '
+        f'status {fields.get("status")}, after {fields.get("elapsed_s")} s '
+        f'with {fields.get("time_left_s")} s left',
+        f'  {_MEANINGS.get(outcome, "See the page of error kinds.")}',
+    ]
+    if fields.get('detail'):
+        lines.append(f'  {fields["detail"]}')
+    for position, attempt in enumerate(_list_attempts(fields), start=1):
+        target, _, failure = attempt.partition(':')
+        result = failure or 'answered'
+        lines.append(f'  attempt {position}: {target}: {result}')
+    lines.extend(
+        f'  {event.time_s - ended.time_s:+8.3f} s {event.source}: '
+        + ' '.join(f'{key}={text}' for key, text in event.fields.items())
+        for event in find_context(ended, events)
+    )
+    return lines
+
+
+def find_context(ended: Event, events: Iterable[Event]) -> list[Event]:
+    """Return the events that can have decided about a request."""
+    arrived_s = ended.time_s - float(ended.fields.get('elapsed_s', 0.0))
+    targets = {
+        attempt.partition(':')[0] for attempt in _list_attempts(ended.fields)
+    }
+    return [
+        event
+        for event in events
+        if arrived_s - CONTEXT_S <= event.time_s
+        and event.time_s <= ended.time_s + CLOCK_SKEW_S
+        and _concerns(event, ended.source, targets)
+    ]
+
+
+def _concerns(event: Event, entry: str, targets: set[str]) -> bool:
+    if event.name == _REQUEST_EVENT:
+        return False
+    if event.fields.get('target') in targets:
+        return event.source == entry or event.name == 'target_state'
+    if targets.intersection(event.fields.get('targets', '').split(',')):
+        return True
+    if event.source == entry:
+        return event.name in _ENTRY_EVENTS
+    return event.name in _GROUP_EVENTS
+
+
+def _list_attempts(fields: dict[str, str]) -> list[str]:
+    return [part for part in fields.get('targets', '').split(',') if part]
+
+
+def _read_all(paths: list[str]) -> Iterator[Event]:
+    for path in paths:
+        if path == STANDARD_INPUT:
+            yield from read_events('stdin', sys.stdin)
+            continue
+        try:
+            with open(path, encoding='utf-8', errors='replace') as file:
+                yield from read_events(path, file)
+        except OSError as error:
+            raise errors.UsageError(f'{path}: {error.strerror}') from error
+
+
+def read_events(source: str, lines: Iterable[str]) -> Iterator[Event]:
+    """Yield the events of log lines; other lines are left out::
+
+    list(read_events('edge-1.log', ['time=... event=started']))
+    """
+    for line in lines:
+        fields = {
+            key: telemetry.unquote(text) for key, text in _FIELD.findall(line)
+        }
+        time_s = _read_time(fields.pop('time', ''))
+        if time_s is None or 'event' not in fields:
+            continue
+        fields.pop('level', None)
+        fields.pop('logger', None)
+        yield Event(time_s, source, fields)
+
+
+def _read_time(text: str) -> float | None:
+    """Return the time of a line in seconds of the epoch, if it has one."""
+    try:
+        return datetime.datetime.fromisoformat(text).timestamp()
+    except ValueError:
+        return None
--- a/fulmarseam/commands/ctl.py
+++ b/fulmarseam/commands/ctl.py
@@ -14,6 +14,8 @@
     status                     how each control member sees the group
     wait REVISION              wait until a revision is in force everywhere
     snapshot export|restore FILE
+    explain REQUEST_ID LOG...  what the logs of all processes tell about a
+                               request; - reads standard input
 """
 
 import asyncio
@@ -29,6 +31,7 @@
 from fulmarseam import wire
 from fulmarseam.commands import _ctl_client
 from fulmarseam.commands import _ctl_edits
+from fulmarseam.commands import _ctl_explain
 from fulmarseam.commands import _ctl_output
 from fulmarseam.commands import _ctl_snapshots
 from fulmarseam.commands import _ctl_tables
@@ -62,6 +65,8 @@
     'ramp_s', 60.0, 'The time in which a shift reaches its cap, in seconds.'
 )
 
+_EXPLAIN = 'explain'
+
 Arguments = list[str]
 Action = Callable[[_ctl_client.AdminClient, Arguments], Awaitable[None]]
 View = Callable[[_ctl_client.AdminClient], Awaitable[_ctl_views.Records]]
@@ -74,11 +79,24 @@
 
 
 def _run(arguments: Arguments) -> int:
+    if arguments[:1] == [_EXPLAIN]:
+        _explain(arguments[1:])
+        return 0
     action, rest = _find_action(arguments)
     asyncio.run(_call(action, rest, _load_options()))
     return 0
 
 
+def _explain(arguments: Arguments) -> None:
+    """Explain a request; this needs log files and no control member."""
+    if len(arguments) < 2:
+        raise errors.UsageError(
+            f'found {len(arguments)} arguments, expected: {_EXPLAIN} '
+            'REQUEST_ID LOG...'
+        )
+    print(_ctl_explain.explain(arguments[0], arguments[1:]))
+
+
 async def _call(
     action: Action, arguments: Arguments, options: settings.CtlSettings
 ) -> None:
@@ -99,7 +117,7 @@
                 )
             return action, rest
     found = ' '.join(arguments[:2]) or 'nothing'
-    known = ', '.join(_COMMANDS)
+    known = ', '.join((*_COMMANDS, _EXPLAIN))
     raise errors.UsageError(f'found {found}, expected a command: {known}')
 
 
--- a/fulmarseam/telemetry/__init__.py
+++ b/fulmarseam/telemetry/__init__.py
@@ -2,6 +2,7 @@
 
 from fulmarseam.telemetry._logs import format_event
 from fulmarseam.telemetry._logs import open_log
+from fulmarseam.telemetry._logs import unquote
 from fulmarseam.telemetry._metrics import Metrics
 from fulmarseam.telemetry._requests import RequestLog
 from fulmarseam.telemetry._stream import BoundedStream
@@ -20,4 +21,5 @@
     'format_event',
     'open_log',
     'open_traces',
+    'unquote',
 ]
--- a/fulmarseam/telemetry/_logs.py
+++ b/fulmarseam/telemetry/_logs.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 import contextlib
+import re
 import sys
 from typing import Any
 from typing import Protocol
@@ -12,6 +13,7 @@
     'time={record.time:%Y-%m-%dT%H:%M:%S.%f}Z level={record.level_name} '
     'logger={record.channel} {record.message}'
 )
+_ESCAPE = re.compile(r'\\(.)')
 _PLAIN = frozenset(
     'abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/@+,%'
 )
@@ -48,6 +50,15 @@
     return '"' + escaped.replace('\n', '\\n') + '"'
 
 
+def unquote(text: str) -> str:
+    """Return the value that `format_event` wrote as `text`."""
+    if not text.startswith('"'):
+        return text
+    return _ESCAPE.sub(
+        lambda match: '\n' if match[1] == 'n' else match[1], text[1:-1]
+    )
+
+
 @contextlib.contextmanager
 def open_log(
     path: str | None, level: str, stream: LineStream | None = None
