--- /dev/null
+++ b/tests/allocator_fixtures.py
@@ -0,0 +1,169 @@
+"""A leader with entries in virtual time for tests of the allocator."""
+
+from fulmarseam import membership
+from fulmarseam import steering
+from fulmarseam import wire
+
+POOL = wire.Pool(name='p', max_deadline_ms=4_000, slow_start_s=0.0)
+LIFETIME_S = 2.8 * 1.01
+
+
+def make_target(
+    name: str,
+    region: str = 'a',
+    slots: int = 3,
+    connections: int = 30,
+    sequence: int = 1,
+    **fields: object,
+) -> wire.TargetReport:
+    """Return a report of a target that is ready."""
+    values = {
+        'target': name,
+        'pool': 'p',
+        'address': '127.0.0.1:1',
+        'region': region,
+        'failure_domain': region + '1',
+        'slots': slots,
+        'connections': connections,
+        'incarnation': 1,
+        'sequence': sequence,
+        'state': wire.TargetState.READY,
+    }
+    return wire.TargetReport(**{**values, **fields})
+
+
+def make_response(
+    term: int,
+    sequence: int,
+    slots: list[wire.SlotGrant],
+    links: list[wire.LinkRate] | None = None,
+) -> wire.SyncResponse:
+    """Return an answer that carries only grants."""
+    return wire.SyncResponse(
+        term=term,
+        leadership_age_ms=0,
+        revision=0,
+        full=False,
+        changes=[],
+        targets_version=0,
+        targets_full=False,
+        targets=[],
+        targets_removed=[],
+        entries=[],
+        grant_sequence=sequence,
+        grant_ttl_ms=2_800,
+        grants=slots,
+        links=links or [],
+    )
+
+
+class Cluster:
+    """A leader and entries that exchange messages without loss."""
+
+    def __init__(self, places: dict[str, tuple[str, str]]) -> None:
+        self.now = 100.0
+        self.places = places
+        self.books = {name: steering.SlotBook() for name in places}
+        self.wanted = dict.fromkeys(places, 0)
+        self.draining: set[str] = set()
+        self.doubtful: dict[str, list[str]] = {}
+        self.table = membership.TargetTable()
+        self.reports: list[wire.TargetReport] = []
+        self.links: list[wire.Link] = []
+        self.drains: list[wire.Drain] = []
+        self.shifts: list[wire.Shift] = []
+        self.pool = POOL
+        self.start_leader(1)
+
+    def start_leader(self, term: int) -> None:
+        self.term = term
+        self.leader = steering.Allocator(self.now, term)
+
+    def request(self, name: str) -> wire.SyncRequest:
+        region, domain = self.places[name]
+        book = self.books[name]
+        return wire.SyncRequest(
+            info=wire.EntryInfo(
+                entry=name,
+                incarnation=1,
+                region=region,
+                failure_domain=domain,
+                listen='',
+                api='',
+                rpc='',
+            ),
+            draining=name in self.draining,
+            revision=0,
+            targets_term=0,
+            targets_version=0,
+            ack_term=book.ack_term,
+            ack_sequence=book.ack_sequence,
+            ack_age_ms=book.ack_age_ms(self.now),
+            uses=book.uses(self.now),
+            demand=[wire.PoolDemand(pool='p', wanted=self.wanted[name])],
+            links=[],
+            announcements=[],
+            announcement_ages_ms=[],
+            wait_ms=0,
+            doubtful=self.doubtful.get(name, []),
+        )
+
+    def plan(self) -> None:
+        for report in self.reports:
+            old = self.table.get(report.target)
+            sequence = old.report.sequence + 1 if old else 1
+            fields = {
+                name: getattr(report, name)
+                for name in report.__struct_fields__
+            }
+            fields['sequence'] = sequence
+            self.table.record(self.now, wire.TargetReport(**fields), 0)
+        self.leader.allocate(
+            self.now,
+            self.table.all(),
+            [self.pool],
+            self.links,
+            self.drains,
+            self.shifts,
+        )
+
+    def ask(self, name: str) -> wire.SyncResponse:
+        """Report, plan and issue; the answer is not applied."""
+        self.leader.report(self.now, self.request(name))
+        self.plan()
+        grants = self.leader.grants_for(self.now, name, 1)
+        return make_response(
+            self.term, grants.sequence, grants.slots, grants.links
+        )
+
+    def sync(self, *names: str) -> None:
+        for name in names or self.places:
+            answer = self.ask(name)
+            self.books[name].apply(self.now, self.now, answer)
+
+    def run(self, seconds: float) -> None:
+        """Let all entries sync every 0.4 s."""
+        for _ in range(round(seconds / 0.4)):
+            self.now += 0.4
+            self.sync()
+
+    def settle(self) -> None:
+        """Pass the time in which a new leader is careful."""
+        self.run(8.0)
+
+    def held(self, name: str) -> dict[str, int]:
+        return {
+            use.target: use.allowance
+            for use in self.books[name].uses(self.now)
+            if use.allowance
+        }
+
+    def total(self, name: str) -> int:
+        return sum(self.held(name).values())
+
+
+def build_pair() -> Cluster:
+    """Return two entries and one target with 3 slots."""
+    cluster = Cluster({'e0': ('a', 'a1'), 'e1': ('a', 'a2')})
+    cluster.reports = [make_target('t0')]
+    return cluster
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -7,7 +7,7 @@
 from fulmarseam import membership
 from fulmarseam import steering
 from fulmarseam import wire
-from tests import test_allocator
+from tests import allocator_fixtures
 
 PLACES = {
     't0': ('a', 'a1'),
@@ -42,7 +42,7 @@
             )
             for name in places
         ]
-        response = test_allocator.make_response(1, 1, grants)
+        response = allocator_fixtures.make_response(1, 1, grants)
         self.book.apply(self.now, self.now, response)
 
     def refresh(self) -> None:
@@ -54,7 +54,7 @@
                 busy, age = self.loads[name]
                 load = wire.TargetLoad(busy_slots=busy)
                 load_at = self.now - age
-            report = test_allocator.make_target(
+            report = allocator_fixtures.make_target(
                 name, region, slots=4, failure_domain=domain, load=load
             )
             rows.append(membership.MirroredTarget(report, 0.0, load_at))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -9,7 +9,7 @@
 from fulmarseam import ids
 from fulmarseam import membership
 from fulmarseam import wire
-from tests import test_allocator
+from tests import allocator_fixtures
 
 READY = wire.TargetState.READY
 LEAVING = wire.TargetState.LEAVING
@@ -24,7 +24,7 @@
     load: int | None = None,
 ) -> wire.TargetReport:
     """Return a report of a target."""
-    return test_allocator.make_target(
+    return allocator_fixtures.make_target(
         name,
         sequence=sequence,
         state=state,
@@ -287,7 +287,7 @@
     def record(
         self, now: float, incarnation: int = 1, draining: bool = False
     ) -> bool:
-        cluster = test_allocator.build_pair()
+        cluster = allocator_fixtures.build_pair()
         if draining:
             cluster.draining.add('e0')
         request = cluster.request('e0')
