Serve nothing before a configuration; count targets, not sends

Cause: the lines of the soak show 404 answers in the first second: targets announce themselves before the operator's first call, and an entry took their list for the whole configuration, was ready and knew no route. And a request whose idle connection was lost, and whose new connection to the same target failed, counted as two of the two targets that its route allows. Change: a mirror is complete only once it holds an item, so an entry answers 503 and is not ready before. A request counts the targets that may have run it, not its sends.

--- a/fulmarseam/catalog/_mirror.py
+++ b/fulmarseam/catalog/_mirror.py
@@ -9,13 +9,16 @@
 
     `revision` only grows, so what is in force never becomes older while
     the process lives. `is_complete` is set once everything was taken over
-    that was agreed on when the first changes were listed.
+    that was agreed on when the first changes were listed, and that holds a
+    configuration: targets announce themselves before the operator's first
+    call, when it is not known yet which routes there are.
     """
 
     def __init__(self) -> None:
         self.revision = 0
         self.removals_revision = -1
         self.is_complete = False
+        self._has_items = False
         self.routes: dict[str, wire.RouteItem] = {}
         self.pools: dict[str, wire.PoolItem] = {}
         self.limits: wire.LimitsItem | None = None
@@ -38,6 +41,7 @@
             self._unconfirmed = set(self.targets)
         for item in changes.items:
             self._put(item)
+            self._has_items = True
         for record in changes.targets:
             self.targets[record.target] = record
             self._unconfirmed.discard(record.target)
@@ -54,7 +58,7 @@
         for target in self._unconfirmed:
             self.targets.pop(target, None)
         self._unconfirmed.clear()
-        self.is_complete = True
+        self.is_complete = self.is_complete or self._has_items
 
     def _put(self, item: wire.Item) -> None:
         match item.kind:
--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -220,8 +220,8 @@
         now: float,
     ) -> float:
         """Return until when an attempt may go without an answer."""
-        attempts_left = job.route.max_attempts - job.attempts - 1
-        if not job.route.idempotent or attempts_left < 1:
+        tried = len(job.attempted | {target.target})
+        if not job.route.idempotent or tried >= job.route.max_attempts:
             return job.deadline
         return now + steering.find_patience(target, job.deadline - now)
 
@@ -250,7 +250,7 @@
         """Return whether a failure of a target is tried on another one."""
         if answer.response.status != 500 or answer.body is None:
             return False
-        job.attempts += 1
+        job.attempted.add(target.target)
         return self._may_repeat(job, target)
 
     def _may_repeat(
@@ -262,7 +262,7 @@
             now < job.deadline
             and job.route.idempotent
             and job.is_replayable
-            and job.attempts < job.route.max_attempts
+            and len(job.attempted) < job.route.max_attempts
             and self._services.fleet.take_repeat(now, target.record.pool)
         )
 
@@ -349,7 +349,7 @@
             return _Failure(
                 errors.FulmarseamError(kind, error.detail), not is_late
             )
-        job.attempts += 1
+        job.attempted.add(target.target)
         kind = errors.ErrorKind.TARGET_FAILED
         was_idle = False
         if error.reason is http.Reason.TIMED_OUT:
--- a/fulmarseam/gateway/_requests.py
+++ b/fulmarseam/gateway/_requests.py
@@ -2,6 +2,7 @@
 
 from fulmarseam import errors
 from fulmarseam import http
+from fulmarseam import ids
 from fulmarseam import wire
 from fulmarseam.gateway import _dialect
 
@@ -20,7 +21,7 @@
 
     __slots__ = (
         'arrived_at',
-        'attempts',
+        'attempted',
         'caller',
         'deadline',
         'host',
@@ -49,7 +50,8 @@
         self.request_path = self.path.encode('latin-1')
         self.request_id = request.fields.get(dialect.request_id)
         self.route: wire.RouteItem
-        self.attempts = 0
+        # Targets that may have run it; a route bounds their number.
+        self.attempted: set[ids.TargetId] = set()
         self.kept: list[bytes] = []
         self.kept_bytes = 0
         self.is_replayable = True
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -60,6 +60,16 @@
         self.assertEqual(reply.status, 503)
         self.assertIn('retry-after', reply.headers)
 
+    async def test_targets_without_routes_are_no_configuration(self) -> None:
+        """Guards against a 404 where nobody knows the routes yet."""
+        await self.add_target('t1', serve)
+        await self.wait_for_catalog()
+        self.assertEqual((await self.call()).status, 503)
+        self.assertFalse(self.gateway.is_ready())
+        await self.put_route()
+        self.assertEqual((await self.call()).status, 200)
+        self.assertTrue(self.gateway.is_ready())
+
     async def test_a_path_without_route_is_unknown(self) -> None:
         await self.put_route()
         self.assertEqual((await self.call('/ab')).status, 404)
@@ -209,6 +219,23 @@
         self.assertEqual(statuses.count(502), 1)
         self.assertEqual(statuses.count(200), 4)
 
+    async def test_a_lost_connection_uses_up_no_target(self) -> None:
+        """Guards against a target that ends being all a request may try."""
+
+        async def end(reader, writer, headers):
+            if self.answered_on:
+                writer.transport.abort()
+                return
+            self.answered_on.add(writer)
+            await answer(writer, headers, keep_alive='timeout=30')
+
+        await self.add_target('t1', end)
+        await self.put_route(max_attempts=2)
+        self.assertEqual((await self.call()).status, 200)
+        await self.add_target('t2', serve)
+        await self.wait_for_catalog()
+        self.assertEqual((await self.call()).status, 200)
+
 
 class AnswerTest(gateway_case.GatewayCase):
     """Guards against an answer that belongs to another request."""
