Let the soak check denied requests and end its processes on SIGTERM

Cause: the 404 answers before the first configuration were found by reading lines; no check of the soak saw them. A soak that was told to end left its processes running for some seconds. Change: an answer that blames the caller of a proper request is a finding, and SIGTERM cancels the soak, whose context ends all processes.

--- a/tests/soak/_checks.py
+++ b/tests/soak/_checks.py
@@ -66,6 +66,7 @@
     touch = Touch(record)
     return [
         *record.findings,
+        *_check_denied(record),
         *_check_at_most_once(record, runs),
         *_check_attempts(record, runs),
         *_check_leaves(record, runs, touch),
@@ -77,6 +78,19 @@
     ]
 
 
+def _check_denied(record: _record.Record) -> list[str]:
+    """Check that no proper request is answered as a mistake of its caller.
+
+    All routes stand from before the first request on.
+    """
+    return [
+        f'denied: {call}'
+        for call in record.calls
+        if 400 <= call.status < 500
+        and call.status not in _callers.STATUS_NOT_RUN
+    ]
+
+
 def _check_at_most_once(record: _record.Record, runs: Runs) -> list[str]:
     """Check that nothing ran twice and that a refusal is true."""
     found = []
--- a/tests/soak/_soak.py
+++ b/tests/soak/_soak.py
@@ -3,6 +3,7 @@
 import asyncio
 import pathlib
 import random
+import signal
 import time
 
 from tests.soak import _callers
@@ -22,7 +23,17 @@
     """Play one seed in a process of its own."""
     directory = pathlib.Path(logs) / f'{seed}-{time.time_ns()}'
     directory.mkdir(parents=True)
-    return asyncio.run(run_soak(seed, faults_s, directory))
+    return asyncio.run(_play_until_told(seed, faults_s, directory))
+
+
+async def _play_until_told(
+    seed: int, faults_s: float, directory: pathlib.Path
+) -> list[str]:
+    """Play a seed; SIGTERM ends it and all its processes."""
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await run_soak(seed, faults_s, directory)
 
 
 async def run_soak(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -114,6 +114,13 @@
     def test_a_sound_record_has_no_findings(self) -> None:
         self.assertEqual([], _checks.check_record(self.record))
 
+    def test_a_proper_request_that_is_denied(self) -> None:
+        add_call(
+            self.record, 'r', _callers.READ_PATH, 102.0, 'alpha', status=404
+        )
+        self.record.calls += [self.record.calls[0]] * 40
+        self.assert_found('denied')
+
     def test_a_write_that_ran_twice(self) -> None:
         add_run(self.record, 'w', 100.0, 'beta')
         self.assert_found('ran 2 times')
