--- a/tests/soak/_system.py
+++ b/tests/soak/_system.py
@@ -100,16 +100,34 @@
         if self._process is not None:
             await self._process.wait()
 
-    async def stop(self, timeout_s: float) -> int | None:
-        """Ask the process to end; return its code, or None when killed."""
+    async def stop(self, timeout_s: float) -> int | str:
+        """Ask the process to end; return its code.
+
+        One that does not end in time is killed, and what its threads were
+        doing is returned instead.
+        """
         assert self._process is not None
         self.send(signal.SIGTERM)
         try:
             async with asyncio.timeout(timeout_s):
                 return await self._process.wait()
         except TimeoutError:
+            threads = self._describe_threads()
             await self.kill()
-            return None
+            return threads
+
+    def _describe_threads(self) -> str:
+        """Return the state of each thread and where it waits."""
+        assert self._process is not None
+        tasks = pathlib.Path(f'/proc/{self._process.pid}/task')
+        states = []
+        for task in sorted(tasks.glob('*')):
+            with contextlib.suppress(OSError):
+                status = (task / 'status').read_text(encoding='utf-8')
+                state = status.partition('State:')[2].split()[0]
+                channel = (task / 'wchan').read_text(encoding='utf-8')
+                states.append(f'{state} {channel}')
+        return ', '.join(states) or 'no threads left'
 
 
 class System:
--- a/tests/soak/_targets.py
+++ b/tests/soak/_targets.py
@@ -97,7 +97,8 @@
         self._record = record
         self._real = fakes.find_free_address()
         self._seen = fakes.find_free_address()
-        self._pool = POOLS[number % len(POOLS)]
+        # Each pool has targets in all failure domains.
+        self._pool = POOLS[number // len(POOLS) % len(POOLS)]
         self._starts = 0
         self._current: _Incarnation | None = None
         self._server: _server.Server | None = None
