--- a/fulmarseam/commands/_ctl_explain.py
+++ b/fulmarseam/commands/_ctl_explain.py
@@ -15,7 +15,8 @@
 # time before its arrival on. A target is dropped after 4 missed
 # announcements of 1.5 s, so what decided is at most about as old.
 CONTEXT_S = 6.0
-# How far the clocks of two hosts may differ.
+# Lines of other hosts may seem later than they are: clocks that are set by
+# the network differ by far less than a second.
 CLOCK_SKEW_S = 1.0
 
 _FIELD = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -16,10 +16,12 @@
 READ_PATH = '/read/'
 WRITE_PATH = '/write/'
 MOVE_PATH = '/move/'
+# Time that callers state, in seconds, as on the users' shortest routes.
 DEADLINE_S = 1.5
 # What a caller waits beyond its deadline for an answer on its way.
 LATE_S = 0.5
 PAUSE_S = (0.03, 0.15)
+# Each target remembers a few objects, and most connections are kept.
 OBJECTS = 20
 REUSE_SHARE = 0.8
 STATUS_NOT_RUN = (408, 421, 429, 503)
--- a/tests/soak/_calls.py
+++ b/tests/soak/_calls.py
@@ -7,6 +7,7 @@
 
 from tests import gateway_case
 
+# An answer's head has a few hundred bytes.
 MAX_HEAD_BYTES = 65_536
 
 
--- a/tests/soak/_checks.py
+++ b/tests/soak/_checks.py
@@ -1,6 +1,7 @@
 """The promises that a soak checks on what it recorded."""
 
 import collections
+import math
 
 from tests.soak import _callers
 from tests.soak import _operator
@@ -116,37 +117,41 @@
     return found
 
 
+def _list_runs_in_touch(
+    record: _record.Record, runs: Runs, touch: Touch
+) -> list[_record.Run]:
+    """Return the runs that an entry in touch started."""
+    return [
+        run
+        for call in record.calls
+        for run in runs[call.request]
+        if touch.is_in_touch(call.entry, run.started_at)
+    ]
+
+
 def _check_leaves(
     record: _record.Record, runs: Runs, touch: Touch
 ) -> list[str]:
     """Check that a target that left gets nothing new."""
-    found = []
-    for call in record.calls:
-        for run in runs[call.request]:
-            left_at = record.left.get(run.target)
-            if left_at is None or run.started_at <= left_at + DRAIN_S:
-                continue
-            if touch.is_in_touch(call.entry, run.started_at):
-                late_s = run.started_at - left_at
-                found.append(f'{run} came {late_s:.2f} s after the leave')
-    return found
+    return [
+        f'{run} came {run.started_at - record.left[run.target]:.2f} s after '
+        'the leave'
+        for run in _list_runs_in_touch(record, runs, touch)
+        if run.started_at > record.left.get(run.target, math.inf) + DRAIN_S
+    ]
 
 
 def _check_evacuations(
     record: _record.Record, runs: Runs, touch: Touch
 ) -> list[str]:
     """Check that an evacuated failure domain gets nothing new."""
-    found = []
-    for domain, started, ended in record.evacuations:
-        for call in record.calls:
-            for run in runs[call.request]:
-                if run.failure_domain != domain:
-                    continue
-                if not started + EVACUATE_S < run.started_at < ended:
-                    continue
-                if touch.is_in_touch(call.entry, run.started_at):
-                    found.append(f'{run} came during the evacuation')
-    return found
+    return [
+        f'{run} came during the evacuation'
+        for run in _list_runs_in_touch(record, runs, touch)
+        for domain, started, ended in record.evacuations
+        if run.failure_domain == domain
+        and started + EVACUATE_S < run.started_at < ended
+    ]
 
 
 def _check_moves(
--- a/tests/soak/_operator.py
+++ b/tests/soak/_operator.py
@@ -12,11 +12,13 @@
 from tests.soak import _system
 from tests.soak import _targets
 
+# Changes come one by one and in quick succession, in seconds.
 MOVE_GAP_S = (0.3, 2.5)
 FIRST_VERSION = 7
 # An order is sent again to another member until it is acknowledged.
 ORDER_TIMEOUT_S = 30.0
 EVACUATED = 'z2'
+# Longer than the 5 s in which an evacuation comes into force.
 EVACUATE_AT_S = 4.0
 EVACUATE_FOR_S = 8.0
 
--- a/tests/soak/_plan.py
+++ b/tests/soak/_plan.py
@@ -4,6 +4,8 @@
 import random
 from typing import NamedTuple
 
+# The sizes of the users' deployments, with fewer entries and targets, so
+# that several soaks run side by side on one machine.
 MEMBERS = 5
 ENTRIES = 4
 TARGETS = 9
@@ -11,7 +13,9 @@
 # A member counts again this long after its return; see the design of the
 # repair of the group.
 CATCH_UP_S = 4.0
+# Faults last 0.2 to 4 s, so about two of them overlap.
 MEAN_GAP_S = 0.8
+# The first look-ups and connections of callers are made by then.
 FIRST_AT_S = 1.0
 
 
--- a/tests/soak/_system.py
+++ b/tests/soak/_system.py
@@ -27,6 +27,7 @@
 # Bounds of the deployment that the soak plays.
 GRACE_S = 6.0
 HEARTBEAT_S = 1.0
+# The users' platform starts a process again after a short delay.
 RESTART_DELAY_S = 0.2
 # The log of a member; a torn write leaves a part of a frame at its end.
 LOG_NAME = 'log'
--- a/tests/soak/_targets.py
+++ b/tests/soak/_targets.py
@@ -13,9 +13,11 @@
 from tests.soak import _system
 
 POOLS = ('alpha', 'beta', 'gamma')
+# Nine targets run about 500 requests a second; the callers send about 100.
 SLOTS = 4
 QUEUE = 8
 WORK_S = (0.02, 0.12)
+# The slowest run then takes 1 s, within the deadline of callers.
 SLOW_FACTOR = 8.0
 # A target goes on serving this long after its leave was acknowledged.
 LEAVE_S = 4.0
