--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,7 +1,9 @@
 """Tests of the fault soak: a short run, failed seeds and its checks."""
 
 import asyncio
+import os
 import pathlib
+import subprocess
 import tempfile
 import unittest
 
@@ -11,6 +13,7 @@
 from tests.soak import _plan
 from tests.soak import _record
 from tests.soak import _soak
+from tests.soak import _system
 
 SEED = 1
 FAULTS_S = 8.0
@@ -27,6 +30,18 @@
         self.assertEqual([], findings)
 
 
+class ExitTest(unittest.TestCase):
+    """Guards against an end in time that counts as late, or the reverse."""
+
+    def test_a_program_that_called_exit_has_ended(self) -> None:
+        with subprocess.Popen(['sleep', '60']) as process:
+            self.assertFalse(_system.is_exiting(process.pid))
+            process.kill()
+            # Not reaped yet: the kernel still holds what is left of it.
+            os.waitid(os.P_PID, process.pid, os.WEXITED | os.WNOWAIT)
+            self.assertTrue(_system.is_exiting(process.pid))
+
+
 class PlanTest(unittest.TestCase):
     """Guards against plans that differ or that the group does not bear."""
 
