Close the context of a call that was cancelled before it began

Cause: RpcServer closed a context at the end of the task that serves the call. A task that is cancelled before its first step runs no line of it, so the context outlived its socket, and pynng printed "Object closed" from Context.__del__ when it was collected.

Change: a callback of the task closes the context and frees the place.

--- a/fulmarseam/transport/_rpc.py
+++ b/fulmarseam/transport/_rpc.py
@@ -6,6 +6,7 @@
 from collections.abc import Collection
 from collections.abc import Iterator
 import contextlib
+import functools
 from typing import Any
 from typing import Self
 
@@ -100,7 +101,15 @@
                 raise
             task = asyncio.create_task(self._serve_call(context, data))
             self._calls.add(task)
-            task.add_done_callback(self._calls.discard)
+            task.add_done_callback(
+                functools.partial(self._finish_call, context)
+            )
+
+    def _finish_call(self, context: Any, task: asyncio.Task[None]) -> None:
+        """Free what a call used, also if it was cancelled before it began."""
+        self._calls.discard(task)
+        context.close()
+        self._pending_slots.release()
 
     async def _serve_call(self, context: Any, data: bytes) -> None:
         try:
@@ -108,9 +117,6 @@
             await context.asend(wire.encode(answer))
         except pynng.NNGException as error:
             _log.debug('event=reply_failed error={!r}', str(error))
-        finally:
-            context.close()
-            self._pending_slots.release()
 
     async def _answer(self, data: bytes) -> wire.Message:
         try:
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -102,6 +102,37 @@
                     task.cancel()
                 await asyncio.gather(*calls, return_exceptions=True)
 
+    async def test_server_end_closes_the_context_of_a_call_not_begun(
+        self,
+    ) -> None:
+        """A context that outlives its socket raises when it is collected.
+
+        The message that pynng then prints at exit follows the `error: ` line
+        of a process.
+        """
+        contexts: list[mock.Mock] = []
+
+        def make_context() -> mock.Mock:
+            context = mock.Mock()
+            # Only the first receive completes.
+            delay_s = 60.0 if contexts else 0.0
+            context.arecv = lambda: asyncio.sleep(delay_s, b'')
+            contexts.append(context)
+            return context
+
+        async def handle(message: wire.Message) -> wire.Message:
+            return wire.Ok()
+
+        nng_socket = mock.Mock(new_context=make_context)
+        with mock.patch.object(pynng, 'Rep0', return_value=nng_socket):
+            server = transport.RpcServer(find_free_address(), handle)
+            await server.__aenter__()
+            while not server._calls:
+                await asyncio.sleep(0)
+            await server.__aexit__()
+        for context in contexts:
+            context.close.assert_called_once_with()
+
     async def test_client_closed_under_a_call_fails_the_call(self) -> None:
         client = transport.RpcClient(find_free_address())
         client.open()
