Log that a target has warmed up

Cause: the record of a target in the log keeps the cold time of its first announcement. After a loss of power of all hosts that holds for every entry and every target that a release or a replacement brought.

Change: the first announcement without cold time is logged.

--- a/fulmarseam/catalog/_heartbeats.py
+++ b/fulmarseam/catalog/_heartbeats.py
@@ -37,7 +37,12 @@
         self._cold_until[record.target] = cold_until
         if current is None or current.born_ms != record.born_ms or is_colder:
             return True
-        return _get_logged_fields(current) != _get_logged_fields(record)
+        # An entry that starts later takes the cold time of the record as of
+        # its own start, so the end of it is logged too.
+        has_warmed_up = current.cold_ms > 0.0 and record.cold_ms <= 0.0
+        return has_warmed_up or (
+            _get_logged_fields(current) != _get_logged_fields(record)
+        )
 
     def take_renewed(self) -> list[ids.TargetId]:
         """Return and clear the targets announced since the last call."""
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -288,6 +288,15 @@
         )
         self.assertTrue(tracker.record(3.0, record, draining))
 
+    def test_a_target_that_has_warmed_up_is_logged_once(self) -> None:
+        tracker = catalog.HeartbeatTracker()
+        known = fixtures.make_record('a', cold_ms=3_000.0)
+        tracker.record(0.0, None, known)
+        warm = fixtures.make_record('a', sequence=3, cold_ms=0.0)
+        self.assertTrue(tracker.record(3.0, known, warm))
+        renewal = fixtures.make_record('a', sequence=4, cold_ms=0.0)
+        self.assertFalse(tracker.record(4.5, warm, renewal))
+
     def test_a_target_that_turned_cold_again_is_logged(self) -> None:
         tracker = catalog.HeartbeatTracker()
         known = fixtures.make_record('a', cold_ms=3_000.0)
