Share loads and ejections between entries, and expect runs by their pool

Cause: with hundreds of targets an entry sends a target one request in many seconds. It did not see the queue there (its load report had lost its weight after 0.4 s), nor the run time (0.5 s is assumed until ten responses), nor that others had ejected it.

Change: entries report their requests in flight and ejections with the polls of the leader, which answers with the sums, one byte for each target, packed. The leader is polled each 0.2 s and the other members each 0.8 s. A target that two entries of a region ejected is avoided by the region, if that holds for at most a third of the pool. Run times are averaged over a pool, by first choice, other choice and cold target. A request that its choices would not finish in time goes to a target with three quarters of its slots free, or is refused at once.

--- a/fulmarseam/catalog/__init__.py
+++ b/fulmarseam/catalog/__init__.py
@@ -21,6 +21,7 @@
 from fulmarseam.catalog._machine import Catalog
 from fulmarseam.catalog._mirror import CatalogMirror
 from fulmarseam.catalog._packed_changes import PackedChanges
+from fulmarseam.catalog._shared_loads import SharedLoads
 
 __all__ = [
     'AnnounceTargets',
@@ -35,6 +36,7 @@
     'PackedChanges',
     'PutItems',
     'ReadRevision',
+    'SharedLoads',
     'TargetLeases',
     'decode_result',
     'encode_command',
--- a/fulmarseam/catalog/_targets.py
+++ b/fulmarseam/catalog/_targets.py
@@ -38,6 +38,10 @@
         """Return the record of a target, or None."""
         return self._records.get(target)
 
+    def list_ids(self) -> list[ids.TargetId]:
+        """Return the ids of all targets."""
+        return list(self._records)
+
     def all(self) -> list[wire.TargetRecord]:
         """Return all records."""
         return list(self._records.values())
--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -59,6 +59,7 @@
         self._seeds = options.list_peers()
         self._loop = asyncio.get_running_loop()
         self.catalog = catalog.Catalog()
+        self._shared_loads = catalog.SharedLoads()
         self._packed_changes = catalog.PackedChanges(self.catalog)
         self.entry_registry = catalog.EntryRegistry()
         self.metrics = telemetry.Metrics()
@@ -232,6 +233,15 @@
                 packed_changes = self._packed_changes.get(*known)
             else:
                 changes = self.catalog.list_changes(*known)
+        target_loads = b''
+        if poll.wants_loads:
+            self._shared_loads.record(now, poll)
+            target_loads = self._shared_loads.get_packed(
+                now,
+                poll.region,
+                self.catalog.revision,
+                self.catalog.targets.list_ids(),
+            )
         members = self._member.status().members if self._member else ()
         return wire.EntryPollResponse(
             revision=self.catalog.revision,
@@ -239,8 +249,16 @@
             packed_changes=packed_changes,
             members=[info.address for info in members],
             entry_count=self.entry_registry.count_senders(now),
+            leader=self._find_polled_leader(),
+            target_loads=target_loads,
         )
 
+    def _find_polled_leader(self) -> str:
+        """Return the address of the leader for entries, or an empty text."""
+        if self.is_leader():
+            return self._options.advertise or self._options.listen
+        return self._find_leader_address() or ''
+
     def find_entries(
         self, region: ids.RegionName, domain: ids.DomainName, limit: int
     ) -> list[str]:
--- a/fulmarseam/gateway/_daemon.py
+++ b/fulmarseam/gateway/_daemon.py
@@ -10,6 +10,7 @@
 from fulmarseam import http
 from fulmarseam import settings
 from fulmarseam import telemetry
+from fulmarseam import wire
 from fulmarseam.gateway import _answers
 from fulmarseam.gateway import _forwarding
 from fulmarseam.gateway import _http_names
@@ -47,7 +48,12 @@
         self.mirror = catalog.CatalogMirror()
         self.load_balancer = _load_balancer.LoadBalancer(options, self.mirror)
         self.routes = _routes.RouteTable()
-        self.poller = _poller.Poller(options, self.mirror, self._apply_catalog)
+        self.poller = _poller.Poller(
+            options,
+            self.mirror,
+            self._apply_catalog,
+            _poller.LoadExchange(self._list_observations, self._apply_loads),
+        )
         self._request_log = telemetry.RequestLog()
         self._target_pools = http.TargetPools()
         forwarder = _forwarding.Forwarder(
@@ -107,6 +113,14 @@
                 )
             )
 
+    def _list_observations(self) -> list[wire.TargetObservation]:
+        return self.load_balancer.list_observations(self._loop.time())
+
+    def _apply_loads(self, loads: bytes, revision: int) -> None:
+        self.load_balancer.apply_shared_loads(
+            self._loop.time(), loads, revision
+        )
+
     # Readiness checks and metrics
 
     def is_ready(self) -> bool:
--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -163,7 +163,7 @@
                     pool_name, avoided
                 )
             summary.targets.append(placement.target.target)
-            failure = await self._attempt(context, placement.target, summary)
+            failure = await self._attempt(context, placement, summary)
             if failure is None:
                 return
             summary.targets[-1] += f':{failure.error.kind.value}'
@@ -193,10 +193,12 @@
     async def _attempt(
         self,
         context: _requests.RequestContext,
-        target: steering.ObservedTarget,
+        placement: steering.Placement,
         summary: _summaries.RequestSummary,
     ) -> _FailedAttempt | None:
         """Try one target; return None if the caller got its answer."""
+        target = placement.target
+        assert target is not None
         dependencies = self._dependencies
         started_at = self._loop.time()
         pool_item = dependencies.mirror.pools.get(target.record.pool)
@@ -212,7 +214,7 @@
         )
         try:
             answer = await attempt.run()
-            self._record_answer(target, attempt, answer, started_at)
+            self._record_answer(placement, attempt, answer, started_at)
             if self._may_retry_error_answer(context, target, answer):
                 return _FailedAttempt(
                     errors.FulmarseamError(
@@ -229,7 +231,7 @@
             return self._handle_not_run(context, target, attempt, error)
         except http.TargetError as error:
             return self._handle_failure(
-                context, target, attempt, error, summary
+                context, placement, attempt, error, started_at, summary
             )
         except errors.FulmarseamError as error:
             if attempt.progress is http.Progress.NOT_SENT:
@@ -261,11 +263,13 @@
 
     def _record_answer(
         self,
-        target: steering.ObservedTarget,
+        placement: steering.Placement,
         attempt: _attempts.Attempt,
         answer: _attempts.Answer,
         started_at: float,
     ) -> None:
+        target = placement.target
+        assert target is not None
         now = self._loop.time()
         load_balancer = self._dependencies.load_balancer
         if attempt.load_report:
@@ -273,7 +277,7 @@
         if answer.response.status >= 500:
             load_balancer.record_failure(target)
         else:
-            load_balancer.record_answer(now, target, now - started_at)
+            load_balancer.record_answer(now, placement, now - started_at)
 
     def _may_retry_error_answer(
         self,
@@ -371,12 +375,15 @@
     def _handle_failure(
         self,
         context: _requests.RequestContext,
-        target: steering.ObservedTarget,
+        placement: steering.Placement,
         attempt: _attempts.Attempt,
         error: http.TargetError,
+        started_at: float,
         summary: _summaries.RequestSummary,
     ) -> _FailedAttempt:
         """Record an attempt without a usable answer; decide on a retry."""
+        target = placement.target
+        assert target is not None
         if context.caller.response_started:
             raise errors.FulmarseamError(
                 errors.ErrorKind.TARGET_FAILED, error.detail
@@ -395,7 +402,7 @@
         kind = errors.ErrorKind.TARGET_FAILED
         lost_idle_connection = False
         if error.reason is http.Reason.TIMED_OUT:
-            load_balancer.record_timeout(now, target)
+            load_balancer.record_timeout(now, placement, now - started_at)
             kind = errors.ErrorKind.TARGET_TIMEOUT
         elif error.reason is http.Reason.BROKEN and attempt.record_lost_idle():
             lost_idle_connection = True
--- a/fulmarseam/gateway/_load_balancer.py
+++ b/fulmarseam/gateway/_load_balancer.py
@@ -29,6 +29,14 @@
 TOKEN_OFFSET_STEPS = 1_000
 # The failure rate of a pool is computed again after this time.
 FAILURE_RATE_INTERVAL_S = 0.2
+# The loads that all entries observe together replace a report of the target
+# that is older than this.
+MIN_REPLACED_REPORT_AGE_S = 0.1
+# How long other entries' ejections count without a newer answer to a poll.
+SHARED_EJECTION_S = 1.2
+# Share of a pool's targets up to which the ejections of other entries count.
+# If they cover more, they are more likely about a network than the targets.
+MAX_SHARED_EJECTIONS = 1 / 3
 # Cached rankings of targets, one per object. The busiest deployments have at
 # least some hundred objects per route.
 MAX_RANKINGS = 20_000
@@ -42,6 +50,7 @@
     def __init__(self, retry_budget: steering.WindowedRetryBudget) -> None:
         self.retry_budget = retry_budget
         self.targets: list[steering.ObservedTarget] = []
+        self.statistics = steering.PoolStatistics()
         self._failure_rate = 0.0
         self._failure_rate_at = float('-inf')
 
@@ -75,6 +84,8 @@
         self._rankings: dict[
             tuple[str, str, str], list[steering.ObservedTarget]
         ] = {}
+        # Requests in flight by target as of the last observations.
+        self._reported: dict[ids.TargetId, int] = {}
         self._evacuated: frozenset[ids.DomainName] = frozenset()
         self.senders = 1
 
@@ -116,6 +127,7 @@
             )
             self._targets[target] = observed
         observed.record = record
+        observed.statistics = self._get_or_create_pool(record.pool).statistics
         if record.cold_ms > 0.0:
             steering.mark_cold(observed, now, record.cold_ms / 1_000)
 
@@ -188,6 +200,55 @@
         """Return this entry's part of the retry slack."""
         return self._options.retry_slack * RETRY_SHARE_USED / self.senders
 
+    # Observations of all entries
+
+    def list_observations(self, now: float) -> list[wire.TargetObservation]:
+        """Return what other entries should know of the targets."""
+        observations = []
+        self._reported.clear()
+        for observed in self._targets.values():
+            is_ejected = steering.is_ejected_here(observed, now)
+            if observed.in_flight or is_ejected:
+                self._reported[observed.target] = observed.in_flight
+                observations.append(
+                    wire.TargetObservation(
+                        observed.target, observed.in_flight, is_ejected
+                    )
+                )
+        return observations
+
+    def apply_shared_loads(
+        self, now: float, loads: bytes, revision: int
+    ) -> None:
+        """Use the loads that all entries observe together.
+
+        They are ignored if they list the targets of another revision.
+        """
+        if revision != self._mirror.revision:
+            return
+        if len(loads) != len(self._targets):
+            _log.warning(
+                telemetry.format_event(
+                    'shared_loads_ignored',
+                    found=len(loads),
+                    expected=len(self._targets),
+                    revision=revision,
+                )
+            )
+            return
+        loads_by_target = dict(zip(sorted(self._targets), loads, strict=True))
+        for pool in self._pools.values():
+            _apply_shared_ejections(now, pool.targets, loads_by_target)
+        for target, load in loads_by_target.items():
+            observed = self._targets[target]
+            age_s = now - observed.other_load_at
+            if (
+                load != wire.FAILING_TARGET
+                and age_s > MIN_REPLACED_REPORT_AGE_S
+            ):
+                others = load - self._reported.get(target, 0)
+                steering.note_shared_load(observed, now, others)
+
     # Placement of requests
 
     def count_request(self, now: float, pool_name: ids.PoolName) -> None:
@@ -323,11 +384,14 @@
         steering.note_report(observed, now, running, waiting)
 
     def record_answer(
-        self, now: float, observed: steering.ObservedTarget, service_s: float
+        self, now: float, placement: steering.Placement, service_s: float
     ) -> None:
         """Record an answer that a target returned after `service_s`."""
+        observed = _get_target(placement)
         cold_s = min(self._get_cold_s(observed), RECOVERY_COLD_S)
         steering.note_answer(observed, now, service_s, cold_s)
+        if placement.availability is steering.SlotAvailability.FREE:
+            observed.statistics.note_run(placement.run_kind, service_s)
 
     def record_failure(self, observed: steering.ObservedTarget) -> None:
         """Record a request that a target refused or failed."""
@@ -347,9 +411,14 @@
         return 2 * ejected_count > len(targets)
 
     def record_timeout(
-        self, now: float, observed: steering.ObservedTarget
+        self, now: float, placement: steering.Placement, elapsed_s: float
     ) -> None:
-        """Record a request that got no answer in time."""
+        """Record a request that got no answer within `elapsed_s`."""
+        observed = _get_target(placement)
+        statistics = observed.statistics
+        is_longer = elapsed_s > statistics.estimate_run(placement.run_kind)
+        if placement.run_kind is steering.RunKind.COLD and is_longer:
+            statistics.note_run(placement.run_kind, elapsed_s)
         if steering.is_silent(observed, now):
             self.eject(now, observed)
         else:
@@ -372,6 +441,28 @@
         )
 
 
+def _apply_shared_ejections(
+    now: float,
+    targets: list[steering.ObservedTarget],
+    loads: dict[ids.TargetId, int],
+) -> None:
+    """Avoid the targets of a pool that several other entries ejected."""
+    failing = [
+        observed
+        for observed in targets
+        if loads[observed.target] == wire.FAILING_TARGET
+    ]
+    if len(failing) > MAX_SHARED_EJECTIONS * len(targets):
+        return
+    for observed in failing:
+        observed.avoided_until = now + SHARED_EJECTION_S
+
+
+def _get_target(placement: steering.Placement) -> steering.ObservedTarget:
+    assert placement.target is not None
+    return placement.target
+
+
 def _filter_by_region(
     targets: list[steering.ObservedTarget], regions: list[ids.RegionName]
 ) -> list[steering.ObservedTarget]:
--- a/fulmarseam/gateway/_poller.py
+++ b/fulmarseam/gateway/_poller.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import time
+from typing import NamedTuple
 from typing import Self
 
 import logbook
@@ -15,8 +16,15 @@
 from fulmarseam import transport
 from fulmarseam import wire
 
-# A change is in force after one interval and the network delay, well within
-# the 2 s that operators allow.
+# The leader is polled most often: its answers carry the loads of the targets,
+# which change within a run time.
+LEADER_POLL_INTERVAL_S = 0.2
+# While the leader answers, the other members only need to know that the entry
+# is alive.
+IDLE_POLL_INTERVAL_S = 0.8
+LEADER_SILENCE_S = 1.0
+# Otherwise a change is in force after one interval and the network delay,
+# well within the 2 s that operators allow.
 POLL_INTERVAL_S = 0.4
 # Without a configuration no request can be served, so members are polled more
 # often until there is one. After a start of all hosts it is available once a
@@ -32,6 +40,17 @@
 _log = logbook.Logger('gateway')
 
 
+class LoadExchange(NamedTuple):
+    """What polls of the leader tell about targets, and who gets the answer.
+
+    `apply_loads` is called with the loads that all entries observe together
+    and the revision that lists the targets.
+    """
+
+    list_observations: Callable[[], list[wire.TargetObservation]]
+    apply_loads: Callable[[bytes, int], None]
+
+
 class Poller:
     """Polls every control member independently; a context manager.
 
@@ -46,8 +65,10 @@
         options: settings.GatewaySettings,
         mirror: catalog.CatalogMirror,
         on_change: Callable[[], None],
+        load_exchange: LoadExchange,
     ) -> None:
         self._options = options
+        self._load_exchange = load_exchange
         self._mirror = mirror
         self._on_change = on_change
         self._clients = transport.RpcClients()
@@ -59,6 +80,8 @@
         self._incarnation = time.time_ns() // 1_000_000
         self.is_draining = False
         self._is_fetching = False
+        self._leader = ''
+        self._leader_heard_at = float('-inf')
         self.senders = 1
 
     async def __aenter__(self) -> Self:
@@ -114,17 +137,22 @@
                 await self._poll(address)
             except errors.FulmarseamError as error:
                 self._record_reachability(address, error.detail)
-            interval_s = (
-                POLL_INTERVAL_S
-                if self._mirror.is_complete
-                else FIRST_POLL_INTERVAL_S
-            )
             try:
-                async with asyncio.timeout(interval_s):
+                async with asyncio.timeout(self._choose_interval(address)):
                     await wake.wait()
             except TimeoutError:
                 continue
 
+    def _choose_interval(self, address: str) -> float:
+        """Return the seconds until the next poll of a member."""
+        if not self._mirror.is_complete:
+            return FIRST_POLL_INTERVAL_S
+        if time.monotonic() - self._leader_heard_at > LEADER_SILENCE_S:
+            return POLL_INTERVAL_S
+        if address == self._leader:
+            return LEADER_POLL_INTERVAL_S
+        return IDLE_POLL_INTERVAL_S
+
     async def _poll(self, address: str) -> None:
         """Report this entry to a member and fetch its newer changes.
 
@@ -171,6 +199,7 @@
     ) -> wire.EntryPollResponse:
         """Send a poll; raises `errors.FulmarseamError` if it fails."""
         options = self._options
+        is_leader = address == self._leader and self._mirror.is_complete
         answer = await self._clients.call(
             address,
             wire.EntryPoll(
@@ -184,6 +213,12 @@
                 revision=self._mirror.revision,
                 removals_revision=self._mirror.removals_revision,
                 accepts_packed=True,
+                wants_loads=is_leader,
+                observations=(
+                    self._load_exchange.list_observations()
+                    if is_leader
+                    else []
+                ),
             ),
             timeout_s,
         )
@@ -194,6 +229,14 @@
             )
         self._record_reachability(address, None)
         self.senders = max(1, answer.entry_count)
+        if answer.leader:
+            self._leader = answer.leader
+        if answer.leader == address:
+            self._leader_heard_at = time.monotonic()
+        if answer.target_loads:
+            self._load_exchange.apply_loads(
+                wire.unpack_loads(answer.target_loads), answer.revision
+            )
         if answer.members:
             self._update_members(answer.members)
         return answer
--- a/fulmarseam/steering/__init__.py
+++ b/fulmarseam/steering/__init__.py
@@ -26,6 +26,7 @@
 from fulmarseam.steering._observed import is_cold
 from fulmarseam.steering._observed import is_doubtful
 from fulmarseam.steering._observed import is_ejected
+from fulmarseam.steering._observed import is_ejected_here
 from fulmarseam.steering._observed import is_silent
 from fulmarseam.steering._observed import mark_cold
 from fulmarseam.steering._observed import may_send
@@ -33,6 +34,7 @@
 from fulmarseam.steering._observed import note_end
 from fulmarseam.steering._observed import note_failure
 from fulmarseam.steering._observed import note_report
+from fulmarseam.steering._observed import note_shared_load
 from fulmarseam.steering._observed import note_start
 from fulmarseam.steering._observed import ObservedTarget
 from fulmarseam.steering._outcomes import OutcomeTable
@@ -40,6 +42,8 @@
 from fulmarseam.steering._placement import place_request
 from fulmarseam.steering._placement import Placement
 from fulmarseam.steering._placement import SlotAvailability
+from fulmarseam.steering._pool_statistics import PoolStatistics
+from fulmarseam.steering._pool_statistics import RunKind
 from fulmarseam.steering._queue import Admission
 from fulmarseam.steering._queue import RequestQueue
 from fulmarseam.steering._queue import Ticket
@@ -72,7 +76,9 @@
     'OutcomeTable',
     'Locality',
     'Placement',
+    'PoolStatistics',
     'PoolView',
+    'RunKind',
     'WindowedRetryBudget',
     'RequestQueue',
     'RetryBudget',
@@ -97,6 +103,7 @@
     'is_cold',
     'is_doubtful',
     'is_ejected',
+    'is_ejected_here',
     'is_silent',
     'match_route',
     'may_send',
@@ -104,6 +111,7 @@
     'note_end',
     'note_failure',
     'note_report',
+    'note_shared_load',
     'note_start',
     'order_entries',
     'place_request',
--- a/fulmarseam/steering/_observed.py
+++ b/fulmarseam/steering/_observed.py
@@ -9,10 +9,11 @@
 
 from fulmarseam import ids
 from fulmarseam import wire
+from fulmarseam.steering import _pool_statistics
 
-# Half-life of the weight of a load report. The report counts the requests at
-# the time of the response, which end within a few hundred ms.
-REPORT_HALF_LIFE_S = 0.4
+# Half-life of the weight of a load report, if requests end sooner than that.
+# The report counts the requests at the time of the response.
+REPORT_HALF_LIFE_MIN_S = 0.4
 # An unreachable target is ejected for the minimum time first. The time grows
 # up to the maximum with further failures, as silence lasts for seconds.
 EJECTION_MIN_S = 0.5
@@ -54,22 +55,28 @@
     """State of a target as one entry observes it; times in seconds.
 
     `other_load` is the load by other entries as of `other_load_at`. While
-    `now < ejected_until`, the target gets no requests; while
+    `now < ejected_until`, the target gets no requests, and while
+    `now < avoided_until` because other entries ejected it; while
     `now < cold_until`, only as many as `tokens` allow. `failures` counts the
     ejections since the last response, and `recovering` is set from an
     ejection to the next response. `silent_since` is when the first of the
     requests in flight started or when the last response came.
     `token_offset`, between 0 and 1, differs between entries, so that many
     entries with a low rate each do not all send in the same second.
+    `statistics` are those of its pool.
     """
 
     record: wire.TargetRecord
     is_remote: bool
+    statistics: _pool_statistics.PoolStatistics = dataclasses.field(
+        default_factory=_pool_statistics.PoolStatistics
+    )
     in_flight: int = 0
     other_load: float = 0.0
     other_load_at: float = 0.0
     failures: int = 0
     ejected_until: float = 0.0
+    avoided_until: float = 0.0
     failure_rate: float = 0.0
     cold_until: float = 0.0
     tokens: float = 0.0
@@ -87,9 +94,16 @@
 
 
 def estimate_load(target: ObservedTarget, now: float) -> float:
-    """Return the estimated number of running and queued requests."""
+    """Return the estimated number of running and queued requests.
+
+    The load by other entries loses half of its weight in a run time.
+    """
+    half_life_s = max(
+        REPORT_HALF_LIFE_MIN_S,
+        target.statistics.estimate_run(_pool_statistics.RunKind.FIRST_CHOICE),
+    )
     age = now - target.other_load_at
-    other_load: float = target.other_load * 0.5 ** (age / REPORT_HALF_LIFE_S)
+    other_load: float = target.other_load * 0.5 ** (age / half_life_s)
     return target.in_flight + other_load
 
 
@@ -142,6 +156,12 @@
     target.other_load_at = now
 
 
+def note_shared_load(target: ObservedTarget, now: float, others: int) -> None:
+    """Record the requests that the other entries have at a target."""
+    target.other_load = float(max(0, others))
+    target.other_load_at = now
+
+
 def note_answer(
     target: ObservedTarget, now: float, service_s: float, cold_s: float
 ) -> None:
@@ -181,6 +201,11 @@
 
 def is_ejected(target: ObservedTarget, now: float) -> bool:
     """Return whether a target gets no requests."""
+    return now < target.avoided_until or is_ejected_here(target, now)
+
+
+def is_ejected_here(target: ObservedTarget, now: float) -> bool:
+    """Return whether this entry itself has ejected a target."""
     return now < target.ejected_until or is_silent(target, now)
 
 
--- a/fulmarseam/steering/_placement.py
+++ b/fulmarseam/steering/_placement.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from fulmarseam.steering import _observed
+from fulmarseam.steering import _pool_statistics
 
 # Longest queue of a target, in rounds of its slots, by priority. Requests of
 # the highest priority may wait longest, so they are refused last.
@@ -17,6 +18,10 @@
 # An attempt is not started if its expected time exceeds this share of the
 # time left.
 MAX_TIME_LEFT_SHARE = 0.9
+# A request for an object goes to a target beyond its choices only if that
+# one has at least this share of its slots free, so that a pool that is busy
+# everywhere does not spread its objects.
+SPARE_SLOTS_SHARE = 0.75
 
 
 class SlotAvailability(enum.Enum):
@@ -28,10 +33,14 @@
 
 
 class Placement(NamedTuple):
-    """The target for an attempt, or None if no target can take it."""
+    """The target for an attempt, or None if no target can take it.
+
+    `run_kind` tells what run time is expected there.
+    """
 
     target: _observed.ObservedTarget | None
     availability: SlotAvailability
+    run_kind: _pool_statistics.RunKind = _pool_statistics.RunKind.FIRST_CHOICE
 
 
 MaySend = Callable[[_observed.ObservedTarget], bool]
@@ -52,20 +61,28 @@
     free target is chosen. `max_choices` is set for a request that concerns
     an object: only that many usable targets are considered, and each step
     down in preference costs as much as `UNCACHED_COST_ROUNDS` of queue,
-    since a less preferred target does not have the object cached. A doubtful
-    target is chosen only if it is free and no healthy target is; for an
-    object, also no healthy target may have a queue of at most
-    `UNCACHED_COST_ROUNDS`.
+    since a less preferred target does not have the object cached. Where
+    these would not finish the request in time, one with spare slots is taken.
+
+    A doubtful target is chosen only if it is free and no healthy target is;
+    for an object, also no healthy target may have a queue of at most
+    `UNCACHED_COST_ROUNDS`. A cold target is skipped if it would take longer
+    than the time left.
     """
+    usable_s = time_left_s * MAX_TIME_LEFT_SHARE
     healthy_count = 0
     doubtful: _observed.ObservedTarget | None = None
-    best: _observed.ObservedTarget | None = None
+    best: Placement | None = None
     best_wait = best_cost = 0.0
-    for target in targets:
+    remaining = iter(targets)
+    for target in remaining:
         if _observed.is_ejected(target, now) or not may_send(target):
             continue
-        if healthy_count == max_choices:
-            break
+        run_kind = _find_run_kind(target, now, healthy_count, max_choices)
+        if run_kind is _pool_statistics.RunKind.COLD and (
+            target.statistics.estimate_run(run_kind) > usable_s
+        ):
+            continue
         wait = _estimate_wait(target, now)
         if _observed.is_doubtful(target, pool_failure_rate):
             if not wait and doubtful is None:
@@ -76,24 +93,84 @@
             cost += healthy_count * UNCACHED_COST_ROUNDS
         healthy_count += 1
         if not cost:
-            return Placement(target, SlotAvailability.FREE)
+            return Placement(target, SlotAvailability.FREE, run_kind)
         if best is None or cost < best_cost:
-            best, best_wait, best_cost = target, wait, cost
+            best_wait, best_cost = wait, cost
+            availability = (
+                SlotAvailability.QUEUE if wait else SlotAvailability.FREE
+            )
+            best = Placement(target, availability, run_kind)
+        if healthy_count == max_choices:
+            break
     max_wait = UNCACHED_COST_ROUNDS if max_choices is not None else 0.0
     if doubtful is not None and (best is None or best_wait > max_wait):
         return Placement(doubtful, SlotAvailability.FREE)
     if best is None:
         return Placement(None, SlotAvailability.NONE)
     if not best_wait:
-        return Placement(best, SlotAvailability.FREE)
+        return best
     max_rounds = MAX_QUEUE_ROUNDS[min(priority, len(MAX_QUEUE_ROUNDS) - 1)]
-    expected_s = (best_wait + 1.0) * best.service_s
-    if (
-        best_wait > max_rounds
-        or expected_s > time_left_s * MAX_TIME_LEFT_SHARE
-    ):
-        return Placement(None, SlotAvailability.NONE)
-    return Placement(best, SlotAvailability.QUEUE)
+    if best_wait <= max_rounds and _estimate_time(best, best_wait) <= usable_s:
+        return best
+    spare = None
+    if max_choices is not None:
+        spare = _find_spare(
+            now, remaining, may_send, usable_s, pool_failure_rate
+        )
+    return spare or Placement(None, SlotAvailability.NONE)
+
+
+def _find_run_kind(
+    target: _observed.ObservedTarget,
+    now: float,
+    healthy_count: int,
+    max_choices: int | None,
+) -> _pool_statistics.RunKind:
+    if _observed.is_cold(target, now):
+        return _pool_statistics.RunKind.COLD
+    if healthy_count and max_choices is not None:
+        return _pool_statistics.RunKind.OTHER
+    return _pool_statistics.RunKind.FIRST_CHOICE
+
+
+def _estimate_time(placement: Placement, wait: float) -> float:
+    """Return the seconds until the response after a queue of `wait` rounds."""
+    target = placement.target
+    assert target is not None
+    statistics = target.statistics
+    round_s = max(
+        target.service_s,
+        statistics.estimate_run(_pool_statistics.RunKind.FIRST_CHOICE),
+    )
+    return wait * round_s + max(
+        target.service_s, statistics.estimate_run(placement.run_kind)
+    )
+
+
+def _find_spare(
+    now: float,
+    targets: Iterable[_observed.ObservedTarget],
+    may_send: MaySend,
+    usable_s: float,
+    pool_failure_rate: float,
+) -> Placement | None:
+    """Return the first target with spare slots that would finish in time."""
+    run_kind = _pool_statistics.RunKind.OTHER
+    for target in targets:
+        load = _observed.estimate_load(target, now)
+        if load > (1.0 - SPARE_SLOTS_SHARE) * target.record.slots:
+            continue
+        if (
+            _observed.is_ejected(target, now)
+            or _observed.is_cold(target, now)
+            or _observed.is_doubtful(target, pool_failure_rate)
+            or not may_send(target)
+        ):
+            continue
+        if target.statistics.estimate_run(run_kind) > usable_s:
+            return None
+        return Placement(target, SlotAvailability.FREE, run_kind)
+    return None
 
 
 def _estimate_wait(target: _observed.ObservedTarget, now: float) -> float:
--- a/fulmarseam/wire/__init__.py
+++ b/fulmarseam/wire/__init__.py
@@ -37,6 +37,7 @@
 from fulmarseam.wire._catalog import PoolItem
 from fulmarseam.wire._catalog import RouteItem
 from fulmarseam.wire._catalog import SplitPart
+from fulmarseam.wire._catalog import TargetObservation
 from fulmarseam.wire._catalog import TargetPhase
 from fulmarseam.wire._catalog import TargetRecord
 from fulmarseam.wire._catalog import TargetRenewal
@@ -65,8 +66,12 @@
 from fulmarseam.wire._consensus import SnapshotResponse
 from fulmarseam.wire._consensus import VoteRequest
 from fulmarseam.wire._consensus import VoteResponse
+from fulmarseam.wire._packing import FAILING_TARGET
+from fulmarseam.wire._packing import MAX_PACKED_LOAD
 from fulmarseam.wire._packing import pack_changes
+from fulmarseam.wire._packing import pack_loads
 from fulmarseam.wire._packing import unpack_changes
+from fulmarseam.wire._packing import unpack_loads
 from fulmarseam.wire._peers import DrainNotice
 from fulmarseam.wire._peers import LeaveNotice
 from fulmarseam.wire._peers import StrikeNotice
@@ -114,6 +119,8 @@
 from fulmarseam.wire._sync import TargetState
 
 __all__ = [
+    'FAILING_TARGET',
+    'MAX_PACKED_LOAD',
     'AppendRequest',
     'AppendResponse',
     'Block',
@@ -206,6 +213,7 @@
     'TablesRequest',
     'TablesResponse',
     'TargetLoad',
+    'TargetObservation',
     'TargetPhase',
     'TargetProgress',
     'TargetRecord',
@@ -220,5 +228,7 @@
     'decode_with',
     'encode',
     'pack_changes',
+    'pack_loads',
     'unpack_changes',
+    'unpack_loads',
 ]
--- a/fulmarseam/wire/_catalog.py
+++ b/fulmarseam/wire/_catalog.py
@@ -176,6 +176,14 @@
     DRAINING = 'draining'
 
 
+class TargetObservation(msgspec.Struct, frozen=True, array_like=True):
+    """What an entry observes of a target that it uses or has ejected."""
+
+    target: ids.TargetId
+    in_flight: int
+    is_ejected: bool = False
+
+
 class EntryPoll(msgspec.Struct, tag='entry_poll', frozen=True, kw_only=True):
     """An entry's report on itself, with an optional request for changes.
 
@@ -183,7 +191,9 @@
     epoch. With `wants_changes` the response lists the changes after
     `revision`. The entry knows the removals up to `removals_revision`,
     which is -1 before its first response. `accepts_packed` is set by an entry
-    that reads `EntryPollResponse.packed_changes`.
+    that reads `EntryPollResponse.packed_changes`. With `wants_loads` the
+    poll carries `observations` for the leader, and the response what all
+    entries observe together.
     """
 
     entry: ids.EntryId
@@ -196,6 +206,8 @@
     revision: int = 0
     removals_revision: int = -1
     accepts_packed: bool = False
+    wants_loads: bool = False
+    observations: list[TargetObservation] = []
 
 
 class CatalogChanges(msgspec.Struct, frozen=True, kw_only=True):
@@ -223,7 +235,9 @@
 
     `members` lists the addresses of the control members. `entry_count` is
     the number of entries that may send requests. `packed_changes` replaces
-    `changes` for an entry that accepts it; see `pack_changes`.
+    `changes` for an entry that accepts it; see `pack_changes`. `leader` is
+    the address of the leader, or empty. `target_loads` are the loads of the
+    targets at `revision`; see `pack_loads`.
     """
 
     revision: int
@@ -231,6 +245,8 @@
     packed_changes: bytes = b''
     members: list[str] = []
     entry_count: int = 0
+    leader: str = ''
+    target_loads: bytes = b''
 
 
 CatalogMessage = (
--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -109,6 +109,8 @@
         self.machine = catalog.Catalog()
         self.member_address = fakes.find_free_address()
         self.polls: list[wire.EntryPoll] = []
+        # Address of the leader that answers to polls name, if any.
+        self.leader = ''
         self.targets: dict[str, Target] = {}
         self.stack = contextlib.AsyncExitStack()
         await self.stack.enter_async_context(
@@ -151,7 +153,10 @@
                 message.revision, message.removals_revision
             )
         return wire.EntryPollResponse(
-            revision=self.machine.revision, changes=changes, entry_count=1
+            revision=self.machine.revision,
+            changes=changes,
+            entry_count=1,
+            leader=self.leader,
         )
 
     async def add_target(
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -384,6 +384,41 @@
             self.assertEqual((await self.call(method='POST')).status, 200)
 
 
+class ObservationTest(gateway_case.GatewayCase):
+    """Guards against observations that no other entry learns of."""
+
+    async def wait_for_poll(self, wants_loads: bool) -> wire.EntryPoll:
+        """Return the next poll of that kind."""
+        self.polls.clear()
+        async with asyncio.timeout(5.0):
+            while True:
+                for poll in self.polls:
+                    if poll.wants_loads == wants_loads:
+                        return poll
+                await asyncio.sleep(0.02)
+
+    async def test_the_leader_gets_the_requests_in_flight(self) -> None:
+        async def hang(reader, writer, headers):
+            await asyncio.sleep(10.0)
+
+        await self.add_target('t1', hang)
+        await self.put_route(timeout_ms=8_000.0)
+        _, writer = await self.open_call()
+        await self.targets['t1'].request_received.wait()
+        self.leader = self.member_address
+        poll = await self.wait_for_poll(wants_loads=True)
+        self.assertEqual(
+            [wire.TargetObservation(fixtures.target_id('t1'), 1)],
+            poll.observations,
+        )
+        writer.close()
+
+    async def test_other_members_get_no_observations(self) -> None:
+        await self.put_route()
+        poll = await self.wait_for_poll(wants_loads=False)
+        self.assertEqual([], poll.observations)
+
+
 class StopTest(gateway_case.GatewayCase):
     """Guards against a stop that breaks requests of callers."""
 
