Take no answer without an id on a kept connection

Cause: an answer with a status of 300 or more and no request id passed also on a reused connection, where the late copy of an answer to another request may arrive. The copy of a refusal was taken as "not run", so the caller got 503 for a request that the target then ran, or it was sent once more.

Change: on a reused connection an answer without id is an error of unknown outcome, unless the request had no id either.

--- a/fulmarseam/gateway/_attempts.py
+++ b/fulmarseam/gateway/_attempts.py
@@ -225,13 +225,16 @@
 
         Raises `NotRunError` if the target declares that it did not, and
         `http.TargetError` for an answer to another request, which may
-        arrive late on a reused connection.
+        arrive late on a reused connection. An answer without an id counts
+        there only if the request had none either; elsewhere it may be a
+        failure, which targets send before they have read the id.
         """
         http_names = self._http_names
-        has_no_id = http_names.request_id not in response.fields
-        if self._answers_other_request(response) or (
-            has_no_id and response.status < 300
-        ):
+        is_doubtful = http_names.request_id not in response.fields and (
+            response.status < 300
+            or (self._is_reused and self._context.request_id is not None)
+        )
+        if self._answers_other_request(response) or is_doubtful:
             raise http.TargetError(
                 http.Reason.MALFORMED,
                 http.Progress.MAY_HAVE_SENT,
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -278,6 +278,29 @@
         await self.put_route(idempotent=False)
         self.assertEqual((await self.call(method='POST')).status, 502)
 
+    async def test_a_stray_not_run_answer_does_not_count(self) -> None:
+        """Guards against a request that runs twice.
+
+        The copy of a refusal, late and without an id, arrives on a kept
+        connection where the answer to the next request is due.
+        """
+
+        async def answer_then_stray(reader, writer, headers):
+            await write_response(writer, headers)
+            if len(self.targets['t1'].heads) == 1:
+                await asyncio.sleep(0.05)
+                writer.write(
+                    b'HTTP/1.1 503 X\r\nfulmarseam-not-run: 1\r\n'
+                    b'content-length: 0\r\n\r\n'
+                )
+
+        target = await self.add_target('t1', answer_then_stray)
+        await self.put_route(idempotent=False, max_attempts=2)
+        first = await self.call(method='POST')
+        second = await self.call(method='POST')
+        self.assertEqual((200, 502), (first.status, second.status))
+        self.assertEqual(2, len(target.heads))
+
     async def test_a_truncated_answer_is_an_error(self) -> None:
         async def truncate(reader, writer, headers):
             writer.write(
