Keep others off an ejected target until a probe answers

Cause: an ejection was reported for its pause of 0.5 s only, so all entries came back to a dark target together and each lost a request again.

Change: an entry reports it for 3 s beyond the pause, unless the target has answered; the entries that ejected it probe it for the others.

--- a/fulmarseam/gateway/_load_balancer.py
+++ b/fulmarseam/gateway/_load_balancer.py
@@ -207,7 +207,7 @@
         observations = []
         self._reported.clear()
         for observed in self._targets.values():
-            is_ejected = steering.is_ejected_here(observed, now)
+            is_ejected = steering.is_reported_ejected(observed, now)
             if observed.in_flight or is_ejected:
                 self._reported[observed.target] = observed.in_flight
                 observations.append(
--- a/fulmarseam/steering/__init__.py
+++ b/fulmarseam/steering/__init__.py
@@ -26,7 +26,7 @@
 from fulmarseam.steering._observed import is_cold
 from fulmarseam.steering._observed import is_doubtful
 from fulmarseam.steering._observed import is_ejected
-from fulmarseam.steering._observed import is_ejected_here
+from fulmarseam.steering._observed import is_reported_ejected
 from fulmarseam.steering._observed import is_silent
 from fulmarseam.steering._observed import mark_cold
 from fulmarseam.steering._observed import may_send
@@ -103,7 +103,7 @@
     'is_cold',
     'is_doubtful',
     'is_ejected',
-    'is_ejected_here',
+    'is_reported_ejected',
     'is_silent',
     'match_route',
     'may_send',
--- a/fulmarseam/steering/_observed.py
+++ b/fulmarseam/steering/_observed.py
@@ -18,6 +18,9 @@
 # up to the maximum with further failures, as silence lasts for seconds.
 EJECTION_MIN_S = 0.5
 EJECTION_MAX_S = 4.0
+# An ejection is reported to other entries for this long beyond its end, unless
+# the target has answered since.
+EJECTION_REPORT_S = 3.0
 # Weight of the newest outcome in the moving average of a failure rate.
 OUTCOME_WEIGHT = 0.1
 # From this failure rate on, a target is used only if no better one is free.
@@ -209,6 +212,19 @@
     return now < target.ejected_until or is_silent(target, now)
 
 
+def is_reported_ejected(target: ObservedTarget, now: float) -> bool:
+    """Return whether other entries should avoid a target for now.
+
+    That lasts beyond the pause of this entry, which then probes the target
+    for all. Without a request to probe it with, others try it again.
+    """
+    if is_silent(target, now):
+        return True
+    return target.recovering and (
+        now < target.ejected_until + EJECTION_REPORT_S
+    )
+
+
 def is_doubtful(target: ObservedTarget, pool_failure_rate: float) -> bool:
     """Return whether a target fails far more requests than its pool.
 
--- a/tests/load_simulation.py
+++ b/tests/load_simulation.py
@@ -28,6 +28,8 @@
 ONE_WAY_S = 0.001
 REMOTE_ONE_WAY_S = 0.02
 POLL_INTERVAL_S = 0.2
+# TCP gives up a connection whose bytes a dark host does not acknowledge.
+TCP_USER_TIMEOUT_S = 1.5
 
 Rate = Callable[[str, float], float]
 
@@ -334,6 +336,9 @@
     def _reach(self, number: int, name: str, outcomes: Outcomes) -> None:
         target = self.targets[name]
         if target.is_dark:
+            self.at(
+                self.now + TCP_USER_TIMEOUT_S, self._break, number, outcomes
+            )
             return
         if len(target.running) < self.scenario.slots:
             self._start(number, target, outcomes)
@@ -370,6 +375,15 @@
             target.cache.popitem(last=False)
         self._end(number, target, 'served', outcomes)
 
+    def _break(self, number: int, outcomes: Outcomes) -> None:
+        """Fail a request whose connection has ended."""
+        request = self._requests[number]
+        if not request.is_done:
+            request.is_done = True
+            outcomes.add(request.arrived_at, 'late')
+            request.entry.load_balancer.eject(self.now, request.observed)
+            request.entry.load_balancer.release(request.observed)
+
     def _cut(self, number: int, outcomes: Outcomes) -> None:
         request = self._requests[number]
         if not request.is_done:
