Send no request beyond the two choices of its object

Cause: a request that its two choices would not finish in time went to any target with spare slots, where it evicted an object. A pool that had lost a third of its caches stayed slow: in virtual time 39% of the runs in vain, for as long as the load lasted.

Change: such a request is refused at once. A run that was cut on a free target counts in the mean run time with the time it had.

--- a/fulmarseam/gateway/_load_balancer.py
+++ b/fulmarseam/gateway/_load_balancer.py
@@ -416,8 +416,9 @@
         """Record a request that got no answer within `elapsed_s`."""
         observed = _get_target(placement)
         statistics = observed.statistics
-        is_longer = elapsed_s > statistics.estimate_run(placement.run_kind)
-        if placement.run_kind is steering.RunKind.COLD and is_longer:
+        is_free = placement.availability is steering.SlotAvailability.FREE
+        if is_free and elapsed_s > statistics.estimate_run(placement.run_kind):
+            # The run would have taken even longer.
             statistics.note_run(placement.run_kind, elapsed_s)
         if steering.is_silent(observed, now):
             self.eject(now, observed)
--- a/fulmarseam/steering/_placement.py
+++ b/fulmarseam/steering/_placement.py
@@ -18,10 +18,6 @@
 # An attempt is not started if its expected time exceeds this share of the
 # time left.
 MAX_TIME_LEFT_SHARE = 0.9
-# A request for an object goes to a target beyond its choices only if that
-# one has at least this share of its slots free, so that a pool that is busy
-# everywhere does not spread its objects.
-SPARE_SLOTS_SHARE = 0.75
 
 
 class SlotAvailability(enum.Enum):
@@ -61,8 +57,9 @@
     free target is chosen. `max_choices` is set for a request that concerns
     an object: only that many usable targets are considered, and each step
     down in preference costs as much as `UNCACHED_COST_ROUNDS` of queue,
-    since a less preferred target does not have the object cached. Where
-    these would not finish the request in time, one with spare slots is taken.
+    since a less preferred target does not have the object cached. If neither
+    would finish in time the request is refused: at any other target it would
+    evict an object, and a pool that lost its caches would never recover.
 
     A doubtful target is chosen only if it is free and no healthy target is;
     for an object, also no healthy target may have a queue of at most
@@ -74,8 +71,7 @@
     doubtful: _observed.ObservedTarget | None = None
     best: Placement | None = None
     best_wait = best_cost = 0.0
-    remaining = iter(targets)
-    for target in remaining:
+    for target in targets:
         if _observed.is_ejected(target, now) or not may_send(target):
             continue
         run_kind = _find_run_kind(target, now, healthy_count, max_choices)
@@ -112,12 +108,7 @@
     max_rounds = MAX_QUEUE_ROUNDS[min(priority, len(MAX_QUEUE_ROUNDS) - 1)]
     if best_wait <= max_rounds and _estimate_time(best, best_wait) <= usable_s:
         return best
-    spare = None
-    if max_choices is not None:
-        spare = _find_spare(
-            now, remaining, may_send, usable_s, pool_failure_rate
-        )
-    return spare or Placement(None, SlotAvailability.NONE)
+    return Placement(None, SlotAvailability.NONE)
 
 
 def _find_run_kind(
@@ -147,32 +138,6 @@
     )
 
 
-def _find_spare(
-    now: float,
-    targets: Iterable[_observed.ObservedTarget],
-    may_send: MaySend,
-    usable_s: float,
-    pool_failure_rate: float,
-) -> Placement | None:
-    """Return the first target with spare slots that would finish in time."""
-    run_kind = _pool_statistics.RunKind.OTHER
-    for target in targets:
-        load = _observed.estimate_load(target, now)
-        if load > (1.0 - SPARE_SLOTS_SHARE) * target.record.slots:
-            continue
-        if (
-            _observed.is_ejected(target, now)
-            or _observed.is_cold(target, now)
-            or _observed.is_doubtful(target, pool_failure_rate)
-            or not may_send(target)
-        ):
-            continue
-        if target.statistics.estimate_run(run_kind) > usable_s:
-            return None
-        return Placement(target, SlotAvailability.FREE, run_kind)
-    return None
-
-
 def _estimate_wait(target: _observed.ObservedTarget, now: float) -> float:
     """Return the queue ahead of a new request, in rounds of all slots."""
     slots = target.record.slots
--- a/tests/load_simulation.py
+++ b/tests/load_simulation.py
@@ -225,6 +225,11 @@
         """Let a target answer nothing any more."""
         self.targets[name].is_dark = True
 
+    def chill_target(self, name: str) -> None:
+        """Let a target lose its cache and be cold again."""
+        self.targets[name].cache.clear()
+        self.targets[name].born_at = self.now
+
     def remove_target(self, name: str) -> None:
         """Let a target leave."""
         fixtures.leave(self.machine, name)
--- a/tests/test_many_entries_load.py
+++ b/tests/test_many_entries_load.py
@@ -90,6 +90,50 @@
         self.assertGreater(shared.share('served'), alone.share('served'))
 
 
+class LostCachesTest(unittest.TestCase):
+    """Scenario: a busy pool loses a sixth of its targets and more caches.
+
+    All objects fit the caches of the targets that are left, and only a pool
+    that has most of them cached can run all requests. Guards against an
+    overload that keeps itself up: requests that are cut or that go to just
+    any target cache nothing of use, so the next ones take long again.
+    """
+
+    RECOVERED_AT_S = 18.0
+
+    def play(self, seed: int) -> load_simulation.Outcomes:
+        simulation = load_simulation.Simulation(
+            load_simulation.Scenario(
+                targets=(12, 43, 43),
+                entries=30,
+                objects=618,
+                rate=make_wave(619.0),
+                duration_s=26.0,
+                slots=4,
+                queue=12,
+                cache_size=19,
+                uncached_s=0.84,
+                timeout_s=1.2,
+                cold_per_s=5.0,
+                seed=seed,
+            )
+        )
+        names = list(simulation.targets)
+        for name in names[12:28]:
+            simulation.at(8.0, simulation.darken_target, name)
+            simulation.at(11.0, simulation.remove_target, name)
+        for name in names[60:82]:
+            simulation.at(9.0, simulation.chill_target, name)
+        return simulation.run(self.RECOVERED_AT_S)
+
+    def test_the_pool_recovers(self) -> None:
+        for seed in (1, 2):
+            with self.subTest(seed=seed):
+                outcomes = self.play(seed)
+                self.assertGreater(outcomes.share('served'), 0.8)
+                self.assertLess(outcomes.share_in_vain(), 0.1)
+
+
 class SharedLoadsTest(unittest.TestCase):
     """Guards against a few entries that make a sound target unused."""
 
