Order the processes of an entry by their uptime

Cause: members ordered the processes of an entry by the time of day of their start. Polls of a drained former process still counted.

Change: a poll tells the uptime of its process. The process that started last by the steady clock of the member counts; without an uptime the old rule holds.

tests.test_catalog.EntryRegistryTest: a restart with an earlier clock is listed at once, a poll of the former process 4 s late is not taken.

--- a/fulmarseam/catalog/_entry_registry.py
+++ b/fulmarseam/catalog/_entry_registry.py
@@ -17,6 +17,8 @@
 class _Row:
     poll: wire.EntryPoll
     heard_at: float
+    # When its process started, by the clock of this member, if it told.
+    started_at: float | None
 
 
 class EntryRegistry:
@@ -28,20 +30,19 @@
     def record_poll(self, now: float, poll: wire.EntryPoll) -> bool:
         """Record a poll; return whether the entry's state changed.
 
-        A poll of an earlier incarnation is ignored as late while the
-        current incarnation is alive. Once that is silent, it is accepted:
-        the clock that numbers incarnations may have been set back.
+        A late poll of a process that has ended is ignored; see `_is_late`.
         """
         current = self._rows.get(poll.entry)
-        if current is not None and current.poll.incarnation > poll.incarnation:
-            if now - current.heard_at <= ENTRY_LEASE_S:
-                return False
+        if current is not None and _is_late(current, poll, now):
+            return False
         is_changed = (
             current is None
             or current.poll.state is not poll.state
             or current.poll.incarnation != poll.incarnation
         )
-        self._rows[poll.entry] = _Row(poll, now)
+        self._rows[poll.entry] = _Row(
+            poll, now, _find_start(current, poll, now)
+        )
         return is_changed
 
     def count_senders(self, now: float) -> int:
@@ -74,3 +75,40 @@
             key=lambda poll: (poll.failure_domain != domain, poll.entry)
         )
         return [poll.address for poll in candidates[:limit]]
+
+
+def _find_start(
+    current: _Row | None, poll: wire.EntryPoll, now: float
+) -> float | None:
+    """Return when the process of a poll started, by the earliest estimate.
+
+    A delay on the way or a pause of the host makes it look younger.
+    """
+    if poll.uptime_s is None:
+        return None
+    started_at = now - poll.uptime_s
+    if (
+        current is not None
+        and current.started_at is not None
+        and current.poll.incarnation == poll.incarnation
+    ):
+        return min(started_at, current.started_at)
+    return started_at
+
+
+def _is_late(current: _Row, poll: wire.EntryPoll, now: float) -> bool:
+    """Return whether a poll is of a process before the current one.
+
+    The process that started last is the current one. Without its uptime, an
+    earlier incarnation is late while the current one is alive: the clock that
+    numbers incarnations may have been set back.
+    """
+    if current.poll.incarnation == poll.incarnation:
+        return False
+    started_at = _find_start(None, poll, now)
+    if started_at is not None and current.started_at is not None:
+        return started_at <= current.started_at
+    return (
+        current.poll.incarnation > poll.incarnation
+        and now - current.heard_at <= ENTRY_LEASE_S
+    )
--- a/fulmarseam/gateway/_poller.py
+++ b/fulmarseam/gateway/_poller.py
@@ -78,6 +78,7 @@
         self._reachable: set[str] = set()
         self._wake = asyncio.Event()
         self._incarnation = time.time_ns() // 1_000_000
+        self._started_at = time.monotonic()
         self.is_draining = False
         self._is_fetching = False
         self._leader = ''
@@ -212,6 +213,7 @@
                 wants_changes=wants_changes,
                 revision=self._mirror.revision,
                 removals_revision=self._mirror.removals_revision,
+                uptime_s=time.monotonic() - self._started_at,
                 accepts_packed=True,
                 wants_loads=is_leader,
                 observations=(
--- a/fulmarseam/wire/_catalog.py
+++ b/fulmarseam/wire/_catalog.py
@@ -188,7 +188,8 @@
     """An entry's report on itself, with an optional request for changes.
 
     `incarnation` is the start of its process in milliseconds since the
-    epoch. With `wants_changes` the response lists the changes after
+    epoch, which tells processes apart; `uptime_s` orders them, as the time of
+    day may be set back. With `wants_changes` the response lists the changes after
     `revision`. The entry knows the removals up to `removals_revision`,
     which is -1 before its first response. `accepts_packed` is set by an entry
     that reads `EntryPollResponse.packed_changes`. With `wants_loads` the
@@ -205,6 +206,7 @@
     wants_changes: bool = False
     revision: int = 0
     removals_revision: int = -1
+    uptime_s: float | None = None
     accepts_packed: bool = False
     wants_loads: bool = False
     observations: list[TargetObservation] = []
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import msgspec
+
 from fulmarseam import catalog
 from fulmarseam import wire
 from tests import catalog_fixtures as fixtures
@@ -390,6 +392,42 @@
         self.assertTrue(self.registry.record_poll(3.0, earlier))
         self.assertEqual(self._find(3.1, 'ost'), ['e1:1'])
 
+    def poll_with_uptime(
+        self,
+        now: float,
+        incarnation: int,
+        uptime_s: float,
+        state: wire.EntryState = wire.EntryState.READY,
+    ) -> bool:
+        poll = fixtures.make_poll('e1', 'ost', 'ost-wien', state, incarnation)
+        return self.registry.record_poll(
+            now, msgspec.structs.replace(poll, uptime_s=uptime_s)
+        )
+
+    def test_a_restart_counts_at_once_whatever_its_clock_says(self) -> None:
+        """The time of day, which numbers incarnations, went back."""
+        self.poll_with_uptime(10.0, 5_000, 60.0, wire.EntryState.DRAINING)
+        self.assertEqual([], self._find(10.1, 'ost'))
+        self.assertTrue(self.poll_with_uptime(10.2, 3_000, 0.1))
+        self.assertEqual(['e1:1'], self._find(10.3, 'ost'))
+
+    def test_a_late_poll_is_told_by_its_uptime(self) -> None:
+        """The time of day went back before the restart."""
+        self.poll_with_uptime(10.0, 5_000, 60.0)
+        self.poll_with_uptime(10.2, 3_000, 0.1)
+        self.assertFalse(
+            self.poll_with_uptime(14.0, 5_000, 60.0, wire.EntryState.DRAINING)
+        )
+        self.poll_with_uptime(14.1, 3_000, 4.0)
+        self.assertEqual(['e1:1'], self._find(14.2, 'ost'))
+
+    def test_a_paused_process_stays_the_same_one(self) -> None:
+        """The steady clock of a suspended host does not count the pause."""
+        self.poll_with_uptime(10.0, 5_000, 60.0)
+        self.poll_with_uptime(20.0, 5_000, 60.4)
+        self.assertTrue(self.poll_with_uptime(21.0, 4_000, 0.2))
+        self.assertEqual(['e1:1'], self._find(21.1, 'ost'))
+
     def test_dead_entries_still_count_as_senders(self) -> None:
         self.assertEqual(self.registry.count_senders(30.0), 3)
         self.assertEqual(self.registry.count_senders(61.0), 0)
