Log what decided each placement of a request

The line of a request named its targets and not why they were chosen, so a slow, a full and a cold target could not be told apart afterwards. It now has, for each attempt, the kind of run expected, the queue ahead, the expected time, the load known of the target and its age: about 80 bytes an attempt.

--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -162,7 +162,7 @@
                 raise possible_run_error or self._make_refusal(
                     pool_name, avoided
                 )
-            summary.targets.append(placement.target.target)
+            summary.add_placement(placement, now)
             failure = await self._attempt(context, placement, summary)
             if failure is None:
                 return
--- a/fulmarseam/gateway/_summaries.py
+++ b/fulmarseam/gateway/_summaries.py
@@ -1,9 +1,12 @@
 """The summary of a request for its log line."""
 
 from fulmarseam import errors
+from fulmarseam import steering
 from fulmarseam import telemetry
 from fulmarseam.gateway import _requests
 
+# An older report does not count any more.
+MAX_SHOWN_AGE_S = 99.0
 ANSWERED = errors.Outcome.ANSWERED.value
 
 
@@ -11,13 +14,17 @@
     """Where one request was sent and how it ended.
 
     `targets` lists the targets in the order of the attempts, each failed
-    one with its kind of error. `outcome` is `answered` or the kind of the
-    final error.
+    one with its kind of error. `inputs` lists what decided each placement:
+    the kind of run expected, the queue in rounds of the slots, the expected
+    seconds, the requests known at the target with this one, and the age of what
+    other entries or the target told about that. `outcome` is `answered` or
+    the kind of the final error.
     """
 
     __slots__ = (
         'detail',
         'affinity_key',
+        'inputs',
         'outcome',
         'pool',
         'route',
@@ -33,6 +40,20 @@
         self.detail = ''
         self.status = 0
         self.targets: list[str] = []
+        self.inputs: list[str] = []
+
+    def add_placement(self, placement: steering.Placement, now: float) -> None:
+        """Note the target of an attempt and what decided for it."""
+        target = placement.target
+        assert target is not None
+        self.targets.append(target.target)
+        self.inputs.append(
+            f'{placement.run_kind.value}'
+            f':queue={placement.wait_rounds:.2f}'
+            f':expected_s={steering.estimate_time(placement):.2f}'
+            f':load={steering.estimate_load(target, now):.1f}'
+            f':age_s={min(now - target.other_load_at, MAX_SHOWN_AGE_S):.1f}'
+        )
 
     def write(
         self,
@@ -50,6 +71,7 @@
             pool=self.pool,
             object=self.affinity_key,
             targets=','.join(self.targets),
+            inputs=','.join(self.inputs),
             status=self.status,
             elapsed_s=now - context.arrived_at,
             time_left_s=context.deadline - now,
--- a/fulmarseam/steering/__init__.py
+++ b/fulmarseam/steering/__init__.py
@@ -39,6 +39,7 @@
 from fulmarseam.steering._observed import ObservedTarget
 from fulmarseam.steering._outcomes import OutcomeTable
 from fulmarseam.steering._outcomes import Outliers
+from fulmarseam.steering._placement import estimate_time
 from fulmarseam.steering._placement import place_request
 from fulmarseam.steering._placement import Placement
 from fulmarseam.steering._placement import SlotAvailability
@@ -98,6 +99,7 @@
     'compute_fingerprint',
     'eject',
     'estimate_load',
+    'estimate_time',
     'compute_mean_failure_rate',
     'compute_attempt_timeout',
     'is_cold',
--- a/fulmarseam/steering/_placement.py
+++ b/fulmarseam/steering/_placement.py
@@ -31,12 +31,14 @@
 class Placement(NamedTuple):
     """The target for an attempt, or None if no target can take it.
 
-    `run_kind` tells what run time is expected there.
+    `run_kind` tells what run time is expected there, and `wait_rounds` the
+    queue, in rounds of all slots.
     """
 
     target: _observed.ObservedTarget | None
     availability: SlotAvailability
     run_kind: _pool_statistics.RunKind = _pool_statistics.RunKind.FIRST_CHOICE
+    wait_rounds: float = 0.0
 
 
 MaySend = Callable[[_observed.ObservedTarget], bool]
@@ -95,7 +97,7 @@
             availability = (
                 SlotAvailability.QUEUE if wait else SlotAvailability.FREE
             )
-            best = Placement(target, availability, run_kind)
+            best = Placement(target, availability, run_kind, wait)
         if healthy_count == max_choices:
             break
     max_wait = UNCACHED_COST_ROUNDS if max_choices is not None else 0.0
@@ -106,7 +108,7 @@
     if not best_wait:
         return best
     max_rounds = MAX_QUEUE_ROUNDS[min(priority, len(MAX_QUEUE_ROUNDS) - 1)]
-    if best_wait <= max_rounds and _estimate_time(best, best_wait) <= usable_s:
+    if best_wait <= max_rounds and estimate_time(best) <= usable_s:
         return best
     return Placement(None, SlotAvailability.NONE)
 
@@ -124,8 +126,8 @@
     return _pool_statistics.RunKind.FIRST_CHOICE
 
 
-def _estimate_time(placement: Placement, wait: float) -> float:
-    """Return the seconds until the response after a queue of `wait` rounds."""
+def estimate_time(placement: Placement) -> float:
+    """Return the expected seconds until the response."""
     target = placement.target
     assert target is not None
     statistics = target.statistics
@@ -133,7 +135,7 @@
         target.service_s,
         statistics.estimate_run(_pool_statistics.RunKind.FIRST_CHOICE),
     )
-    return wait * round_s + max(
+    return placement.wait_rounds * round_s + max(
         target.service_s, statistics.estimate_run(placement.run_kind)
     )
 
