--- a/fulmarseam/steering/_placement.py
+++ b/fulmarseam/steering/_placement.py
@@ -14,7 +14,7 @@
 # Queue, in rounds of the slots, that a request for an object accepts at the
 # target that has the object cached. Any other target takes three to four
 # times as long for the request and so adds to an overload.
-UNCACHED_COST_ROUNDS = 1.5
+UNCACHED_COST_ROUNDS = 1.0
 # An attempt is not started if its expected time exceeds this share of the
 # time left.
 MAX_TIME_LEFT_SHARE = 0.9
