Explain a request in bounded memory and name the likely cause

explain read all logs into memory: 183 MB for 17 MB of logs. It shows the inputs of each placement and says in a sentence what most likely cost the request its time: a dark, cold or busy target, a queue, or an uncached run.

--- a/fulmarseam/commands/_ctl_explain.py
+++ b/fulmarseam/commands/_ctl_explain.py
@@ -2,13 +2,18 @@
 
 from collections.abc import Iterable
 from collections.abc import Iterator
+import contextlib
 import datetime
 import re
+import shutil
 import sys
+import tempfile
+from typing import IO
 from typing import NamedTuple
 
 from fulmarseam import errors
 from fulmarseam import telemetry
+from fulmarseam.commands import _ctl_causes
 
 STANDARD_INPUT = '-'
 # Related log lines are shown from this long before the request arrived. A
@@ -19,6 +24,10 @@
 # synchronized over the network differ by far less than a second.
 CLOCK_SKEW_S = 1.0
 
+# Standard input is read twice, from a copy on disk if it is larger than this.
+MAX_SPOOLED_BYTES = 16 * 1024 * 1024
+
+_TIME_PATTERN = re.compile(r'\btime=(\S+)')
 _FIELD_PATTERN = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
 _REQUEST_EVENT = 'request_ended'
 # Events of the entry that handled the request.
@@ -83,34 +92,104 @@
         return self.fields.get('event', '')
 
 
+class _Source(NamedTuple):
+    """Log lines that can be read more than once."""
+
+    name: str
+    file: IO[str]
+
+
 def explain(request_id: str, paths: list[str]) -> str:
     """Return the outcome of a request and the related log lines in order.
 
-    `paths` are log files of any processes, or `-` for standard input.
-    Raises `errors.UsageError` for a file that cannot be read, and
-    `errors.FulmarseamError` with `NOT_FOUND` when no line has the id.
+    `paths` are log files of any processes, or `-` for standard input. They
+    are read twice, for the request and for what happened around it, and only
+    lines that may matter are kept in memory. Raises `errors.UsageError` for
+    a file that cannot be read, and `errors.FulmarseamError` with `NOT_FOUND`
+    when no line has the id.
     """
-    events = sorted(_read_all(paths), key=lambda event: event.time_s)
-    ended = [
-        event
-        for event in events
-        if event.name == _REQUEST_EVENT
-        and event.fields.get('id') == request_id
-    ]
-    if not ended:
-        raise errors.FulmarseamError(
-            errors.ErrorKind.NOT_FOUND,
-            f'{request_id}: found no request_ended line among '
-            f'{len(events)} events; the request reached none of these '
-            'entries, or its line is one of those that requests_omitted '
-            'counts',
+    with contextlib.ExitStack() as stack:
+        sources = [stack.enter_context(_open_source(path)) for path in paths]
+        ended = sorted(
+            _find_request_ends(request_id, sources),
+            key=lambda event: event.time_s,
         )
+        if not ended:
+            raise errors.FulmarseamError(
+                errors.ErrorKind.NOT_FOUND,
+                f'{request_id}: found no request_ended line in '
+                f'{len(sources)} files; the request reached none of these '
+                'entries, or its line is one of those that requests_omitted '
+                'counts',
+            )
+        events = _read_events_around(ended, sources)
     lines: list[str] = []
     for event in ended:
         lines.extend(_explain_request_end(event, events))
     return '\n'.join(lines)
 
 
+@contextlib.contextmanager
+def _open_source(path: str) -> Iterator[_Source]:
+    if path == STANDARD_INPUT:
+        with tempfile.SpooledTemporaryFile(
+            MAX_SPOOLED_BYTES, 'w+', encoding='utf-8'
+        ) as copy:
+            shutil.copyfileobj(sys.stdin, copy)
+            yield _Source('stdin', copy)
+        return
+    try:
+        file = open(path, encoding='utf-8', errors='replace')
+    except OSError as error:
+        raise errors.UsageError(f'{path}: {error.strerror}') from error
+    with file:
+        yield _Source(path, file)
+
+
+def _find_request_ends(
+    request_id: str, sources: Iterable[_Source]
+) -> Iterator[Event]:
+    """Yield the events at the end of a request; most lines are not parsed."""
+    for source in sources:
+        source.file.seek(0)
+        lines = (line for line in source.file if request_id in line)
+        for event in read_events(source.name, lines):
+            if (
+                event.name == _REQUEST_EVENT
+                and event.fields.get('id') == request_id
+            ):
+                yield event
+
+
+def _read_events_around(
+    ended: list[Event], sources: Iterable[_Source]
+) -> list[Event]:
+    """Return the events from `LOOKBACK_S` before until after a request."""
+    start_s = min(_find_arrival(event) for event in ended) - LOOKBACK_S
+    end_s = max(event.time_s for event in ended) + CLOCK_SKEW_S
+    events: list[Event] = []
+    for source in sources:
+        source.file.seek(0)
+        lines = (
+            line
+            for line in source.file
+            if _REQUEST_EVENT not in line and _is_between(line, start_s, end_s)
+        )
+        events.extend(read_events(source.name, lines))
+    events.sort(key=lambda event: event.time_s)
+    return events
+
+
+def _is_between(line: str, start_s: float, end_s: float) -> bool:
+    match = _TIME_PATTERN.search(line)
+    time_s = _read_time(match[1]) if match is not None else None
+    return time_s is not None and start_s <= time_s <= end_s
+
+
+def _find_arrival(ended: Event) -> float:
+    return ended.time_s - float(ended.fields.get('elapsed_s', 0.0))
+
+
 def _explain_request_end(ended: Event, events: list[Event]) -> list[str]:
     """Return the lines about a request at one entry."""
     fields = ended.fields
@@ -123,10 +202,18 @@
     ]
     if fields.get('detail'):
         lines.append(f'  {fields["detail"]}')
-    for position, attempt in enumerate(_list_attempts(fields), start=1):
+    inputs = _list_parts(fields, 'inputs')
+    for position, attempt in enumerate(_list_attempts(fields)):
         target, _, failure = attempt.partition(':')
-        result = failure or 'answered'
-        lines.append(f'  attempt {position}: {target}: {result}')
+        line = f'  attempt {position + 1}: {target}: {failure or "answered"}'
+        if position < len(inputs):
+            line += f' ({inputs[position].replace(":", ", ")})'
+        lines.append(line)
+    cause = _ctl_causes.find_likely_cause(
+        fields, _list_ejecting(ended, events)
+    )
+    if cause:
+        lines.append(f'  {cause}')
     lines.extend(
         f'  {event.time_s - ended.time_s:+8.3f} s {event.source}: '
         + ' '.join(f'{key}={text}' for key, text in event.fields.items())
@@ -137,7 +224,7 @@
 
 def find_related_events(ended: Event, events: Iterable[Event]) -> list[Event]:
     """Return the events that may have affected a request."""
-    arrived_s = ended.time_s - float(ended.fields.get('elapsed_s', 0.0))
+    arrived_s = _find_arrival(ended)
     targets = {
         attempt.partition(':')[0] for attempt in _list_attempts(ended.fields)
     }
@@ -162,20 +249,24 @@
     return event.name in _CONTROL_EVENTS
 
 
+def _list_ejecting(ended: Event, events: Iterable[Event]) -> set[str]:
+    """Return the entries that ejected the last target around a request."""
+    attempts = _list_attempts(ended.fields)
+    target = attempts[-1].partition(':')[0] if attempts else ''
+    return {
+        event.source
+        for event in events
+        if event.name == 'target_ejected'
+        and event.fields.get('target') == target
+    }
+
+
 def _list_attempts(fields: dict[str, str]) -> list[str]:
-    return [part for part in fields.get('targets', '').split(',') if part]
+    return _list_parts(fields, 'targets')
 
 
-def _read_all(paths: list[str]) -> Iterator[Event]:
-    for path in paths:
-        if path == STANDARD_INPUT:
-            yield from read_events('stdin', sys.stdin)
-            continue
-        try:
-            with open(path, encoding='utf-8', errors='replace') as file:
-                yield from read_events(path, file)
-        except OSError as error:
-            raise errors.UsageError(f'{path}: {error.strerror}') from error
+def _list_parts(fields: dict[str, str], name: str) -> list[str]:
+    return [part for part in fields.get(name, '').split(',') if part]
 
 
 def read_events(source: str, lines: Iterable[str]) -> Iterator[Event]:
--- a/fulmarseam/gateway/_summaries.py
+++ b/fulmarseam/gateway/_summaries.py
@@ -16,9 +16,9 @@
     `targets` lists the targets in the order of the attempts, each failed
     one with its kind of error. `inputs` lists what decided each placement:
     the kind of run expected, the queue in rounds of the slots, the expected
-    seconds, the requests known at the target with this one, and the age of what
-    other entries or the target told about that. `outcome` is `answered` or
-    the kind of the final error.
+    seconds, the requests known at the target with this one, and the age of
+    what other entries or the target told about that. `outcome` is `answered`
+    or the kind of the final error.
     """
 
     __slots__ = (
--- a/fulmarseam/wire/_catalog.py
+++ b/fulmarseam/wire/_catalog.py
@@ -189,12 +189,12 @@
 
     `incarnation` is the start of its process in milliseconds since the
     epoch, which tells processes apart; `uptime_s` orders them, as the time of
-    day may be set back. With `wants_changes` the response lists the changes after
-    `revision`. The entry knows the removals up to `removals_revision`,
+    day may be set back. With `wants_changes` the response lists the changes
+    after `revision`. The entry knows the removals up to `removals_revision`,
     which is -1 before its first response. `accepts_packed` is set by an entry
-    that reads `EntryPollResponse.packed_changes`. With `wants_loads` the
-    poll carries `observations` for the leader, and the response what all
-    entries observe together.
+    that reads `EntryPollResponse.packed_changes`. With `wants_loads` the poll
+    carries `observations` for the leader, and the response what all entries
+    observe together.
     """
 
     entry: ids.EntryId
--- a/tests/test_ctl_explain.py
+++ b/tests/test_ctl_explain.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import tempfile
+import tracemalloc
 import unittest
 
 from fulmarseam import errors
@@ -116,6 +117,60 @@
         self.assertEqual(0, done.returncode, done.stderr)
         self.assertIn('attempt 2: t-2', done.stdout)
 
+    def test_the_inputs_of_each_placement_are_shown(self) -> None:
+        self.write_request('target_timeout', 'first_choice:queue=0.50')
+        lines = self.explain()
+        self.assertIn('first_choice, queue=0.50', lines[2])
+
+    def write_request(self, outcome: str, inputs: str) -> None:
+        """Replace the log of the entry by one request."""
+        line = (
+            f'time={TIME}05.900000Z level=INFO logger=request '
+            f'event=request_ended id=q1 outcome={outcome} route=r pool=p '
+            f'targets=t-1:{outcome} inputs={inputs} status=0 '
+            'elapsed_s=1.981 time_left_s=0.000'
+        )
+        pathlib.Path(self.paths[0]).write_text(line, encoding='utf-8')
+
+    def test_the_likely_cause_is_told(self) -> None:
+        for inputs, expected in (
+            ('cold:queue=0.00:expected_s=1.0:age_s=0.1', 'it was cold'),
+            ('first_choice:queue=0.50:age_s=0.1', 'waited in the queue'),
+            ('other:queue=0.00:age_s=0.1', 'object cached'),
+            ('first_choice:queue=0.00:age_s=5.0', 'busier than'),
+            ('first_choice:queue=0.00:expected_s=0.6:age_s=0.1', '0.6 s exp'),
+            ('nonsense', 'took longer'),
+        ):
+            with self.subTest(inputs=inputs):
+                self.write_request('target_timeout', inputs)
+                self.assertIn(expected, ' '.join(self.explain()))
+
+    def test_a_target_that_several_entries_ejected_is_the_cause(self) -> None:
+        self.write_request('target_failed', 'first_choice:queue=0.50')
+        for name in ('edge-2.log', 'edge-3.log'):
+            path = pathlib.Path(self.paths[0]).with_name(name)
+            path.write_text(
+                f'time={TIME}05.600000Z event=target_ejected target=t-1\n',
+                encoding='utf-8',
+            )
+            self.paths.append(str(path))
+        self.assertIn('2 entries ejected it', ' '.join(self.explain()))
+
+    def test_memory_is_bounded_whatever_the_size_of_the_logs(self) -> None:
+        """Guards against a tool that fails on the logs of a whole day."""
+        path = pathlib.Path(self.paths[1])
+        with path.open('a', encoding='utf-8') as file:
+            for number in range(60_000):
+                file.write(
+                    f'time=2026-03-26T12:00:00.000000Z event=request_ended '
+                    f'id=x{number} outcome=answered targets=t-1 '
+                    'elapsed_s=0.1\n'
+                )
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        self.explain()
+        self.assertLess(tracemalloc.get_traced_memory()[1], 2 * 1024 * 1024)
+
 
 class QuotingTest(unittest.TestCase):
     """Guards against log values that change when written and read back."""
