Let an entry that was paused hear a member before it sends anything

Cause: an entry that was stopped or suspended for seconds went on with the targets and evacuations that it knew before, until its next poll was answered.

Change: a gap of 2 s between two signs of life, by a clock that counts the time of a suspend, is a pause. Requests then wait for an answer to a poll sent after it, from a member that knows a leader, for at most 0.5 s: an entry that is cut off goes on with what it last knew.

--- a/fulmarseam/gateway/_daemon.py
+++ b/fulmarseam/gateway/_daemon.py
@@ -65,6 +65,7 @@
                 http_names=http_names,
                 metrics=self.metrics,
                 request_log=self._request_log,
+                pause_guard=self.poller.pause_guard,
             )
         )
         self.caller_server = http.Server(
@@ -165,6 +166,7 @@
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
+            self.poller.pause_guard.check()
             self.load_balancer.set_senders(self.poller.senders)
             self._request_log.tick()
 
--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -14,6 +14,7 @@
 from fulmarseam.gateway import _attempts
 from fulmarseam.gateway import _http_names
 from fulmarseam.gateway import _load_balancer
+from fulmarseam.gateway import _pauses
 from fulmarseam.gateway import _requests
 from fulmarseam.gateway import _routes
 from fulmarseam.gateway import _summaries
@@ -34,6 +35,7 @@
     http_names: _http_names.HttpNames
     metrics: telemetry.Metrics
     request_log: telemetry.RequestLog
+    pause_guard: _pauses.PauseGuard
 
 
 class _FailedAttempt(NamedTuple):
@@ -111,6 +113,7 @@
                 errors.ErrorKind.CONFIG_STALE,
                 'the configuration is not known yet',
             )
+        await dependencies.pause_guard.wait_until_fresh()
         context.route = dependencies.routes.match(context.host, context.path)
         summary.route = context.route.name
         self._set_deadline(context)
@@ -149,6 +152,7 @@
         avoided: set[ids.TargetId] = set()
         possible_run_error: errors.FulmarseamError | None = None
         while True:
+            await self._dependencies.pause_guard.wait_until_fresh()
             now = self._loop.time()
             placement = self._dependencies.load_balancer.place(
                 now,
--- a/fulmarseam/gateway/_poller.py
+++ b/fulmarseam/gateway/_poller.py
@@ -15,6 +15,7 @@
 from fulmarseam import telemetry
 from fulmarseam import transport
 from fulmarseam import wire
+from fulmarseam.gateway import _pauses
 
 # The leader is polled most often: its answers carry the loads of the targets,
 # which change within a run time.
@@ -79,6 +80,7 @@
         self._wake = asyncio.Event()
         self._incarnation = time.time_ns() // 1_000_000
         self._started_at = time.monotonic()
+        self.pause_guard = _pauses.PauseGuard(self.poll_now)
         self.is_draining = False
         self._is_fetching = False
         self._leader = ''
@@ -159,6 +161,7 @@
 
         Only one fetch runs at a time, because an entry's link is slow.
         """
+        sent_at = self.pause_guard.get_time()
         answer = await self._send_poll(address, False, POLL_TIMEOUT_S)
         while (
             answer.revision > self._mirror.revision and not self._is_fetching
@@ -168,6 +171,9 @@
                 answer = await self._fetch_changes(address)
             finally:
                 self._is_fetching = False
+        # A member that knows no leader may itself be behind.
+        if answer.leader and answer.revision <= self._mirror.revision:
+            self.pause_guard.note_answer(sent_at)
 
     async def _fetch_changes(self, address: str) -> wire.EntryPollResponse:
         """Fetch and apply the next changes from a member."""
--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -111,6 +111,7 @@
         self.polls: list[wire.EntryPoll] = []
         # Address of the leader that answers to polls name, if any.
         self.leader = ''
+        self.poll_delay_s = 0.0
         self.targets: dict[str, Target] = {}
         self.stack = contextlib.AsyncExitStack()
         await self.stack.enter_async_context(
@@ -147,6 +148,7 @@
     async def _handle(self, message: wire.Message) -> wire.Message:
         assert isinstance(message, wire.EntryPoll)
         self.polls.append(message)
+        await asyncio.sleep(self.poll_delay_s)
         changes = None
         if message.wants_changes:
             changes = self.machine.list_changes(
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -442,6 +442,53 @@
         self.assertEqual([], poll.observations)
 
 
+class PauseTest(gateway_case.GatewayCase):
+    """Guards against a paused entry that acts on what is no longer true."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.leader = self.member_address
+        self.left = await self.add_target('t1', serve)
+        await self.put_route(idempotent=False)
+        self.pause_s = 0.0
+        self.guard = self.gateway.poller.pause_guard
+        self.guard._clock = lambda: time.monotonic() + self.pause_s
+        self.guard._last_seen_at = self.guard._clock()
+
+    def pause(self, pause_s: float) -> None:
+        """Let a target leave while the clock moves on without the entry."""
+        self.poll_delay_s = 0.2
+        fixtures.leave(self.machine, 't1')
+        self.pause_s += pause_s
+
+    async def test_a_target_that_left_meanwhile_gets_no_request(self) -> None:
+        self.pause(5.0)
+        await self.call()
+        self.assertEqual([], self.left.heads)
+
+    async def test_an_entry_that_is_cut_off_goes_on(self) -> None:
+        self.pause(5.0)
+        self.poll_delay_s = 5.0
+        started = time.monotonic()
+        self.assertEqual(200, (await self.call()).status)
+        self.assertLess(time.monotonic() - started, 0.9)
+
+    async def test_a_short_delay_holds_nothing_back(self) -> None:
+        self.pause(1.0)
+        self.assertEqual(200, (await self.call()).status)
+
+    async def test_an_answer_from_before_the_pause_does_not_count(
+        self,
+    ) -> None:
+        sent_at = self.guard.get_time()
+        self.pause_s += 5.0
+        self.guard.check()
+        self.guard.note_answer(sent_at)
+        self.assertFalse(self.guard._is_fresh.is_set())
+        self.guard.note_answer(self.guard.get_time())
+        self.assertTrue(self.guard._is_fresh.is_set())
+
+
 class StopTest(gateway_case.GatewayCase):
     """Guards against a stop that breaks requests of callers."""
 
