Wait for a member once after a pause

A request waited for a member before its route and again before its target, 1 s in all for an entry that is cut off, which was its whole timeout. tests.test_gateway.PauseTest.test_an_entry_that_is_cut_off_goes_on: 503 before, 200 after; three runs passed.

--- a/fulmarseam/gateway/_pauses.py
+++ b/fulmarseam/gateway/_pauses.py
@@ -79,6 +79,8 @@
             async with asyncio.timeout(REFRESH_TIMEOUT_S):
                 await self._is_fresh.wait()
         except TimeoutError:
+            # One wait for each pause is enough to find out.
+            self._is_fresh.set()
             _log.warning(
                 telemetry.format_event(
                     'not_refreshed', waited_s=REFRESH_TIMEOUT_S
