--- a/fulmarseam/wire/_catalog.py
+++ b/fulmarseam/wire/_catalog.py
@@ -184,7 +184,13 @@
     is_ejected: bool = False
 
 
-class EntryPoll(msgspec.Struct, tag='entry_poll', frozen=True, kw_only=True):
+class EntryPoll(
+    msgspec.Struct,
+    tag='entry_poll',
+    frozen=True,
+    kw_only=True,
+    omit_defaults=True,
+):
     """An entry's report on itself, with an optional request for changes.
 
     `incarnation` is the start of its process in milliseconds since the
@@ -231,7 +237,11 @@
 
 
 class EntryPollResponse(
-    msgspec.Struct, tag='entry_poll_response', frozen=True, kw_only=True
+    msgspec.Struct,
+    tag='entry_poll_response',
+    frozen=True,
+    kw_only=True,
+    omit_defaults=True,
 ):
     """The response to an `EntryPoll`.
 
