Count the time of a suspended host in the leases of an entry

Cause: an entry keeps its lease and grants in the time of its event loop, CLOCK_MONOTONIC, which stands still while the host is suspended. After it, a permission that others had taken over still held.

Change: the loop of an entry with grants reads CLOCK_BOOTTIME.

--- a/fulmarseam/commands/entry.py
+++ b/fulmarseam/commands/entry.py
@@ -25,7 +25,8 @@
         gc.collect()
         gc.freeze()
         gc.set_threshold(GC_THRESHOLD)
-        asyncio.run(entry.run_entry(options, tracer))
+        with asyncio.Runner(loop_factory=entry.SteadyLoop) as runner:
+            runner.run(entry.run_entry(options, tracer))
 
 
 def main() -> None:
--- a/tests/test_many_entries_load.py
+++ b/tests/test_many_entries_load.py
@@ -8,6 +8,7 @@
 
 from fulmarseam import catalog
 from fulmarseam import ids
+from fulmarseam import steering
 from fulmarseam import wire
 from tests import catalog_fixtures as fixtures
 from tests import load_simulation
@@ -208,6 +209,27 @@
         self.assertEqual([wire.MAX_PACKED_LOAD, 0], self.read(0.1))
 
 
+class ReportedEjectionTest(unittest.TestCase):
+    """Guards against a target that all avoid and nobody probes."""
+
+    def setUp(self) -> None:
+        self.target = steering.ObservedTarget(
+            fixtures.make_record('a'), is_remote=False
+        )
+        steering.eject(self.target, 0.0)
+
+    def test_others_stay_away_beyond_the_pause(self) -> None:
+        self.assertFalse(steering.is_ejected(self.target, 1.0))
+        self.assertTrue(steering.is_reported_ejected(self.target, 1.0))
+
+    def test_a_target_without_a_probe_is_tried_again(self) -> None:
+        self.assertFalse(steering.is_reported_ejected(self.target, 4.0))
+
+    def test_an_answer_ends_the_report(self) -> None:
+        steering.note_answer(self.target, 1.0, 0.1, 0.0)
+        self.assertFalse(steering.is_reported_ejected(self.target, 1.1))
+
+
 class AppliedLoadsTest(unittest.TestCase):
     """Guards against an entry that stops using its targets on hearsay."""
 
