--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -274,6 +274,43 @@
         self.assertEqual(self.mirror.targets, {})
 
 
+class RestoredTest(unittest.TestCase):
+    """Guards against a restart that brings back what had been withdrawn."""
+
+    def test_what_left_or_was_dropped_stays_gone(self) -> None:
+        machine = catalog.Catalog()
+        fixtures.put(
+            machine,
+            fixtures.make_pool('katalog', 1),
+            fixtures.make_route('r', 3),
+        )
+        fixtures.put(machine, fixtures.make_route_removal('r', 4))
+        fixtures.announce(machine, 'a', born_ms=100, sequence=3)
+        fixtures.leave(machine, 'a')
+        fixtures.announce(machine, 'b', born_ms=100, sequence=3)
+        fixtures.announce(
+            machine,
+            'b',
+            born_ms=100,
+            sequence=4,
+            phase=wire.TargetPhase.DRAINING,
+        )
+        restored = catalog.Catalog()
+        restored.restore(machine.snapshot())
+        # Messages that were under way before the restart.
+        fixtures.announce(restored, 'a', born_ms=100, sequence=9)
+        fixtures.announce(restored, 'b', born_ms=100, sequence=9)
+        fixtures.put(restored, fixtures.make_route('r', 3), digest=b'late')
+        mirror = catalog.CatalogMirror()
+        mirror.apply(0, restored.list_changes(0, -1))
+        self.assertEqual({}, mirror.routes)
+        self.assertEqual(['b'], list(mirror.targets))
+        self.assertIs(
+            wire.TargetPhase.DRAINING,
+            mirror.targets[fixtures.target_id('b')].phase,
+        )
+
+
 class HeartbeatTrackerTest(unittest.TestCase):
     """Guards against a log entry for every announcement."""
 
