Show what the members said when a test group has no leader

The failure of test_silent_partition_of_a_region left no trace, since the lines of the members were not kept. The error of wait_leader now has the last 20 lines of each.

--- a/fulmarseam/bench/_cluster.py
+++ b/fulmarseam/bench/_cluster.py
@@ -23,6 +23,8 @@
 from fulmarseam.bench import _waiting
 
 START_TIMEOUT_S = 15.0
+# Lines of a process that an error about it shows.
+SHOWN_LINES = 20
 # Environment variable; if set, the settings, logs and journals of a run stay.
 KEEP_RUNS_VARIABLE = 'FULMARSEAM_KEEP_RUNS'
 
@@ -256,13 +258,30 @@
         await self.wait_ready(START_TIMEOUT_S)
 
     async def wait_leader(self, timeout_s: float) -> str:
-        """Wait for a control leader and return its name."""
-        await _waiting.wait_until(
-            self.operator.find_leader, timeout_s, 'a control leader'
-        )
+        """Wait for a control leader and return its name.
+
+        Raises `ConditionError` with the last lines of each member.
+        """
+        try:
+            await _waiting.wait_until(
+                self.operator.find_leader, timeout_s, 'a control leader'
+            )
+        except _waiting.ConditionError as error:
+            raise _waiting.ConditionError(
+                f'{error}\n{self._describe_controls()}'
+            ) from error
         leader = await self.operator.find_leader()
         return leader or await self.wait_leader(timeout_s)
 
+    def _describe_controls(self) -> str:
+        """Return the last lines that each control member has written."""
+        parts = []
+        for control in self.plan.controls:
+            lines = self.processes[control.name].read_output().splitlines()
+            parts.append(f'{control.name}:')
+            parts.extend(f'  {line}' for line in lines[-SHOWN_LINES:])
+        return '\n'.join(parts)
+
     async def wait_ready(self, timeout_s: float) -> float:
         """Wait until all running entries are up to date and targets ready.
 
--- a/tests/integration/test_control.py
+++ b/tests/integration/test_control.py
@@ -51,6 +51,24 @@
         )
 
 
+class StartTest(ControlCase):
+    """Guards against a failed start whose cause nobody can tell."""
+
+    async def test_a_group_without_leader_shows_what_its_members_say(
+        self,
+    ) -> None:
+        cluster = await self.start_cluster(_case.make_control_plan(3))
+        for name in ('c1', 'c2'):
+            cluster.processes[name].kill()
+        with self.assertRaises(_waiting.ConditionError) as caught:
+            # A leader that lost its majority may lead for a moment more.
+            for _ in range(5):
+                await asyncio.sleep(2.0)
+                await cluster.wait_leader(0.5)
+        self.assertIn('c0:\n', str(caught.exception))
+        self.assertIn('event=', str(caught.exception))
+
+
 class LeaderTest(ControlCase):
     """Guards against lost or reverted edits when a leader fails."""
 
