--- a/fulmarseam/commands/_ctl_causes.py
+++ b/fulmarseam/commands/_ctl_causes.py
@@ -41,6 +41,10 @@
     last = _read_inputs(fields.get('inputs', '').rpartition(',')[2])
     if not last:
         return ''
+    if outcome == errors.ErrorKind.CALLER_GONE.value and (
+        _read_number(fields, 'elapsed_s') < _read_number(last, 'expected_s')
+    ):
+        return 'The caller left before the response was expected.'
     return 'Most likely ' + _explain_slow_run(last, fields) + '.'
 
 
--- a/fulmarseam/commands/_ctl_explain.py
+++ b/fulmarseam/commands/_ctl_explain.py
@@ -30,10 +30,11 @@
 _TIME_PATTERN = re.compile(r'\btime=(\S+)')
 _FIELD_PATTERN = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
 _REQUEST_EVENT = 'request_ended'
+_CATALOG_EVENT = 'catalog_in_force'
 # Events of the entry that handled the request.
 _ENTRY_EVENTS = frozenset(
     {
-        'catalog_in_force',
+        _CATALOG_EVENT,
         'drain_started',
         'drained',
         'member_reachable',
@@ -228,13 +229,26 @@
     targets = {
         attempt.partition(':')[0] for attempt in _list_attempts(ended.fields)
     }
-    return [
+    related = [
         event
         for event in events
         if arrived_s - LOOKBACK_S <= event.time_s
         and event.time_s <= ended.time_s + CLOCK_SKEW_S
         and _is_related(event, ended.source, targets)
     ]
+    return _drop_superseded_catalogs(related, arrived_s)
+
+
+def _drop_superseded_catalogs(
+    events: list[Event], arrived_s: float
+) -> list[Event]:
+    """Drop the catalogs that newer ones replaced before a request arrived."""
+    earlier = [
+        event
+        for event in events
+        if event.name == _CATALOG_EVENT and event.time_s <= arrived_s
+    ]
+    return [event for event in events if event not in earlier[:-1]]
 
 
 def _is_related(event: Event, entry: str, targets: set[str]) -> bool:
--- a/tests/test_ctl_explain.py
+++ b/tests/test_ctl_explain.py
@@ -145,6 +145,28 @@
                 self.write_request('target_timeout', inputs)
                 self.assertIn(expected, ' '.join(self.explain()))
 
+    def test_a_caller_that_left_early_is_told_from_a_slow_run(self) -> None:
+        self.write_request(
+            'caller_gone', 'first_choice:queue=0.00:expected_s=2.50:age_s=0.1'
+        )
+        self.assertIn(
+            'left before the response was expected', ' '.join(self.explain())
+        )
+
+    def test_only_the_catalog_in_force_at_the_arrival_is_shown(self) -> None:
+        """Hundreds of targets join and leave within seconds."""
+        self.write_request('target_timeout', 'cold:queue=0.00')
+        with pathlib.Path(self.paths[0]).open('a', encoding='utf-8') as file:
+            for second in ('01.0', '02.0', '03.0', '05.0'):
+                file.write(
+                    f'\ntime={TIME}{second}00000Z event=catalog_in_force '
+                    f'revision={second[:2]}'
+                )
+        found = [line for line in self.explain() if 'catalog' in line]
+        self.assertEqual(2, len(found))
+        self.assertIn('revision=03', found[0])
+        self.assertIn('revision=05', found[1])
+
     def test_a_target_that_several_entries_ejected_is_the_cause(self) -> None:
         self.write_request('target_failed', 'first_choice:queue=0.50')
         for name in ('edge-2.log', 'edge-3.log'):
