--- a/fulmarseam/platform/_items.py
+++ b/fulmarseam/platform/_items.py
@@ -27,11 +27,7 @@
 
     Raises `UnreadableError` if any part of it is malformed.
     """
-    try:
-        call = json.loads(body)
-    except ValueError as error:
-        raise _values.UnreadableError(f'body: {error}') from error
-    _values.require(call, dict, 'body')
+    call = _values.parse_object(body)
     upsert = _values.require(call.get('upsert', {}), dict, 'upsert')
     remove = _values.require(call.get('remove', {}), dict, 'remove')
     return [*_read_upsert(upsert), *_read_remove(remove)]
--- a/fulmarseam/platform/_targets.py
+++ b/fulmarseam/platform/_targets.py
@@ -1,7 +1,7 @@
 """Conversion of target announcements from the platform's JSON."""
 
 from collections.abc import Mapping
-import json
+import ipaddress
 from typing import Any
 
 from fulmarseam import ids
@@ -13,6 +13,8 @@
     'draining': wire.TargetPhase.DRAINING,
 }
 _MIN_SLOTS = 1
+_MAX_PORT = 65_535
+_MAX_PORT_DIGITS = 5
 
 
 def read_heartbeat(
@@ -23,7 +25,7 @@
     Raises `UnreadableError` if the announcement is malformed or its target
     cannot get requests.
     """
-    fields = _read_object(body)
+    fields = _values.parse_object(body)
     info = _values.read_field(fields, 'info', dict, 'beat')
     status = _values.read_field(fields, 'status', dict, 'beat')
     state = _values.read_field(status, 'state', str, 'status')
@@ -60,23 +62,32 @@
     """Return the leaving incarnation, or 0 if the call names none."""
     if not body.strip():
         return 0
-    fields = _read_object(body)
+    fields = _values.parse_object(body)
     return int(_values.require(fields.get('born', 0), int, 'leave.born'))
 
 
-def _read_object(body: bytes) -> dict[str, Any]:
-    try:
-        fields = json.loads(body)
-    except ValueError as error:
-        raise _values.UnreadableError(f'body: {error}') from error
-    return dict(_values.require(fields, dict, 'body'))
-
-
 def _read_address(fields: dict[str, Any]) -> str:
     address = str(_values.read_field(fields, 'address', str, 'beat'))
     host, _, port = address.rpartition(':')
-    if not host or not port.isdigit():
+    if not _is_ip_address(host) or not _is_port(port):
         raise _values.UnreadableError(
             f'beat.address: found {address!r}, expected IP:PORT'
         )
     return address
+
+
+def _is_ip_address(text: str) -> bool:
+    try:
+        ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _is_port(text: str) -> bool:
+    return (
+        text.isascii()
+        and text.isdigit()
+        and len(text) <= _MAX_PORT_DIGITS
+        and 0 < int(text) <= _MAX_PORT
+    )
--- a/fulmarseam/platform/_values.py
+++ b/fulmarseam/platform/_values.py
@@ -1,5 +1,7 @@
 """Parsing and formatting of values in the platform's JSON."""
 
+import json
+import math
 import re
 from typing import Any
 
@@ -11,6 +13,48 @@
     """A request body does not have the format that the platform defines."""
 
 
+# Integers in messages between the system's processes have 64 bits.
+_MAX_INTEGER = 2**63 - 1
+
+
+def parse_object(body: bytes) -> dict[str, Any]:
+    """Return the JSON object of a body.
+
+    Raises `UnreadableError` if it is malformed, nested too deeply, or has a
+    number or a text that messages between processes cannot hold.
+    """
+    try:
+        found = json.loads(
+            body,
+            parse_int=_parse_integer,
+            parse_float=_parse_float,
+            parse_constant=_refuse_constant,
+        )
+        # Refuses halves of surrogate pairs, which UTF-8 cannot encode.
+        json.dumps(found, ensure_ascii=False).encode()
+    except (ValueError, RecursionError) as error:
+        raise UnreadableError(f'body: {error}') from error
+    return dict(require(found, dict, 'body'))
+
+
+def _parse_integer(text: str) -> int:
+    number = int(text)
+    if abs(number) > _MAX_INTEGER:
+        raise ValueError(f'found {text}, expected an integer of 64 bits')
+    return number
+
+
+def _parse_float(text: str) -> float:
+    number = float(text)
+    if math.isinf(number):
+        raise ValueError(f'found {text}, expected a finite number')
+    return number
+
+
+def _refuse_constant(text: str) -> float:
+    raise ValueError(f'found {text}, expected a number')
+
+
 def require(found: Any, expected: type[Any], location: str) -> Any:
     """Return `found` if it has the expected type.
 
@@ -52,7 +96,13 @@
             f'{location}.{name}: found {found!r}, expected a time such as '
             '1500ms'
         )
-    return float(match[1]) * _MS_PER_UNIT[match[2]]
+    milliseconds = float(match[1]) * _MS_PER_UNIT[match[2]]
+    if math.isinf(milliseconds):
+        raise UnreadableError(
+            f'{location}.{name}: found a time of {len(match[1])} digits, '
+            'expected one such as 1500ms'
+        )
+    return milliseconds
 
 
 def format_seconds(seconds: float) -> str:
