--- a/fulmarseam/catalog/_shared_loads.py
+++ b/fulmarseam/catalog/_shared_loads.py
@@ -12,7 +12,7 @@
 from fulmarseam import wire
 
 # An entry that has not polled for this long no longer counts; entries poll
-# each 0.4 s.
+# the leader each 0.2 s.
 REPORT_LIFETIME_S = 1.5
 # Entries of a region that must have ejected a target before the others of
 # the region avoid it. One entry may have lost only its own link.
--- a/fulmarseam/steering/_placement.py
+++ b/fulmarseam/steering/_placement.py
@@ -72,7 +72,7 @@
     healthy_count = 0
     doubtful: _observed.ObservedTarget | None = None
     best: Placement | None = None
-    best_wait = best_cost = 0.0
+    best_cost = 0.0
     for target in targets:
         if _observed.is_ejected(target, now) or not may_send(target):
             continue
@@ -93,7 +93,7 @@
         if not cost:
             return Placement(target, SlotAvailability.FREE, run_kind)
         if best is None or cost < best_cost:
-            best_wait, best_cost = wait, cost
+            best_cost = cost
             availability = (
                 SlotAvailability.QUEUE if wait else SlotAvailability.FREE
             )
@@ -101,18 +101,24 @@
         if healthy_count == max_choices:
             break
     max_wait = UNCACHED_COST_ROUNDS if max_choices is not None else 0.0
-    if doubtful is not None and (best is None or best_wait > max_wait):
+    if doubtful is not None and (best is None or best.wait_rounds > max_wait):
         return Placement(doubtful, SlotAvailability.FREE)
-    if best is None:
-        return Placement(None, SlotAvailability.NONE)
-    if not best_wait:
-        return best
-    max_rounds = MAX_QUEUE_ROUNDS[min(priority, len(MAX_QUEUE_ROUNDS) - 1)]
-    if best_wait <= max_rounds and estimate_time(best) <= usable_s:
+    if best is not None and _may_queue(best, priority, usable_s):
         return best
     return Placement(None, SlotAvailability.NONE)
 
 
+def _may_queue(placement: Placement, priority: int, usable_s: float) -> bool:
+    """Return whether a request may wait for its turn at the target."""
+    if not placement.wait_rounds:
+        return True
+    max_rounds = MAX_QUEUE_ROUNDS[min(priority, len(MAX_QUEUE_ROUNDS) - 1)]
+    return (
+        placement.wait_rounds <= max_rounds
+        and estimate_time(placement) <= usable_s
+    )
+
+
 def _find_run_kind(
     target: _observed.ObservedTarget,
     now: float,
