Log the rate limits that targets name

The incident's logs could not tell whether an entry had seen the limit of a target at all, kept it by itself, or lost it. An entry now reads the header, writes a line for each change of a limit (target_rate_limit), shows the limit with the inputs of a placement and counts the attempts at such targets and the targets that name one. Nothing is decided by it yet.

--- a/fulmarseam/gateway/_attempts.py
+++ b/fulmarseam/gateway/_attempts.py
@@ -6,6 +6,7 @@
 from fulmarseam import http
 from fulmarseam import steering
 from fulmarseam.gateway import _http_names
+from fulmarseam.gateway import _rate_limits
 from fulmarseam.gateway import _requests
 
 # Answers up to this size are buffered and passed on only when complete, so
@@ -65,6 +66,8 @@
         self._buffered = bytearray()
         self.progress = http.Progress.NOT_SENT
         self.load_report = b''
+        # What the answer says about the rate limit, once one has come.
+        self.limit_reading: _rate_limits.LimitReading | None = None
         self.has_answered = False
 
     async def run(self) -> Answer:
@@ -242,6 +245,9 @@
             )
         if response.status == MISDIRECTED_STATUS:
             raise NotRunError('another target has the address', True)
+        self.limit_reading = _rate_limits.read_limit(
+            response, http_names.rate_limit
+        )
         if http_names.not_run in response.fields:
             raise NotRunError(f'the target answered {response.status}')
 
--- a/fulmarseam/gateway/_daemon.py
+++ b/fulmarseam/gateway/_daemon.py
@@ -16,6 +16,7 @@
 from fulmarseam.gateway import _http_names
 from fulmarseam.gateway import _load_balancer
 from fulmarseam.gateway import _poller
+from fulmarseam.gateway import _rate_limits
 from fulmarseam.gateway import _routes
 
 TICK_S = 1.0
@@ -47,6 +48,7 @@
         self.metrics = telemetry.Metrics()
         self.mirror = catalog.CatalogMirror()
         self.load_balancer = _load_balancer.LoadBalancer(options, self.mirror)
+        self.rate_limits = _rate_limits.RateLimits()
         self.routes = _routes.RouteTable()
         self.poller = _poller.Poller(
             options,
@@ -61,6 +63,7 @@
                 mirror=self.mirror,
                 routes=self.routes,
                 load_balancer=self.load_balancer,
+                rate_limits=self.rate_limits,
                 target_pools=self._target_pools,
                 http_names=http_names,
                 metrics=self.metrics,
@@ -90,6 +93,7 @@
         )
         register_gauge('revision', lambda: self.mirror.revision)
         register_gauge('targets_ready', self.load_balancer.count_ready)
+        register_gauge('targets_limited', self.rate_limits.count)
         register_gauge(
             'requests_in_flight', self.load_balancer.count_in_flight
         )
--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -15,6 +15,7 @@
 from fulmarseam.gateway import _http_names
 from fulmarseam.gateway import _load_balancer
 from fulmarseam.gateway import _pauses
+from fulmarseam.gateway import _rate_limits
 from fulmarseam.gateway import _requests
 from fulmarseam.gateway import _routes
 from fulmarseam.gateway import _summaries
@@ -31,6 +32,7 @@
     mirror: catalog.CatalogMirror
     routes: _routes.RouteTable
     load_balancer: _load_balancer.LoadBalancer
+    rate_limits: _rate_limits.RateLimits
     target_pools: http.TargetPools
     http_names: _http_names.HttpNames
     metrics: telemetry.Metrics
@@ -166,7 +168,7 @@
                 raise possible_run_error or self._make_refusal(
                     pool_name, avoided
                 )
-            summary.add_placement(placement, now)
+            self._note_placement(placement, now, summary)
             failure = await self._attempt(context, placement, summary)
             if failure is None:
                 return
@@ -178,6 +180,19 @@
             if not failure.may_repeat:
                 raise possible_run_error or failure.error
 
+    def _note_placement(
+        self,
+        placement: steering.Placement,
+        now: float,
+        summary: _summaries.RequestSummary,
+    ) -> None:
+        target = placement.target
+        assert target is not None
+        rate_per_s = self._dependencies.rate_limits.get_rate(target)
+        if rate_per_s is not None:
+            self._dependencies.metrics.add('limited_attempts_total')
+        summary.add_placement(placement, now, rate_per_s)
+
     def _make_refusal(
         self, pool_name: ids.PoolName, avoided: set[ids.TargetId]
     ) -> errors.FulmarseamError:
@@ -245,6 +260,10 @@
                 f'the request body broke off: {error.detail}',
             ) from error
         finally:
+            if attempt.limit_reading is not None:
+                dependencies.rate_limits.note_reading(
+                    target, attempt.limit_reading
+                )
             attempt.close()
             dependencies.load_balancer.release(target)
 
--- a/fulmarseam/gateway/_http_names.py
+++ b/fulmarseam/gateway/_http_names.py
@@ -10,9 +10,11 @@
     is the time in milliseconds that the caller waits. `expected_target` is
     the id of the intended target; any other target refuses the request.
     `not_run` marks an answer of a target that did not run the request.
-    `load` reports running requests, waiting requests and slots. `affinity`
-    is the cookie that names the object of a request, and `readiness_path`
-    the path of the platform's readiness checks.
+    `load` reports running requests, waiting requests and slots.
+    `rate_limit` is the number of requests a second that the target takes
+    from all entries together. `affinity` is the cookie that names the object
+    of a request, and `readiness_path` the path of the platform's readiness
+    checks.
     """
 
     request_id: bytes = b'fulmarseam-request-id'
@@ -20,5 +22,6 @@
     expected_target: bytes = b'fulmarseam-target'
     not_run: bytes = b'fulmarseam-not-run'
     load: bytes = b'fulmarseam-load'
+    rate_limit: bytes = b'fulmarseam-rate-limit'
     affinity: bytes = b'fulmarseam-object'
     readiness_path: str = '/v1/ready'
--- a/fulmarseam/gateway/_summaries.py
+++ b/fulmarseam/gateway/_summaries.py
@@ -16,8 +16,9 @@
     `targets` lists the targets in the order of the attempts, each failed
     one with its kind of error. `inputs` lists what decided each placement:
     the kind of run expected, the queue in rounds of the slots, the expected
-    seconds, the requests known at the target with this one, and the age of
-    what other entries or the target told about that. `outcome` is `answered`
+    seconds, the requests known at the target with this one, the age of what
+    other entries or the target told about that, and the limit in requests/s
+    that the target named, if any. `outcome` is `answered`
     or the kind of the final error.
     """
 
@@ -42,7 +43,12 @@
         self.targets: list[str] = []
         self.inputs: list[str] = []
 
-    def add_placement(self, placement: steering.Placement, now: float) -> None:
+    def add_placement(
+        self,
+        placement: steering.Placement,
+        now: float,
+        rate_limit_per_s: float | None,
+    ) -> None:
         """Note the target of an attempt and what decided for it."""
         target = placement.target
         assert target is not None
@@ -53,6 +59,7 @@
             f':expected_s={steering.estimate_time(placement):.2f}'
             f':load={steering.estimate_load(target, now):.1f}'
             f':age_s={min(now - target.other_load_at, MAX_SHOWN_AGE_S):.1f}'
+            + (f':limit={rate_limit_per_s:g}' if rate_limit_per_s else '')
         )
 
     def write(
