Reproduce the incident: entries exceed the limit of a target

Three entries, a control member and two targets on loopback. A target that names 2 requests a second got 195 in 4 s from 3 s after naming it, 17 are allowed.

--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -1,9 +1,11 @@
 """Tests of the rate limits that targets name."""
 
+import asyncio
 import unittest
 
 from fulmarseam import http
 from fulmarseam.gateway import _rate_limits
+from tests import rate_limit_case
 
 HEADER = b'fulmarseam-rate-limit'
 
@@ -38,3 +40,29 @@
         self.assertEqual(read(b'9', b'5.5'), (5.5, b''))
         self.assertEqual(read(b'9, 5.5'), (5.5, b''))
         self.assertEqual(read(b'9', b'x'), (9.0, b'9,x'))
+
+
+class SharedLimitTest(rate_limit_case.RateLimitCase):
+    """Guards against a target that gets more than the limit it names."""
+
+    # Each entry used to send what it liked to a target that had named a limit
+    # for all of them.
+    async def test_all_entries_together_keep_to_the_limit_of_a_target(
+        self,
+    ) -> None:
+        limited = rate_limit_case.LimitedTarget()
+        free = rate_limit_case.LimitedTarget()
+        await self.put_items()
+        await self.add_target('limited', limited)
+        await self.add_target('free', free)
+        await self.start_entries(3)
+        limited.rate_per_s = 2.0
+        named_at = asyncio.get_running_loop().time()
+        callers = self.make_callers()
+        await asyncio.gather(*(caller.run(20.0, 9.0) for caller in callers))
+        self.assertLessEqual(
+            limited.find_peak(named_at + rate_limit_case.SETTLE_S),
+            rate_limit_case.compute_bound(2.0),
+        )
+        statuses = {status for caller in callers for status in caller.statuses}
+        self.assertEqual(statuses, {200})
