Keep the rate limits of targets for all entries together

Seen: a target that named the requests a second that it takes from all entries got up to five times as many; with three entries on loopback 195 in 4 s where 17 are allowed. Cause: no entry read the limit, and nothing could have kept it: bounds that hold for all entries were even parts, sized by each entry on its own.

The leader now issues permits for such targets at the named rate, to whichever entry asks, and a request needs one. Permits expire 0.6 s after the ask, so what was issued bounds what arrives, whoever dies, is cut off or paused; a new leader waits until those of its predecessor have expired. An entry that hears no leader uses half of its even part if one request of each such entry fits the tolerance, and none otherwise; the leader leaves that out. Entries report limits that the leader does not know, the latest evidence counts, and the rate doubles each 0.5 s after the end of a limit.

--- a/fulmarseam/catalog/_entry_registry.py
+++ b/fulmarseam/catalog/_entry_registry.py
@@ -11,6 +11,9 @@
 # A dead entry may still have requests in flight, so it counts for this long
 # when the entries share bounds.
 SENDER_RETENTION_S = 60.0
+# Entries poll the leader each 0.2 s. One that gets no answers for 1 s no
+# longer waits for the leader's permits.
+SILENCE_S = 0.8
 
 
 @dataclasses.dataclass
@@ -52,6 +55,13 @@
                 del self._rows[entry]
         return len(self._rows)
 
+    def count_offline(self, now: float) -> int:
+        """Return how many senders may act without the leader's consent."""
+        return sum(
+            row.poll.is_offline or now - row.heard_at > SILENCE_S
+            for row in self._rows.values()
+        )
+
     def find_entries(
         self,
         now: float,
--- a/fulmarseam/catalog/_mirror.py
+++ b/fulmarseam/catalog/_mirror.py
@@ -55,6 +55,12 @@
             self._complete()
         return True
 
+    def list_incarnations(self) -> dict[ids.TargetId, int]:
+        """Return when each target started, in ms since the epoch."""
+        return {
+            target: record.born_ms for target, record in self.targets.items()
+        }
+
     def _complete(self) -> None:
         for target in self._unlisted:
             self.targets.pop(target, None)
--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -17,6 +17,7 @@
 from fulmarseam import errors
 from fulmarseam import ids
 from fulmarseam import settings
+from fulmarseam import steering
 from fulmarseam import telemetry
 from fulmarseam import transport
 from fulmarseam import wire
@@ -60,6 +61,7 @@
         self._loop = asyncio.get_running_loop()
         self.catalog = catalog.Catalog()
         self._shared_loads = catalog.SharedLoads()
+        self._permit_issuer = steering.PermitIssuer()
         self._packed_changes = catalog.PackedChanges(self.catalog)
         self.entry_registry = catalog.EntryRegistry()
         self.metrics = telemetry.Metrics()
@@ -208,6 +210,8 @@
                 return wire.Ok()
             case wire.EntryPoll():
                 return self._answer_poll(message)
+            case wire.PermitRequest():
+                return self._issue_permits(message)
         if self._member is None:
             raise errors.FulmarseamError(
                 errors.ErrorKind.UNAVAILABLE, 'the member is starting'
@@ -242,6 +246,13 @@
                 self.catalog.revision,
                 self.catalog.targets.list_ids(),
             )
+        limits_version = 0
+        rate_limits: list[wire.TargetRateLimit] = []
+        if poll.wants_loads and self.is_leader():
+            self._update_limits(now, poll.rate_limits)
+            limits_version = self._permit_issuer.version
+            if poll.limits_version != limits_version:
+                rate_limits = self._permit_issuer.list_limits()
         members = self._member.status().members if self._member else ()
         return wire.EntryPollResponse(
             revision=self.catalog.revision,
@@ -251,6 +262,41 @@
             entry_count=self.entry_registry.count_senders(now),
             leader=self._find_polled_leader(),
             target_loads=target_loads,
+            limits_version=limits_version,
+            rate_limits=rate_limits,
+        )
+
+    def _update_limits(
+        self, now: float, rate_limits: list[wire.TargetRateLimit]
+    ) -> None:
+        """Apply what an entry reports about limits to this leader's state."""
+        assert self._member is not None
+        self._permit_issuer.start_term(now, self._member.status().term)
+        self._permit_issuer.record(now, rate_limits)
+        self._permit_issuer.update(now, self._is_current_incarnation)
+
+    def _is_current_incarnation(
+        self, target: ids.TargetId, born_ms: int
+    ) -> bool:
+        record = self.catalog.targets.get(target)
+        return record is not None and record.born_ms == born_ms
+
+    def _issue_permits(
+        self, request: wire.PermitRequest
+    ) -> wire.PermitResponse:
+        """Issue permits; raises `errors.NotLeaderError` elsewhere."""
+        if not self.is_leader():
+            raise errors.NotLeaderError()
+        now = self._now()
+        self._update_limits(now, request.rate_limits)
+        return wire.PermitResponse(
+            counts=self._permit_issuer.issue(
+                now,
+                request.entry,
+                request.asks,
+                self.entry_registry.count_senders(now),
+                self.entry_registry.count_offline(now),
+            )
         )
 
     def _find_polled_leader(self) -> str:
--- a/fulmarseam/gateway/_attempts.py
+++ b/fulmarseam/gateway/_attempts.py
@@ -69,6 +69,8 @@
         # What the answer says about the rate limit, once one has come.
         self.limit_reading: _rate_limits.LimitReading | None = None
         self.has_answered = False
+        # Whether the target ran the request and did not fail it.
+        self.is_served = False
 
     async def run(self) -> Answer:
         """Return the answer, with its whole body unless that is too large.
@@ -250,6 +252,7 @@
         )
         if http_names.not_run in response.fields:
             raise NotRunError(f'the target answered {response.status}')
+        self.is_served = response.status < 500
 
     async def _buffer_body(
         self, connection: http.TargetConnection
--- a/fulmarseam/gateway/_daemon.py
+++ b/fulmarseam/gateway/_daemon.py
@@ -8,6 +8,7 @@
 from fulmarseam import catalog
 from fulmarseam import errors
 from fulmarseam import http
+from fulmarseam import ids
 from fulmarseam import settings
 from fulmarseam import telemetry
 from fulmarseam import wire
@@ -15,6 +16,7 @@
 from fulmarseam.gateway import _forwarding
 from fulmarseam.gateway import _http_names
 from fulmarseam.gateway import _load_balancer
+from fulmarseam.gateway import _permits
 from fulmarseam.gateway import _poller
 from fulmarseam.gateway import _rate_limits
 from fulmarseam.gateway import _routes
@@ -48,13 +50,21 @@
         self.metrics = telemetry.Metrics()
         self.mirror = catalog.CatalogMirror()
         self.load_balancer = _load_balancer.LoadBalancer(options, self.mirror)
-        self.rate_limits = _rate_limits.RateLimits()
         self.routes = _routes.RouteTable()
         self.poller = _poller.Poller(
             options,
             self.mirror,
             self._apply_catalog,
             _poller.LoadExchange(self._list_observations, self._apply_loads),
+            self.load_balancer.limited_targets,
+        )
+        self.rate_limits = _rate_limits.RateLimits(
+            self.load_balancer.limited_targets
+        )
+        self._permits = _permits.PermitClient(
+            ids.EntryId(options.host),
+            self.load_balancer.limited_targets,
+            self.poller.request_permits,
         )
         self._request_log = telemetry.RequestLog()
         self._target_pools = http.TargetPools()
@@ -64,6 +74,7 @@
                 routes=self.routes,
                 load_balancer=self.load_balancer,
                 rate_limits=self.rate_limits,
+                permits=self._permits,
                 target_pools=self._target_pools,
                 http_names=http_names,
                 metrics=self.metrics,
@@ -93,7 +104,9 @@
         )
         register_gauge('revision', lambda: self.mirror.revision)
         register_gauge('targets_ready', self.load_balancer.count_ready)
-        register_gauge('targets_limited', self.rate_limits.count)
+        register_gauge(
+            'targets_limited', self.load_balancer.limited_targets.count
+        )
         register_gauge(
             'requests_in_flight', self.load_balancer.count_in_flight
         )
@@ -104,6 +117,7 @@
         self.routes.update(self.mirror.routes.values())
         self.load_balancer.set_senders(self.poller.senders)
         self.load_balancer.update(self._loop.time())
+        self.rate_limits.retain(self.mirror.targets.keys())
         limits = self.mirror.limits
         if limits is not None:
             self.caller_server.set_limits(
@@ -154,6 +168,7 @@
             await stack.enter_async_context(self._check_server)
             await stack.enter_async_context(self.caller_server)
             await stack.enter_async_context(self.poller)
+            stack.callback(self._permits.close)
             tick_task = asyncio.create_task(self._tick())
             stack.callback(tick_task.cancel)
             _log.info(
--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -15,6 +15,7 @@
 from fulmarseam.gateway import _http_names
 from fulmarseam.gateway import _load_balancer
 from fulmarseam.gateway import _pauses
+from fulmarseam.gateway import _permits
 from fulmarseam.gateway import _rate_limits
 from fulmarseam.gateway import _requests
 from fulmarseam.gateway import _routes
@@ -33,6 +34,7 @@
     routes: _routes.RouteTable
     load_balancer: _load_balancer.LoadBalancer
     rate_limits: _rate_limits.RateLimits
+    permits: _permits.PermitClient
     target_pools: http.TargetPools
     http_names: _http_names.HttpNames
     metrics: telemetry.Metrics
@@ -153,6 +155,7 @@
         summary.affinity_key = affinity_key or ''
         avoided: set[ids.TargetId] = set()
         possible_run_error: errors.FulmarseamError | None = None
+        may_ask = True
         while True:
             await self._dependencies.pause_guard.wait_until_fresh()
             now = self._loop.time()
@@ -163,11 +166,16 @@
                 affinity_key,
                 avoided,
                 context.deadline - now,
+                may_ask,
             )
             if placement.target is None:
                 raise possible_run_error or self._make_refusal(
                     pool_name, avoided
                 )
+            if not await self._acquire_permit(context, placement.target):
+                # Other targets are tried without asking the leader again.
+                may_ask = False
+                continue
             self._note_placement(placement, now, summary)
             failure = await self._attempt(context, placement, summary)
             if failure is None:
@@ -180,6 +188,29 @@
             if not failure.may_repeat:
                 raise possible_run_error or failure.error
 
+    async def _acquire_permit(
+        self,
+        context: _requests.RequestContext,
+        target: steering.ObservedTarget,
+    ) -> bool:
+        """Return whether the target may get the request now.
+
+        Gives the target back otherwise. Raises `http.CallerGoneError` if the
+        caller has left while the request waited for the leader.
+        """
+        is_permitted = False
+        try:
+            is_permitted = await self._dependencies.permits.acquire(
+                target.target
+            )
+            if context.caller.gone:
+                is_permitted = False
+                raise http.CallerGoneError('the caller has left')
+        finally:
+            if not is_permitted:
+                self._dependencies.load_balancer.release(target)
+        return is_permitted
+
     def _note_placement(
         self,
         placement: steering.Placement,
@@ -188,7 +219,9 @@
     ) -> None:
         target = placement.target
         assert target is not None
-        rate_per_s = self._dependencies.rate_limits.get_rate(target)
+        rate_per_s = self._dependencies.load_balancer.limited_targets.get_rate(
+            target.target
+        )
         if rate_per_s is not None:
             self._dependencies.metrics.add('limited_attempts_total')
         summary.add_placement(placement, now, rate_per_s)
@@ -262,7 +295,10 @@
         finally:
             if attempt.limit_reading is not None:
                 dependencies.rate_limits.note_reading(
-                    target, attempt.limit_reading
+                    self._loop.time(),
+                    target,
+                    attempt.limit_reading,
+                    attempt.is_served,
                 )
             attempt.close()
             dependencies.load_balancer.release(target)
--- a/fulmarseam/gateway/_load_balancer.py
+++ b/fulmarseam/gateway/_load_balancer.py
@@ -87,6 +87,7 @@
         # Requests in flight by target as of the last observations.
         self._reported: dict[ids.TargetId, int] = {}
         self._evacuated: frozenset[ids.DomainName] = frozenset()
+        self.limited_targets = steering.LimitedTargets()
         self.senders = 1
 
     # Catalog updates
@@ -95,6 +96,7 @@
         """Apply the targets and evacuations of the mirror."""
         self._rankings.clear()
         records = self._mirror.targets
+        self.limited_targets.retain(self._mirror.list_incarnations())
         for target in self._targets.keys() - records.keys():
             del self._targets[target]
         for target, record in records.items():
@@ -186,6 +188,18 @@
             f'estimated load {load:.1f} of {slots} slots'
         )
 
+    def compute_limited_supply(
+        self, now: float, pool_name: ids.PoolName
+    ) -> float | None:
+        """Return the requests/s that the limited targets of a pool take.
+
+        None if no target of the pool limits its rate.
+        """
+        targets = self._get_or_create_pool(pool_name).targets
+        return self.limited_targets.compute_supply(
+            now, [observed.target for observed in targets]
+        )
+
     def count_in_flight(self) -> int:
         """Return the number of requests in flight on all targets."""
         return sum(observed.in_flight for observed in self._targets.values())
@@ -193,6 +207,7 @@
     def set_senders(self, senders: int) -> None:
         """Set the number of entries that share the bounds."""
         self.senders = senders
+        self.limited_targets.senders = senders
         for pool in self._pools.values():
             pool.retry_budget.slack = self._compute_slack()
 
@@ -269,12 +284,20 @@
         affinity_key: str | None,
         avoided: Collection[ids.TargetId],
         time_left_s: float,
+        may_ask: bool = True,
     ) -> steering.Placement:
         """Choose a target and count the request there, if one has room.
 
-        `affinity_key` names the object of the request, if known.
+        `affinity_key` names the object of the request, if known. With
+        `may_ask` the request may wait for a permit of the leader.
         """
         cold_rate = self._compute_cold_rate(pool_name)
+
+        def may_send(observed: steering.ObservedTarget) -> bool:
+            return steering.may_send(
+                observed, now, cold_rate
+            ) and self.limited_targets.may_send(now, observed.target, may_ask)
+
         placement = steering.place_request(
             now,
             (
@@ -284,7 +307,7 @@
                 )
                 if observed.target not in avoided
             ),
-            lambda observed: steering.may_send(observed, now, cold_rate),
+            may_send,
             route.priority,
             time_left_s,
             TARGETS_PER_OBJECT
--- /dev/null
+++ b/fulmarseam/gateway/_permits.py
@@ -0,0 +1,127 @@
+"""Permits of the leader for requests to targets that limit their rate."""
+
+import asyncio
+import collections
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import logbook
+
+from fulmarseam import errors
+from fulmarseam import ids
+from fulmarseam import steering
+from fulmarseam import telemetry
+from fulmarseam import wire
+
+# Answers to asks in time: a round trip to the leader takes up to 40 ms, and
+# other traffic on a slow link may delay it. The request that waits goes to
+# another target after that.
+ASK_TIMEOUT_S = 0.3
+
+SendRequest = Callable[
+    [wire.PermitRequest, float], Awaitable[wire.PermitResponse]
+]
+
+_log = logbook.Logger('gateway')
+
+
+class PermitClient:
+    """Asks the leader for permits, for all requests that wait together.
+
+    One ask is in progress at a time. `send` sends it to the leader.
+    """
+
+    def __init__(
+        self,
+        entry: ids.EntryId,
+        limited_targets: steering.LimitedTargets,
+        send: SendRequest,
+    ) -> None:
+        self._entry = entry
+        self._limited_targets = limited_targets
+        self._send = send
+        self._loop = asyncio.get_running_loop()
+        self._waiters: dict[
+            ids.TargetId, collections.deque[asyncio.Future[None]]
+        ] = {}
+        self._task: asyncio.Task[None] | None = None
+
+    async def acquire(self, target: ids.TargetId) -> bool:
+        """Return whether a request may be sent to a target now.
+
+        Waits for the answer of the leader, at most `ASK_TIMEOUT_S`, if a
+        permit is needed and there is none.
+        """
+        limited_targets = self._limited_targets
+        limited_targets.note_wanted(self._loop.time(), target)
+        if limited_targets.try_take(self._loop.time(), target):
+            if limited_targets.needs_permits(self._loop.time(), target):
+                self._start_asking()
+            return True
+        if limited_targets.is_offline(self._loop.time()):
+            return False
+        waiter: asyncio.Future[None] = self._loop.create_future()
+        self._waiters.setdefault(target, collections.deque()).append(waiter)
+        self._start_asking()
+        await waiter
+        return limited_targets.try_take(self._loop.time(), target)
+
+    def close(self) -> None:
+        """Stop asking; requests that wait are cancelled with their tasks."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def _start_asking(self) -> None:
+        if self._task is None or self._task.done():
+            self._task = asyncio.create_task(self._ask_while_needed())
+
+    async def _ask_while_needed(self) -> None:
+        """Ask until no request waits any more."""
+        while True:
+            waiters = self._waiters
+            self._waiters = {}
+            try:
+                await self._ask(
+                    {
+                        target: len(waiting)
+                        for target, waiting in waiters.items()
+                    }
+                )
+            finally:
+                _wake(waiters)
+            if not self._waiters:
+                return
+
+    async def _ask(self, waiting: dict[ids.TargetId, int]) -> None:
+        limited_targets = self._limited_targets
+        sent_at = self._loop.time()
+        asks = limited_targets.list_asks(sent_at, waiting)
+        if not asks:
+            return
+        rows, changes = limited_targets.list_unreported(sent_at)
+        request = wire.PermitRequest(
+            entry=self._entry, asks=asks, rate_limits=rows
+        )
+        try:
+            response = await self._send(request, ASK_TIMEOUT_S)
+        except errors.FulmarseamError as error:
+            # The regular polls find out who leads; requests use other
+            # targets meanwhile.
+            limited_targets.note_failed_ask(self._loop.time())
+            _log.info(
+                telemetry.format_event('permits_unknown', reason=error.detail)
+            )
+            return
+        now = self._loop.time()
+        limited_targets.note_leader(sent_at)
+        limited_targets.mark_reported(changes)
+        limited_targets.add_permits(now, sent_at, asks, response.counts)
+
+
+def _wake(
+    waiters: dict[ids.TargetId, collections.deque[asyncio.Future[None]]],
+) -> None:
+    for waiting in waiters.values():
+        for waiter in waiting:
+            if not waiter.done():
+                waiter.set_result(None)
--- a/fulmarseam/gateway/_poller.py
+++ b/fulmarseam/gateway/_poller.py
@@ -12,6 +12,7 @@
 from fulmarseam import errors
 from fulmarseam import ids
 from fulmarseam import settings
+from fulmarseam import steering
 from fulmarseam import telemetry
 from fulmarseam import transport
 from fulmarseam import wire
@@ -67,8 +68,10 @@
         mirror: catalog.CatalogMirror,
         on_change: Callable[[], None],
         load_exchange: LoadExchange,
+        limited_targets: steering.LimitedTargets,
     ) -> None:
         self._options = options
+        self._limited_targets = limited_targets
         self._load_exchange = load_exchange
         self._mirror = mirror
         self._on_change = on_change
@@ -78,9 +81,10 @@
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._reachable: set[str] = set()
         self._wake = asyncio.Event()
+        self._loop = asyncio.get_running_loop()
         self._incarnation = time.time_ns() // 1_000_000
         self._started_at = time.monotonic()
-        self.pause_guard = _pauses.PauseGuard(self.poll_now)
+        self.pause_guard = _pauses.PauseGuard(self._handle_pause)
         self.is_draining = False
         self._is_fetching = False
         self._leader = ''
@@ -116,6 +120,11 @@
         self._wake.set()
         self._wake = asyncio.Event()
 
+    def _handle_pause(self) -> None:
+        """Forget what may have run out during a pause."""
+        self._limited_targets.drop_permits()
+        self.poll_now()
+
     def _update_members(self, addresses: list[str]) -> None:
         """Poll these members; stop polling those no longer in the group."""
         now = time.monotonic()
@@ -205,28 +214,13 @@
         self, address: str, wants_changes: bool, timeout_s: float
     ) -> wire.EntryPollResponse:
         """Send a poll; raises `errors.FulmarseamError` if it fails."""
-        options = self._options
         is_leader = address == self._leader and self._mirror.is_complete
+        sent_at = self._loop.time()
+        rows, changes = self._limited_targets.list_unreported(sent_at)
         answer = await self._clients.call(
             address,
-            wire.EntryPoll(
-                entry=ids.EntryId(options.host),
-                address=options.listen,
-                region=options.region,
-                failure_domain=options.failure_domain,
-                incarnation=self._incarnation,
-                state=self.get_state(),
-                wants_changes=wants_changes,
-                revision=self._mirror.revision,
-                removals_revision=self._mirror.removals_revision,
-                uptime_s=time.monotonic() - self._started_at,
-                accepts_packed=True,
-                wants_loads=is_leader,
-                observations=(
-                    self._load_exchange.list_observations()
-                    if is_leader
-                    else []
-                ),
+            self._make_poll(
+                wants_changes, is_leader, rows if is_leader else []
             ),
             timeout_s,
         )
@@ -241,6 +235,9 @@
             self._leader = answer.leader
         if answer.leader == address:
             self._leader_heard_at = time.monotonic()
+        if is_leader and answer.leader == address:
+            self._limited_targets.mark_reported(changes)
+            self._apply_limits(sent_at, answer)
         if answer.target_loads:
             self._load_exchange.apply_loads(
                 wire.unpack_loads(answer.target_loads), answer.revision
@@ -249,6 +246,80 @@
             self._update_members(answer.members)
         return answer
 
+    def _make_poll(
+        self,
+        wants_changes: bool,
+        wants_loads: bool,
+        rate_limits: list[wire.TargetRateLimit],
+    ) -> wire.EntryPoll:
+        options = self._options
+        limited_targets = self._limited_targets
+        return wire.EntryPoll(
+            entry=ids.EntryId(options.host),
+            address=options.listen,
+            region=options.region,
+            failure_domain=options.failure_domain,
+            incarnation=self._incarnation,
+            state=self.get_state(),
+            wants_changes=wants_changes,
+            revision=self._mirror.revision,
+            removals_revision=self._mirror.removals_revision,
+            uptime_s=time.monotonic() - self._started_at,
+            accepts_packed=True,
+            wants_loads=wants_loads,
+            observations=(
+                self._load_exchange.list_observations() if wants_loads else []
+            ),
+            limits_version=limited_targets.version if wants_loads else 0,
+            rate_limits=rate_limits,
+            is_offline=(
+                limited_targets.count() > 0
+                and limited_targets.is_offline(self._loop.time())
+            ),
+        )
+
+    def _apply_limits(
+        self, sent_at: float, answer: wire.EntryPollResponse
+    ) -> None:
+        """Apply the limits of targets that the leader knows."""
+        limited_targets = self._limited_targets
+        limited_targets.note_leader(sent_at)
+        if answer.limits_version == limited_targets.version:
+            return
+        limited_targets.apply(
+            self._loop.time(),
+            answer.limits_version,
+            answer.rate_limits,
+            self._mirror.list_incarnations(),
+        )
+        _log.info(
+            telemetry.format_event(
+                'rate_limits_in_force',
+                version=answer.limits_version,
+                limits=','.join(
+                    f'{row.target}:{row.rate_per_s}'
+                    for row in answer.rate_limits
+                ),
+            )
+        )
+
+    async def request_permits(
+        self, request: wire.PermitRequest, timeout_s: float
+    ) -> wire.PermitResponse:
+        """Ask the leader for permits.
+
+        Raises `errors.FulmarseamError` if no leader answers.
+        """
+        if not self._leader:
+            raise errors.NotLeaderError()
+        answer = await self._clients.call(self._leader, request, timeout_s)
+        if isinstance(answer, wire.PermitResponse):
+            return answer
+        raise errors.FulmarseamError(
+            errors.ErrorKind.UNAVAILABLE,
+            getattr(answer, 'detail', type(answer).__name__),
+        )
+
     def _record_reachability(self, address: str, problem: str | None) -> None:
         """Log when a member becomes reachable or unreachable."""
         is_reachable = problem is None
--- a/fulmarseam/gateway/_rate_limits.py
+++ b/fulmarseam/gateway/_rate_limits.py
@@ -1,5 +1,6 @@
 """The rate limits that targets name in their answers."""
 
+from collections.abc import Collection
 import re
 from typing import NamedTuple
 
@@ -58,34 +59,41 @@
 
 
 class RateLimits:
-    """The limits that targets name, as this entry has seen them."""
+    """Records what answers say about the limits of their targets."""
 
-    def __init__(self) -> None:
-        self._readings: dict[ids.TargetId, LimitReading] = {}
-
-    def count(self) -> int:
-        """Return the number of targets that name a limit."""
-        return sum(
-            reading.rate_per_s is not None
-            for reading in self._readings.values()
-        )
-
-    def get_rate(self, observed: steering.ObservedTarget) -> float | None:
-        """Return the limit that a target names, in requests/s, if any."""
-        reading = self._readings.get(observed.target, NO_LIMIT)
-        return reading.rate_per_s
+    def __init__(self, limited_targets: steering.LimitedTargets) -> None:
+        self._limited_targets = limited_targets
+        # The value that cannot be read in the last answer, by target.
+        self._problems: dict[ids.TargetId, bytes] = {}
 
     def note_reading(
-        self, observed: steering.ObservedTarget, reading: LimitReading
+        self,
+        now: float,
+        observed: steering.ObservedTarget,
+        reading: LimitReading,
+        is_served: bool,
     ) -> None:
-        """Record what an answer of a target says; log each change."""
+        """Record what an answer of a target says; log each change.
+
+        A value that cannot be read changes nothing. Only an answer to a
+        request that was served shows that a limit has ended.
+        """
         target = observed.target
-        previous = self._readings.get(target, NO_LIMIT)
-        if reading == previous:
+        previous = self._limited_targets.get_rate(target)
+        problem = self._problems.get(target, b'')
+        if reading.rate_per_s is not None or (
+            is_served and not reading.problem
+        ):
+            self._limited_targets.note_answer(
+                now, observed, reading.rate_per_s
+            )
+        if reading.problem:
+            self._problems[target] = reading.problem
+        else:
+            self._problems.pop(target, None)
+        is_changed = reading.rate_per_s not in (None, previous)
+        if not is_changed and reading.problem in (b'', problem):
             return
-        self._readings[target] = reading
-        if reading == NO_LIMIT:
-            del self._readings[target]
         write = _log.warning if reading.problem else _log.info
         write(
             telemetry.format_event(
@@ -93,7 +101,12 @@
                 target=target,
                 address=observed.record.address,
                 rate_per_s=reading.rate_per_s,
-                previous=previous.rate_per_s,
+                previous=previous,
                 unreadable=reading.problem.decode('latin-1'),
             )
         )
+
+    def retain(self, targets: Collection[ids.TargetId]) -> None:
+        """Forget the other targets."""
+        for target in self._problems.keys() - targets:
+            del self._problems[target]
--- a/fulmarseam/steering/__init__.py
+++ b/fulmarseam/steering/__init__.py
@@ -15,6 +15,7 @@
 from fulmarseam.steering._choice import choose_target
 from fulmarseam.steering._choice import Locality
 from fulmarseam.steering._choice import PoolView
+from fulmarseam.steering._limited_targets import LimitedTargets
 from fulmarseam.steering._links import LinkTokens
 from fulmarseam.steering._lookups import order_entries
 from fulmarseam.steering._observed import ColdRateLimit
@@ -39,6 +40,9 @@
 from fulmarseam.steering._observed import ObservedTarget
 from fulmarseam.steering._outcomes import OutcomeTable
 from fulmarseam.steering._outcomes import Outliers
+from fulmarseam.steering._permit_issuer import compute_offline_rate
+from fulmarseam.steering._permit_issuer import PERMIT_LIFETIME_S
+from fulmarseam.steering._permit_issuer import PermitIssuer
 from fulmarseam.steering._placement import estimate_time
 from fulmarseam.steering._placement import place_request
 from fulmarseam.steering._placement import Placement
@@ -120,4 +124,8 @@
     'rank_targets',
     'compute_region_shares',
     'mark_cold',
+    'LimitedTargets',
+    'compute_offline_rate',
+    'PERMIT_LIFETIME_S',
+    'PermitIssuer',
 ]
--- a/fulmarseam/wire/__init__.py
+++ b/fulmarseam/wire/__init__.py
@@ -34,11 +34,15 @@
 from fulmarseam.wire._catalog import ItemKind
 from fulmarseam.wire._catalog import ItemRow
 from fulmarseam.wire._catalog import LimitsItem
+from fulmarseam.wire._catalog import PermitAsk
+from fulmarseam.wire._catalog import PermitRequest
+from fulmarseam.wire._catalog import PermitResponse
 from fulmarseam.wire._catalog import PoolItem
 from fulmarseam.wire._catalog import RouteItem
 from fulmarseam.wire._catalog import SplitPart
 from fulmarseam.wire._catalog import TargetObservation
 from fulmarseam.wire._catalog import TargetPhase
+from fulmarseam.wire._catalog import TargetRateLimit
 from fulmarseam.wire._catalog import TargetRecord
 from fulmarseam.wire._catalog import TargetRenewal
 from fulmarseam.wire._codec import decode
@@ -170,6 +174,9 @@
     'Ok',
     'Pool',
     'PoolDemand',
+    'PermitAsk',
+    'PermitRequest',
+    'PermitResponse',
     'PoolItem',
     'QuarantineRequest',
     'QuarantineResponse',
@@ -215,6 +222,7 @@
     'TargetLoad',
     'TargetObservation',
     'TargetPhase',
+    'TargetRateLimit',
     'TargetProgress',
     'TargetRecord',
     'TargetRenewal',
--- a/fulmarseam/wire/_catalog.py
+++ b/fulmarseam/wire/_catalog.py
@@ -184,6 +184,56 @@
     is_ejected: bool = False
 
 
+class TargetRateLimit(msgspec.Struct, frozen=True, array_like=True):
+    """The limit in requests/s that an incarnation of a target names.
+
+    The rate is None if its answers no longer name one. Entries tell in
+    `age_s` how long ago the answer came. `is_ending` is set by the leader
+    while the rate of a target whose limit has ended rises.
+    """
+
+    target: ids.TargetId
+    born_ms: int
+    rate_per_s: float | None
+    age_s: float = 0.0
+    is_ending: bool = False
+
+
+class PermitAsk(msgspec.Struct, frozen=True, array_like=True):
+    """The number of permits that an entry wants for a target."""
+
+    target: ids.TargetId
+    count: int
+
+
+class PermitRequest(
+    msgspec.Struct,
+    tag='permit_request',
+    frozen=True,
+    kw_only=True,
+    omit_defaults=True,
+):
+    """An entry's request for permits to send requests to limited targets.
+
+    `rate_limits` are those that the leader does not know yet.
+    """
+
+    entry: ids.EntryId
+    asks: list[PermitAsk]
+    rate_limits: list[TargetRateLimit] = []
+
+
+class PermitResponse(
+    msgspec.Struct, tag='permit_response', frozen=True, kw_only=True
+):
+    """The number of permits issued for each ask of a `PermitRequest`.
+
+    A permit expires `steering.PERMIT_LIFETIME_S` after the request was sent.
+    """
+
+    counts: list[int]
+
+
 class EntryPoll(
     msgspec.Struct,
     tag='entry_poll',
@@ -201,6 +251,11 @@
     that reads `EntryPollResponse.packed_changes`. With `wants_loads` the poll
     carries `observations` for the leader, and the response what all entries
     observe together.
+
+    `rate_limits` are those that the leader does not know yet, and the entry
+    knows the others as of `limits_version`. `is_offline` is set while it uses
+    its offline part of the limits. With `knows_members` the response need not
+    list the members.
     """
 
     entry: ids.EntryId
@@ -216,6 +271,10 @@
     accepts_packed: bool = False
     wants_loads: bool = False
     observations: list[TargetObservation] = []
+    limits_version: int = 0
+    rate_limits: list[TargetRateLimit] = []
+    is_offline: bool = False
+    knows_members: bool = False
 
 
 class CatalogChanges(msgspec.Struct, frozen=True, kw_only=True):
@@ -249,7 +308,8 @@
     the number of entries that may send requests. `packed_changes` replaces
     `changes` for an entry that accepts it; see `pack_changes`. `leader` is
     the address of the leader, or empty. `target_loads` are the loads of the
-    targets at `revision`; see `pack_loads`.
+    targets at `revision`; see `pack_loads`. `rate_limits` lists all limits
+    of targets if the entry knows them as of another `limits_version`.
     """
 
     revision: int
@@ -259,6 +319,8 @@
     entry_count: int = 0
     leader: str = ''
     target_loads: bytes = b''
+    limits_version: int = 0
+    rate_limits: list[TargetRateLimit] = []
 
 
 CatalogMessage = (
@@ -267,4 +329,6 @@
     | TargetRenewal
     | EntryPoll
     | EntryPollResponse
+    | PermitRequest
+    | PermitResponse
 )
--- /dev/null
+++ b/tests/test_rate_limit_load.py
@@ -0,0 +1,323 @@
+"""Tests of the load on targets that limit their rate.
+
+All scenarios are played in virtual time, without a network.
+"""
+
+import unittest
+
+from tests import permit_simulation
+
+NAMED_AT_S = 1.0
+SETTLE_S = 3.0
+SETTLED_AT_S = NAMED_AT_S + SETTLE_S
+DURATION_S = 30.0
+# Share of the limit that must be used while callers ask for more.
+MIN_USED = 0.8
+LIMITS = (0.5, 4.2, 7.0, 50.0, 500.0)
+SIZES = (7, 79)
+
+
+def spread(total_per_s: float, entries: int) -> permit_simulation.Rate:
+    """Return a load that reaches all entries evenly."""
+    return lambda number, now: total_per_s / entries
+
+
+def focus(total_per_s: float, entries: int) -> permit_simulation.Rate:
+    """Return a load that reaches one entry only."""
+    return lambda number, now: total_per_s if number == 0 else 0.0
+
+
+def move(total_per_s: float, entries: int) -> permit_simulation.Rate:
+    """Return a load that moves to another entry each 3 s."""
+    return lambda number, now: (
+        total_per_s if int(now / 3.0) % entries == number else 0.0
+    )
+
+
+def play(
+    rate_per_s: float,
+    entries: int,
+    make_demand=spread,
+    factor: float = 4.0,
+    faults=lambda simulation: None,
+    seed: int = 1,
+) -> permit_simulation.Simulation:
+    """Play callers that want `factor` times what the target takes."""
+    simulation = permit_simulation.Simulation(
+        rate_per_s,
+        entries,
+        make_demand(factor * rate_per_s, entries),
+        DURATION_S,
+        seed=seed,
+    )
+    faults(simulation)
+    simulation.run()
+    return simulation
+
+
+class LimitCase(unittest.TestCase):
+    """Checks what a target with a limit got."""
+
+    def check_bound(
+        self,
+        simulation: permit_simulation.Simulation,
+        rate_per_s: float,
+        since: float = SETTLED_AT_S,
+        until: float = float('inf'),
+    ) -> None:
+        self.assertLessEqual(
+            simulation.target.find_peak(since, until),
+            permit_simulation.compute_bound(rate_per_s),
+        )
+
+    def compute_used(
+        self,
+        simulation: permit_simulation.Simulation,
+        rate_per_s: float,
+        since: float = SETTLED_AT_S,
+        until: float = DURATION_S,
+    ) -> float:
+        """Return the share of the limit that was used."""
+        count = simulation.target.count(since, until)
+        return count / (rate_per_s * (until - since))
+
+
+class DemandTest(LimitCase):
+    """Scenario: callers ask for four times what a target takes.
+
+    They come through all entries, through one, or move between them. Guards
+    against a sum over all entries above the limit, and against a limit that
+    is shared out where nobody asks.
+    """
+
+    def test_no_more_than_the_limit_arrives(self) -> None:
+        for entries in SIZES:
+            for rate_per_s in LIMITS:
+                for make_demand in (spread, focus, move):
+                    with self.subTest(
+                        entries=entries,
+                        rate_per_s=rate_per_s,
+                        load=make_demand.__name__,
+                    ):
+                        simulation = play(rate_per_s, entries, make_demand)
+                        self.check_bound(simulation, rate_per_s)
+                        self.assertGreaterEqual(
+                            self.compute_used(simulation, rate_per_s),
+                            MIN_USED,
+                        )
+
+
+class FaultTest(LimitCase):
+    """Scenario: entries or the leader fail while a target needs relief.
+
+    Guards against more than the limit through permits that outlive what they
+    were issued for, and against a target that is left unused.
+    """
+
+    def test_entries_die_and_start_again(self) -> None:
+        def fail(simulation) -> None:
+            simulation.at(8.0, simulation.set_flag, range(3), 'is_dead', True)
+            simulation.at(
+                14.0, simulation.set_flag, range(3), 'is_dead', False
+            )
+
+        for rate_per_s in LIMITS:
+            with self.subTest(rate_per_s=rate_per_s):
+                simulation = play(rate_per_s, 7, faults=fail)
+                self.check_bound(simulation, rate_per_s)
+
+    def test_one_dead_entry_of_seven_leaves_the_limit_used(self) -> None:
+        def fail(simulation) -> None:
+            simulation.at(8.0, simulation.set_flag, range(1), 'is_dead', True)
+
+        simulation = play(7.0, 7, faults=fail)
+        self.check_bound(simulation, 7.0)
+        self.assertGreaterEqual(
+            self.compute_used(simulation, 7.0, since=10.0), MIN_USED
+        )
+
+    def test_entries_are_paused_and_go_on(self) -> None:
+        def fail(simulation) -> None:
+            for start in (8.0, 14.0):
+                simulation.at(
+                    start, simulation.set_flag, range(4), 'is_paused', True
+                )
+                simulation.at(
+                    start + 3.0,
+                    simulation.set_flag,
+                    range(4),
+                    'is_paused',
+                    False,
+                )
+
+        for rate_per_s in LIMITS:
+            with self.subTest(rate_per_s=rate_per_s):
+                simulation = play(rate_per_s, 7, faults=fail)
+                self.check_bound(simulation, rate_per_s)
+
+    def test_entries_are_cut_off_from_the_leader(self) -> None:
+        """Any number of them, also all."""
+
+        def fail(simulation, cut: int) -> None:
+            simulation.at(8.0, simulation.set_flag, range(cut), 'is_cut', True)
+            simulation.at(
+                18.0, simulation.set_flag, range(cut), 'is_cut', False
+            )
+
+        for entries in SIZES:
+            for rate_per_s in LIMITS:
+                for cut in (1, entries // 2, entries):
+                    with self.subTest(
+                        entries=entries, rate_per_s=rate_per_s, cut=cut
+                    ):
+                        simulation = play(
+                            rate_per_s,
+                            entries,
+                            faults=lambda simulation, cut=cut: fail(
+                                simulation, cut
+                            ),
+                        )
+                        self.check_bound(simulation, rate_per_s)
+
+    def test_seven_entries_without_a_leader_go_on_serving(self) -> None:
+        simulation = play(
+            7.0,
+            7,
+            faults=lambda simulation: simulation.at(
+                8.0, simulation.stop_leader
+            ),
+        )
+        self.check_bound(simulation, 7.0)
+        self.assertGreater(self.compute_used(simulation, 7.0, 12.0), 0.3)
+
+    def test_the_leader_changes(self) -> None:
+        def fail(simulation) -> None:
+            for start in (8.0, 15.0, 18.0):
+                simulation.at(start, simulation.stop_leader)
+                simulation.at(start + 0.8, simulation.change_leader)
+            simulation.at(22.0, simulation.change_leader)
+
+        for entries in SIZES:
+            for rate_per_s in LIMITS:
+                with self.subTest(entries=entries, rate_per_s=rate_per_s):
+                    simulation = play(rate_per_s, entries, faults=fail)
+                    self.check_bound(simulation, rate_per_s)
+                    used = self.compute_used(simulation, rate_per_s, 24.0)
+                    self.assertGreaterEqual(used, MIN_USED)
+
+    def test_random_faults(self) -> None:
+        for seed in range(100):
+            with self.subTest(seed=seed):
+                rate_per_s = LIMITS[seed % len(LIMITS[:4])]
+                simulation = play(
+                    rate_per_s, 7, faults=add_random_faults, seed=seed
+                )
+                self.check_bound(simulation, rate_per_s)
+
+
+def add_random_faults(simulation: permit_simulation.Simulation) -> None:
+    """Cut off, pause and kill entries and replace the leader at random."""
+    rng = simulation.rng
+    for _ in range(8):
+        start = rng.uniform(4.0, 24.0)
+        end = start + rng.uniform(0.2, 5.0)
+        first = rng.randrange(7)
+        numbers = range(first, min(7, first + rng.randrange(1, 5)))
+        name = rng.choice(('is_cut', 'is_paused', 'is_dead'))
+        simulation.at(start, simulation.set_flag, numbers, name, True)
+        simulation.at(end, simulation.set_flag, numbers, name, False)
+    for _ in range(2):
+        start = rng.uniform(4.0, 24.0)
+        simulation.at(start, simulation.stop_leader)
+        simulation.at(start + rng.uniform(0.5, 3.0), simulation.change_leader)
+
+
+class ChangedLimitTest(LimitCase):
+    """Scenario: a target changes its mind, or another one takes its place.
+
+    Guards against a limit that lags behind, that stays for ever, or whose end
+    sends all callers to the target at once.
+    """
+
+    def test_a_lowered_limit(self) -> None:
+        for entries in SIZES:
+            with self.subTest(entries=entries):
+                simulation = play(
+                    20.0,
+                    entries,
+                    faults=lambda simulation: simulation.at(
+                        10.0, simulation.name_limit, 4.0
+                    ),
+                )
+                self.check_bound(simulation, 20.0, until=9.0)
+                self.check_bound(simulation, 4.0, 10.0 + SETTLE_S)
+                used = self.compute_used(simulation, 4.0, 10.0 + SETTLE_S)
+                self.assertGreaterEqual(used, MIN_USED)
+
+    def test_a_raised_limit(self) -> None:
+        simulation = play(
+            7.0,
+            7,
+            faults=lambda simulation: simulation.at(
+                10.0, simulation.name_limit, 20.0
+            ),
+        )
+        self.check_bound(simulation, 20.0)
+        self.assertGreaterEqual(
+            self.compute_used(simulation, 20.0, 12.0), MIN_USED
+        )
+
+    def test_the_end_of_a_limit(self) -> None:
+        for entries in SIZES:
+            with self.subTest(entries=entries):
+                simulation = play(
+                    7.0,
+                    entries,
+                    faults=lambda simulation: simulation.at(
+                        10.0, simulation.name_limit, None
+                    ),
+                )
+                target = simulation.target
+                self.assertEqual(target.count(10.5, 11.0) < 14, True)
+                demand = 4.0 * 7.0
+                self.assertGreater(
+                    target.count(15.0, 20.0), 0.9 * 5.0 * demand
+                )
+                self.assertEqual(simulation.entries[0].limited.count(), 0)
+
+    def test_a_limit_that_is_named_again_while_it_ends(self) -> None:
+        def change(simulation) -> None:
+            simulation.at(10.0, simulation.name_limit, None)
+            simulation.at(11.0, simulation.name_limit, 7.0)
+
+        simulation = play(7.0, 7, faults=change)
+        self.check_bound(simulation, 7.0, 11.0 + SETTLE_S)
+
+    def test_a_replaced_target_has_no_limit(self) -> None:
+        simulation = play(
+            7.0,
+            7,
+            faults=lambda simulation: simulation.at(
+                10.0, simulation.replace_target, None
+            ),
+        )
+        self.assertGreater(simulation.target.count(11.0, 15.0), 0.9 * 4 * 28.0)
+
+    def test_a_replaced_target_names_a_limit_of_its_own(self) -> None:
+        simulation = play(
+            20.0,
+            7,
+            faults=lambda simulation: simulation.at(
+                10.0, simulation.replace_target, 5.0
+            ),
+        )
+        self.check_bound(simulation, 5.0, 10.0 + SETTLE_S)
+
+    def test_a_target_that_takes_nothing_is_tried_now_and_then(self) -> None:
+        def change(simulation) -> None:
+            simulation.at(10.0, simulation.name_limit, 0.0)
+            simulation.at(20.0, simulation.name_limit, None)
+
+        simulation = play(7.0, 7, faults=change)
+        self.check_bound(simulation, 0.0, 10.0 + SETTLE_S, 16.0)
+        self.assertEqual(simulation.entries[0].limited.count(), 0)
