Tell refused callers to come back when a limited target can serve them

Callers of a pool with limited targets that do not fit were all told to return after 0.25 s, so they came back together and most were refused again. They now get the times at which the permits that this entry receives can serve them, one after the other, within 2 s; callers of a higher priority do not wait for those of a lower one. 15 callers refused together at 10 requests/s: returns from 0.10 to 1.50 s, before 0.25 s for all.

--- a/fulmarseam/errors/_exceptions.py
+++ b/fulmarseam/errors/_exceptions.py
@@ -8,12 +8,22 @@
 
 
 class FulmarseamError(Exception):
-    """A failure with a kind and a detail for the reader."""
+    """A failure with a kind and a detail for the reader.
 
-    def __init__(self, kind: ErrorKind, detail: str = '') -> None:
+    `retry_after_s` is when the caller should come back, if that is known
+    better than by the kind.
+    """
+
+    def __init__(
+        self,
+        kind: ErrorKind,
+        detail: str = '',
+        retry_after_s: float | None = None,
+    ) -> None:
         super().__init__(detail or kind.value)
         self.kind = kind
         self.detail = detail or kind.value
+        self.retry_after_s = retry_after_s
 
     @property
     def answer(self) -> Answer:
--- a/fulmarseam/gateway/_answers.py
+++ b/fulmarseam/gateway/_answers.py
@@ -29,7 +29,9 @@
         }
     )
     headers = [(b'content-type', b'application/json')]
-    retry_after_s = RETRY_AFTER_S.get(error.kind)
+    retry_after_s = error.retry_after_s
+    if retry_after_s is None:
+        retry_after_s = RETRY_AFTER_S.get(error.kind)
     if retry_after_s is not None:
         headers.append((b'retry-after', b'%.2f' % retry_after_s))
     return http.LocalResponse(answer.status, headers, body.encode() + b'\n')
--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -59,6 +59,7 @@
     def __init__(self, dependencies: Dependencies) -> None:
         self._dependencies = dependencies
         self._splitter = steering.Splitter()
+        self._return_times: dict[ids.PoolName, steering.ReturnTimes] = {}
         self._loop = asyncio.get_running_loop()
 
     async def handle(
@@ -170,7 +171,7 @@
             )
             if placement.target is None:
                 raise possible_run_error or self._make_refusal(
-                    pool_name, avoided
+                    context, pool_name, avoided
                 )
             if not await self._acquire_permit(context, placement.target):
                 # Other targets are tried without asking the leader again.
@@ -227,20 +228,42 @@
         summary.add_placement(placement, now, rate_per_s)
 
     def _make_refusal(
-        self, pool_name: ids.PoolName, avoided: set[ids.TargetId]
+        self,
+        context: _requests.RequestContext,
+        pool_name: ids.PoolName,
+        avoided: set[ids.TargetId],
     ) -> errors.FulmarseamError:
         load = self._dependencies.load_balancer.describe_load(
             self._loop.time(), pool_name
         )
+        retry_after_s = self._schedule_return(context, pool_name)
         if avoided:
             return errors.FulmarseamError(
                 errors.ErrorKind.TARGET_SHED,
                 f'{len(avoided)} targets did not run it, no other has '
                 'capacity: ' + load,
+                retry_after_s,
             )
         return errors.FulmarseamError(
-            errors.ErrorKind.NO_CAPACITY, f'no target has capacity: {load}'
+            errors.ErrorKind.NO_CAPACITY,
+            f'no target has capacity: {load}',
+            retry_after_s,
+        )
+
+    def _schedule_return(
+        self, context: _requests.RequestContext, pool_name: ids.PoolName
+    ) -> float | None:
+        """Return when a refused caller should come back, if limits bind."""
+        now = self._loop.time()
+        supply = self._dependencies.load_balancer.compute_limited_supply(
+            now, pool_name
+        )
+        if supply is None:
+            return None
+        return_times = self._return_times.setdefault(
+            pool_name, steering.ReturnTimes()
         )
+        return return_times.schedule(now, context.route.priority, supply)
 
     async def _attempt(
         self,
--- a/fulmarseam/gateway/_load_balancer.py
+++ b/fulmarseam/gateway/_load_balancer.py
@@ -182,9 +182,13 @@
             steering.estimate_load(observed, now) for observed in targets
         )
         slots = sum(observed.record.slots for observed in targets)
+        limited_count = sum(
+            self.limited_targets.get_rate(observed.target) is not None
+            for observed in targets
+        )
         return (
             f'targets {len(targets)}, ejected {ejected_count}, '
-            f'cold {cold_count}, '
+            f'cold {cold_count}, limited {limited_count}, '
             f'estimated load {load:.1f} of {slots} slots'
         )
 
--- a/fulmarseam/steering/__init__.py
+++ b/fulmarseam/steering/__init__.py
@@ -53,6 +53,7 @@
 from fulmarseam.steering._queue import RequestQueue
 from fulmarseam.steering._queue import Ticket
 from fulmarseam.steering._retry_budget import RetryBudget
+from fulmarseam.steering._return_times import ReturnTimes
 from fulmarseam.steering._routes import compile_routes
 from fulmarseam.steering._routes import match_route
 from fulmarseam.steering._routes import RouteIndex
@@ -128,4 +129,5 @@
     'compute_offline_rate',
     'PERMIT_LIFETIME_S',
     'PermitIssuer',
+    'ReturnTimes',
 ]
--- a/tests/test_rate_limit_load.py
+++ b/tests/test_rate_limit_load.py
@@ -5,6 +5,7 @@
 
 import unittest
 
+from fulmarseam import steering
 from tests import permit_simulation
 
 NAMED_AT_S = 1.0
@@ -321,3 +322,31 @@
         simulation = play(7.0, 7, faults=change)
         self.check_bound(simulation, 0.0, 10.0 + SETTLE_S, 16.0)
         self.assertEqual(simulation.entries[0].limited.count(), 0)
+
+
+class ReturnTest(unittest.TestCase):
+    """Scenario: more callers are refused than the limit will ever serve.
+
+    Guards against callers that are all told to come back at the same time.
+    """
+
+    def test_callers_return_at_the_rate_at_which_they_are_served(self) -> None:
+        times = steering.ReturnTimes()
+        returns = [times.schedule(0.0, 0, 10.0) for _ in range(15)]
+        self.assertEqual(returns[0], 0.1)
+        self.assertAlmostEqual(returns[14], 1.5)
+        self.assertEqual(len(set(returns)), 15)
+
+    def test_an_excess_is_spread_within_the_longest_time(self) -> None:
+        times = steering.ReturnTimes()
+        returns = [times.schedule(0.0, 0, 10.0) for _ in range(200)]
+        self.assertLessEqual(max(returns), 2.0)
+        soon = sum(seconds <= 1.0 for seconds in returns)
+        self.assertTrue(80 <= soon <= 120, soon)
+
+    def test_a_higher_priority_does_not_wait_for_a_lower_one(self) -> None:
+        times = steering.ReturnTimes()
+        for _ in range(10):
+            times.schedule(0.0, 2, 10.0)
+        self.assertEqual(times.schedule(0.0, 0, 10.0), 0.1)
+        self.assertGreater(times.schedule(0.0, 2, 10.0), 1.0)
