Retry at a target that has answered on a new connection only

Seen by other operators: a faulty target wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that ran, or a request ran twice. Here: when a whole pool refuses, a refused request is sent again to the same target, on any kept connection. The second copy of the refusal has the id of the same request, so it passed for the refusal of the retry, while that was running; the test saw the request run twice. A retry at a target that has answered the request now gets a connection of its own, and so does a request without an id, whose answer nothing tells from a late one (404 expected, 410 seen before). The test of a head that breaks off passed before any change.

--- a/fulmarseam/gateway/_attempts.py
+++ b/fulmarseam/gateway/_attempts.py
@@ -80,7 +80,9 @@
         may have got the request.
         """
         while True:
-            connection = self._pool.take_idle(self._context.signal)
+            connection = None
+            if self._may_reuse_connection():
+                connection = self._pool.take_idle(self._context.signal)
             self._is_reused = connection is not None
             if connection is None:
                 connection = await self._open()
@@ -97,6 +99,18 @@
             finally:
                 self.progress = connection.progress
 
+    def _may_reuse_connection(self) -> bool:
+        """Return whether the request id tells the answer from late others.
+
+        It does not without an id, and not after the target has answered the
+        same request before: it may write that answer again.
+        """
+        context = self._context
+        return (
+            context.request_id is not None
+            and self._target.target not in context.answered_by
+        )
+
     def record_lost_idle(self) -> bool:
         """Return whether the lost connection was a reused idle one.
 
@@ -247,6 +261,7 @@
             )
         if response.status == MISDIRECTED_STATUS:
             raise NotRunError('another target has the address', True)
+        self._context.answered_by.add(self._target.target)
         self.limit_reading = _rate_limits.read_limit(
             response, http_names.rate_limit
         )
--- a/fulmarseam/gateway/_requests.py
+++ b/fulmarseam/gateway/_requests.py
@@ -21,6 +21,7 @@
     """
 
     __slots__ = (
+        'answered_by',
         'arrived_at',
         'attempted',
         'caller',
@@ -53,6 +54,8 @@
         self.route: wire.RouteItem
         # Targets that may have run the request; a route bounds their number.
         self.attempted: set[ids.TargetId] = set()
+        # Targets that have answered it, if only to refuse it.
+        self.answered_by: set[ids.TargetId] = set()
         self.kept: list[bytes] = []
         self.kept_bytes = 0
         self.is_replayable = True
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -301,6 +301,68 @@
         self.assertEqual((200, 502), (first.status, second.status))
         self.assertEqual(2, len(target.heads))
 
+    # A refused request used to be sent again on any kept connection of its
+    # target, where a second copy of the refusal passed for the answer to a
+    # request that was running.
+    async def test_a_refusal_written_again_is_not_the_answer_to_a_retry(
+        self,
+    ) -> None:
+        kept = set()
+        refused = set()
+        runs = []
+
+        async def serve_and_keep(reader, writer, headers):
+            kept.add(writer)
+            await asyncio.sleep(0.05)
+            await write_response(writer, headers)
+
+        async def refuse_then_run(reader, writer, headers):
+            request_id = headers['fulmarseam-request-id']
+            if request_id not in refused or writer in kept:
+                await shed(reader, writer, headers)
+            if request_id in refused:
+                runs.append(request_id)
+                await asyncio.sleep(0.05)
+                await write_response(writer, headers)
+            refused.add(request_id)
+
+        target = await self.add_target('t1', shed)
+        await self.put_route(idempotent=False, max_attempts=2)
+        # A pool that fails as a whole is tried again at the same target.
+        for number in range(8):
+            await self.call(method='POST', fulmarseam_request_id=f'w{number}')
+        target.script = serve_and_keep
+        await asyncio.gather(
+            *(
+                self.call(method='POST', fulmarseam_request_id=f'k{number}')
+                for number in range(2)
+            )
+        )
+        await asyncio.sleep(0.25)
+        target.script = refuse_then_run
+        reply = await self.call(method='POST')
+        self.assertEqual((200, ['q1']), (reply.status, runs))
+
+    async def test_a_request_without_an_id_gets_a_connection_of_its_own(
+        self,
+    ) -> None:
+        """Guards against a late answer that nothing tells from its own."""
+
+        async def answer_then_stray(reader, writer, headers):
+            writer.write(b'HTTP/1.1 404 X\r\ncontent-length: 0\r\n\r\n')
+            await asyncio.sleep(0.05)
+            writer.write(b'HTTP/1.1 410 X\r\ncontent-length: 0\r\n\r\n')
+
+        await self.add_target('t1', answer_then_stray)
+        await self.put_route(idempotent=False)
+        host, _, port = self.options.listen.rpartition(':')
+        for _ in range(3):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b'POST /a/b HTTP/1.1\r\nhost: shop.example\r\n')
+            writer.write(b'content-length: 0\r\n\r\n')
+            self.assertEqual((await self.read_reply(reader)).status, 404)
+            writer.close()
+
     async def test_a_truncated_answer_is_an_error(self) -> None:
         async def truncate(reader, writer, headers):
             writer.write(
@@ -314,6 +376,31 @@
         await self.put_route(idempotent=False)
         self.assertEqual((await self.call(method='POST')).status, 502)
 
+    # Guards against an answer that is passed on as a whole although its
+    # target stopped in the middle of the head.
+    async def test_a_head_that_breaks_off_is_an_error(self) -> None:
+        head = (
+            b'HTTP/1.1 200 OK\r\nfulmarseam-request-id: q1\r\n'
+            b'content-length: 5\r\n\r\n'
+        )
+
+        async def stop_within_the_head(reader, writer, headers):
+            writer.write(head[: self.sent_bytes])
+            await writer.drain()
+            writer.close()
+
+        await self.add_target('t1', stop_within_the_head)
+        await self.put_route(idempotent=False, max_attempts=1)
+        for self.sent_bytes in range(len(head)):
+            with self.subTest(sent_bytes=self.sent_bytes):
+                # A target that has broken off is left alone for a while.
+                for observed in self.gateway.load_balancer._targets.values():
+                    observed.ejected_until = 0.0
+                    observed.recovering = False
+                    observed.silent_since = time.monotonic()
+                reply = await self.call(method='POST')
+                self.assertEqual(reply.status, 502)
+
     async def test_a_reset_does_not_end_a_body_without_length(self) -> None:
         """Guards against a truncated body that looks complete."""
 
