Refuse during a stop what may not end before it

Seen by other operators, and here by a test: requests that came late in the grace period of a planned stop were passed on to targets, and cut without an answer at its end. The gateway listens for 4.5 of 6 s and ends at 5.7 s, but a request may take as long as its route allows. A request whose deadline is later than the end is now refused at once, as not run, so the caller goes to another entry; all others are answered by then.

--- a/fulmarseam/gateway/_daemon.py
+++ b/fulmarseam/gateway/_daemon.py
@@ -26,6 +26,7 @@
 # because callers use a look-up answer for three times its TTL.
 LISTEN_GRACE_FRACTION = 0.75
 # Fraction of the grace period after which requests in flight are cut off.
+# Requests that may last longer are refused from the start of the stop on.
 FINISH_GRACE_FRACTION = 0.95
 # Idle connections are kept for longer than callers reuse them, which is four
 # fifths of the idle timeout that they are told.
@@ -68,7 +69,7 @@
         )
         self._request_log = telemetry.RequestLog()
         self._target_pools = http.TargetPools()
-        forwarder = _forwarding.Forwarder(
+        self._forwarder = _forwarding.Forwarder(
             _forwarding.Dependencies(
                 mirror=self.mirror,
                 routes=self.routes,
@@ -84,7 +85,7 @@
         )
         self.caller_server = http.Server(
             options.listen,
-            forwarder.handle,
+            self._forwarder.handle,
             _answers.make_answer,
             http.Limits(max_connections=options.max_connections),
         )
@@ -193,6 +194,8 @@
         """Leave the look-ups, let cached answers expire, finish requests."""
         started_at = self._loop.time()
         grace = self._options.grace
+        finish_at = started_at + grace * FINISH_GRACE_FRACTION
+        self._forwarder.last_deadline = finish_at
         self.poller.is_draining = True
         self.poller.poll_now()
         self.caller_server.announce_close()
@@ -204,11 +207,8 @@
         await asyncio.sleep(grace * LISTEN_GRACE_FRACTION)
         self.caller_server.close_listener()
         self.caller_server.start_draining()
-        remaining_s = (
-            started_at + grace * FINISH_GRACE_FRACTION - self._loop.time()
-        )
         try:
-            async with asyncio.timeout(remaining_s):
+            async with asyncio.timeout_at(finish_at):
                 await self.caller_server.wait_closed()
         except TimeoutError:
             _log.warning(
--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -60,6 +60,8 @@
         self._dependencies = dependencies
         self._splitter = steering.Splitter()
         self._return_times: dict[ids.PoolName, steering.ReturnTimes] = {}
+        # Requests whose deadline is later are refused, as the process ends.
+        self.last_deadline = float('inf')
         self._loop = asyncio.get_running_loop()
 
     async def handle(
@@ -122,6 +124,11 @@
         context.route = dependencies.routes.match(context.host, context.path)
         summary.route = context.route.name
         self._set_deadline(context)
+        if context.deadline > self.last_deadline:
+            raise errors.FulmarseamError(
+                errors.ErrorKind.ENTRY_DRAINING,
+                'the entry stops before the deadline of the request',
+            )
         pool_name = self._splitter.choose_pool(context.route)
         summary.pool = pool_name
         dependencies.load_balancer.count_request(self._loop.time(), pool_name)
