Bound the idle connections of all entries to a target together

With ten entries, each after 40 requests at once, 400 would stay open where the target accepts 100. All entries together now keep at most half of the number, in even parts; requests in flight are bounded by the slots, wherever they arrive. The test counts 400 before, at most 100 now. The scripted target of the gateway tests closes its connections at the end of a test; they ended in 'Event loop is closed' after the last line.

--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -23,6 +23,9 @@
 
 # Time reserved so that the answer reaches the caller before its deadline.
 ANSWER_MARGIN_S = 0.02
+# Share of the connections that a target accepts which all entries together
+# keep idle. The others are for requests in flight, wherever these arrive.
+IDLE_CONNECTION_SHARE = 0.5
 
 _log = logbook.Logger('gateway')
 
@@ -285,11 +288,14 @@
         started_at = self._loop.time()
         pool_item = dependencies.mirror.pools.get(target.record.pool)
         max_connections = pool_item.max_connections if pool_item else 1
+        max_idle = int(max_connections * IDLE_CONNECTION_SHARE)
         attempt = _attempts.Attempt(
             context,
             target,
             dependencies.target_pools.get(
-                target.record.address, max_connections
+                target.record.address,
+                max_connections,
+                max(1, max_idle // dependencies.load_balancer.senders),
             ),
             dependencies.http_names,
             self._compute_first_byte_deadline(context, target, started_at),
--- a/fulmarseam/http/_pool.py
+++ b/fulmarseam/http/_pool.py
@@ -29,11 +29,17 @@
 
 
 class TargetPool:
-    """A limited number of connections to one target, in use and idle."""
+    """A limited number of connections to one target, in use and idle.
 
-    def __init__(self, address: str, limit: int) -> None:
+    `idle_limit` bounds those that are kept while they are idle.
+    """
+
+    def __init__(
+        self, address: str, limit: int, idle_limit: int | None = None
+    ) -> None:
         self.address = address
         self.limit = limit
+        self.idle_limit = limit if idle_limit is None else idle_limit
         self.in_use = 0
         self.idle_timeout_s = IDLE_TIMEOUT_S
         # Upper bound for the keep-alive that the target states; lowered when
@@ -46,10 +52,14 @@
         """Return the number of idle connections."""
         return len(self._idle)
 
-    def set_limit(self, limit: int) -> None:
-        """Change the limit; idle connections above it are closed."""
+    def set_limit(self, limit: int, idle_limit: int | None = None) -> None:
+        """Change the limits; idle connections above them are closed."""
         self.limit = limit
-        while self._idle and self.in_use + len(self._idle) > limit:
+        self.idle_limit = limit if idle_limit is None else idle_limit
+        while self._idle and (
+            self.in_use + len(self._idle) > limit
+            or len(self._idle) > self.idle_limit
+        ):
             self._idle.pop(0).abort()
 
     def take_idle(
@@ -146,7 +156,10 @@
     def release(self, connection: _target.TargetConnection) -> None:
         """Return a connection to the pool, or close it if not reusable."""
         self.in_use -= 1
-        is_full = self.in_use + len(self._idle) >= self.limit
+        is_full = (
+            self.in_use + len(self._idle) >= self.limit
+            or len(self._idle) >= self.idle_limit
+        )
         if is_full or not connection.is_reusable():
             connection.signal = None
             connection.on_idle_event = None
@@ -191,13 +204,17 @@
         for pool in self._pools.values():
             pool.close_idle(now)
 
-    def get(self, address: str, limit: int) -> TargetPool:
-        """Return the pool of a target and set its limit."""
+    def get(
+        self, address: str, limit: int, idle_limit: int | None = None
+    ) -> TargetPool:
+        """Return the pool of a target and set its limits."""
         pool = self._pools.get(address)
         if pool is None:
-            pool = self._pools[address] = TargetPool(address, limit)
-        elif pool.limit != limit:
-            pool.set_limit(limit)
+            pool = self._pools[address] = TargetPool(
+                address, limit, idle_limit
+            )
+        elif (pool.limit, pool.idle_limit) != (limit, idle_limit or limit):
+            pool.set_limit(limit, idle_limit)
         return pool
 
     def set_limits(self, limits: dict[str, int]) -> None:
--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -74,6 +74,7 @@
         self.connection_closed = asyncio.Event()
         self.address = ''
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Listen on a free address."""
@@ -84,6 +85,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         with contextlib.suppress(ConnectionError):
             while (found := await read_head(reader)) is not None:
                 line, headers = found
@@ -97,9 +99,11 @@
         writer.close()
 
     def stop(self) -> None:
-        """Stop listening."""
+        """Stop listening and close all connections."""
         assert self._server is not None
         self._server.close()
+        for writer in self._writers:
+            writer.close()
 
 
 class GatewayCase(unittest.IsolatedAsyncioTestCase):
@@ -112,6 +116,7 @@
         # Address of the leader that answers to polls name, if any.
         self.leader = ''
         self.poll_delay_s = 0.0
+        self.entry_count = 1
         self.targets: dict[str, Target] = {}
         self.stack = contextlib.AsyncExitStack()
         await self.stack.enter_async_context(
@@ -157,7 +162,7 @@
         return wire.EntryPollResponse(
             revision=self.machine.revision,
             changes=changes,
-            entry_count=1,
+            entry_count=self.entry_count,
             leader=self.leader,
         )
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -576,6 +576,37 @@
         self.assertTrue(self.guard._is_fresh.is_set())
 
 
+class SharedConnectionsTest(gateway_case.GatewayCase):
+    """Guards against more connections than a target accepts from all."""
+
+    # Each entry used to keep as many idle connections as the target accepts
+    # from all entries together.
+    async def test_idle_connections_of_all_entries_fit_the_target(
+        self,
+    ) -> None:
+        open_now = set()
+
+        async def serve_slowly(reader, writer, headers):
+            open_now.add(writer)
+            await asyncio.sleep(0.2)
+            await write_response(writer, headers)
+
+        entries = 10
+        self.entry_count = entries
+        await self.add_target('t1', serve_slowly, slots=100)
+        await self.put_route(timeout_ms=5_000.0)
+        await asyncio.sleep(1.1)
+        await asyncio.gather(
+            *(
+                self.call(fulmarseam_request_id=f'q{number}')
+                for number in range(40)
+            )
+        )
+        await asyncio.sleep(0.3)
+        kept = sum(not writer.is_closing() for writer in open_now)
+        self.assertLessEqual(entries * kept, 100)
+
+
 class StopTest(gateway_case.GatewayCase):
     """Guards against a stop that breaks requests of callers."""
 
