Name each attempt, so that a repeated refusal is not believed

Two tests: 503 target_shed, not-run before; 502 with unknown outcome now, and the request reaches no other target. Entries send Fulmarseam-Attempt, the stand-in target returns it. A response to another attempt counts as a failure, and so does a refusal on a kept connection that does not name its attempt.

--- a/fulmarseam/entry/_attempts.py
+++ b/fulmarseam/entry/_attempts.py
@@ -1,6 +1,7 @@
 """One attempt to run a request on a target."""
 
 import asyncio
+import secrets
 
 from fulmarseam import errors
 from fulmarseam import http
@@ -14,15 +15,21 @@
 NOT_RUN = errors.Outcome.NOT_RUN.value.encode()
 ANSWERED = errors.Outcome.ANSWERED.value.encode()
 TRACEPARENT_HEADER = b'traceparent'
+# Names an attempt. Targets return it, so that a late or repeated response on a
+# kept connection is not taken for the one that is due.
+ATTEMPT_HEADER = b'fulmarseam-attempt'
+ATTEMPT_ID_BYTES = 8
 SHED_STATUS = 503
 
 # Headers that the entry sets or handles itself.
 _DROPPED_IN_REQUEST = http.HOP_BY_HOP | {
     b'expect',
+    ATTEMPT_HEADER,
     _requests.DEADLINE_HEADER,
     TRACEPARENT_HEADER,
 }
 _DROPPED_IN_RESPONSE = http.HOP_BY_HOP | {
+    ATTEMPT_HEADER,
     _answers.OUTCOME_HEADER,
     _answers.KIND_HEADER,
 }
@@ -59,6 +66,8 @@
         self._pacers = pacers
         self._loop = asyncio.get_running_loop()
         self._connection: http.TargetConnection | None = None
+        self._attempt_id = secrets.token_hex(ATTEMPT_ID_BYTES).encode()
+        self._is_reused = False
         self._uploading = True
         self.progress = http.Progress.NOT_SENT
         self.response_bytes = 0
@@ -78,7 +87,7 @@
         assert signal is not None
         while True:
             connection = self._connection_pool.take_idle(signal)
-            reused = connection is not None
+            self._is_reused = connection is not None
             if connection is None:
                 connection = await self._open(signal)
             try:
@@ -86,7 +95,7 @@
             except http.TargetError as error:
                 # The target closed the reused idle connection before any
                 # byte was written: retry on another connection.
-                if not reused or error.progress is not _NOT_SENT:
+                if not self._is_reused or error.progress is not _NOT_SENT:
                     raise
             finally:
                 self.progress = connection.progress
@@ -105,6 +114,7 @@
         self._connection = connection
         self._send_request(connection)
         response = await self._wait_for_response(connection)
+        self._check_attempt(response)
         if is_shed(response):
             raise TargetShedError(f'{self._choice.target} shed the request')
         self._start_response(response)
@@ -151,6 +161,7 @@
         headers.append(
             (_requests.DEADLINE_HEADER, b'%d' % max(remaining_ms, 0))
         )
+        headers.append((ATTEMPT_HEADER, self._attempt_id))
         if context.traceparent is not None:
             headers.append((TRACEPARENT_HEADER, context.traceparent.encode()))
         return headers
@@ -186,6 +197,23 @@
             self._upload(connection)
             await self._wait()
 
+    def _check_attempt(self, response: http.Response) -> None:
+        """Check that a response is the one to this attempt.
+
+        Raises `http.TargetError` otherwise, and for a refusal on a kept
+        connection that does not tell which attempt it is for.
+        """
+        attempt_id = response.fields.get(ATTEMPT_HEADER)
+        if attempt_id == self._attempt_id:
+            return
+        is_doubtful = self._is_reused and is_shed(response)
+        if attempt_id is not None or is_doubtful:
+            raise http.TargetError(
+                http.Reason.MALFORMED,
+                http.Progress.MAY_HAVE_SENT,
+                'the response is to another attempt',
+            )
+
     def _start_response(self, response: http.Response) -> None:
         dropped = _DROPPED_IN_RESPONSE
         if response.status == 204:
--- a/fulmarseam/standin/_server.py
+++ b/fulmarseam/standin/_server.py
@@ -15,6 +15,8 @@
 import h11
 import logbook
 
+# Names an attempt of an entry; returned with the response.
+ATTEMPT_HEADER = 'fulmarseam-attempt'
 READ_BYTES = 65_536
 
 _log = logbook.Logger('server')
@@ -173,6 +175,8 @@
     ) -> None:
         headers = dict(response.headers)
         headers['Content-Length'] = str(len(response.body))
+        if ATTEMPT_HEADER in request.headers:
+            headers[ATTEMPT_HEADER] = request.headers[ATTEMPT_HEADER]
         head = h11.Response(
             status_code=response.status, headers=list(headers.items())
         )
--- a/tests/test_entry_proxy.py
+++ b/tests/test_entry_proxy.py
@@ -43,6 +43,31 @@
     buffer += b'<closed>'
 
 
+def refuse_again(echoes_attempt: bool) -> fakes.Behaviour:
+    """Return a behaviour that repeats a refusal on a kept connection.
+
+    It serves the first request, and writes the refusal of some other one
+    before it serves the second.
+    """
+
+    async def serve(
+        target: fakes.FakeTarget,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        buffer = bytearray()
+        target.received.append(buffer)
+        await fakes.read_request(target, reader, buffer)
+        writer.write(OK)
+        await fakes.read_request(target, reader, buffer)
+        mark = b'Fulmarseam-Attempt: other\r\n' if echoes_attempt else b''
+        writer.write(SHED.replace(b'Content', mark + b'Content'))
+        await asyncio.sleep(0.05)
+        writer.write(OK)
+
+    return serve
+
+
 class RoutingTest(entry_case.EntryCase):
     """Guards against requests that reach the wrong pool."""
 
@@ -408,3 +433,23 @@
         for path in ('/ab', '/cd', '/ef'):
             answer = await self.call(path)
             self.assertEqual(path[1:].encode(), answer.body)
+
+
+class RepeatedRefusalTest(entry_case.EntryCase):
+    """Guards against 'not run' for a request that is running."""
+
+    # The copy of a refusal used to count for the next request on the
+    # connection.
+    async def test_a_refusal_written_again_is_not_believed(self) -> None:
+        await self.check(refuse_again(echoes_attempt=False))
+
+    async def test_a_refusal_of_another_attempt_is_not_believed(self) -> None:
+        await self.check(refuse_again(echoes_attempt=True))
+
+    async def check(self, behaviour: fakes.Behaviour) -> None:
+        target = await self.start_target(behaviour)
+        first = await self.call(method='POST', body=b'a')
+        self.assertEqual(200, first.status)
+        second = await self.call(method='POST', body=b'b')
+        self.assertEqual((502, 'target_failed', 'unknown'), second.describe())
+        self.assertEqual(2, target.received_bytes.count(b'POST'))
