Let targets of the soak name rate limits

Checked is the rule: from 3 s on, in any 4 s no more than 1.5 times the limit and 5 requests, whatever happens to entries and members.

--- a/tests/soak/_checks.py
+++ b/tests/soak/_checks.py
@@ -16,6 +16,12 @@
 REGRESS_SLACK_S = 0.25
 EVACUATE_S = 5.0
 RECOVERY_S = 15.0
+# A target that names a rate limit gets, from some time after it on, in any
+# window no more than the limit allows, with a tolerance.
+LIMIT_SETTLE_S = 3.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA_REQUESTS = 5
 # Lowest share of requests served once all faults have recovered.
 SERVED_SHARE = 0.9
 # After SIGTERM a process has its grace period and 1 s to finish requests.
@@ -74,6 +80,7 @@
         *_check_evacuations(record, runs, timeline),
         *_check_moves(record, runs, timeline),
         *_check_stops(record, runs, timeline),
+        *_check_limits(record, timeline),
         *_check_read_back(record),
         *_check_recovery(record),
     ]
@@ -274,6 +281,42 @@
     )
 
 
+def _check_limits(
+    record: _record.Record, timeline: FaultTimeline
+) -> list[str]:
+    """Check that no target gets more requests than the limit it names.
+
+    Whatever happens to entries and members. A link that holds requests back
+    delivers them together, so windows beside a fault of the target are left
+    out.
+    """
+    found = []
+    for limit in record.limits:
+        bound = (
+            LIMIT_FACTOR * limit.rate_per_s * LIMIT_WINDOW_S
+            + LIMIT_EXTRA_REQUESTS
+        )
+        times = sorted(
+            arrival.at
+            for arrival in record.arrivals
+            if arrival.target == limit.target
+            and limit.named_at + LIMIT_SETTLE_S <= arrival.at < limit.ended_at
+        )
+        for start in times:
+            end = start + LIMIT_WINDOW_S
+            count = sum(start <= at < end for at in times)
+            if count > bound and timeline.had_no_fault(
+                limit.host, start - UNDISTURBED_S, end
+            ):
+                found.append(
+                    f'{limit.target} got {count} requests in '
+                    f'{LIMIT_WINDOW_S:g} s from {start:.3f} on, expected '
+                    f'{bound:g} at most: {limit}'
+                )
+                break
+    return found
+
+
 def _check_read_back(record: _record.Record) -> list[str]:
     """Check that the newest acknowledged version is in force at the end."""
     if record.read_back is None:
--- a/tests/soak/_plan.py
+++ b/tests/soak/_plan.py
@@ -15,6 +15,10 @@
 CATCH_UP_S = 4.0
 # Faults last 0.2 to 4 s, so about two of them overlap.
 MEAN_GAP_S = 0.8
+# Time that a target names a rate limit, and between two of them. A limit has
+# to be kept after 3 s, and requests are counted over 4 s.
+LIMIT_S = 9.0
+MEAN_LIMIT_GAP_S = 4.0
 # By then callers have made their first lookups and connections.
 FIRST_AT_S = 1.0
 
@@ -37,6 +41,7 @@
     REPLACE = 'replace'
     SLOW = 'slow'
     SHED = 'shed'
+    LIMIT = 'limit'
 
 
 class Fault(NamedTuple):
@@ -91,7 +96,20 @@
             if not _admit_fault(fault, lost_until):
                 continue
         faults.append(fault)
-    return faults
+    faults.extend(_draw_limits(seed, length_s))
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
+def _draw_limits(seed: int, length_s: float) -> list[Fault]:
+    """Return the rate limits of targets, drawn apart from other faults."""
+    rng = random.Random(f'limits-{seed}')
+    limits = []
+    at_s = FIRST_AT_S
+    while at_s < length_s:
+        name = f'target-{rng.randint(1, TARGETS)}'
+        limits.append(Fault(at_s, FaultKind.LIMIT, name, LIMIT_S))
+        at_s += rng.expovariate(1.0 / MEAN_LIMIT_GAP_S)
+    return limits
 
 
 def _draw_fault(rng: random.Random, at_s: float) -> Fault:
--- a/tests/soak/_record.py
+++ b/tests/soak/_record.py
@@ -33,6 +33,23 @@
     started_at: float
 
 
+class Arrival(NamedTuple):
+    """A request that reached a target, also if it was refused there."""
+
+    target: str
+    at: float
+
+
+class Limit(NamedTuple):
+    """A time in which a target named a limit of its requests a second."""
+
+    target: str
+    host: str
+    rate_per_s: float
+    named_at: float
+    ended_at: float
+
+
 class Move(NamedTuple):
     """A version of the route that moves between pools."""
 
@@ -57,6 +74,8 @@
 
     calls: list[Call] = dataclasses.field(default_factory=list)
     runs: list[Run] = dataclasses.field(default_factory=list)
+    arrivals: list[Arrival] = dataclasses.field(default_factory=list)
+    limits: list[Limit] = dataclasses.field(default_factory=list)
     moves: list[Move] = dataclasses.field(default_factory=list)
     # When each version, leave and evacuation was acknowledged.
     acknowledged: dict[int, float] = dataclasses.field(default_factory=dict)
--- a/tests/soak/_targets.py
+++ b/tests/soak/_targets.py
@@ -20,6 +20,8 @@
 # Factor on the service time; the slowest run takes 1 s, within the
 # deadline of callers.
 SLOW_FACTOR = 8.0
+# Callers send each target about 11 requests a second.
+RATE_LIMITS_PER_S = (1.0, 3.0)
 # A target keeps serving this long after its leave was acknowledged.
 LEAVE_SERVE_S = 4.0
 # A target of another pool may reuse an address after this time.
@@ -40,6 +42,7 @@
         self.state = 'ready'
         self.slowdown = 1.0
         self.is_shedding = False
+        self.rate_limit_per_s: float | None = None
         self._record = record
         self._slots = asyncio.Semaphore(SLOTS)
         self._request_count = 0
@@ -55,6 +58,11 @@
         }
         if request.headers.get('x-expect-instance') != self.target:
             return _server.ServerResponse(421, {**headers}, b'')
+        self._record.arrivals.append(
+            _record.Arrival(self.target, time.monotonic())
+        )
+        if self.rate_limit_per_s is not None:
+            headers['Server-Limit'] = f'{self.rate_limit_per_s:g}'
         if self.is_shedding or self._request_count >= SLOTS + QUEUE_LIMIT:
             return _server.ServerResponse(
                 503, {**headers, 'X-Not-Executed': '1'}, b''
@@ -173,6 +181,9 @@
 
     async def apply(self, fault: _plan.Fault) -> None:
         """Apply a fault until it ends."""
+        if fault.kind is _plan.FaultKind.LIMIT:
+            await self._name_limit(fault.for_s)
+            return
         async with self.control:
             started = time.monotonic()
             await self._inject(fault)
@@ -186,6 +197,27 @@
                 )
             )
 
+    async def _name_limit(self, for_s: float) -> None:
+        """Name a rate limit; other faults may come meanwhile."""
+        current = self._current
+        assert current is not None
+        if current.rate_limit_per_s is not None:
+            return
+        rate_per_s = random.choice(RATE_LIMITS_PER_S)
+        current.rate_limit_per_s = rate_per_s
+        started = time.monotonic()
+        await asyncio.sleep(for_s)
+        current.rate_limit_per_s = None
+        self._record.limits.append(
+            _record.Limit(
+                current.target,
+                self.name,
+                rate_per_s,
+                started,
+                time.monotonic(),
+            )
+        )
+
     async def _inject(self, fault: _plan.Fault) -> None:
         current = self._current
         assert current is not None
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -202,6 +202,31 @@
         found = _checks.check_record(self.record)
         self.assertTrue(any('graceful stop' in line for line in found), found)
 
+    def add_arrivals(self, count: int) -> None:
+        """Add a limit of 2 requests/s, and requests 0.1 s apart."""
+        self.record.limits.append(
+            _record.Limit('beta-1', 'target-2', 2.0, 100.0, 110.0)
+        )
+        self.record.arrivals += [
+            _record.Arrival('beta-1', 103.5 + number / 10)
+            for number in range(count)
+        ]
+
+    def test_a_target_that_gets_more_than_its_limit(self) -> None:
+        self.add_arrivals(18)
+        self.assert_found('got 18 requests')
+
+    def test_a_target_that_gets_what_its_limit_allows(self) -> None:
+        self.add_arrivals(17)
+        self.assertEqual([], _checks.check_record(self.record))
+
+    def test_requests_that_a_link_held_back_are_no_excess(self) -> None:
+        self.add_arrivals(18)
+        self.record.disturbances.append(
+            _record.Disturbance('target-2', 'hold', 101.0, 102.0)
+        )
+        self.assertEqual([], _checks.check_record(self.record))
+
     def test_an_acknowledged_version_that_is_gone(self) -> None:
         self.record.read_back = {}
         self.assert_found('expected one of')
