Wait shorter for a permit than for the leader

A request waited up to 0.3 s for a leader that is gone, and an ask that timed out replaced the connection of the polls to a leader that is only slow. What an answer says about a limit is recorded before the answer is passed on, as a long body may take long, and a report of a limit that is no number is left out with a log line.

--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import math
 import time
 from typing import Self
 
@@ -274,7 +275,9 @@
         """Apply what an entry reports about limits to this leader's state."""
         assert self._member is not None
         self._permit_issuer.start_term(now, self._member.status().term)
-        self._permit_issuer.record(now, rate_limits)
+        self._permit_issuer.record(
+            now, [limit for limit in rate_limits if _is_valid(limit)]
+        )
         self._permit_issuer.update(now, self._is_current_incarnation)
 
     def _is_current_incarnation(
@@ -501,3 +504,16 @@
                 targets=','.join(target for target, _ in expired),
             )
         )
+
+
+def _is_valid(limit: wire.TargetRateLimit) -> bool:
+    """Return whether a reported limit can be used; log one that cannot."""
+    rate_per_s = limit.rate_per_s
+    if rate_per_s is None or 0.0 <= rate_per_s < math.inf:
+        return True
+    _log.warning(
+        telemetry.format_event(
+            'rate_limit_invalid', target=limit.target, found=rate_per_s
+        )
+    )
+    return False
--- a/fulmarseam/gateway/_attempts.py
+++ b/fulmarseam/gateway/_attempts.py
@@ -67,7 +67,7 @@
         self.progress = http.Progress.NOT_SENT
         self.load_report = b''
         # What the answer says about the rate limit, once one has come.
-        self.limit_reading: _rate_limits.LimitReading | None = None
+        self._limit_reading: _rate_limits.LimitReading | None = None
         self.has_answered = False
         # Whether the target ran the request and did not fail it.
         self.is_served = False
@@ -99,6 +99,12 @@
             finally:
                 self.progress = connection.progress
 
+    def take_limit_reading(self) -> _rate_limits.LimitReading | None:
+        """Return what the answer says about the rate limit, once."""
+        reading = self._limit_reading
+        self._limit_reading = None
+        return reading
+
     def _may_reuse_connection(self) -> bool:
         """Return whether the request id tells the answer from late others.
 
@@ -262,7 +268,7 @@
         if response.status == MISDIRECTED_STATUS:
             raise NotRunError('another target has the address', True)
         self._context.answered_by.add(self._target.target)
-        self.limit_reading = _rate_limits.read_limit(
+        self._limit_reading = _rate_limits.read_limit(
             response, http_names.rate_limit
         )
         if http_names.not_run in response.fields:
--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -302,6 +302,8 @@
         )
         try:
             answer = await attempt.run()
+            # Before the answer is passed on, which may take long.
+            self._note_limit(target, attempt)
             self._record_answer(placement, attempt, answer, started_at)
             if self._may_retry_error_answer(context, target, answer):
                 return _FailedAttempt(
@@ -329,16 +331,20 @@
                 f'the request body broke off: {error.detail}',
             ) from error
         finally:
-            if attempt.limit_reading is not None:
-                dependencies.rate_limits.note_reading(
-                    self._loop.time(),
-                    target,
-                    attempt.limit_reading,
-                    attempt.is_served,
-                )
+            self._note_limit(target, attempt)
             attempt.close()
             dependencies.load_balancer.release(target)
 
+    def _note_limit(
+        self, target: steering.ObservedTarget, attempt: _attempts.Attempt
+    ) -> None:
+        """Record what an answer says about the rate limit of its target."""
+        reading = attempt.take_limit_reading()
+        if reading is not None:
+            self._dependencies.rate_limits.note_reading(
+                self._loop.time(), target, reading, attempt.is_served
+            )
+
     def _compute_first_byte_deadline(
         self,
         context: _requests.RequestContext,
--- a/fulmarseam/gateway/_permits.py
+++ b/fulmarseam/gateway/_permits.py
@@ -13,10 +13,12 @@
 from fulmarseam import telemetry
 from fulmarseam import wire
 
-# Answers to asks in time: a round trip to the leader takes up to 40 ms, and
-# other traffic on a slow link may delay it. The request that waits goes to
-# another target after that.
-ASK_TIMEOUT_S = 0.3
+# A round trip to the leader takes up to 40 ms. A request that has waited for
+# this long goes to another target.
+PERMIT_WAIT_S = 0.2
+# A call that times out replaces the connection that the polls use as well, so
+# a slow leader gets as long as for a poll.
+ASK_TIMEOUT_S = 0.8
 
 SendRequest = Callable[
     [wire.PermitRequest, float], Awaitable[wire.PermitResponse]
@@ -49,7 +51,7 @@
     async def acquire(self, target: ids.TargetId) -> bool:
         """Return whether a request may be sent to a target now.
 
-        Waits for the answer of the leader, at most `ASK_TIMEOUT_S`, if a
+        Waits for the answer of the leader, at most `PERMIT_WAIT_S`, if a
         permit is needed and there is none.
         """
         limited_targets = self._limited_targets
@@ -63,7 +65,12 @@
         waiter: asyncio.Future[None] = self._loop.create_future()
         self._waiters.setdefault(target, collections.deque()).append(waiter)
         self._start_asking()
-        await waiter
+        try:
+            async with asyncio.timeout(PERMIT_WAIT_S):
+                await waiter
+        except TimeoutError:
+            # No other request waits as well while the leader is silent.
+            limited_targets.note_failed_ask(self._loop.time())
         return limited_targets.try_take(self._loop.time(), target)
 
     def close(self) -> None:
