Test limits behind real connections: no other target, ends, bad values

Callers of a pool whose only target names 5 requests a second are served at that rate and refused within 0.5 s otherwise, at different times to come back; all are served 4 s after the end of the limit. A value that cannot be read lifts no limit, a limit in a refusal counts, and each change has one log line.

--- a/tests/rate_limit_case.py
+++ b/tests/rate_limit_case.py
@@ -29,10 +29,15 @@
 
 
 class LimitedTarget:
-    """A target that names `rate_per_s` in its answers, if that is set."""
+    """A target that names `rate_per_s` in its answers, if that is set.
+
+    `value` is named instead if it is set, whatever it is.
+    """
 
     def __init__(self, service_s: float = 0.02) -> None:
         self.rate_per_s: float | None = None
+        self.value: str | None = None
+        self.is_refusing = False
         self.arrivals: list[float] = []
         self.server = gateway_case.Target(self._serve)
         self._service_s = service_s
@@ -41,8 +46,16 @@
         self.arrivals.append(asyncio.get_running_loop().time())
         await asyncio.sleep(self._service_s)
         extra = {}
-        if self.rate_per_s is not None:
-            extra['fulmarseam_rate_limit'] = f'{self.rate_per_s:g}'
+        value = self.value
+        if value is None and self.rate_per_s is not None:
+            value = f'{self.rate_per_s:g}'
+        if value is not None:
+            extra['fulmarseam_rate_limit'] = value
+        if self.is_refusing:
+            await gateway_case.write_response(
+                writer, headers, 503, b'', fulmarseam_not_run='1', **extra
+            )
+            return
         await gateway_case.write_response(writer, headers, **extra)
 
     def count(self, since: float, until: float) -> int:
@@ -75,6 +88,8 @@
         self.address = address
         self.statuses: list[int] = []
         self.retry_after_s: list[float] = []
+        # How long each refusal took.
+        self.refusal_s: list[float] = []
         self._calls: set[asyncio.Task[None]] = set()
 
     async def run(self, rate_per_s: float, duration_s: float) -> None:
@@ -90,6 +105,8 @@
         await asyncio.gather(*self._calls)
 
     async def _call(self, number: int) -> None:
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
         host, _, port = self.address.rpartition(':')
         reader, writer = await asyncio.open_connection(host, int(port))
         writer.write(
@@ -104,6 +121,7 @@
         self.statuses.append(int(line.split()[1]))
         if 'retry-after' in headers:
             self.retry_after_s.append(float(headers['retry-after']))
+            self.refusal_s.append(loop.time() - started_at)
 
 
 class RateLimitCase(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -3,6 +3,8 @@
 import asyncio
 import unittest
 
+import logbook
+
 from fulmarseam import http
 from fulmarseam.gateway import _rate_limits
 from tests import rate_limit_case
@@ -66,3 +68,102 @@
         )
         statuses = {status for caller in callers for status in caller.statuses}
         self.assertEqual(statuses, {200})
+
+
+class OnlyTargetTest(rate_limit_case.RateLimitCase):
+    """Guards against callers that pay for a target without other targets."""
+
+    RATE_PER_S = 5.0
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.limited = rate_limit_case.LimitedTarget()
+        await self.put_items(idempotent=False, max_attempts=1)
+        await self.add_target('limited', self.limited)
+        await self.start_entries(2)
+
+    def now(self) -> float:
+        """Return the time of the loop."""
+        return asyncio.get_running_loop().time()
+
+    async def send(
+        self, rate_per_s: float, duration_s: float
+    ) -> list[rate_limit_case.Caller]:
+        """Send requests through both entries; return the callers."""
+        callers = self.make_callers()
+        await asyncio.gather(
+            *(caller.run(rate_per_s, duration_s) for caller in callers)
+        )
+        return callers
+
+    async def test_what_does_not_fit_is_refused_at_once(self) -> None:
+        self.limited.rate_per_s = self.RATE_PER_S
+        await self.send(10.0, 3.0)
+        started_at = self.now()
+        callers = await self.send(10.0, 6.0)
+        self.assertLessEqual(
+            self.limited.find_peak(started_at),
+            rate_limit_case.compute_bound(self.RATE_PER_S),
+        )
+        used = self.limited.count(started_at, started_at + 6.0)
+        self.assertGreaterEqual(used, 0.8 * 6.0 * self.RATE_PER_S)
+        for caller in callers:
+            refused = caller.statuses.count(503)
+            self.assertEqual(
+                len(caller.statuses), caller.statuses.count(200) + refused
+            )
+            self.assertEqual(refused, len(caller.retry_after_s))
+            self.assertLess(max(caller.refusal_s), 0.5)
+            # Not all of them come back at the same time.
+            self.assertGreater(len(set(caller.retry_after_s)), refused / 4)
+
+    async def test_the_rate_returns_after_the_end_of_a_limit(self) -> None:
+        self.limited.rate_per_s = self.RATE_PER_S
+        await self.send(20.0, 2.0)
+        self.limited.rate_per_s = None
+        await self.send(20.0, 4.0)
+        callers = await self.send(20.0, 2.0)
+        statuses = {status for caller in callers for status in caller.statuses}
+        self.assertEqual({200}, statuses)
+
+    async def test_a_value_that_cannot_be_read_lifts_no_limit(self) -> None:
+        self.limited.rate_per_s = self.RATE_PER_S
+        await self.send(10.0, 2.0)
+        self.limited.value = '-1'
+        started_at = self.now()
+        await self.send(20.0, 5.0)
+        self.assertLessEqual(
+            self.limited.find_peak(started_at),
+            rate_limit_case.compute_bound(self.RATE_PER_S),
+        )
+
+    async def test_a_limit_in_a_refusal_counts(self) -> None:
+        self.limited.rate_per_s = self.RATE_PER_S
+        self.limited.is_refusing = True
+        started_at = self.now()
+        await self.send(20.0, 5.0)
+        self.assertLessEqual(
+            self.limited.find_peak(started_at + 1.0),
+            rate_limit_case.compute_bound(self.RATE_PER_S),
+        )
+
+
+class ChangeLineTest(rate_limit_case.RateLimitCase):
+    """Guards against a log line for each answer."""
+
+    async def test_each_change_is_logged_once(self) -> None:
+        limited = rate_limit_case.LimitedTarget()
+        await self.put_items()
+        await self.add_target('limited', limited)
+        await self.start_entries(1)
+        [caller] = self.make_callers()
+        handler = logbook.TestHandler()
+        with handler.applicationbound():
+            for limited.value in ('900', '900', 'x', 'x', '900', '850'):
+                await caller.run(10.0, 0.8)
+        lines = [
+            record.message
+            for record in handler.records
+            if 'event=target_rate_limit' in record.message
+        ]
+        self.assertEqual(3, len(lines), lines)
