--- /dev/null
+++ b/tests/test_even_parts.py
@@ -0,0 +1,124 @@
+"""Tests of bounds that all entries keep together by even parts.
+
+The scenarios are played in virtual time, without a network.
+"""
+
+import bisect
+import random
+import unittest
+
+from fulmarseam import steering
+from tests import catalog_fixtures as fixtures
+
+SIZES = (1, 7, 79)
+STEP_S = 0.005
+
+
+def count_peak(times: list[float], window_s: float) -> int:
+    """Return the most events in a window."""
+    times = sorted(times)
+    return max(
+        (
+            bisect.bisect_left(times, start + window_s) - index
+            for index, start in enumerate(times)
+        ),
+        default=0,
+    )
+
+
+class ColdTargetTest(unittest.TestCase):
+    """Scenario: all entries want a cold target at once.
+
+    Guards against a sum over all entries above what the target bears.
+    """
+
+    COLD_PER_S = 17.0
+    FACTOR = 1.5
+    SLACK = 5.0
+    COLD_S = 3.0
+
+    def play(self, entries: int, known: int) -> list[float]:
+        """Return when requests are sent; entries know of `known` entries."""
+        limit = steering.ColdRateLimit(self.FACTOR, self.SLACK)
+        targets = []
+        for number in range(entries):
+            target = steering.ObservedTarget(
+                fixtures.make_record('t'),
+                is_remote=False,
+                token_offset=number / entries,
+            )
+            steering.mark_cold(target, 0.0, self.COLD_S)
+            targets.append(target)
+        rate = limit.compute_sender_rate(self.COLD_PER_S, known)
+        sent = []
+        for step in range(int(self.COLD_S / STEP_S)):
+            now = step * STEP_S
+            for target in targets:
+                if steering.may_send(target, now, rate):
+                    target.tokens -= 1.0
+                    sent.append(now)
+        return sent
+
+    def test_the_sum_stays_within_the_rate(self) -> None:
+        bound = self.COLD_PER_S * self.FACTOR + self.SLACK
+        for entries in SIZES:
+            with self.subTest(entries=entries):
+                sent = self.play(entries, entries)
+                self.assertLessEqual(count_peak(sent, 1.0), bound)
+
+    def test_an_entry_that_the_others_do_not_know_yet_fits(self) -> None:
+        bound = self.COLD_PER_S * self.FACTOR + self.SLACK
+        for entries in SIZES[1:]:
+            with self.subTest(entries=entries):
+                sent = self.play(entries, entries - 1)
+                self.assertLessEqual(count_peak(sent, 1.0), bound)
+
+
+class RetryBudgetTest(unittest.TestCase):
+    """Scenario: each request of all entries would be sent once more.
+
+    Guards against retries of all entries together above the budget, also
+    when callers move from one entry to another.
+    """
+
+    RATIO = 0.2
+    SLACK = 56.0
+    WINDOW_S = 10.0
+    # The share of ratio and slack that a load balancer uses.
+    USED = 0.8
+
+    def test_the_sum_stays_within_the_budget(self) -> None:
+        for entries in SIZES:
+            with self.subTest(entries=entries):
+                self.check(entries)
+
+    def check(self, entries: int) -> None:
+        rng = random.Random(entries)
+        budgets = [
+            steering.WindowedRetryBudget(
+                self.RATIO * self.USED,
+                self.SLACK * self.USED / entries,
+                self.WINDOW_S,
+            )
+            for _ in range(entries)
+        ]
+        requests = []
+        retries = []
+        for step in range(6_000):
+            now = step * STEP_S
+            # Callers use another third of the entries each 5 s.
+            first = int(now / 5.0) * entries // 3
+            budget = budgets[
+                (first + rng.randrange(max(1, entries // 3))) % entries
+            ]
+            budget.count_request(now)
+            requests.append(now)
+            if budget.try_acquire(now):
+                retries.append(now)
+        for index, start in enumerate(retries):
+            end = start + self.WINDOW_S
+            count = bisect.bisect_right(retries, end) - index
+            sent = bisect.bisect_right(requests, end) - bisect.bisect_left(
+                requests, start
+            )
+            self.assertLessEqual(count, self.RATIO * sent + self.SLACK)
