--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import contextlib
-import math
 import time
 from typing import Self
 
@@ -18,10 +17,10 @@
 from fulmarseam import errors
 from fulmarseam import ids
 from fulmarseam import settings
-from fulmarseam import steering
 from fulmarseam import telemetry
 from fulmarseam import transport
 from fulmarseam import wire
+from fulmarseam.control import _rate_limits
 
 # A member that hears no leader for a random time within these bounds starts
 # an election; a wide range makes simultaneous elections rare. Heartbeats come
@@ -62,9 +61,11 @@
         self._loop = asyncio.get_running_loop()
         self.catalog = catalog.Catalog()
         self._shared_loads = catalog.SharedLoads()
-        self._permit_issuer = steering.PermitIssuer()
         self._packed_changes = catalog.PackedChanges(self.catalog)
         self.entry_registry = catalog.EntryRegistry()
+        self._rate_limits = _rate_limits.RateLimits(
+            self.catalog, self.entry_registry
+        )
         self.metrics = telemetry.Metrics()
         self._heartbeat_tracker = catalog.HeartbeatTracker()
         self._target_leases = catalog.TargetLeases(
@@ -249,11 +250,13 @@
             )
         limits_version = 0
         rate_limits: list[wire.TargetRateLimit] = []
-        if poll.wants_loads and self.is_leader():
-            self._update_limits(now, poll.rate_limits)
-            limits_version = self._permit_issuer.version
+        if poll.wants_loads and self._member and self.is_leader():
+            self._rate_limits.update(
+                now, self._member.status().term, poll.rate_limits
+            )
+            limits_version = self._rate_limits.version
             if poll.limits_version != limits_version:
-                rate_limits = self._permit_issuer.list_limits()
+                rate_limits = self._rate_limits.list_limits()
         members: tuple[wire.MemberInfo, ...] = ()
         if self._member is not None and not poll.knows_members:
             members = self._member.status().members
@@ -269,40 +272,17 @@
             rate_limits=rate_limits,
         )
 
-    def _update_limits(
-        self, now: float, rate_limits: list[wire.TargetRateLimit]
-    ) -> None:
-        """Apply what an entry reports about limits to this leader's state."""
-        assert self._member is not None
-        self._permit_issuer.start_term(now, self._member.status().term)
-        self._permit_issuer.record(
-            now, [limit for limit in rate_limits if _is_valid(limit)]
-        )
-        self._permit_issuer.update(now, self._is_current_incarnation)
-
-    def _is_current_incarnation(
-        self, target: ids.TargetId, born_ms: int
-    ) -> bool:
-        record = self.catalog.targets.get(target)
-        return record is not None and record.born_ms == born_ms
-
     def _issue_permits(
         self, request: wire.PermitRequest
     ) -> wire.PermitResponse:
         """Issue permits; raises `errors.NotLeaderError` elsewhere."""
-        if not self.is_leader():
+        if self._member is None or not self.is_leader():
             raise errors.NotLeaderError()
         now = self._now()
-        self._update_limits(now, request.rate_limits)
-        return wire.PermitResponse(
-            counts=self._permit_issuer.issue(
-                now,
-                request.entry,
-                request.asks,
-                self.entry_registry.count_senders(now),
-                self.entry_registry.count_offline(now),
-            )
+        self._rate_limits.update(
+            now, self._member.status().term, request.rate_limits
         )
+        return self._rate_limits.issue(now, request)
 
     def _find_polled_leader(self) -> str:
         """Return the address of the leader for entries, or an empty text."""
@@ -504,16 +484,3 @@
                 targets=','.join(target for target, _ in expired),
             )
         )
-
-
-def _is_valid(limit: wire.TargetRateLimit) -> bool:
-    """Return whether a reported limit can be used; log one that cannot."""
-    rate_per_s = limit.rate_per_s
-    if rate_per_s is None or 0.0 <= rate_per_s < math.inf:
-        return True
-    _log.warning(
-        telemetry.format_event(
-            'rate_limit_invalid', target=limit.target, found=rate_per_s
-        )
-    )
-    return False
--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -17,6 +17,7 @@
 from fulmarseam.gateway import _pauses
 from fulmarseam.gateway import _permits
 from fulmarseam.gateway import _rate_limits
+from fulmarseam.gateway import _refusals
 from fulmarseam.gateway import _requests
 from fulmarseam.gateway import _routes
 from fulmarseam.gateway import _summaries
@@ -62,7 +63,7 @@
     def __init__(self, dependencies: Dependencies) -> None:
         self._dependencies = dependencies
         self._splitter = steering.Splitter()
-        self._return_times: dict[ids.PoolName, steering.ReturnTimes] = {}
+        self._refusals = _refusals.Refusals(dependencies.load_balancer)
         # Requests whose deadline is later are refused, as the process ends.
         self.last_deadline = float('inf')
         self._loop = asyncio.get_running_loop()
@@ -180,8 +181,8 @@
                 may_ask,
             )
             if placement.target is None:
-                raise possible_run_error or self._make_refusal(
-                    context, pool_name, avoided
+                raise possible_run_error or self._refusals.make_error(
+                    now, context.route, pool_name, len(avoided)
                 )
             if not await self._acquire_permit(context, placement.target):
                 # Other targets are tried without asking the leader again.
@@ -237,44 +238,6 @@
             self._dependencies.metrics.add('limited_attempts_total')
         summary.add_placement(placement, now, rate_per_s)
 
-    def _make_refusal(
-        self,
-        context: _requests.RequestContext,
-        pool_name: ids.PoolName,
-        avoided: set[ids.TargetId],
-    ) -> errors.FulmarseamError:
-        load = self._dependencies.load_balancer.describe_load(
-            self._loop.time(), pool_name
-        )
-        retry_after_s = self._schedule_return(context, pool_name)
-        if avoided:
-            return errors.FulmarseamError(
-                errors.ErrorKind.TARGET_SHED,
-                f'{len(avoided)} targets did not run it, no other has '
-                'capacity: ' + load,
-                retry_after_s,
-            )
-        return errors.FulmarseamError(
-            errors.ErrorKind.NO_CAPACITY,
-            f'no target has capacity: {load}',
-            retry_after_s,
-        )
-
-    def _schedule_return(
-        self, context: _requests.RequestContext, pool_name: ids.PoolName
-    ) -> float | None:
-        """Return when a refused caller should come back, if limits bind."""
-        now = self._loop.time()
-        supply = self._dependencies.load_balancer.compute_limited_supply(
-            now, pool_name
-        )
-        if supply is None:
-            return None
-        return_times = self._return_times.setdefault(
-            pool_name, steering.ReturnTimes()
-        )
-        return return_times.schedule(now, context.route.priority, supply)
-
     async def _attempt(
         self,
         context: _requests.RequestContext,
--- /dev/null
+++ b/fulmarseam/gateway/_refusals.py
@@ -0,0 +1,50 @@
+"""Refusals of requests that no target has capacity for."""
+
+from fulmarseam import errors
+from fulmarseam import ids
+from fulmarseam import steering
+from fulmarseam import wire
+from fulmarseam.gateway import _load_balancer
+
+
+class Refusals:
+    """Makes the errors of refused requests, which say when to come back."""
+
+    def __init__(self, load_balancer: _load_balancer.LoadBalancer) -> None:
+        self._load_balancer = load_balancer
+        self._return_times: dict[ids.PoolName, steering.ReturnTimes] = {}
+
+    def make_error(
+        self,
+        now: float,
+        route: wire.RouteItem,
+        pool_name: ids.PoolName,
+        avoided_count: int,
+    ) -> errors.FulmarseamError:
+        """Return the error of a request that `avoided_count` did not run."""
+        load = self._load_balancer.describe_load(now, pool_name)
+        retry_after_s = self._schedule_return(now, route, pool_name)
+        if avoided_count:
+            return errors.FulmarseamError(
+                errors.ErrorKind.TARGET_SHED,
+                f'{avoided_count} targets did not run it, no other has '
+                f'capacity: {load}',
+                retry_after_s,
+            )
+        return errors.FulmarseamError(
+            errors.ErrorKind.NO_CAPACITY,
+            f'no target has capacity: {load}',
+            retry_after_s,
+        )
+
+    def _schedule_return(
+        self, now: float, route: wire.RouteItem, pool_name: ids.PoolName
+    ) -> float | None:
+        """Return when the caller should come back, if rate limits bind."""
+        supply = self._load_balancer.compute_limited_supply(now, pool_name)
+        if supply is None:
+            return None
+        return_times = self._return_times.setdefault(
+            pool_name, steering.ReturnTimes()
+        )
+        return return_times.schedule(now, route.priority, supply)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -36,7 +36,11 @@
     """Guards against log events that the operations page does not list."""
 
     PACKAGES = ('catalog', 'gateway', 'platform')
-    MODULES = ('control/_catalog.py', 'telemetry/_request_log.py')
+    MODULES = (
+        'control/_catalog.py',
+        'control/_rate_limits.py',
+        'telemetry/_request_log.py',
+    )
     EVENT = re.compile(r"format_event\(\s*'(\w+)'")
 
     def test_every_event_is_listed(self) -> None:
