Count what reaches a target in one place of the tests

The bound of a limit and the windows over arrivals stood in the simulation, in the tests of gateways and in the soak. Constants, bounds and checks are the same.

--- a/tests/permit_simulation.py
+++ b/tests/permit_simulation.py
@@ -20,19 +20,11 @@
 TARGET = fixtures.target_id('t')
 POLL_INTERVAL_S = 0.2
 ASK_TIMEOUT_S = 0.3
-WINDOW_S = 4.0
-MAX_FACTOR = 1.5
-MAX_EXTRA_REQUESTS = 5
 
 # Requests/s that arrive at an entry at a time.
 Rate = Callable[[int, float], float]
 
 
-def compute_bound(rate_per_s: float) -> float:
-    """Return the most requests that a target may get in one window."""
-    return MAX_FACTOR * rate_per_s * WINDOW_S + MAX_EXTRA_REQUESTS
-
-
 @dataclasses.dataclass
 class Target:
     """The target: its limit over time, and what arrived there."""
@@ -41,23 +33,6 @@
     born_ms: int = 1
     arrivals: list[float] = dataclasses.field(default_factory=list)
 
-    def count(self, since: float, until: float) -> int:
-        """Return the number of requests that arrived in a time."""
-        return bisect.bisect_left(self.arrivals, until) - bisect.bisect_left(
-            self.arrivals, since
-        )
-
-    def find_peak(self, since: float, until: float = float('inf')) -> int:
-        """Return the most requests in a window that starts in a time."""
-        return max(
-            (
-                self.count(start, start + WINDOW_S)
-                for start in self.arrivals
-                if since <= start < until
-            ),
-            default=0,
-        )
-
 
 class Entry:
     """An entry; `is_cut` is set while it reaches no leader."""
--- a/tests/rate_limit_case.py
+++ b/tests/rate_limit_case.py
@@ -1,7 +1,6 @@
 """Entries, a control member and targets that name rate limits."""
 
 import asyncio
-import bisect
 import contextlib
 import pathlib
 import tempfile
@@ -18,14 +17,6 @@
 
 MEMBER_HOST = '127.0.8.1'
 START_TIMEOUT_S = 15.0
-# Time over which the requests that reach a target are counted.
-WINDOW_S = 4.0
-# A target that names a limit gets no more than this many times what the
-# limit allows, and some requests on top.
-MAX_FACTOR = 1.5
-MAX_EXTRA_REQUESTS = 5
-# How long after a limit was named it must be kept.
-SETTLE_S = 3.0
 
 
 class LimitedTarget:
@@ -58,28 +49,6 @@
             return
         await gateway_case.write_response(writer, headers, **extra)
 
-    def count(self, since: float, until: float) -> int:
-        """Return the number of requests that arrived in a time."""
-        return bisect.bisect_left(self.arrivals, until) - bisect.bisect_left(
-            self.arrivals, since
-        )
-
-    def find_peak(self, since: float) -> int:
-        """Return the most requests in one window that starts at or later."""
-        return max(
-            (
-                self.count(start, start + WINDOW_S)
-                for start in self.arrivals
-                if start >= since
-            ),
-            default=0,
-        )
-
-
-def compute_bound(rate_per_s: float) -> float:
-    """Return the most requests that a target may get in one window."""
-    return MAX_FACTOR * rate_per_s * WINDOW_S + MAX_EXTRA_REQUESTS
-
 
 class Caller:
     """Sends requests to one entry, each on a new connection."""
--- a/tests/soak/_checks.py
+++ b/tests/soak/_checks.py
@@ -3,6 +3,7 @@
 import collections
 import math
 
+from tests import arrivals
 from tests.soak import _callers
 from tests.soak import _operator
 from tests.soak import _plan
@@ -16,12 +17,6 @@
 REGRESS_SLACK_S = 0.25
 EVACUATE_S = 5.0
 RECOVERY_S = 15.0
-# A target that names a rate limit gets, from some time after it on, in any
-# window no more than the limit allows, with a tolerance.
-LIMIT_SETTLE_S = 3.0
-LIMIT_WINDOW_S = 4.0
-LIMIT_FACTOR = 1.5
-LIMIT_EXTRA_REQUESTS = 5
 # Lowest share of requests served once all faults have recovered.
 SERVED_SHARE = 0.9
 # After SIGTERM a process has its grace period and 1 s to finish requests.
@@ -292,25 +287,24 @@
     """
     found = []
     for limit in record.limits:
-        bound = (
-            LIMIT_FACTOR * limit.rate_per_s * LIMIT_WINDOW_S
-            + LIMIT_EXTRA_REQUESTS
-        )
+        bound = arrivals.compute_bound(limit.rate_per_s)
         times = sorted(
             arrival.at
             for arrival in record.arrivals
             if arrival.target == limit.target
-            and limit.named_at + LIMIT_SETTLE_S <= arrival.at < limit.ended_at
+            and limit.named_at + arrivals.SETTLE_S
+            <= arrival.at
+            < limit.ended_at
         )
         for start in times:
-            end = start + LIMIT_WINDOW_S
-            count = sum(start <= at < end for at in times)
+            end = start + arrivals.WINDOW_S
+            count = arrivals.count(times, start, end)
             if count > bound and timeline.had_no_fault(
                 limit.host, start - UNDISTURBED_S, end
             ):
                 found.append(
                     f'{limit.target} got {count} requests in '
-                    f'{LIMIT_WINDOW_S:g} s from {start:.3f} on, expected '
+                    f'{arrivals.WINDOW_S:g} s from {start:.3f} on, expected '
                     f'{bound:g} at most: {limit}'
                 )
                 break
--- a/tests/test_even_parts.py
+++ b/tests/test_even_parts.py
@@ -3,29 +3,17 @@
 The scenarios are played in virtual time, without a network.
 """
 
-import bisect
 import random
 import unittest
 
 from fulmarseam import steering
+from tests import arrivals
 from tests import catalog_fixtures as fixtures
 
 SIZES = (1, 7, 79)
 STEP_S = 0.005
 
 
-def count_peak(times: list[float], window_s: float) -> int:
-    """Return the most events in a window."""
-    times = sorted(times)
-    return max(
-        (
-            bisect.bisect_left(times, start + window_s) - index
-            for index, start in enumerate(times)
-        ),
-        default=0,
-    )
-
-
 class ColdTargetTest(unittest.TestCase):
     """Scenario: all entries want a cold target at once.
 
@@ -64,14 +52,18 @@
         for entries in SIZES:
             with self.subTest(entries=entries):
                 sent = self.play(entries, entries)
-                self.assertLessEqual(count_peak(sent, 1.0), bound)
+                self.assertLessEqual(
+                    arrivals.find_peak(sent, window_s=1.0), bound
+                )
 
     def test_an_entry_that_the_others_do_not_know_yet_fits(self) -> None:
         bound = self.COLD_PER_S * self.FACTOR + self.SLACK
         for entries in SIZES[1:]:
             with self.subTest(entries=entries):
                 sent = self.play(entries, entries - 1)
-                self.assertLessEqual(count_peak(sent, 1.0), bound)
+                self.assertLessEqual(
+                    arrivals.find_peak(sent, window_s=1.0), bound
+                )
 
 
 class RetryBudgetTest(unittest.TestCase):
@@ -115,10 +107,8 @@
             requests.append(now)
             if budget.try_acquire(now):
                 retries.append(now)
-        for index, start in enumerate(retries):
+        for start in retries:
             end = start + self.WINDOW_S
-            count = bisect.bisect_right(retries, end) - index
-            sent = bisect.bisect_right(requests, end) - bisect.bisect_left(
-                requests, start
-            )
+            count = arrivals.count(retries, start, end)
+            sent = arrivals.count(requests, start, end)
             self.assertLessEqual(count, self.RATIO * sent + self.SLACK)
--- a/tests/test_rate_limit_load.py
+++ b/tests/test_rate_limit_load.py
@@ -6,11 +6,11 @@
 import unittest
 
 from fulmarseam import steering
+from tests import arrivals
 from tests import permit_simulation
 
 NAMED_AT_S = 1.0
-SETTLE_S = 3.0
-SETTLED_AT_S = NAMED_AT_S + SETTLE_S
+SETTLED_AT_S = NAMED_AT_S + arrivals.SETTLE_S
 DURATION_S = 30.0
 # Share of the limit that must be used while callers ask for more.
 MIN_USED = 0.8
@@ -67,8 +67,8 @@
         until: float = float('inf'),
     ) -> None:
         self.assertLessEqual(
-            simulation.target.find_peak(since, until),
-            permit_simulation.compute_bound(rate_per_s),
+            arrivals.find_peak(simulation.target.arrivals, since, until),
+            arrivals.compute_bound(rate_per_s),
         )
 
     def compute_used(
@@ -79,7 +79,7 @@
         until: float = DURATION_S,
     ) -> float:
         """Return the share of the limit that was used."""
-        count = simulation.target.count(since, until)
+        count = arrivals.count(simulation.target.arrivals, since, until)
         return count / (rate_per_s * (until - since))
 
 
@@ -251,8 +251,10 @@
                     ),
                 )
                 self.check_bound(simulation, 20.0, until=9.0)
-                self.check_bound(simulation, 4.0, 10.0 + SETTLE_S)
-                used = self.compute_used(simulation, 4.0, 10.0 + SETTLE_S)
+                self.check_bound(simulation, 4.0, 10.0 + arrivals.SETTLE_S)
+                used = self.compute_used(
+                    simulation, 4.0, 10.0 + arrivals.SETTLE_S
+                )
                 self.assertGreaterEqual(used, MIN_USED)
 
     def test_a_raised_limit(self) -> None:
@@ -278,11 +280,11 @@
                         10.0, simulation.name_limit, None
                     ),
                 )
-                target = simulation.target
-                self.assertEqual(target.count(10.5, 11.0) < 14, True)
+                times = simulation.target.arrivals
+                self.assertLess(arrivals.count(times, 10.5, 11.0), 14)
                 demand = 4.0 * 7.0
                 self.assertGreater(
-                    target.count(15.0, 20.0), 0.9 * 5.0 * demand
+                    arrivals.count(times, 15.0, 20.0), 0.9 * 5.0 * demand
                 )
                 self.assertEqual(simulation.entries[0].limited.count(), 0)
 
@@ -292,7 +294,7 @@
             simulation.at(11.0, simulation.name_limit, 7.0)
 
         simulation = play(7.0, 7, faults=change)
-        self.check_bound(simulation, 7.0, 11.0 + SETTLE_S)
+        self.check_bound(simulation, 7.0, 11.0 + arrivals.SETTLE_S)
 
     def test_a_replaced_target_has_no_limit(self) -> None:
         simulation = play(
@@ -302,7 +304,8 @@
                 10.0, simulation.replace_target, None
             ),
         )
-        self.assertGreater(simulation.target.count(11.0, 15.0), 0.9 * 4 * 28.0)
+        times = simulation.target.arrivals
+        self.assertGreater(arrivals.count(times, 11.0, 15.0), 0.9 * 4 * 28.0)
 
     def test_a_replaced_target_names_a_limit_of_its_own(self) -> None:
         simulation = play(
@@ -312,7 +315,7 @@
                 10.0, simulation.replace_target, 5.0
             ),
         )
-        self.check_bound(simulation, 5.0, 10.0 + SETTLE_S)
+        self.check_bound(simulation, 5.0, 10.0 + arrivals.SETTLE_S)
 
     def test_a_target_that_takes_nothing_is_tried_now_and_then(self) -> None:
         def change(simulation) -> None:
@@ -320,7 +323,7 @@
             simulation.at(20.0, simulation.name_limit, None)
 
         simulation = play(7.0, 7, faults=change)
-        self.check_bound(simulation, 0.0, 10.0 + SETTLE_S, 16.0)
+        self.check_bound(simulation, 0.0, 10.0 + arrivals.SETTLE_S, 16.0)
         self.assertEqual(simulation.entries[0].limited.count(), 0)
 
 
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -7,6 +7,7 @@
 
 from fulmarseam import http
 from fulmarseam.gateway import _rate_limits
+from tests import arrivals
 from tests import rate_limit_case
 
 HEADER = b'fulmarseam-rate-limit'
@@ -63,8 +64,8 @@
         callers = self.make_callers()
         await asyncio.gather(*(caller.run(20.0, 9.0) for caller in callers))
         self.assertLessEqual(
-            limited.find_peak(named_at + rate_limit_case.SETTLE_S),
-            rate_limit_case.compute_bound(2.0),
+            arrivals.find_peak(limited.arrivals, named_at + arrivals.SETTLE_S),
+            arrivals.compute_bound(2.0),
         )
         statuses = {status for caller in callers for status in caller.statuses}
         self.assertEqual(statuses, {200})
@@ -102,10 +103,12 @@
         started_at = self.now()
         callers = await self.send(10.0, 6.0)
         self.assertLessEqual(
-            self.limited.find_peak(started_at),
-            rate_limit_case.compute_bound(self.RATE_PER_S),
+            arrivals.find_peak(self.limited.arrivals, started_at),
+            arrivals.compute_bound(self.RATE_PER_S),
+        )
+        used = arrivals.count(
+            self.limited.arrivals, started_at, started_at + 6.0
         )
-        used = self.limited.count(started_at, started_at + 6.0)
         self.assertGreaterEqual(used, 0.8 * 6.0 * self.RATE_PER_S)
         for caller in callers:
             refused = caller.statuses.count(503)
@@ -133,8 +136,8 @@
         started_at = self.now()
         await self.send(20.0, 5.0)
         self.assertLessEqual(
-            self.limited.find_peak(started_at),
-            rate_limit_case.compute_bound(self.RATE_PER_S),
+            arrivals.find_peak(self.limited.arrivals, started_at),
+            arrivals.compute_bound(self.RATE_PER_S),
         )
 
     async def test_a_limit_in_a_refusal_counts(self) -> None:
@@ -143,8 +146,8 @@
         started_at = self.now()
         await self.send(20.0, 5.0)
         self.assertLessEqual(
-            self.limited.find_peak(started_at + 1.0),
-            rate_limit_case.compute_bound(self.RATE_PER_S),
+            arrivals.find_peak(self.limited.arrivals, started_at + 1.0),
+            arrivals.compute_bound(self.RATE_PER_S),
         )
 
 
