List the members in answers to polls when the group has changed

An entry now tells the checksum of the members that it knows, and an answer lists them if the group is another one.

--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -257,14 +257,14 @@
             limits_version = self._rate_limits.version
             if poll.limits_version != limits_version:
                 rate_limits = self._rate_limits.list_limits()
-        members: tuple[wire.MemberInfo, ...] = ()
-        if self._member is not None and not poll.knows_members:
-            members = self._member.status().members
+        members = self._list_addresses()
+        if poll.group == wire.compute_group_checksum(members):
+            members = []
         return wire.EntryPollResponse(
             revision=self.catalog.revision,
             changes=changes,
             packed_changes=packed_changes,
-            members=[info.address for info in members],
+            members=members,
             entry_count=self.entry_registry.count_senders(now),
             leader=self._find_polled_leader(),
             target_loads=target_loads,
@@ -284,6 +284,12 @@
         )
         return self._rate_limits.issue(now, request)
 
+    def _list_addresses(self) -> list[str]:
+        """Return the addresses of the members of the group."""
+        if self._member is None:
+            return []
+        return [info.address for info in self._member.status().members]
+
     def _find_polled_leader(self) -> str:
         """Return the address of the leader for entries, or an empty text."""
         if self.is_leader():
--- a/fulmarseam/gateway/_poller.py
+++ b/fulmarseam/gateway/_poller.py
@@ -36,8 +36,6 @@
 POLL_TIMEOUT_S = 0.8
 # An answer with changes is up to 25 KB long and shares a link of 300 KB/s.
 FETCH_TIMEOUT_S = 3.0
-# The members are listed again after this time, or when an unknown one leads.
-MEMBERS_INTERVAL_S = 5.0
 # A member that no answer has listed for this long is no longer polled, unless
 # it is a seed.
 MEMBER_RETENTION_S = 30.0
@@ -92,7 +90,8 @@
         self._is_fetching = False
         self._leader = ''
         self._leader_heard_at = float('-inf')
-        self._members_listed_at = float('-inf')
+        # The members as an answer listed them last.
+        self._group: list[str] = []
         self.senders = 1
 
     async def __aenter__(self) -> Self:
@@ -246,11 +245,9 @@
             self._load_exchange.apply_loads(
                 wire.unpack_loads(answer.target_loads), answer.revision
             )
-        if answer.members:
-            self._members_listed_at = time.monotonic()
-            self._update_members(answer.members)
-        elif self._leader not in self._tasks:
-            self._members_listed_at = float('-inf')
+        self._group = answer.members or self._group
+        if self._group:
+            self._update_members(self._group)
         return answer
 
     def _make_poll(
@@ -269,7 +266,6 @@
                 'removals_revision': self._mirror.removals_revision,
                 'accepts_packed': True,
             }
-        members_age_s = time.monotonic() - self._members_listed_at
         return wire.EntryPoll(
             entry=ids.EntryId(options.host),
             address=options.listen,
@@ -289,7 +285,7 @@
                 limited_targets.count() > 0
                 and limited_targets.is_offline(self._loop.time())
             ),
-            knows_members=members_age_s < MEMBERS_INTERVAL_S,
+            group=wire.compute_group_checksum(self._group),
             **changes_fields,
         )
 
--- a/fulmarseam/wire/__init__.py
+++ b/fulmarseam/wire/__init__.py
@@ -70,6 +70,7 @@
 from fulmarseam.wire._consensus import SnapshotResponse
 from fulmarseam.wire._consensus import VoteRequest
 from fulmarseam.wire._consensus import VoteResponse
+from fulmarseam.wire._packing import compute_group_checksum
 from fulmarseam.wire._packing import FAILING_TARGET
 from fulmarseam.wire._packing import MAX_PACKED_LOAD
 from fulmarseam.wire._packing import pack_changes
@@ -239,4 +240,5 @@
     'pack_loads',
     'unpack_changes',
     'unpack_loads',
+    'compute_group_checksum',
 ]
--- a/fulmarseam/wire/_catalog.py
+++ b/fulmarseam/wire/_catalog.py
@@ -254,8 +254,8 @@
 
     `rate_limits` are those that the leader does not know yet, and the entry
     knows the others as of `limits_version`. `is_offline` is set while it uses
-    its offline part of the limits. With `knows_members` the response need not
-    list the members.
+    its offline part of the limits. `group` is the checksum of the members that
+    it knows; the response lists them if it is another one.
     """
 
     entry: ids.EntryId
@@ -274,7 +274,7 @@
     limits_version: int = 0
     rate_limits: list[TargetRateLimit] = []
     is_offline: bool = False
-    knows_members: bool = False
+    group: int = 0
 
 
 class CatalogChanges(msgspec.Struct, frozen=True, kw_only=True):
--- a/fulmarseam/wire/_packing.py
+++ b/fulmarseam/wire/_packing.py
@@ -1,5 +1,6 @@
 """Compression of what entries get with the answers to their polls."""
 
+from collections.abc import Iterable
 import zlib
 
 import msgspec
@@ -53,6 +54,11 @@
     return _decompress(data)
 
 
+def compute_group_checksum(addresses: Iterable[str]) -> int:
+    """Return a number that tells groups of members apart."""
+    return zlib.crc32(','.join(sorted(addresses)).encode())
+
+
 def _decompress(data: bytes) -> bytes:
     decompressor = zlib.decompressobj()
     try:
--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -117,6 +117,8 @@
         self.leader = ''
         self.poll_delay_s = 0.0
         self.entry_count = 1
+        # Addresses of the members that answers list.
+        self.members: list[str] = []
         self.targets: dict[str, Target] = {}
         self.stack = contextlib.AsyncExitStack()
         await self.stack.enter_async_context(
@@ -159,8 +161,12 @@
             changes = self.machine.list_changes(
                 message.revision, message.removals_revision
             )
+        members = self.members
+        if message.group == wire.compute_group_checksum(members):
+            members = []
         return wire.EntryPollResponse(
             revision=self.machine.revision,
+            members=members,
             changes=changes,
             entry_count=self.entry_count,
             leader=self.leader,
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -5,8 +5,10 @@
 import time
 
 from fulmarseam import settings
+from fulmarseam import transport
 from fulmarseam import wire
 from tests import catalog_fixtures as fixtures
+from tests import fakes
 from tests import gateway_case
 
 write_response = gateway_case.write_response
@@ -578,6 +580,26 @@
         self.assertTrue(self.guard._is_fresh.is_set())
 
 
+class MembersTest(gateway_case.GatewayCase):
+    """Guards against members that an entry polls too late or for ever."""
+
+    async def test_a_changed_group_is_polled_at_once(self) -> None:
+        other = fakes.find_free_address()
+        self.members = [self.member_address]
+        await asyncio.sleep(0.6)
+        self.members = [self.member_address, other]
+        async with (
+            transport.RpcServer(other, self._handle),
+            asyncio.timeout(2.0),
+        ):
+            polled = len(self.polls)
+            await asyncio.sleep(0.6)
+            group = wire.compute_group_checksum(self.members)
+            # One poll of each member in each interval of 0.1 s.
+            self.assertGreater(len(self.polls), polled + 6)
+            self.assertEqual(self.polls[-1].group, group)
+
+
 class SharedConnectionsTest(gateway_case.GatewayCase):
     """Guards against more connections than a target accepts from all."""
 
