Forget the permits that an entry received long ago

Found by reading the diff: an entry kept each receipt of permits of a target that names a limit until a caller of its pool was refused, which may never happen, so its memory grew by up to four entries a second. They are now forgotten as new ones come. The test kept 1,000 of 1,000 before, fewer than 20 now.

--- a/fulmarseam/steering/_limited_targets.py
+++ b/fulmarseam/steering/_limited_targets.py
@@ -69,6 +69,19 @@
             self.permits.popleft()
         return int(sum(count for _, count in self.permits))
 
+    def receive(self, now: float, expires_at: float, count: int) -> None:
+        """Add permits that the leader issued."""
+        self.count_permits(now)
+        self.permits.append([expires_at, count])
+        self.count_received(now)
+        self.receipts.append((now, count))
+
+    def count_received(self, now: float) -> int:
+        """Return the permits that came within `RECEIPT_WINDOW_S`."""
+        while self.receipts and now - self.receipts[0][0] > RECEIPT_WINDOW_S:
+            self.receipts.popleft()
+        return sum(count for _, count in self.receipts)
+
     def take_permit(self, now: float) -> bool:
         """Use up the permit that expires first, if there is one."""
         if not self.count_permits(now):
@@ -331,8 +344,7 @@
             if count < ask.count:
                 limit.denied_until = _find_next_interval(now)
             if count > 0:
-                limit.permits.append([expires_at, count])
-                limit.receipts.append((now, count))
+                limit.receive(now, expires_at, count)
 
     def note_failed_ask(self, now: float) -> None:
         """Record that no leader answered an ask."""
@@ -358,13 +370,7 @@
         ]
         if not limits:
             return None
-        received = 0
-        for limit in limits:
-            while limit.receipts and (
-                now - limit.receipts[0][0] > RECEIPT_WINDOW_S
-            ):
-                limit.receipts.popleft()
-            received += sum(count for _, count in limit.receipts)
+        received = sum(limit.count_received(now) for limit in limits)
         even_part = sum(
             max(limit.rate_per_s, _permit_issuer.MIN_RATE_PER_S)
             for limit in limits
--- a/tests/test_rate_limit_load.py
+++ b/tests/test_rate_limit_load.py
@@ -6,7 +6,9 @@
 import unittest
 
 from fulmarseam import steering
+from fulmarseam import wire
 from tests import arrivals
+from tests import catalog_fixtures as fixtures
 from tests import permit_simulation
 
 NAMED_AT_S = 1.0
@@ -353,3 +355,22 @@
             times.schedule(0.0, 2, 10.0)
         self.assertEqual(times.schedule(0.0, 0, 10.0), 0.1)
         self.assertGreater(times.schedule(0.0, 2, 10.0), 1.0)
+
+
+class MemoryTest(unittest.TestCase):
+    """Guards against an entry that grows while a target names a limit."""
+
+    # What was received used to be forgotten only when a caller was refused.
+    def test_permits_received_are_forgotten(self) -> None:
+        limited = steering.LimitedTargets()
+        target = steering.ObservedTarget(
+            fixtures.make_record('t', born_ms=1), is_remote=False
+        )
+        limited.note_answer(0.0, target, 7.0)
+        asks = [wire.PermitAsk(target.target, 1)]
+        for step in range(1_000):
+            now = step * 0.25
+            limited.add_permits(now, now, asks, [1])
+        [limit] = limited._limits.values()
+        self.assertLess(len(limit.receipts), 20)
+        self.assertLess(len(limit.permits), 20)
