Log the end of a limit, and a limit of 0 with a placement

Found by reading the diff: since the entry that sees a limit end writes no line for it, which OPERATIONS.md promises, and the line of a request leaves out a limit of 0. What has changed is now told by LimitedTargets.note_answer, which knows it, instead of being worked out again from the rates.

--- a/fulmarseam/gateway/_rate_limits.py
+++ b/fulmarseam/gateway/_rate_limits.py
@@ -80,19 +80,17 @@
         """
         target = observed.target
         previous = self._limited_targets.get_rate(target)
-        problem = self._problems.get(target, b'')
+        is_changed = False
         if reading.rate_per_s is not None or (
             is_served and not reading.problem
         ):
-            self._limited_targets.note_answer(
+            is_changed = self._limited_targets.note_answer(
                 now, observed, reading.rate_per_s
             )
+        last_problem = self._problems.pop(target, b'')
         if reading.problem:
             self._problems[target] = reading.problem
-        else:
-            self._problems.pop(target, None)
-        is_changed = reading.rate_per_s not in (None, previous)
-        if not is_changed and reading.problem in (b'', problem):
+        if not is_changed and reading.problem in (b'', last_problem):
             return
         write = _log.warning if reading.problem else _log.info
         write(
--- a/fulmarseam/gateway/_summaries.py
+++ b/fulmarseam/gateway/_summaries.py
@@ -18,8 +18,8 @@
     the kind of run expected, the queue in rounds of the slots, the expected
     seconds, the requests known at the target with this one, the age of what
     other entries or the target told about that, and the limit in requests/s
-    that the target named, if any. `outcome` is `answered`
-    or the kind of the final error.
+    that the target named, if any. `outcome` is `answered` or the kind of the
+    final error.
     """
 
     __slots__ = (
@@ -59,7 +59,11 @@
             f':expected_s={steering.estimate_time(placement):.2f}'
             f':load={steering.estimate_load(target, now):.1f}'
             f':age_s={min(now - target.other_load_at, MAX_SHOWN_AGE_S):.1f}'
-            + (f':limit={rate_limit_per_s:g}' if rate_limit_per_s else '')
+            + (
+                ''
+                if rate_limit_per_s is None
+                else f':limit={rate_limit_per_s:g}'
+            )
         )
 
     def write(
--- a/fulmarseam/steering/_limited_targets.py
+++ b/fulmarseam/steering/_limited_targets.py
@@ -131,28 +131,31 @@
         now: float,
         observed: _observed.ObservedTarget,
         rate_per_s: float | None,
-    ) -> None:
-        """Record that an answer named a limit, or none any more."""
+    ) -> bool:
+        """Record that an answer named a limit, or none any more.
+
+        Returns whether that is a change.
+        """
         limit = self._limits.get(observed.target)
         if limit is None:
-            if rate_per_s is not None:
-                self._limits[observed.target] = _Limit(
-                    born_ms=observed.record.born_ms,
-                    rate_per_s=rate_per_s,
-                    noted_at=now,
-                    change=1,
-                )
-            return
+            if rate_per_s is None:
+                return False
+            self._limits[observed.target] = _Limit(
+                born_ms=observed.record.born_ms,
+                rate_per_s=rate_per_s,
+                noted_at=now,
+                change=1,
+            )
+            return True
         limit.noted_at = now
-        if rate_per_s is None:
-            if not limit.has_ended:
-                limit.has_ended = True
-                limit.change += 1
-            return
-        if limit.has_ended or rate_per_s != limit.rate_per_s:
-            limit.change += 1
-        limit.has_ended = False
-        limit.rate_per_s = rate_per_s
+        known = None if limit.has_ended else limit.rate_per_s
+        if rate_per_s == known:
+            return False
+        limit.change += 1
+        limit.has_ended = rate_per_s is None
+        if rate_per_s is not None:
+            limit.rate_per_s = rate_per_s
+        return True
 
     def apply(
         self,
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -6,8 +6,11 @@
 import logbook
 
 from fulmarseam import http
+from fulmarseam import steering
 from fulmarseam.gateway import _rate_limits
+from fulmarseam.gateway import _summaries
 from tests import arrivals
+from tests import catalog_fixtures as fixtures
 from tests import rate_limit_case
 
 HEADER = b'fulmarseam-rate-limit'
@@ -170,3 +173,34 @@
             if 'event=target_rate_limit' in record.message
         ]
         self.assertEqual(3, len(lines), lines)
+
+    # The end of a limit used to be logged by no entry that saw it.
+    async def test_the_end_of_a_limit_is_logged_once(self) -> None:
+        limited = rate_limit_case.LimitedTarget()
+        await self.put_items()
+        await self.add_target('limited', limited)
+        await self.start_entries(1)
+        [caller] = self.make_callers()
+        handler = logbook.TestHandler()
+        with handler.applicationbound():
+            for limited.value in ('900', None):
+                await caller.run(10.0, 1.0)
+        ends = [
+            record.message
+            for record in handler.records
+            if 'rate_per_s=None previous=900' in record.message
+        ]
+        self.assertEqual(1, len(ends), ends)
+
+
+class PlacementLineTest(unittest.TestCase):
+    """Guards against a limit that the line of a request leaves out."""
+
+    def test_a_limit_of_zero_is_shown(self) -> None:
+        target = steering.ObservedTarget(
+            fixtures.make_record('t'), is_remote=False
+        )
+        placement = steering.Placement(target, steering.SlotAvailability.FREE)
+        summary = _summaries.RequestSummary()
+        summary.add_placement(placement, 0.0, 0.0)
+        self.assertIn(':limit=0', summary.inputs[0])
