--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -248,16 +248,15 @@
                 self.catalog.revision,
                 self.catalog.targets.list_ids(),
             )
+        status = self._member.status() if self._member else None
         limits_version = 0
         rate_limits: list[wire.TargetRateLimit] = []
-        if poll.wants_loads and self._member and self.is_leader():
-            self._rate_limits.update(
-                now, self._member.status().term, poll.rate_limits
-            )
+        if poll.wants_loads and status is not None and self.is_leader():
+            self._rate_limits.update(now, status.term, poll.rate_limits)
             limits_version = self._rate_limits.version
             if poll.limits_version != limits_version:
                 rate_limits = self._rate_limits.list_limits()
-        members = self._list_addresses()
+        members = [info.address for info in status.members] if status else []
         if poll.group == wire.compute_group_checksum(members):
             members = []
         return wire.EntryPollResponse(
@@ -284,12 +283,6 @@
         )
         return self._rate_limits.issue(now, request)
 
-    def _list_addresses(self) -> list[str]:
-        """Return the addresses of the members of the group."""
-        if self._member is None:
-            return []
-        return [info.address for info in self._member.status().members]
-
     def _find_polled_leader(self) -> str:
         """Return the address of the leader for entries, or an empty text."""
         if self.is_leader():
--- a/fulmarseam/gateway/_load_balancer.py
+++ b/fulmarseam/gateway/_load_balancer.py
@@ -1,6 +1,7 @@
 """Load balancing of requests over the targets that an entry observes."""
 
 from collections.abc import Collection
+from collections.abc import Sequence
 import zlib
 
 import logbook
@@ -169,40 +170,11 @@
         """Return the number of targets that may get requests."""
         return sum(len(pool.targets) for pool in self._pools.values())
 
-    def describe_load(self, now: float, pool_name: ids.PoolName) -> str:
-        """Return the load of a pool for the details of a refusal."""
-        targets = self._get_or_create_pool(pool_name).targets
-        ejected_count = sum(
-            steering.is_ejected(observed, now) for observed in targets
-        )
-        cold_count = sum(
-            steering.is_cold(observed, now) for observed in targets
-        )
-        load = sum(
-            steering.estimate_load(observed, now) for observed in targets
-        )
-        slots = sum(observed.record.slots for observed in targets)
-        limited_count = sum(
-            self.limited_targets.get_rate(observed.target) is not None
-            for observed in targets
-        )
-        return (
-            f'targets {len(targets)}, ejected {ejected_count}, '
-            f'cold {cold_count}, limited {limited_count}, '
-            f'estimated load {load:.1f} of {slots} slots'
-        )
-
-    def compute_limited_supply(
-        self, now: float, pool_name: ids.PoolName
-    ) -> float | None:
-        """Return the requests/s that the limited targets of a pool take.
-
-        None if no target of the pool limits its rate.
-        """
-        targets = self._get_or_create_pool(pool_name).targets
-        return self.limited_targets.compute_supply(
-            now, [observed.target for observed in targets]
-        )
+    def get_targets(
+        self, pool_name: ids.PoolName
+    ) -> Sequence[steering.ObservedTarget]:
+        """Return the targets of a pool that may get requests."""
+        return self._get_or_create_pool(pool_name).targets
 
     def count_in_flight(self) -> int:
         """Return the number of requests in flight on all targets."""
--- a/fulmarseam/gateway/_permits.py
+++ b/fulmarseam/gateway/_permits.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Mapping
 
 import logbook
 
@@ -43,9 +44,11 @@
         self._limited_targets = limited_targets
         self._send = send
         self._loop = asyncio.get_running_loop()
-        self._waiters: dict[
-            ids.TargetId, collections.deque[asyncio.Future[None]]
-        ] = {}
+        # Requests that wait for the next ask, and what its end sets.
+        self._waiting: collections.Counter[ids.TargetId] = (
+            collections.Counter()
+        )
+        self._answered = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
 
     async def acquire(self, target: ids.TargetId) -> bool:
@@ -62,12 +65,12 @@
             return True
         if limited_targets.is_offline(self._loop.time()):
             return False
-        waiter: asyncio.Future[None] = self._loop.create_future()
-        self._waiters.setdefault(target, collections.deque()).append(waiter)
+        self._waiting[target] += 1
+        answered = self._answered
         self._start_asking()
         try:
             async with asyncio.timeout(PERMIT_WAIT_S):
-                await waiter
+                await answered.wait()
         except TimeoutError:
             # No other request waits as well while the leader is silent.
             limited_targets.note_failed_ask(self._loop.time())
@@ -85,21 +88,16 @@
     async def _ask_while_needed(self) -> None:
         """Ask until no request waits any more."""
         while True:
-            waiters = self._waiters
-            self._waiters = {}
+            waiting, self._waiting = self._waiting, collections.Counter()
+            answered, self._answered = self._answered, asyncio.Event()
             try:
-                await self._ask(
-                    {
-                        target: len(waiting)
-                        for target, waiting in waiters.items()
-                    }
-                )
+                await self._ask(waiting)
             finally:
-                _wake(waiters)
-            if not self._waiters:
+                answered.set()
+            if not self._waiting:
                 return
 
-    async def _ask(self, waiting: dict[ids.TargetId, int]) -> None:
+    async def _ask(self, waiting: Mapping[ids.TargetId, int]) -> None:
         limited_targets = self._limited_targets
         sent_at = self._loop.time()
         asks = limited_targets.list_asks(sent_at, waiting)
@@ -123,12 +121,3 @@
         limited_targets.note_leader(sent_at)
         limited_targets.mark_reported(changes)
         limited_targets.add_permits(now, sent_at, asks, response.counts)
-
-
-def _wake(
-    waiters: dict[ids.TargetId, collections.deque[asyncio.Future[None]]],
-) -> None:
-    for waiting in waiters.values():
-        for waiter in waiting:
-            if not waiter.done():
-                waiter.set_result(None)
--- a/fulmarseam/gateway/_refusals.py
+++ b/fulmarseam/gateway/_refusals.py
@@ -22,7 +22,7 @@
         avoided_count: int,
     ) -> errors.FulmarseamError:
         """Return the error of a request that `avoided_count` did not run."""
-        load = self._load_balancer.describe_load(now, pool_name)
+        load = self._describe_load(now, pool_name)
         retry_after_s = self._schedule_return(now, route, pool_name)
         if avoided_count:
             return errors.FulmarseamError(
@@ -37,11 +37,41 @@
             retry_after_s,
         )
 
+    def _describe_load(self, now: float, pool_name: ids.PoolName) -> str:
+        """Return the load of a pool for the details of a refusal."""
+        targets = self._load_balancer.get_targets(pool_name)
+        limited_targets = self._load_balancer.limited_targets
+        ejected_count = sum(
+            steering.is_ejected(observed, now) for observed in targets
+        )
+        cold_count = sum(
+            steering.is_cold(observed, now) for observed in targets
+        )
+        limited_count = sum(
+            limited_targets.get_rate(observed.target) is not None
+            for observed in targets
+        )
+        load = sum(
+            steering.estimate_load(observed, now) for observed in targets
+        )
+        slots = sum(observed.record.slots for observed in targets)
+        return (
+            f'targets {len(targets)}, ejected {ejected_count}, '
+            f'cold {cold_count}, limited {limited_count}, '
+            f'estimated load {load:.1f} of {slots} slots'
+        )
+
     def _schedule_return(
         self, now: float, route: wire.RouteItem, pool_name: ids.PoolName
     ) -> float | None:
         """Return when the caller should come back, if rate limits bind."""
-        supply = self._load_balancer.compute_limited_supply(now, pool_name)
+        supply = self._load_balancer.limited_targets.compute_supply(
+            now,
+            [
+                observed.target
+                for observed in self._load_balancer.get_targets(pool_name)
+            ],
+        )
         if supply is None:
             return None
         return_times = self._return_times.setdefault(
--- a/fulmarseam/http/_pool.py
+++ b/fulmarseam/http/_pool.py
@@ -213,7 +213,7 @@
             pool = self._pools[address] = TargetPool(
                 address, limit, idle_limit
             )
-        elif (pool.limit, pool.idle_limit) != (limit, idle_limit or limit):
+        else:
             pool.set_limit(limit, idle_limit)
         return pool
 
--- a/fulmarseam/steering/_limited_targets.py
+++ b/fulmarseam/steering/_limited_targets.py
@@ -264,15 +264,14 @@
             return True
         if self.is_offline(now):
             return self._may_send_offline(now, limit)
-        if (
-            may_ask
-            and now >= limit.denied_until
-            and now >= self._ask_pause_until
-        ):
+        if may_ask and self._may_ask(now, limit):
             return True
         limit.wanted_at.append(now)
         return False
 
+    def _may_ask(self, now: float, limit: _Limit) -> bool:
+        return now >= limit.denied_until and now >= self._ask_pause_until
+
     def _may_send_offline(self, now: float, limit: _Limit) -> bool:
         if limit.has_ended:
             return True
@@ -307,8 +306,7 @@
         limit = self._limits.get(target)
         return (
             limit is not None
-            and now >= limit.denied_until
-            and now >= self._ask_pause_until
+            and self._may_ask(now, limit)
             and not self.is_offline(now)
             and 2 * limit.count_permits(now) < limit.estimate_need(now)
         )
--- a/tests/test_rate_limit_load.py
+++ b/tests/test_rate_limit_load.py
@@ -235,6 +235,13 @@
         simulation.at(start + rng.uniform(0.5, 3.0), simulation.change_leader)
 
 
+def name_limit_later(rate_per_s: float | None):
+    """Return a change of the limit 10 s after the start."""
+    return lambda simulation: simulation.at(
+        10.0, simulation.name_limit, rate_per_s
+    )
+
+
 class ChangedLimitTest(LimitCase):
     """Scenario: a target changes its mind, or another one takes its place.
 
@@ -248,9 +255,7 @@
                 simulation = play(
                     20.0,
                     entries,
-                    faults=lambda simulation: simulation.at(
-                        10.0, simulation.name_limit, 4.0
-                    ),
+                    faults=name_limit_later(4.0),
                 )
                 self.check_bound(simulation, 20.0, until=9.0)
                 self.check_bound(simulation, 4.0, 10.0 + arrivals.SETTLE_S)
@@ -263,9 +268,7 @@
         simulation = play(
             7.0,
             7,
-            faults=lambda simulation: simulation.at(
-                10.0, simulation.name_limit, 20.0
-            ),
+            faults=name_limit_later(20.0),
         )
         self.check_bound(simulation, 20.0)
         self.assertGreaterEqual(
@@ -278,9 +281,7 @@
                 simulation = play(
                     7.0,
                     entries,
-                    faults=lambda simulation: simulation.at(
-                        10.0, simulation.name_limit, None
-                    ),
+                    faults=name_limit_later(None),
                 )
                 times = simulation.target.arrivals
                 self.assertLess(arrivals.count(times, 10.5, 11.0), 14)
