Log connections that break while a target may run a request

The logs of a catalog group could not tell whether an entry recognises a request under which targets end. A line attempt_broken names the request by a fingerprint of its content, and a counter adds them up. Nothing is decided by it yet.

--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -463,6 +463,8 @@
                 errors.FulmarseamError(kind, error.detail), not is_late
             )
         context.attempted.add(target.target)
+        if error.reason is http.Reason.BROKEN:
+            self._note_broken(context, target, error)
         kind = errors.ErrorKind.TARGET_FAILED
         lost_idle_connection = False
         if error.reason is http.Reason.TIMED_OUT:
@@ -477,3 +479,25 @@
             self._try_acquire_retry(context, target),
             same_target=lost_idle_connection,
         )
+
+    def _note_broken(
+        self,
+        context: _requests.RequestContext,
+        target: steering.ObservedTarget,
+        error: http.TargetError,
+    ) -> None:
+        """Log a connection that broke while a target may have run a request.
+
+        The fingerprint links the copies of a request that breaks several.
+        """
+        self._dependencies.metrics.add('broken_attempts_total')
+        _log.info(
+            telemetry.format_event(
+                'attempt_broken',
+                id=(context.request_id or b'').decode('latin-1'),
+                fingerprint=context.fingerprint(),
+                target=target.target,
+                address=target.record.address,
+                reason=error.detail,
+            )
+        )
--- a/fulmarseam/gateway/_requests.py
+++ b/fulmarseam/gateway/_requests.py
@@ -3,6 +3,7 @@
 from fulmarseam import errors
 from fulmarseam import http
 from fulmarseam import ids
+from fulmarseam import steering
 from fulmarseam import wire
 from fulmarseam.gateway import _http_names
 
@@ -35,6 +36,7 @@
         'request_id',
         'request_path',
         'route',
+        '_fingerprint',
     )
 
     def __init__(
@@ -59,6 +61,7 @@
         self.kept: list[bytes] = []
         self.kept_bytes = 0
         self.is_replayable = True
+        self._fingerprint: str | None = None
 
     @property
     def signal(self) -> http.Signal:
@@ -66,6 +69,21 @@
         assert self.caller.signal is not None
         return self.caller.signal
 
+    def fingerprint(self) -> str:
+        """Return a digest that is the same when the request is repeated.
+
+        It covers the body as far as that is buffered.
+        """
+        if self._fingerprint is None:
+            self._fingerprint = steering.compute_fingerprint(
+                None,
+                self.request.method.decode('ascii'),
+                self.host,
+                self.path,
+                b''.join(self.kept),
+            )
+        return self._fingerprint
+
     async def buffer_body(self) -> None:
         """Buffer the body, or the first part of a large one.
 
