--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -16,6 +16,7 @@
 from fulmarseam import consensus
 from fulmarseam import errors
 from fulmarseam import ids
+from fulmarseam import quarantine
 from fulmarseam import settings
 from fulmarseam import telemetry
 from fulmarseam import transport
@@ -66,6 +67,7 @@
         self._rate_limits = _rate_limits.RateLimits(
             self.catalog, self.entry_registry
         )
+        self._suspect_registry = quarantine.SuspectRegistry()
         self.metrics = telemetry.Metrics()
         self._heartbeat_tracker = catalog.HeartbeatTracker()
         self._target_leases = catalog.TargetLeases(
@@ -87,6 +89,7 @@
         register_gauge(
             'entries', lambda: self.entry_registry.count_senders(self._now())
         )
+        register_gauge('suspected_requests', self._suspect_registry.count)
         register_gauge('leads', lambda: self.is_leader())
         register_gauge('term', lambda: self._read_status('term'))
         register_gauge(
@@ -214,6 +217,10 @@
                 return self._answer_poll(message)
             case wire.PermitRequest():
                 return self._issue_permits(message)
+            case wire.SuspectReport():
+                return self._suspect_registry.answer(
+                    self._now(), self._require_term(), message
+                )
         if self._member is None:
             raise errors.FulmarseamError(
                 errors.ErrorKind.UNAVAILABLE, 'the member is starting'
@@ -256,6 +263,12 @@
             limits_version = self._rate_limits.version
             if poll.limits_version != limits_version:
                 rate_limits = self._rate_limits.list_limits()
+        suspects_version = 0
+        suspects: list[wire.SuspectRow] = []
+        if status is not None and self.is_leader():
+            suspects_version, suspects = self._suspect_registry.list_news(
+                now, status.term, poll.suspects_version
+            )
         members = [info.address for info in status.members] if status else []
         if poll.group == wire.compute_group_checksum(members):
             members = []
@@ -269,20 +282,28 @@
             target_loads=target_loads,
             limits_version=limits_version,
             rate_limits=rate_limits,
+            suspects_version=suspects_version,
+            suspects=suspects,
         )
 
     def _issue_permits(
         self, request: wire.PermitRequest
     ) -> wire.PermitResponse:
         """Issue permits; raises `errors.NotLeaderError` elsewhere."""
-        if self._member is None or not self.is_leader():
-            raise errors.NotLeaderError()
+        term = self._require_term()
         now = self._now()
-        self._rate_limits.update(
-            now, self._member.status().term, request.rate_limits
-        )
+        self._rate_limits.update(now, term, request.rate_limits)
         return self._rate_limits.issue(now, request)
 
+    def _require_term(self) -> int:
+        """Return the term of this leader.
+
+        Raises `errors.NotLeaderError` if this member does not lead.
+        """
+        if self._member is None or not self.is_leader():
+            raise errors.NotLeaderError()
+        return self._member.status().term
+
     def _find_polled_leader(self) -> str:
         """Return the address of the leader for entries, or an empty text."""
         if self.is_leader():
@@ -447,6 +468,7 @@
             )
             if self.is_leader():
                 self._target_leases.renew(self._now(), renewed)
+                self._suspect_registry.expire(self._now())
                 await self._drop_expired_targets()
                 continue
             self._target_leases.clear()
--- a/fulmarseam/control/_daemon.py
+++ b/fulmarseam/control/_daemon.py
@@ -114,6 +114,8 @@
         started = time.monotonic()
         if isinstance(message, wire.SyncRequest):
             answer: wire.Message = await self._sync_service.answer(message)
+        elif isinstance(message, wire.SuspectReport):
+            answer = self._sync_service.answer_suspects(message)
         elif isinstance(message, consensus.PEER_MESSAGES):
             answer = await self.member.handle(message)
         elif isinstance(message, _admin.ADMIN_REQUESTS):
--- a/fulmarseam/control/_leadership.py
+++ b/fulmarseam/control/_leadership.py
@@ -9,6 +9,7 @@
 
 from fulmarseam import ids
 from fulmarseam import membership
+from fulmarseam import quarantine
 from fulmarseam import settings
 from fulmarseam import steering
 from fulmarseam import store
@@ -71,6 +72,7 @@
             former_holders=list_registered_incarnations(tables),
         )
         self.reports: dict[ids.EntryId, EntryReport] = {}
+        self.suspects = quarantine.SuspectRegistry()
         self.target_locations: dict[ids.TargetId, TargetLocation] = {}
         self._grant_ttl_s = options.grant_ttl_ms / MS_PER_S
         self._tables = tables
@@ -100,6 +102,7 @@
         """Expire leases; return whether any has ended."""
         ended = bool(self.targets.expire(now))
         ended |= bool(self.entries.expire(now))
+        self.suspects.expire(now)
         known_entries = {row.info.entry for row in self.entries.rows()}
         for entry in self.reports.keys() - known_entries:
             del self.reports[entry]
--- a/fulmarseam/control/_sync.py
+++ b/fulmarseam/control/_sync.py
@@ -70,6 +70,20 @@
         await self._wait_for_changes(leadership, request, now)
         return self._make_response(leadership, request)
 
+    def answer_suspects(
+        self, report: wire.SuspectReport
+    ) -> wire.TrialResponse:
+        """Record what an entry reports of suspected requests.
+
+        Raises `errors.NotLeaderError` like `answer`.
+        """
+        leadership, _ = self._require_leadership()
+        response = leadership.suspects.answer(
+            time.monotonic(), leadership.term, report
+        )
+        self._notifier.notify()
+        return response
+
     def _require_leadership(self) -> tuple[_leadership.Leadership, float]:
         leadership = self._find_leadership()
         age = self._member.leadership_age()
@@ -112,6 +126,10 @@
             or request.targets_version < leadership.targets.urgent_version
             or request.entries_version != leadership.entries.version
             or leadership.has_grant_changes(now, request.info)
+            or leadership.suspects.list_news(
+                now, leadership.term, request.suspects_version
+            )[0]
+            > 0
         )
 
     def _make_response(
@@ -131,6 +149,9 @@
             request.entries_version if is_same_term else 0
         )
         tables = self._tables.changes_since(request.revision)
+        suspects_version, suspects = leadership.suspects.list_news(
+            now, leadership.term, request.suspects_version
+        )
         return wire.SyncResponse(
             term=leadership.term,
             leadership_age_ms=round_up_ms(age),
@@ -150,6 +171,8 @@
             grant_ttl_ms=self._options.grant_ttl_ms,
             grants=grants.slots,
             links=grants.links,
+            suspects_version=suspects_version,
+            suspects=suspects,
         )
 
 
--- a/fulmarseam/entry/_attempts.py
+++ b/fulmarseam/entry/_attempts.py
@@ -1,6 +1,9 @@
 """One attempt to run a request on a target."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import functools
 import secrets
 
 from fulmarseam import errors
@@ -20,6 +23,8 @@
 ATTEMPT_HEADER = b'fulmarseam-attempt'
 ATTEMPT_ID_BYTES = 8
 SHED_STATUS = 503
+# A target that has ended refuses a connection within a round trip of 40 ms.
+PROBE_TIMEOUT_S = 0.2
 
 # Headers that the entry sets or handles itself.
 _DROPPED_IN_REQUEST = http.HOP_BY_HOP | {
@@ -49,7 +54,8 @@
     One task handles both directions: it forwards what is available and then
     waits for the signal that both connections share. `pacers` limit the
     request body and the response body, in this order; both are indexed by
-    `direction`: 0 is towards the target, 1 towards the caller.
+    `direction`: 0 is towards the target, 1 towards the caller. `may_reuse`
+    allows a connection that was kept.
     """
 
     def __init__(
@@ -58,12 +64,14 @@
         choice: steering.Choice,
         connection_pool: http.TargetPool,
         pacers: tuple[_pacing.Pacer, _pacing.Pacer] | None,
+        may_reuse: bool = True,
     ) -> None:
         self._context = context
         self._caller = context.caller
         self._choice = choice
         self._connection_pool = connection_pool
         self._pacers = pacers
+        self._may_reuse = may_reuse
         self._loop = asyncio.get_running_loop()
         self._connection: http.TargetConnection | None = None
         self._attempt_id = secrets.token_hex(ATTEMPT_ID_BYTES).encode()
@@ -86,7 +94,9 @@
         signal = self._caller.signal
         assert signal is not None
         while True:
-            connection = self._connection_pool.take_idle(signal)
+            connection = None
+            if self._may_reuse:
+                connection = self._connection_pool.take_idle(signal)
             self._is_reused = connection is not None
             if connection is None:
                 connection = await self._open(signal)
@@ -102,6 +112,17 @@
                 self._connection_pool.release(connection)
                 self._caller.stop_body_timeout()
 
+    def get_listening_check(self) -> Callable[[], Awaitable[bool]] | None:
+        """Return a check of the target if a kept connection broke.
+
+        The target may have closed that one for reasons of its own.
+        """
+        if not self._is_reused or self._caller.response_started:
+            return None
+        return functools.partial(
+            self._connection_pool.is_listening, PROBE_TIMEOUT_S
+        )
+
     async def _open(self, signal: http.Signal) -> http.TargetConnection:
         remaining_s = self._context.deadline - self._loop.time()
         if remaining_s <= 0.0:
--- a/fulmarseam/entry/_daemon.py
+++ b/fulmarseam/entry/_daemon.py
@@ -7,7 +7,9 @@
 
 import logbook
 
+from fulmarseam import errors
 from fulmarseam import http
+from fulmarseam import quarantine
 from fulmarseam import records
 from fulmarseam import settings
 from fulmarseam import steering
@@ -24,7 +26,6 @@
 from fulmarseam.entry import _proxying
 from fulmarseam.entry import _reports
 from fulmarseam.entry import _state
-from fulmarseam.entry import _suspects
 from fulmarseam.entry import _syncing
 
 REFRESH_INTERVAL_S = 0.1
@@ -53,7 +54,7 @@
         self.metrics = telemetry.Metrics()
         self.state = _state.SharedState(options)
         self.announcements = _announcements.PendingAnnouncements()
-        self.suspects = _suspects.Suspects()
+        self.crash_guard = quarantine.CrashGuard(self._report_suspects)
         self.target_pools = http.TargetPools()
         self.pools = _pools.Pools(
             self.state,
@@ -67,6 +68,7 @@
             self.pools,
             self.announcements,
             self._list_record_copies,
+            self.crash_guard,
         )
         self.synchronizer = _syncing.Synchronizer(
             options.control,
@@ -74,6 +76,7 @@
             self.announcements,
             self.reporter.make_request,
             self._raise_incarnation,
+            self.crash_guard,
         )
         self.metrics.register_gauge(
             'control_bytes_total',
@@ -106,7 +109,7 @@
             options.rpc,
             _peers.PeerHandler(
                 self.state,
-                self.suspects,
+                self.crash_guard,
                 self._apply_change,
                 self.record_server.handle,
             ).handle,
@@ -117,8 +120,7 @@
             state=self.state,
             pools=self.pools,
             target_pools=self.target_pools,
-            suspects=self.suspects,
-            peers=self.peers,
+            crash_guard=self.crash_guard,
             claims=self.claims,
             metrics=self.metrics,
             tracer=tracer,
@@ -151,6 +153,17 @@
     def _request_sync(self) -> None:
         self.synchronizer.request_now()
 
+    async def _report_suspects(
+        self, report: wire.SuspectReport, timeout_s: float
+    ) -> wire.TrialResponse:
+        answer = await self.synchronizer.call_leader(report, timeout_s)
+        if isinstance(answer, wire.TrialResponse):
+            return answer
+        raise errors.FulmarseamError(
+            errors.ErrorKind.UNAVAILABLE,
+            getattr(answer, 'detail', type(answer).__name__),
+        )
+
     def _list_record_copies(self) -> list[wire.RecordCopy]:
         return self.record_server.list_copies()
 
@@ -189,7 +202,7 @@
     def _refresh(self, now: float, elapsed_s: float) -> None:
         self.state.targets.expire(now)
         self.announcements.drop_expired(now)
-        self.suspects.table.expire(now)
+        self.crash_guard.expire()
         self.proxy.flush_counts()
         for pool in self.pools.list_pools():
             pool.refresh(elapsed_s)
@@ -219,6 +232,7 @@
         register_gauge(
             'targets_ready', lambda: len(self.state.targets.ready())
         )
+        register_gauge('suspected_requests', self.crash_guard.count)
         register_gauge('requests_in_flight', self.state.slots.total_in_flight)
         register_gauge('revision', lambda: self.state.tables.revision)
         register_gauge(
@@ -237,6 +251,7 @@
             await stack.enter_async_context(self.synchronizer)
             await stack.enter_async_context(self.api_server)
             await stack.enter_async_context(self.caller_server)
+            stack.callback(self.crash_guard.close)
             refresh_task = asyncio.create_task(self._refresh_periodically())
             stack.callback(refresh_task.cancel)
             self._log_event(
--- a/fulmarseam/entry/_outcomes.py
+++ b/fulmarseam/entry/_outcomes.py
@@ -5,15 +5,11 @@
 
 from fulmarseam import errors
 from fulmarseam import http
-from fulmarseam import ids
-from fulmarseam import steering
-from fulmarseam import wire
+from fulmarseam import quarantine
 from fulmarseam.entry import _attempts
 from fulmarseam.entry import _claims
-from fulmarseam.entry import _peers
 from fulmarseam.entry import _pools
 from fulmarseam.entry import _requests
-from fulmarseam.entry import _suspects
 
 
 class FailedAttempt(NamedTuple):
@@ -29,12 +25,10 @@
     def __init__(
         self,
         pools: _pools.Pools,
-        suspects: _suspects.Suspects,
-        peers: _peers.Peers,
+        crash_guard: quarantine.CrashGuard,
     ) -> None:
         self._pools = pools
-        self._suspects = suspects
-        self._peers = peers
+        self._crash_guard = crash_guard
         self._loop = asyncio.get_running_loop()
 
     def record_response(
@@ -52,17 +46,7 @@
         else:
             outcomes.record_success(now, target, now - started)
         self._pools.get(placement.pool).record_service_time(now - started)
-        suspects = self._suspects
-        if suspects.has_recent_strikes() and suspects.table.clear(
-            context.fingerprint()
-        ):
-            self._peers.broadcast(
-                wire.StrikeNotice(
-                    fingerprint=context.fingerprint(),
-                    target=target,
-                    cleared=True,
-                )
-            )
+        self._crash_guard.note_answered(context.fingerprint())
 
     async def handle_failure(
         self,
@@ -93,11 +77,15 @@
             return self._fail(
                 context, errors.ErrorKind.TARGET_TIMEOUT, error, False
             )
-        state = steering.SuspectState.CLEAR
         if error.reason is http.Reason.BROKEN:
-            state = await self._strike(context, target)
-        if state is steering.SuspectState.QUARANTINED:
-            return FailedAttempt(make_quarantine_error(), False)
+            is_strike = await self._crash_guard.note_broken(
+                context.fingerprint(),
+                target,
+                context.is_trial,
+                attempt.get_listening_check(),
+            )
+            if is_strike and context.is_trial:
+                return FailedAttempt(make_quarantine_error(), False)
         return self._fail(
             context,
             errors.ErrorKind.TARGET_FAILED,
@@ -105,16 +93,6 @@
             context.route.idempotent,
         )
 
-    async def _strike(
-        self, context: _requests.RequestContext, target: ids.TargetId
-    ) -> steering.SuspectState:
-        fingerprint = context.fingerprint()
-        state = self._suspects.strike(fingerprint, target)
-        await self._peers.broadcast_strike(
-            wire.StrikeNotice(fingerprint=fingerprint, target=target)
-        )
-        return state
-
     def _fail(
         self,
         context: _requests.RequestContext,
--- a/fulmarseam/entry/_peers.py
+++ b/fulmarseam/entry/_peers.py
@@ -11,16 +11,13 @@
 
 from fulmarseam import errors
 from fulmarseam import ids
+from fulmarseam import quarantine
 from fulmarseam import settings
 from fulmarseam import telemetry
 from fulmarseam import transport
 from fulmarseam import wire
 from fulmarseam.entry import _state
-from fulmarseam.entry import _suspects
 
-# A response to a caller is delayed at most this long until peers have
-# confirmed a strike.
-STRIKE_TIMEOUT_S = 0.3
 NOTICE_TIMEOUT_S = 1.0
 NOTICE_ATTEMPTS = 3
 
@@ -76,20 +73,6 @@
         for client in self._list_live_clients():
             self._spawn(_send_notice(client, message, NOTICE_ATTEMPTS))
 
-    async def broadcast_strike(self, strike: wire.StrikeNotice) -> None:
-        """Send a strike and wait up to a timeout until peers confirm it."""
-        calls = [
-            _send_notice(client, strike, 1)
-            for client in self._list_live_clients()
-        ]
-        if not calls:
-            return
-        tasks = [asyncio.create_task(call) for call in calls]
-        for task in tasks:
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-        await asyncio.wait(tasks, timeout=STRIKE_TIMEOUT_S)
-
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
@@ -127,12 +110,12 @@
     def __init__(
         self,
         state: _state.SharedState,
-        suspects: _suspects.Suspects,
+        crash_guard: quarantine.CrashGuard,
         on_change: Callable[[], None],
         handle_record: RecordHandler | None = None,
     ) -> None:
         self._state = state
-        self._suspects = suspects
+        self._crash_guard = crash_guard
         self._on_change = on_change
         self._handle_record = handle_record
         self._loop = asyncio.get_running_loop()
@@ -143,14 +126,11 @@
             self._state.targets.record_leave(self._loop.time(), message.report)
             self._on_change()
             return wire.Ok()
-        if isinstance(message, wire.StrikeNotice):
-            self._suspects.apply_notice(message)
-            return wire.Ok()
         if isinstance(message, wire.DrainNotice):
             self._state.record_entry_drain(message.entry, message.incarnation)
             return wire.Ok()
         if isinstance(message, wire.QuarantineRequest):
-            return wire.QuarantineResponse(rows=self._suspects.list_rows())
+            return wire.QuarantineResponse(rows=self._crash_guard.list_rows())
         response = None
         if self._handle_record is not None:
             response = await self._handle_record(message)
--- a/fulmarseam/entry/_placement.py
+++ b/fulmarseam/entry/_placement.py
@@ -4,11 +4,10 @@
 
 from fulmarseam import errors
 from fulmarseam import ids
-from fulmarseam import steering
+from fulmarseam import quarantine
 from fulmarseam.entry import _outcomes
 from fulmarseam.entry import _pools
 from fulmarseam.entry import _requests
-from fulmarseam.entry import _suspects
 
 # A request that waits outside the queue checks for a slot this often.
 SLOT_POLL_INTERVAL_S = 0.01
@@ -22,10 +21,10 @@
     """
 
     def __init__(
-        self, pools: _pools.Pools, suspects: _suspects.Suspects
+        self, pools: _pools.Pools, crash_guard: quarantine.CrashGuard
     ) -> None:
         self._pools = pools
-        self._suspects = suspects
+        self._crash_guard = crash_guard
         self._loop = asyncio.get_running_loop()
 
     async def wait_for_slot(
@@ -39,20 +38,52 @@
         Raises `errors.FulmarseamError` when no slot becomes free in time, and
         `http.CallerGoneError`. Each placement must be passed to `release`.
         """
-        if avoided or self._is_suspect(context):
-            return await self._wait_outside_queue(context, pool, avoided)
-        placement = await self._wait_in_queue(context, pool)
-        if not self._suspects.has_recent_strikes():
-            return placement
-        is_suspect = True
-        try:
-            is_suspect = self._is_suspect(context)
-        finally:
-            if is_suspect:
-                # The request became a suspect while it was waiting.
-                self._pools.release(self._loop.time(), placement, refund=True)
-        if not is_suspect:
-            return placement
+        while True:
+            context.is_trial = await self._admit(context)
+            try:
+                placement = await self._wait_for_placement(
+                    context, pool, avoided
+                )
+            except BaseException:
+                self._end_trial(context)
+                raise
+            if context.is_trial or not self._crash_guard.must_try(
+                context.fingerprint()
+            ):
+                return placement
+            # The request became a suspect while it was waiting.
+            self._pools.release(self._loop.time(), placement, refund=True)
+
+    async def _admit(self, context: _requests.RequestContext) -> bool:
+        """Return whether a request runs as a trial, once it may run.
+
+        Raises `errors.FulmarseamError` if it must not run.
+        """
+        while True:
+            admission = await self._crash_guard.admit(
+                context.fingerprint(), context.deadline - self._loop.time()
+            )
+            verdict = admission.verdict
+            if verdict is quarantine.Verdict.REFUSE:
+                raise _outcomes.make_quarantine_error()
+            if verdict is not quarantine.Verdict.WAIT:
+                return verdict is quarantine.Verdict.TRIAL
+            signal = context.caller.signal
+            assert signal is not None
+            timer = self._loop.call_later(admission.wait_s, signal.notify)
+            try:
+                await context.wait()
+            finally:
+                timer.cancel()
+
+    async def _wait_for_placement(
+        self,
+        context: _requests.RequestContext,
+        pool: _pools.PoolState,
+        avoided: frozenset[ids.TargetId],
+    ) -> _pools.Placement:
+        if not avoided and not context.is_trial:
+            return await self._wait_in_queue(context, pool)
         return await self._wait_outside_queue(context, pool, avoided)
 
     def release(
@@ -62,23 +93,13 @@
         sent: bool,
     ) -> None:
         """Release the slot; `sent` tells whether any byte was sent."""
-        if context.runs_as_suspect:
-            context.runs_as_suspect = False
-            self._suspects.finish(
-                context.fingerprint(), placement.choice.target
-            )
+        self._end_trial(context)
         self._pools.release(self._loop.time(), placement, refund=not sent)
 
-    def _is_suspect(self, context: _requests.RequestContext) -> bool:
-        """Return whether a request is a suspect; refuse if quarantined."""
-        if not self._suspects.has_recent_strikes():
-            return False
-        state = self._suspects.table.get_state(
-            self._loop.time(), context.fingerprint()
-        )
-        if state is steering.SuspectState.QUARANTINED:
-            raise _outcomes.make_quarantine_error()
-        return state is steering.SuspectState.SUSPECT
+    def _end_trial(self, context: _requests.RequestContext) -> None:
+        if context.is_trial:
+            context.is_trial = False
+            self._crash_guard.end_trial(context.fingerprint())
 
     async def _wait_in_queue(
         self, context: _requests.RequestContext, pool: _pools.PoolState
@@ -145,15 +166,11 @@
         avoided: frozenset[ids.TargetId],
     ) -> _pools.Placement | None:
         now = self._loop.time()
-        if not self._is_suspect(context):
-            return self._pools.try_place(now, pool, avoided)
-        if self._suspects.is_running(context.fingerprint()):
-            return None
-        avoided |= self._suspects.table.list_occupied_targets()
+        if context.is_trial:
+            avoided |= self._crash_guard.list_trial_targets()
         placement = self._pools.try_place(now, pool, avoided)
-        if placement is not None:
-            self._suspects.start(
+        if placement is not None and context.is_trial:
+            self._crash_guard.start_trial(
                 context.fingerprint(), placement.choice.target
             )
-            context.runs_as_suspect = True
         return placement
--- a/fulmarseam/entry/_proxying.py
+++ b/fulmarseam/entry/_proxying.py
@@ -8,6 +8,7 @@
 from fulmarseam import errors
 from fulmarseam import http
 from fulmarseam import ids
+from fulmarseam import quarantine
 from fulmarseam import steering
 from fulmarseam import telemetry
 from fulmarseam import wire
@@ -16,12 +17,10 @@
 from fulmarseam.entry import _claims
 from fulmarseam.entry import _outcomes
 from fulmarseam.entry import _pacing
-from fulmarseam.entry import _peers
 from fulmarseam.entry import _placement
 from fulmarseam.entry import _pools
 from fulmarseam.entry import _requests
 from fulmarseam.entry import _state
-from fulmarseam.entry import _suspects
 
 MAX_ATTEMPTS = 3
 # Number of callers of retired routes that have a metric label of their own;
@@ -37,8 +36,7 @@
     state: _state.SharedState
     pools: _pools.Pools
     target_pools: http.TargetPools
-    suspects: _suspects.Suspects
-    peers: _peers.Peers
+    crash_guard: quarantine.CrashGuard
     claims: _claims.Claims
     metrics: telemetry.Metrics
     tracer: telemetry.Tracer
@@ -53,10 +51,10 @@
         self._state = dependencies.state
         self._pools = dependencies.pools
         self._outcome_handler = _outcomes.OutcomeHandler(
-            dependencies.pools, dependencies.suspects, dependencies.peers
+            dependencies.pools, dependencies.crash_guard
         )
         self._scheduler = _placement.Scheduler(
-            dependencies.pools, dependencies.suspects
+            dependencies.pools, dependencies.crash_guard
         )
         self._loop = asyncio.get_running_loop()
         self._request_counts: dict[tuple[str, str], int] = {}
@@ -308,7 +306,15 @@
         pacers = None
         if choice.is_remote:
             pacers = self._make_pacers(context, choice.region)
-        return _attempts.Attempt(context, choice, pool, pacers)
+        return _attempts.Attempt(
+            context,
+            choice,
+            pool,
+            pacers,
+            not dependencies.crash_guard.needs_new_connection(
+                context.fingerprint()
+            ),
+        )
 
     def _make_pacers(
         self, context: _requests.RequestContext, region: ids.RegionName
--- a/fulmarseam/entry/_reports.py
+++ b/fulmarseam/entry/_reports.py
@@ -7,6 +7,7 @@
 
 import logbook
 
+from fulmarseam import quarantine
 from fulmarseam import settings
 from fulmarseam import telemetry
 from fulmarseam import wire
@@ -33,12 +34,14 @@
         pools: _pools.Pools,
         announcements: _announcements.PendingAnnouncements,
         list_copies: Callable[[], list[wire.RecordCopy]],
+        crash_guard: quarantine.CrashGuard,
     ) -> None:
         self._options = options
         self._state = state
         self._pools = pools
         self._announcements = announcements
         self._list_copies = list_copies
+        self._crash_guard = crash_guard
         self._clock = asyncio.get_running_loop().time
         self.incarnation = time.time_ns() // 1_000_000
         self.draining = False
@@ -100,6 +103,7 @@
             ],
             entries_version=state.entry_mirror.version,
             record_copies=self._list_copies(),
+            suspects_version=self._crash_guard.version,
         )
 
     def _list_demand(self) -> list[wire.PoolDemand]:
--- a/fulmarseam/entry/_requests.py
+++ b/fulmarseam/entry/_requests.py
@@ -1,7 +1,6 @@
 """The state of a caller's request in an entry."""
 
 import asyncio
-import ipaddress
 
 from fulmarseam import errors
 from fulmarseam import http
@@ -39,7 +38,7 @@
         'request',
         'request_id',
         'route',
-        'runs_as_suspect',
+        'is_trial',
         'traceparent',
         '_fingerprint',
     )
@@ -60,8 +59,8 @@
         self.body_bytes = 0
         self.body_prefix = b''
         self.is_replayable = True
-        self.runs_as_suspect = False
-        self._fingerprint: str | None = None
+        self.is_trial = False
+        self._fingerprint: bytes | None = None
 
     def keep_for_replay(self, piece: bytes) -> None:
         """Keep a body piece for retries while the body is within the limit."""
@@ -72,30 +71,30 @@
         elif self.is_replayable:
             self.replay_pieces.append(piece)
 
-    def fingerprint(self) -> str:
+    def fingerprint(self) -> bytes:
         """Return a fingerprint that is the same when a request is repeated."""
         if self._fingerprint is None:
             self._fingerprint = steering.compute_fingerprint(
-                self.request_id,
                 self.method,
-                normalize_host(self.host),
+                self.host,
                 self.path,
+                http.identify_caller(self.request),
                 self.body_prefix,
             )
         return self._fingerprint
 
     def content_fingerprint(self) -> str:
-        """Return a fingerprint of the content, without the request id.
+        """Return a fingerprint of the content, without the caller.
 
         It detects a request id that is used again for another request.
         """
         return steering.compute_fingerprint(
-            None,
             self.method,
-            normalize_host(self.host),
+            self.host,
             f'{self.path} {self.request.length}',
+            b'',
             self.body_prefix,
-        )
+        ).hex()
 
     async def read_prefix(self) -> None:
         """Read the body prefix that fingerprints cover.
@@ -133,23 +132,6 @@
             )
 
 
-def normalize_host(host: str) -> str:
-    """Return the lower-case host without port; empty for an IP address.
-
-    A caller that uses addresses names another host when it repeats a request
-    through another entry. The fingerprint must be the same nevertheless.
-    """
-    name = host.partition(']')[0] if host.startswith('[') else host
-    name = name.removeprefix('[')
-    if not host.startswith('['):
-        name = name.partition(':')[0]
-    try:
-        ipaddress.ip_address(name)
-    except ValueError:
-        return name.lower()
-    return ''
-
-
 def read_deadline_ms(request: http.Request) -> int | None:
     """Return the remaining time that the caller sent, in milliseconds.
 
--- a/fulmarseam/entry/_syncing.py
+++ b/fulmarseam/entry/_syncing.py
@@ -8,6 +8,7 @@
 
 from fulmarseam import errors
 from fulmarseam import ids
+from fulmarseam import quarantine
 from fulmarseam import telemetry
 from fulmarseam import transport
 from fulmarseam import wire
@@ -94,12 +95,14 @@
         announcements: _announcements.PendingAnnouncements,
         make_request: MakeRequest,
         raise_incarnation: Callable[[], None],
+        crash_guard: quarantine.CrashGuard,
     ) -> None:
         self._leader_finder = LeaderFinder(members)
         self._state = state
         self._announcements = announcements
         self._make_request = make_request
         self._raise_incarnation = raise_incarnation
+        self._crash_guard = crash_guard
         self._loop = asyncio.get_running_loop()
         self._next_urgent_at = 0.0
         self._urgent_timer: asyncio.TimerHandle | None = None
@@ -132,6 +135,15 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         self._leader_finder.close()
 
+    async def call_leader(
+        self, message: wire.Message, timeout_s: float
+    ) -> wire.Message:
+        """Send another message to the member that is believed to lead.
+
+        Raises `errors.FulmarseamError` if it does not answer.
+        """
+        return await self._leader_finder.get_client().call(message, timeout_s)
+
     def request_now(self) -> None:
         """Sync now, or 20 ms after the last additional request."""
         if self._urgent_timer is None:
@@ -207,4 +219,7 @@
         if not self._state.apply(sent_at, now, response):
             return False
         self._announcements.acknowledge(request.announcements)
+        self._crash_guard.apply_news(
+            response.suspects_version, response.suspects
+        )
         return True
--- a/fulmarseam/errors/_kinds.py
+++ b/fulmarseam/errors/_kinds.py
@@ -43,6 +43,7 @@
     CONFIG_STALE = 'config_stale'
     ENTRY_DRAINING = 'entry_draining'
     QUARANTINED = 'quarantined'
+    SUSPECTED = 'suspected'
     TARGET_SHED = 'target_shed'
     TARGET_FAILED = 'target_failed'
     TARGET_TIMEOUT = 'target_timeout'
@@ -100,6 +101,7 @@
     ErrorKind.CONFIG_STALE: Answer(503, _NOT_RUN, _OTHER, 14),
     ErrorKind.ENTRY_DRAINING: Answer(503, _NOT_RUN, _OTHER, 14),
     ErrorKind.QUARANTINED: Answer(422, _UNKNOWN, _NEVER, 15),
+    ErrorKind.SUSPECTED: Answer(503, _NOT_RUN, _OTHER, 15),
     ErrorKind.TARGET_SHED: Answer(503, _NOT_RUN, _OTHER, 14),
     ErrorKind.TARGET_FAILED: Answer(502, _UNKNOWN, _SAME, 13),
     ErrorKind.TARGET_TIMEOUT: Answer(504, _UNKNOWN, _SAME, 13),
--- a/fulmarseam/gateway/_attempts.py
+++ b/fulmarseam/gateway/_attempts.py
@@ -43,7 +43,7 @@
 
     `first_byte_deadline` bounds the wait for the head of the answer, and the
     deadline of the request bounds the rest. Both are in seconds of the event
-    loop's clock.
+    loop's clock. `may_reuse` allows a connection that was kept.
     """
 
     def __init__(
@@ -53,12 +53,14 @@
         pool: http.TargetPool,
         http_names: _http_names.HttpNames,
         first_byte_deadline: float,
+        may_reuse: bool = True,
     ) -> None:
         self._context = context
         self._target = target
         self._pool = pool
         self._http_names = http_names
         self._first_byte_deadline = first_byte_deadline
+        self._may_reuse = may_reuse
         self._loop = asyncio.get_running_loop()
         self._is_uploading = True
         self._is_reused = False
@@ -113,10 +115,24 @@
         """
         context = self._context
         return (
-            context.request_id is not None
+            self._may_reuse
+            and context.request_id is not None
             and self._target.target not in context.answered_by
         )
 
+    @property
+    def pool(self) -> http.TargetPool:
+        """Return the connections to the target."""
+        return self._pool
+
+    def lost_kept_connection(self) -> bool:
+        """Return whether a kept connection broke before any answer."""
+        return (
+            self._connection is not None
+            and self._is_reused
+            and not self.has_answered
+        )
+
     def record_lost_idle(self) -> bool:
         """Return whether the lost connection was a reused idle one.
 
@@ -124,7 +140,7 @@
         dropped the connection.
         """
         connection = self._connection
-        if connection is None or not self._is_reused or self.has_answered:
+        if connection is None or not self.lost_kept_connection():
             return False
         self._pool.lower_idle_timeout(connection.idle_before_request_s)
         return True
--- a/fulmarseam/gateway/_daemon.py
+++ b/fulmarseam/gateway/_daemon.py
@@ -9,6 +9,7 @@
 from fulmarseam import errors
 from fulmarseam import http
 from fulmarseam import ids
+from fulmarseam import quarantine
 from fulmarseam import settings
 from fulmarseam import telemetry
 from fulmarseam import wire
@@ -44,7 +45,7 @@
         options: settings.GatewaySettings,
         http_names: _http_names.HttpNames,
     ) -> None:
-        self._options = options
+        self.options = options
         self._http_names = http_names
         self._loop = asyncio.get_running_loop()
         self.stopping = asyncio.Event()
@@ -52,12 +53,14 @@
         self.mirror = catalog.CatalogMirror()
         self.load_balancer = _load_balancer.LoadBalancer(options, self.mirror)
         self.routes = _routes.RouteTable()
+        self.crash_guard = quarantine.CrashGuard(self._report_suspects)
         self.poller = _poller.Poller(
             options,
             self.mirror,
             self._apply_catalog,
             _poller.LoadExchange(self._list_observations, self._apply_loads),
             self.load_balancer.limited_targets,
+            self.crash_guard,
         )
         self.rate_limits = _rate_limits.RateLimits(
             self.load_balancer.limited_targets
@@ -81,6 +84,7 @@
                 metrics=self.metrics,
                 request_log=self._request_log,
                 pause_guard=self.poller.pause_guard,
+                crash_guard=self.crash_guard,
             )
         )
         self.caller_server = http.Server(
@@ -111,8 +115,14 @@
         register_gauge(
             'requests_in_flight', self.load_balancer.count_in_flight
         )
+        register_gauge('suspected_requests', self.crash_guard.count)
         register_gauge('senders', lambda: self.poller.senders)
 
+    async def _report_suspects(
+        self, report: wire.SuspectReport, timeout_s: float
+    ) -> wire.TrialResponse:
+        return await self.poller.report_suspects(report, timeout_s)
+
     def _apply_catalog(self) -> None:
         """Apply a changed catalog to routes, targets and limits."""
         self.routes.update(self.mirror.routes.values())
@@ -125,7 +135,7 @@
                 http.Limits(
                     max_header_bytes=limits.max_header_bytes,
                     max_body_bytes=limits.max_body_bytes,
-                    max_connections=self._options.max_connections,
+                    max_connections=self.options.max_connections,
                     header_timeout_s=limits.header_timeout_ms / 1_000,
                     idle_timeout_s=(
                         limits.idle_timeout_ms / 1_000 * IDLE_TIMEOUT_FACTOR
@@ -170,13 +180,14 @@
             await stack.enter_async_context(self.caller_server)
             await stack.enter_async_context(self.poller)
             stack.callback(self._permits.close)
+            stack.callback(self.crash_guard.close)
             tick_task = asyncio.create_task(self._tick())
             stack.callback(tick_task.cancel)
             _log.info(
                 telemetry.format_event(
                     'started',
-                    host=self._options.host,
-                    listen=self._options.listen,
+                    host=self.options.host,
+                    listen=self.options.listen,
                 )
             )
             await self.stopping.wait()
@@ -189,11 +200,12 @@
             self.poller.pause_guard.check()
             self.load_balancer.set_senders(self.poller.senders)
             self._request_log.tick()
+            self.crash_guard.expire()
 
     async def _drain(self) -> None:
         """Leave the look-ups, let cached answers expire, finish requests."""
         started_at = self._loop.time()
-        grace = self._options.grace
+        grace = self.options.grace
         finish_at = started_at + grace * FINISH_GRACE_FRACTION
         self._forwarder.last_deadline = finish_at
         self.poller.is_draining = True
--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -1,6 +1,9 @@
 """Forwarding of callers' requests to targets, with retries."""
 
 import asyncio
+from collections.abc import Set
+import dataclasses
+import functools
 from typing import NamedTuple
 
 import logbook
@@ -9,6 +12,7 @@
 from fulmarseam import errors
 from fulmarseam import http
 from fulmarseam import ids
+from fulmarseam import quarantine
 from fulmarseam import steering
 from fulmarseam import telemetry
 from fulmarseam.gateway import _attempts
@@ -27,6 +31,10 @@
 # Share of the connections that a target accepts which all entries together
 # keep idle. The others are for requests in flight, wherever these arrive.
 IDLE_CONNECTION_SHARE = 0.5
+# A copy of a request that runs as a trial waits for its outcome this long.
+MAX_TRIAL_WAIT_S = 1.0
+# A target that has ended refuses a connection within a round trip of 40 ms.
+PROBE_TIMEOUT_S = 0.2
 
 _log = logbook.Logger('gateway')
 
@@ -44,6 +52,7 @@
     metrics: telemetry.Metrics
     request_log: telemetry.RequestLog
     pause_guard: _pauses.PauseGuard
+    crash_guard: quarantine.CrashGuard
 
 
 class _FailedAttempt(NamedTuple):
@@ -57,6 +66,20 @@
     same_target: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class _Retries:
+    """What the attempts of one request have shown so far.
+
+    With `may_ask` the next one may wait for a permit of the leader.
+    """
+
+    pool_name: ids.PoolName
+    affinity_key: str | None
+    avoided: set[ids.TargetId] = dataclasses.field(default_factory=set)
+    possible_run_error: errors.FulmarseamError | None = None
+    may_ask: bool = True
+
+
 class Forwarder:
     """Forwards callers' requests to targets."""
 
@@ -165,40 +188,99 @@
             context.request, self._dependencies.http_names
         )
         summary.affinity_key = affinity_key or ''
-        avoided: set[ids.TargetId] = set()
-        possible_run_error: errors.FulmarseamError | None = None
-        may_ask = True
+        retries = _Retries(pool_name, affinity_key)
         while True:
             await self._dependencies.pause_guard.wait_until_fresh()
+            try:
+                context.is_trial = await self._admit(context)
+            except errors.FulmarseamError as error:
+                raise retries.possible_run_error or error from None
+            try:
+                if await self._attempt_once(context, retries, summary):
+                    return
+            finally:
+                if context.is_trial:
+                    self._dependencies.crash_guard.end_trial(
+                        context.fingerprint()
+                    )
+
+    async def _admit(self, context: _requests.RequestContext) -> bool:
+        """Return whether a request runs as a trial, once it may run.
+
+        Raises `errors.FulmarseamError` if it must not run, and
+        `http.CallerGoneError` if the caller has left while it waited.
+        """
+        crash_guard = self._dependencies.crash_guard
+        wait_until = min(
+            self._loop.time() + MAX_TRIAL_WAIT_S, context.deadline
+        )
+        while True:
             now = self._loop.time()
-            placement = self._dependencies.load_balancer.place(
-                now,
-                context.route,
-                pool_name,
-                affinity_key,
-                avoided,
-                context.deadline - now,
-                may_ask,
+            admission = await crash_guard.admit(
+                context.fingerprint(), context.deadline - now
             )
-            if placement.target is None:
-                raise possible_run_error or self._refusals.make_error(
-                    now, context.route, pool_name, len(avoided)
+            verdict = admission.verdict
+            if verdict in (quarantine.Verdict.FREE, quarantine.Verdict.TRIAL):
+                return verdict is quarantine.Verdict.TRIAL
+            if verdict is quarantine.Verdict.REFUSE or now >= wait_until:
+                raise crash_guard.make_refusal(
+                    admission, errors.ErrorKind.SUSPECTED
                 )
-            if not await self._acquire_permit(context, placement.target):
-                # Other targets are tried without asking the leader again.
-                may_ask = False
-                continue
-            self._note_placement(placement, now, summary)
-            failure = await self._attempt(context, placement, summary)
-            if failure is None:
-                return
-            summary.targets[-1] += f':{failure.error.kind.value}'
-            if failure.error.answer.outcome is not errors.Outcome.NOT_RUN:
-                possible_run_error = failure.error
-            if not failure.same_target:
-                avoided.add(placement.target.target)
-            if not failure.may_repeat:
-                raise possible_run_error or failure.error
+            timer = self._loop.call_later(
+                admission.wait_s, context.signal.notify
+            )
+            try:
+                await context.signal.wait()
+            finally:
+                timer.cancel()
+            if context.caller.gone:
+                raise http.CallerGoneError('the caller has left')
+
+    async def _attempt_once(
+        self,
+        context: _requests.RequestContext,
+        retries: _Retries,
+        summary: _summaries.RequestSummary,
+    ) -> bool:
+        """Place a request and try it; return whether it was answered.
+
+        Raises `errors.FulmarseamError` if no further attempt is allowed.
+        """
+        now = self._loop.time()
+        avoided: Set[ids.TargetId] = retries.avoided
+        if context.is_trial:
+            avoided = (
+                avoided | self._dependencies.crash_guard.list_trial_targets()
+            )
+        placement = self._dependencies.load_balancer.place(
+            now,
+            context.route,
+            retries.pool_name,
+            retries.affinity_key,
+            avoided,
+            context.deadline - now,
+            retries.may_ask,
+        )
+        if placement.target is None:
+            raise retries.possible_run_error or self._refusals.make_error(
+                now, context.route, retries.pool_name, len(retries.avoided)
+            )
+        if not await self._acquire_permit(context, placement.target):
+            # Other targets are tried without asking the leader again.
+            retries.may_ask = False
+            return False
+        self._note_placement(placement, now, summary)
+        failure = await self._attempt(context, placement, summary)
+        if failure is None:
+            return True
+        summary.targets[-1] += f':{failure.error.kind.value}'
+        if failure.error.answer.outcome is not errors.Outcome.NOT_RUN:
+            retries.possible_run_error = failure.error
+        if not failure.same_target:
+            retries.avoided.add(placement.target.target)
+        if not failure.may_repeat:
+            raise retries.possible_run_error or failure.error
+        return False
 
     async def _acquire_permit(
         self,
@@ -262,7 +344,14 @@
             ),
             dependencies.http_names,
             self._compute_first_byte_deadline(context, target, started_at),
+            not dependencies.crash_guard.needs_new_connection(
+                context.fingerprint()
+            ),
         )
+        if context.is_trial:
+            dependencies.crash_guard.start_trial(
+                context.fingerprint(), target.target
+            )
         try:
             answer = await attempt.run()
             # Before the answer is passed on, which may take long.
@@ -278,11 +367,17 @@
                 )
             summary.status = answer.response.status
             summary.outcome = _summaries.ANSWERED
-            await self._send_answer(context, attempt, answer)
+            if answer.body is None:
+                await self._send_answer(context, attempt, answer)
+            dependencies.crash_guard.note_answered(context.fingerprint())
+            if answer.body is not None:
+                await self._send_answer(context, attempt, answer)
             return None
         except _attempts.NotRunError as error:
             return self._handle_not_run(context, target, attempt, error)
         except http.TargetError as error:
+            if error.reason is http.Reason.BROKEN:
+                await self._note_broken(context, target, attempt, error)
             return self._handle_failure(
                 context, placement, attempt, error, started_at, summary
             )
@@ -463,8 +558,6 @@
                 errors.FulmarseamError(kind, error.detail), not is_late
             )
         context.attempted.add(target.target)
-        if error.reason is http.Reason.BROKEN:
-            self._note_broken(context, target, error)
         kind = errors.ErrorKind.TARGET_FAILED
         lost_idle_connection = False
         if error.reason is http.Reason.TIMED_OUT:
@@ -480,24 +573,36 @@
             same_target=lost_idle_connection,
         )
 
-    def _note_broken(
+    async def _note_broken(
         self,
         context: _requests.RequestContext,
         target: steering.ObservedTarget,
+        attempt: _attempts.Attempt,
         error: http.TargetError,
     ) -> None:
-        """Log a connection that broke while a target may have run a request.
+        """Record a connection that broke while a target may have run it.
 
-        The fingerprint links the copies of a request that breaks several.
+        The fingerprint in the log links the copies of a request.
         """
-        self._dependencies.metrics.add('broken_attempts_total')
+        if attempt.progress is http.Progress.NOT_SENT:
+            return
+        dependencies = self._dependencies
+        dependencies.metrics.add('broken_attempts_total')
         _log.info(
             telemetry.format_event(
                 'attempt_broken',
                 id=(context.request_id or b'').decode('latin-1'),
-                fingerprint=context.fingerprint(),
+                fingerprint=context.fingerprint().hex(),
                 target=target.target,
                 address=target.record.address,
                 reason=error.detail,
             )
         )
+        await dependencies.crash_guard.note_broken(
+            context.fingerprint(),
+            target.target,
+            context.is_trial,
+            functools.partial(attempt.pool.is_listening, PROBE_TIMEOUT_S)
+            if attempt.lost_kept_connection()
+            else None,
+        )
--- a/fulmarseam/gateway/_poller.py
+++ b/fulmarseam/gateway/_poller.py
@@ -12,6 +12,7 @@
 from fulmarseam import catalog
 from fulmarseam import errors
 from fulmarseam import ids
+from fulmarseam import quarantine
 from fulmarseam import settings
 from fulmarseam import steering
 from fulmarseam import telemetry
@@ -70,8 +71,10 @@
         on_change: Callable[[], None],
         load_exchange: LoadExchange,
         limited_targets: steering.LimitedTargets,
+        crash_guard: quarantine.CrashGuard,
     ) -> None:
         self._options = options
+        self._crash_guard = crash_guard
         self._limited_targets = limited_targets
         self._load_exchange = load_exchange
         self._mirror = mirror
@@ -223,15 +226,15 @@
         answer = await self._clients.call(
             address,
             self._make_poll(
-                wants_changes, is_leader, rows if is_leader else []
+                wants_changes,
+                is_leader,
+                rows if is_leader else [],
+                self._crash_guard.version if address == self._leader else 0,
             ),
             timeout_s,
         )
         if not isinstance(answer, wire.EntryPollResponse):
-            raise errors.FulmarseamError(
-                errors.ErrorKind.UNAVAILABLE,
-                getattr(answer, 'detail', type(answer).__name__),
-            )
+            raise _make_unexpected_error(answer)
         self._record_reachability(address, None)
         self.senders = max(1, answer.entry_count)
         if answer.leader:
@@ -241,6 +244,7 @@
         if is_leader and answer.leader == address:
             self._limited_targets.mark_reported(changes)
             self._apply_limits(sent_at, answer)
+        self._crash_guard.apply_news(answer.suspects_version, answer.suspects)
         if answer.target_loads:
             self._load_exchange.apply_loads(
                 wire.unpack_loads(answer.target_loads), answer.revision
@@ -255,6 +259,7 @@
         wants_changes: bool,
         wants_loads: bool,
         rate_limits: list[wire.TargetRateLimit],
+        suspects_version: int = 0,
     ) -> wire.EntryPoll:
         """Return a poll; it leaves out what its response does not need."""
         options = self._options
@@ -286,6 +291,7 @@
                 and limited_targets.is_offline(self._loop.time())
             ),
             group=wire.compute_group_checksum(self._group),
+            suspects_version=suspects_version,
             **changes_fields,
         )
 
@@ -321,15 +327,29 @@
 
         Raises `errors.FulmarseamError` if no leader answers.
         """
-        if not self._leader:
-            raise errors.NotLeaderError()
-        answer = await self._clients.call(self._leader, request, timeout_s)
+        answer = await self._call_leader(request, timeout_s)
         if isinstance(answer, wire.PermitResponse):
             return answer
-        raise errors.FulmarseamError(
-            errors.ErrorKind.UNAVAILABLE,
-            getattr(answer, 'detail', type(answer).__name__),
-        )
+        raise _make_unexpected_error(answer)
+
+    async def report_suspects(
+        self, report: wire.SuspectReport, timeout_s: float
+    ) -> wire.TrialResponse:
+        """Tell the leader of suspected requests.
+
+        Raises `errors.FulmarseamError` if no leader answers.
+        """
+        answer = await self._call_leader(report, timeout_s)
+        if isinstance(answer, wire.TrialResponse):
+            return answer
+        raise _make_unexpected_error(answer)
+
+    async def _call_leader(
+        self, message: wire.Message, timeout_s: float
+    ) -> wire.Message:
+        if not self._leader:
+            raise errors.NotLeaderError()
+        return await self._clients.call(self._leader, message, timeout_s)
 
     def _record_reachability(self, address: str, problem: str | None) -> None:
         """Log when a member becomes reachable or unreachable."""
@@ -348,3 +368,11 @@
                 'member_unreachable', address=address, reason=problem
             )
         )
+
+
+def _make_unexpected_error(answer: wire.Message) -> errors.FulmarseamError:
+    """Return the error for an answer of another type than expected."""
+    return errors.FulmarseamError(
+        errors.ErrorKind.UNAVAILABLE,
+        getattr(answer, 'detail', type(answer).__name__),
+    )
--- a/fulmarseam/gateway/_requests.py
+++ b/fulmarseam/gateway/_requests.py
@@ -29,6 +29,7 @@
         'deadline',
         'host',
         'is_replayable',
+        'is_trial',
         'kept',
         'kept_bytes',
         'path',
@@ -61,7 +62,9 @@
         self.kept: list[bytes] = []
         self.kept_bytes = 0
         self.is_replayable = True
-        self._fingerprint: str | None = None
+        # Whether the current attempt is a trial of a suspected request.
+        self.is_trial = False
+        self._fingerprint: bytes | None = None
 
     @property
     def signal(self) -> http.Signal:
@@ -69,17 +72,17 @@
         assert self.caller.signal is not None
         return self.caller.signal
 
-    def fingerprint(self) -> str:
+    def fingerprint(self) -> bytes:
         """Return a digest that is the same when the request is repeated.
 
         It covers the body as far as that is buffered.
         """
         if self._fingerprint is None:
             self._fingerprint = steering.compute_fingerprint(
-                None,
                 self.request.method.decode('ascii'),
                 self.host,
                 self.path,
+                http.identify_caller(self.request),
                 b''.join(self.kept),
             )
         return self._fingerprint
--- a/fulmarseam/http/__init__.py
+++ b/fulmarseam/http/__init__.py
@@ -23,6 +23,7 @@
 """
 
 from fulmarseam.http._addressing import find_host_and_path
+from fulmarseam.http._addressing import identify_caller
 from fulmarseam.http._bodies import read_body
 from fulmarseam.http._caller import CallerConnection
 from fulmarseam.http._caller import Request
@@ -64,6 +65,7 @@
     'TargetPools',
     'drop_headers',
     'find_host_and_path',
+    'identify_caller',
     'read_body',
     'split_address',
 ]
--- a/fulmarseam/http/_addressing.py
+++ b/fulmarseam/http/_addressing.py
@@ -9,6 +9,16 @@
 _ABSOLUTE_FORM = re.compile(rb'https?://([^/?]*)([/?].*)?', re.IGNORECASE)
 
 
+def identify_caller(request: _caller.Request) -> bytes:
+    """Return what a request says about its caller: cookies and credentials."""
+    fields = request.fields
+    return b'\n'.join(
+        fields[name]
+        for name in (b'authorization', b'cookie')
+        if name in fields
+    )
+
+
 def find_host_and_path(request: _caller.Request) -> tuple[str, str]:
     """Return the host and the path with its query.
 
--- a/fulmarseam/http/_pool.py
+++ b/fulmarseam/http/_pool.py
@@ -146,6 +146,17 @@
         )
         return connection
 
+    async def is_listening(self, timeout_s: float) -> bool:
+        """Return whether the target accepts a new connection."""
+        host, port = _server.split_address(self.address)
+        try:
+            async with asyncio.timeout(timeout_s):
+                _, writer = await asyncio.open_connection(host, port)
+        except (TimeoutError, OSError):
+            return False
+        writer.transport.abort()
+        return True
+
     def _make_error(
         self, reason: _failures.Reason, detail: str
     ) -> _failures.TargetError:
--- a/fulmarseam/steering/__init__.py
+++ b/fulmarseam/steering/__init__.py
@@ -63,12 +63,14 @@
 from fulmarseam.steering._slots import SlotTracker
 from fulmarseam.steering._split import Splitter
 from fulmarseam.steering._suspects import compute_fingerprint
-from fulmarseam.steering._suspects import Strike
-from fulmarseam.steering._suspects import SuspectState
+from fulmarseam.steering._suspects import MAX_SUSPECTS
 from fulmarseam.steering._suspects import SuspectTable
+from fulmarseam.steering._suspects import TRIAL_DELAYS_S
+from fulmarseam.steering._suspects import TrialPermission
 from fulmarseam.steering._windowed_retry_budget import WindowedRetryBudget
 
 __all__ = [
+    'MAX_SUSPECTS',
     'DOUBTFUL_FAILURE_RATE',
     'Admission',
     'Allocator',
@@ -95,9 +97,9 @@
     'ShiftCredit',
     'SlotTracker',
     'Splitter',
-    'Strike',
-    'SuspectState',
     'SuspectTable',
+    'TRIAL_DELAYS_S',
+    'TrialPermission',
     'Ticket',
     'choose_target',
     'compile_routes',
--- a/fulmarseam/steering/_suspects.py
+++ b/fulmarseam/steering/_suspects.py
@@ -1,153 +1,290 @@
-"""Quarantine of requests that may crash the targets that run them."""
+"""Requests that may end the targets that run them, and their trials."""
 
 from collections.abc import Iterable
 import dataclasses
-import enum
 import hashlib
+import ipaddress
 from typing import NamedTuple
 
 from fulmarseam import ids
-
-# Number of different targets with a strike that quarantines a request.
-STRIKES_TO_QUARANTINE = 2
-QUARANTINE_S = 600.0
+from fulmarseam import wire
+
+# Seconds until the next trial of a suspected request, by its failed trials.
+TRIAL_DELAYS_S = (0.0, 20.0, 60.0, 300.0, 600.0)
+# A suspect is forgotten this long after its next trial was due.
+SUSPECT_LIFETIME_S = 600.0
+# A cleared suspect is kept until all entries have learned of it.
+CLEARED_LIFETIME_S = 10.0
 # Limits the memory that a flood of broken connections can use.
-MAX_FINGERPRINTS = 10_000
+MAX_SUSPECTS = 1_000
+MAX_NAMED_TARGETS = 4
 HASHED_BODY_BYTES = 16 * 1024
+FINGERPRINT_BYTES = 16
+# Number of strikes from which on a request counts as sound only if a target
+# has answered it since the last one.
+STRIKES_OF_SOUND_REQUESTS = 3
 
 
-class SuspectState(enum.Enum):
-    """State of a request by its strikes."""
+def compute_fingerprint(
+    method: str, host: str, path: str, caller: bytes, body: bytes
+) -> bytes:
+    """Return a digest that is the same for each copy of a request.
 
-    CLEAR = 'clear'
-    SUSPECT = 'suspect'
-    QUARANTINED = 'quarantined'
+    `caller` is what the request says about its caller, and `body` is the
+    beginning of the body, of which 16 KiB are hashed. The id of the request
+    is left out, as callers may choose a new one when they repeat it.
+    """
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in (method, normalize_host(host), path):
+        _add_part(digest, part.encode())
+    if caller:
+        _add_part(digest, caller)
+    digest.update(body[:HASHED_BODY_BYTES])
+    return digest.digest()
 
 
-class Strike(NamedTuple):
-    """A connection to `target` that broke while it ran the request."""
+def _add_part(digest: hashlib.blake2b, data: bytes) -> None:
+    digest.update(len(data).to_bytes(4, 'big'))
+    digest.update(data)
 
-    fingerprint: str
-    target: ids.TargetId
 
+def normalize_host(host: str) -> str:
+    """Return the lower-case host without port; empty for an IP address.
 
-class SuspectRow(NamedTuple):
-    """A suspected or quarantined request; it expires in `left_s`."""
+    A caller that uses addresses names another host when it repeats a request
+    through another entry. The fingerprint must be the same nevertheless.
+    """
+    name = host.partition(']')[0] if host.startswith('[') else host
+    name = name.removeprefix('[')
+    if not host.startswith('['):
+        name = name.partition(':')[0]
+    if not name[-1:].isdigit() and ':' not in name:
+        return name.lower()
+    try:
+        ipaddress.ip_address(name)
+    except ValueError:
+        return name.lower()
+    return ''
+
+
+class TrialPermission(NamedTuple):
+    """Whether a suspected request may run now, as a trial.
+
+    It may if `wait_s` is 0. `is_running` is set if another trial runs.
+    """
 
-    fingerprint: str
-    targets: list[ids.TargetId]
-    state: SuspectState
-    left_s: float
+    wait_s: float
+    is_running: bool = False
 
 
 @dataclasses.dataclass(slots=True)
 class _Suspect:
-    targets: set[ids.TargetId]
-    expires_at: float
-
-
-def compute_fingerprint(
-    request_id: str | None, method: str, host: str, path: str, body: bytes
-) -> str:
-    """Return a digest that is the same for each retry of a request.
-
-    `body` is the beginning of the body, of which 16 KiB are hashed.
-    """
-    digest = hashlib.blake2b(digest_size=16)
-    parts = [method, host, path]
-    if request_id is not None:
-        parts = ['request-id', request_id]
-        body = b''
-    for part in parts:
-        data = part.encode()
-        digest.update(len(data).to_bytes(4, 'big'))
-        digest.update(data)
-    digest.update(body[:HASHED_BODY_BYTES])
-    return digest.hexdigest()
+    version: int = 0
+    targets: list[ids.TargetId] = dataclasses.field(default_factory=list)
+    failed_trials: int = 0
+    # No trial may start before this time.
+    trial_at: float = 0.0
+    # A trial runs until this time at the latest.
+    trial_until: float = float('-inf')
+    expires_at: float = 0.0
+    is_cleared: bool = False
 
 
 class SuspectTable:
-    """Strikes recorded by this entry and its peers.
+    """Strikes of requests; times are in seconds of a monotonic clock.
 
-    At most one suspect runs on a target at a time, so that a crash of the
-    target identifies the request that caused it. A complete response clears
-    the strikes of a request.
+    After its first strike a request runs as a trial, one at a time. Only a
+    trial that breaks another target proves that the request is the cause,
+    and delays the next trial. A complete answer clears all strikes.
     """
 
     def __init__(self) -> None:
-        self._suspects: dict[str, _Suspect] = {}
-        self._running: dict[ids.TargetId, str] = {}
-
-    def strike(self, now: float, strike: Strike) -> SuspectState:
-        """Record a strike of this entry or a peer; return the new state."""
-        suspect = self._suspects.get(strike.fingerprint)
-        if suspect is None or suspect.expires_at <= now:
-            suspect = _Suspect(set(), 0.0)
-            self._evict_oldest(now)
-            self._suspects[strike.fingerprint] = suspect
-        if strike.target not in suspect.targets:
-            suspect.targets.add(strike.target)
-            suspect.expires_at = now + QUARANTINE_S
-        return self.get_state(now, strike.fingerprint)
-
-    def merge(self, now: float, strikes: Iterable[Strike]) -> None:
-        """Record the strikes of a peer; known strikes change nothing."""
-        for strike in strikes:
-            self.strike(now, strike)
-
-    def clear(self, fingerprint: str) -> bool:
+        self._suspects: dict[bytes, _Suspect] = {}
+        # Increases with each change.
+        self.version = 0
+
+    def strike(self, now: float, strike: wire.Strike) -> None:
+        """Record a strike of an entry; a repeated one changes nothing."""
+        suspect = self._find(now, strike.fingerprint)
+        if suspect is None:
+            suspect = self._create(now, strike.fingerprint)
+        elif strike.target in suspect.targets:
+            return
+        if len(suspect.targets) < MAX_NAMED_TARGETS:
+            suspect.targets.append(strike.target)
+        if strike.was_trial:
+            suspect.failed_trials += 1
+            suspect.trial_until = float('-inf')
+            step = min(suspect.failed_trials, len(TRIAL_DELAYS_S) - 1)
+            suspect.trial_at = now + TRIAL_DELAYS_S[step]
+        suspect.expires_at = max(now, suspect.trial_at) + SUSPECT_LIFETIME_S
+        self._mark_changed(suspect)
+
+    def _create(self, now: float, fingerprint: bytes) -> _Suspect:
+        self._suspects.pop(fingerprint, None)
+        if len(self._suspects) >= MAX_SUSPECTS:
+            self.expire(now)
+        while len(self._suspects) >= MAX_SUSPECTS:
+            del self._suspects[self._choose_evicted()]
+        suspect = self._suspects[fingerprint] = _Suspect()
+        return suspect
+
+    def _choose_evicted(self) -> bytes:
+        """Return the oldest of the suspects with the fewest failed trials."""
+        return min(
+            self._suspects,
+            key=lambda fingerprint: self._suspects[fingerprint].failed_trials,
+        )
+
+    def _mark_changed(self, suspect: _Suspect) -> None:
+        self.version += 1
+        suspect.version = self.version
+
+    def _find(self, now: float, fingerprint: bytes) -> _Suspect | None:
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or suspect.is_cleared or suspect.expires_at <= now:
+            return None
+        return suspect
+
+    def clear(self, now: float, fingerprint: bytes) -> bool:
         """Drop the strikes of a request; return whether there were any."""
-        return self._suspects.pop(fingerprint, None) is not None
+        suspect = self._find(now, fingerprint)
+        if suspect is None:
+            return False
+        suspect.is_cleared = True
+        suspect.expires_at = now + CLEARED_LIFETIME_S
+        self._mark_changed(suspect)
+        return True
 
-    def get_state(self, now: float, fingerprint: str) -> SuspectState:
-        """Return the state of a request."""
-        suspect = self._suspects.get(fingerprint)
-        if suspect is None or suspect.expires_at <= now:
-            return SuspectState.CLEAR
-        if len(suspect.targets) >= STRIKES_TO_QUARANTINE:
-            return SuspectState.QUARANTINED
-        return SuspectState.SUSPECT
-
-    def try_start(
-        self, now: float, fingerprint: str, target: ids.TargetId
+    def is_suspect(self, now: float, fingerprint: bytes) -> bool:
+        """Return whether a request has strikes."""
+        return self._find(now, fingerprint) is not None
+
+    def may_be_sound(
+        self, now: float, fingerprint: bytes, is_answered_since: bool
     ) -> bool:
-        """Start a request on a target; return False if it must not run there.
+        """Return whether a request that was sound before may run freely.
 
-        A clear request is always allowed. A suspect that was started must
-        be ended with `finish`.
+        `is_answered_since` tells whether a target has answered it since the
+        last strike.
         """
-        state = self.get_state(now, fingerprint)
-        if state is SuspectState.CLEAR:
+        suspect = self._find(now, fingerprint)
+        if suspect is None:
             return True
-        if state is SuspectState.QUARANTINED or target in self._running:
+        if suspect.failed_trials:
             return False
-        self._running[target] = fingerprint
-        return True
+        return (
+            is_answered_since
+            or len(suspect.targets) < STRIKES_OF_SOUND_REQUESTS
+        )
+
+    def start_trial(
+        self, now: float, fingerprint: bytes, lease_s: float
+    ) -> TrialPermission:
+        """Start a trial, if one may start now; `lease_s` bounds it."""
+        suspect = self._find(now, fingerprint)
+        if suspect is None:
+            return TrialPermission(0.0)
+        permission = self.check_trial(now, fingerprint)
+        if not permission.wait_s:
+            suspect.trial_until = now + lease_s
+        return permission
+
+    def check_trial(self, now: float, fingerprint: bytes) -> TrialPermission:
+        """Return whether a trial may start now."""
+        suspect = self._find(now, fingerprint)
+        if suspect is None:
+            return TrialPermission(0.0)
+        if suspect.trial_at > now:
+            return TrialPermission(suspect.trial_at - now)
+        if suspect.trial_until > now:
+            return TrialPermission(suspect.trial_until - now, True)
+        return TrialPermission(0.0)
+
+    def end_trial(self, fingerprint: bytes) -> None:
+        """End a trial without a result."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is not None:
+            suspect.trial_until = float('-inf')
 
-    def finish(self, fingerprint: str, target: ids.TargetId) -> None:
-        """End a request on a target; does nothing for a clear request."""
-        if self._running.get(target) == fingerprint:
-            del self._running[target]
+    def merge(self, now: float, rows: Iterable[wire.SuspectRow]) -> None:
+        """Add what another table knows."""
+        for row in rows:
+            self._merge_row(now, row)
 
-    def list_occupied_targets(self) -> frozenset[ids.TargetId]:
-        """Return the targets on which a suspect runs."""
-        return frozenset(self._running)
+    def _merge_row(self, now: float, row: wire.SuspectRow) -> None:
+        if row.is_cleared:
+            self.clear(now, row.fingerprint)
+            return
+        suspect = self._find(now, row.fingerprint)
+        if suspect is None:
+            suspect = self._create(now, row.fingerprint)
+        unknown = [
+            target for target in row.targets if target not in suspect.targets
+        ]
+        trial_at = now + row.wait_ms / 1_000
+        if (
+            suspect.version
+            and not unknown
+            and suspect.failed_trials >= row.failed_trials
+        ):
+            return
+        suspect.targets = (suspect.targets + unknown)[:MAX_NAMED_TARGETS]
+        suspect.failed_trials = max(suspect.failed_trials, row.failed_trials)
+        suspect.trial_at = max(suspect.trial_at, trial_at)
+        suspect.expires_at = max(now, suspect.trial_at) + SUSPECT_LIFETIME_S
+        self._mark_changed(suspect)
+
+    def list_changes(
+        self, now: float, since: int, limit: int
+    ) -> tuple[int, list[wire.SuspectRow]]:
+        """Return the rows changed after a version, the oldest first.
+
+        At most `limit` rows are returned, with the version that they bring
+        another table to.
+        """
+        changed = sorted(
+            (suspect.version, fingerprint)
+            for fingerprint, suspect in self._suspects.items()
+            if suspect.version > since and suspect.expires_at > now
+        )
+        version = self.version
+        if len(changed) > limit:
+            changed = changed[:limit]
+            version = changed[-1][0]
+        return version, [
+            self._make_row(now, fingerprint) for _, fingerprint in changed
+        ]
 
-    def rows(self, now: float) -> list[SuspectRow]:
-        """Return all suspected and quarantined requests."""
+    def list_rows(self, now: float) -> list[wire.SuspectRow]:
+        """Return the requests that have strikes."""
         return [
-            SuspectRow(
-                fingerprint,
-                sorted(suspect.targets),
-                self.get_state(now, fingerprint),
-                suspect.expires_at - now,
-            )
-            for fingerprint, suspect in self._suspects.items()
-            if suspect.expires_at > now
+            self._make_row(now, fingerprint)
+            for fingerprint in self._suspects
+            if self._find(now, fingerprint) is not None
         ]
 
+    def _make_row(self, now: float, fingerprint: bytes) -> wire.SuspectRow:
+        suspect = self._suspects[fingerprint]
+        return wire.SuspectRow(
+            fingerprint,
+            list(suspect.targets),
+            suspect.failed_trials,
+            max(0, int((suspect.trial_at - now) * 1_000)),
+            suspect.is_cleared,
+        )
+
+    def get_time_left(self, now: float, fingerprint: bytes) -> float:
+        """Return the seconds until a suspect is forgotten."""
+        suspect = self._find(now, fingerprint)
+        return 0.0 if suspect is None else suspect.expires_at - now
+
+    def count(self) -> int:
+        """Return the number of rows, with those that were cleared lately."""
+        return len(self._suspects)
+
     def expire(self, now: float) -> None:
-        """Drop the requests whose strikes have expired."""
+        """Forget the rows whose time is over."""
         expired = [
             fingerprint
             for fingerprint, suspect in self._suspects.items()
@@ -155,10 +292,3 @@
         ]
         for fingerprint in expired:
             del self._suspects[fingerprint]
-
-    def _evict_oldest(self, now: float) -> None:
-        if len(self._suspects) < MAX_FINGERPRINTS:
-            return
-        self.expire(now)
-        while len(self._suspects) >= MAX_FINGERPRINTS:
-            del self._suspects[next(iter(self._suspects))]
--- a/fulmarseam/wire/__init__.py
+++ b/fulmarseam/wire/__init__.py
@@ -79,7 +79,6 @@
 from fulmarseam.wire._packing import unpack_loads
 from fulmarseam.wire._peers import DrainNotice
 from fulmarseam.wire._peers import LeaveNotice
-from fulmarseam.wire._peers import StrikeNotice
 from fulmarseam.wire._records import RecordChunk
 from fulmarseam.wire._records import RecordClaim
 from fulmarseam.wire._records import RecordFinish
@@ -107,6 +106,11 @@
 from fulmarseam.wire._rows import Shift
 from fulmarseam.wire._rows import ShiftState
 from fulmarseam.wire._rows import TableName
+from fulmarseam.wire._suspects import Strike
+from fulmarseam.wire._suspects import SuspectReport
+from fulmarseam.wire._suspects import SuspectRow
+from fulmarseam.wire._suspects import TrialRequest
+from fulmarseam.wire._suspects import TrialResponse
 from fulmarseam.wire._sync import EntryInfo
 from fulmarseam.wire._sync import EntryRow
 from fulmarseam.wire._sync import LinkDemand
@@ -214,7 +218,9 @@
     'StatusRequest',
     'StatusResponse',
     'StoredAnswer',
-    'StrikeNotice',
+    'Strike',
+    'SuspectReport',
+    'SuspectRow',
     'SyncRequest',
     'SyncResponse',
     'TableName',
@@ -230,6 +236,8 @@
     'TargetReport',
     'TargetRow',
     'TargetState',
+    'TrialRequest',
+    'TrialResponse',
     'Verdict',
     'VoteRequest',
     'VoteResponse',
--- a/fulmarseam/wire/_catalog.py
+++ b/fulmarseam/wire/_catalog.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from fulmarseam import ids
+from fulmarseam.wire import _suspects
 
 
 class SplitPart(msgspec.Struct, frozen=True, array_like=True):
@@ -255,7 +256,8 @@
     `rate_limits` are those that the leader does not know yet, and the entry
     knows the others as of `limits_version`. `is_offline` is set while it uses
     its offline part of the limits. `group` is the checksum of the members that
-    it knows; the response lists them if it is another one.
+    it knows; the response lists them if it is another one. It knows the
+    suspected requests as of `suspects_version`.
     """
 
     entry: ids.EntryId
@@ -275,6 +277,7 @@
     rate_limits: list[TargetRateLimit] = []
     is_offline: bool = False
     group: int = 0
+    suspects_version: int = 0
 
 
 class CatalogChanges(msgspec.Struct, frozen=True, kw_only=True):
@@ -310,6 +313,8 @@
     the address of the leader, or empty. `target_loads` are the loads of the
     targets at `revision`; see `pack_loads`. `rate_limits` lists all limits
     of targets if the entry knows them as of another `limits_version`.
+    `suspects` are the suspected requests that bring it to
+    `suspects_version`, which is 0 if there is nothing new.
     """
 
     revision: int
@@ -321,6 +326,8 @@
     target_loads: bytes = b''
     limits_version: int = 0
     rate_limits: list[TargetRateLimit] = []
+    suspects_version: int = 0
+    suspects: list[_suspects.SuspectRow] = []
 
 
 CatalogMessage = (
--- a/fulmarseam/wire/_codec.py
+++ b/fulmarseam/wire/_codec.py
@@ -11,6 +11,7 @@
 from fulmarseam.wire import _consensus
 from fulmarseam.wire import _peers
 from fulmarseam.wire import _records
+from fulmarseam.wire import _suspects
 from fulmarseam.wire import _sync
 
 Message = (
@@ -22,6 +23,7 @@
     | _catalog.CatalogMessage
     | _peers.PeerMessage
     | _records.RecordMessage
+    | _suspects.SuspectMessage
     | _consensus.MemberRequest
     | _consensus.MemberResponse
     | _consensus.IdentityRequest
--- a/fulmarseam/wire/_peers.py
+++ b/fulmarseam/wire/_peers.py
@@ -14,20 +14,6 @@
     report: _sync.TargetReport
 
 
-class StrikeNotice(
-    msgspec.Struct, tag='strike_notice', frozen=True, kw_only=True
-):
-    """A connection to `target` broke while a request ran there.
-
-    `fingerprint` identifies the request. With `cleared` the request has
-    since received a complete response and its strikes are void.
-    """
-
-    fingerprint: str
-    target: ids.TargetId
-    cleared: bool = False
-
-
 class DrainNotice(
     msgspec.Struct, tag='drain_notice', frozen=True, kw_only=True
 ):
@@ -37,4 +23,4 @@
     incarnation: int
 
 
-PeerMessage = LeaveNotice | StrikeNotice | DrainNotice
+PeerMessage = LeaveNotice | DrainNotice
--- a/fulmarseam/wire/_sync.py
+++ b/fulmarseam/wire/_sync.py
@@ -6,6 +6,7 @@
 
 from fulmarseam import ids
 from fulmarseam.wire import _rows
+from fulmarseam.wire import _suspects
 
 
 class TargetState(enum.Enum):
@@ -165,7 +166,8 @@
     record groups of which the entry holds a full copy. `entries_version`
     is the version of the entry rows that it holds, in term `targets_term`;
     0 asks for all rows. `doubtful` lists targets on which the entry's
-    requests fail; it gets slots on them only when there are no others.
+    requests fail; it gets slots on them only when there are no others. It
+    knows the suspected requests as of `suspects_version`.
     """
 
     info: EntryInfo
@@ -185,6 +187,7 @@
     doubtful: list[ids.TargetId] = []
     ack_age_ms: int | None = None
     entries_version: int = 0
+    suspects_version: int = 0
 
 
 class SyncResponse(
@@ -198,7 +201,9 @@
     blocks table. The rows of targets and entries are also differences; with
     `targets_full` or `entries_full` they replace all rows. `grants` and
     `links` replace what the entry held and are valid for `grant_ttl_ms`
-    from the moment it sent the request.
+    from the moment it sent the request. `suspects` are the suspected
+    requests that bring it to `suspects_version`, which is 0 if there is
+    nothing new.
     """
 
     term: int
@@ -219,3 +224,5 @@
     entries_version: int = 0
     entries_full: bool = True
     blocks: bytes = b''
+    suspects_version: int = 0
+    suspects: list[_suspects.SuspectRow] = []
--- a/tests/crash_case.py
+++ b/tests/crash_case.py
@@ -211,6 +211,18 @@
             )
         return await asyncio.gather(*calls)
 
+    async def restart_entries(self) -> None:
+        """Kill all entries, and start others at their addresses."""
+        for run in self._runs:
+            run.cancel()
+        await asyncio.gather(*self._runs, return_exceptions=True)
+        self._runs.clear()
+        options = [entry.options for entry in self.entries]
+        self.entries.clear()
+        for entry_options in options:
+            self.start_entry(entry_options)
+        await self.wait_until_ready()
+
     def list_ends(self) -> list[float]:
         """Return when targets ended."""
         return sorted(
