Tell a target that starts again under its id from its former process

A target may come back under the id that it had. Strikes now name the incarnation as well, and a strike of a trial always ends it.

--- a/fulmarseam/entry/_outcomes.py
+++ b/fulmarseam/entry/_outcomes.py
@@ -81,6 +81,7 @@
             is_strike = await self._crash_guard.note_broken(
                 context.fingerprint(),
                 target,
+                self._pools.find_incarnation(target),
                 context.is_trial,
                 attempt.get_listening_check(),
             )
--- a/fulmarseam/entry/_pools.py
+++ b/fulmarseam/entry/_pools.py
@@ -138,6 +138,11 @@
             )
         return pool
 
+    def find_incarnation(self, target: ids.TargetId) -> int:
+        """Return the incarnation of a target, or 0 if it has left."""
+        row = self._state.targets.get(target)
+        return 0 if row is None else row.report.incarnation
+
     def update(self, now: float) -> None:
         """Apply the current tables and targets and serve the queues."""
         rows = {row.name: row for row in self._state.tables.rows(wire.Pool)}
--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -601,6 +601,7 @@
         await dependencies.crash_guard.note_broken(
             context.fingerprint(),
             target.target,
+            target.record.born_ms,
             context.is_trial,
             functools.partial(attempt.pool.is_listening, PROBE_TIMEOUT_S)
             if attempt.lost_kept_connection()
--- a/fulmarseam/quarantine/_guard.py
+++ b/fulmarseam/quarantine/_guard.py
@@ -67,6 +67,8 @@
 
 
 _FREE = Admission(Verdict.FREE)
+# Stands between the id of a target and its incarnation.
+_INCARNATION_MARK = '@'
 
 
 class _Break(NamedTuple):
@@ -249,14 +251,17 @@
         self,
         fingerprint: bytes,
         target: ids.TargetId,
+        incarnation: int,
         was_trial: bool,
         is_listening: Callable[[], Awaitable[bool]] | None = None,
     ) -> bool:
         """Record a connection that broke while its target ran a request.
 
-        `is_listening` is given for a kept connection, which the target may
-        have closed for reasons of its own. Waits until the leader knows of a
-        strike, at most `REPORT_TIMEOUT_S`. Returns whether it is one.
+        `incarnation` tells a target from one that has started again under
+        its id. `is_listening` is given for a kept connection, which the
+        target may have closed for reasons of its own. Waits until the leader
+        knows of a strike, at most `REPORT_TIMEOUT_S`. Returns whether it is
+        one.
         """
         broken_at = self._clock()
         self._breaks.append(_Break(broken_at, target, fingerprint))
@@ -265,7 +270,8 @@
         if is_unconfirmed:
             self._mark_unconfirmed(fingerprint)
         elif not self._is_one_of_many(fingerprint, broken_at):
-            await self._strike(wire.Strike(fingerprint, target, was_trial))
+            process = ids.TargetId(f'{target}{_INCARNATION_MARK}{incarnation}')
+            await self._strike(wire.Strike(fingerprint, process, was_trial))
             return True
         _log.info(
             telemetry.format_event(
@@ -413,7 +419,10 @@
         return [
             wire.QuarantineRow(
                 fingerprint=row.fingerprint.hex(),
-                targets=row.targets,
+                targets=[
+                    ids.TargetId(target.rpartition(_INCARNATION_MARK)[0])
+                    for target in row.targets
+                ],
                 quarantined=row.failed_trials > 0,
                 left_ms=int(
                     self._table.get_time_left(now, row.fingerprint) * 1_000
--- a/fulmarseam/steering/_suspects.py
+++ b/fulmarseam/steering/_suspects.py
@@ -108,13 +108,14 @@
         suspect = self._find(now, strike.fingerprint)
         if suspect is None:
             suspect = self._create(now, strike.fingerprint)
-        elif strike.target in suspect.targets:
+        if strike.was_trial:
+            suspect.trial_until = float('-inf')
+        if strike.target in suspect.targets:
             return
         if len(suspect.targets) < MAX_NAMED_TARGETS:
             suspect.targets.append(strike.target)
         if strike.was_trial:
             suspect.failed_trials += 1
-            suspect.trial_until = float('-inf')
             step = min(suspect.failed_trials, len(TRIAL_DELAYS_S) - 1)
             suspect.trial_at = now + TRIAL_DELAYS_S[step]
         suspect.expires_at = max(now, suspect.trial_at) + SUSPECT_LIFETIME_S
--- a/tests/test_crash_requests.py
+++ b/tests/test_crash_requests.py
@@ -210,7 +210,7 @@
         guard: quarantine.CrashGuard | None = None,
     ) -> bool:
         return await (guard or self.guard).note_broken(
-            name, ids.TargetId(target), was_trial
+            name, ids.TargetId(target), 1, was_trial
         )
 
     async def admit(
@@ -231,6 +231,17 @@
         self.assertIs(verdict.REFUSE, await self.admit(b'f'))
         self.assertIs(verdict.REFUSE, await self.admit(b'f', self.other))
 
+    async def test_a_target_that_starts_again_under_its_id_counts_again(
+        self,
+    ) -> None:
+        target = ids.TargetId('t1')
+        await self.guard.note_broken(b'f', target, 1, False)
+        self.assertIs(quarantine.Verdict.TRIAL, await self.admit(b'f'))
+        await self.guard.note_broken(b'f', target, 2, True)
+        self.assertIs(quarantine.Verdict.REFUSE, await self.admit(b'f'))
+        [row] = self.guard.list_rows()
+        self.assertEqual(['t1', 't1'], row.targets)
+
     async def test_a_trial_without_a_result_lets_the_next_one_start(
         self,
     ) -> None:
@@ -285,11 +296,11 @@
 
         target = ids.TargetId('t1')
         self.assertFalse(
-            await self.guard.note_broken(b'f', target, False, listen)
+            await self.guard.note_broken(b'f', target, 1, False, listen)
         )
         self.assertTrue(self.guard.needs_new_connection(b'f'))
         self.assertTrue(
-            await self.guard.note_broken(b'g', target, False, refuse)
+            await self.guard.note_broken(b'g', target, 1, False, refuse)
         )
 
     async def test_a_new_leader_learns_what_entries_know(self) -> None:
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -272,7 +272,7 @@
 
         guard = quarantine.CrashGuard(report)
         for target, was_trial in (('t1', False), ('t2', True)):
-            await guard.note_broken(b'f', ids.TargetId(target), was_trial)
+            await guard.note_broken(b'f', ids.TargetId(target), 1, was_trial)
 
         async def handle(message: wire.Message) -> wire.Message:
             self.assertIsInstance(message, wire.QuarantineRequest)
