--- a/fulmarseam/catalog/_entry_registry.py
+++ b/fulmarseam/catalog/_entry_registry.py
@@ -1,6 +1,7 @@
 """The entries that poll a member, and which of them callers should use."""
 
 import dataclasses
+import zlib
 
 from fulmarseam import ids
 from fulmarseam import wire
@@ -14,6 +15,12 @@
 # Entries poll the leader each 0.2 s. One that gets no answers for 1 s no
 # longer waits for the leader's permits.
 SILENCE_S = 0.8
+# Entries that reach few targets are left out of look-ups if this share of the
+# entries that a caller may use remains.
+MIN_REACHING_SHARE = 0.5
+# Entries that an entry is told to relay requests through.
+RELAYS_OF_REGION = 12
+RELAYS_OF_OTHER_REGION = 4
 
 
 @dataclasses.dataclass
@@ -62,6 +69,32 @@
             for row in self._rows.values()
         )
 
+    def find_relays(
+        self, now: float, entry: ids.EntryId, region: ids.RegionName
+    ) -> list[wire.EntryAddress]:
+        """Return the entries through which another one relays requests.
+
+        Each entry gets others, those of its region first.
+        """
+        candidates = [
+            row.poll
+            for row in self._rows.values()
+            if row.poll.state is wire.EntryState.READY
+            and now - row.heard_at <= ENTRY_LEASE_S
+            and not row.poll.is_cut_off
+            and row.poll.entry != entry
+        ]
+        candidates.sort(
+            key=lambda poll: (
+                poll.region != region,
+                zlib.crc32(f'{entry} {poll.entry}'.encode()),
+            )
+        )
+        return [
+            wire.EntryAddress(poll.address, poll.region)
+            for poll in _pick_relays(candidates, region)
+        ]
+
     def find_entries(
         self,
         now: float,
@@ -73,6 +106,8 @@
 
         These are the ready entries of the caller's region, or of all regions
         if it has none. Those of the caller's failure domain come first.
+        Entries that reach few targets are left out, unless the others would
+        be overloaded.
         """
         ready = [
             row.poll
@@ -81,12 +116,31 @@
             and now - row.heard_at <= ENTRY_LEASE_S
         ]
         candidates = [poll for poll in ready if poll.region == region] or ready
+        reaching = [poll for poll in candidates if not poll.is_cut_off]
+        if len(reaching) >= MIN_REACHING_SHARE * len(candidates):
+            candidates = reaching
         candidates.sort(
             key=lambda poll: (poll.failure_domain != domain, poll.entry)
         )
         return [poll.address for poll in candidates[:limit]]
 
 
+def _pick_relays(
+    candidates: list[wire.EntryPoll], region: ids.RegionName
+) -> list[wire.EntryPoll]:
+    """Return some entries of the region and some of each other region."""
+    by_region: dict[ids.RegionName, list[wire.EntryPoll]] = {}
+    for poll in candidates:
+        by_region.setdefault(poll.region, []).append(poll)
+    return [
+        poll
+        for found, polls in by_region.items()
+        for poll in polls[
+            : RELAYS_OF_REGION if found == region else RELAYS_OF_OTHER_REGION
+        ]
+    ]
+
+
 def _find_start(
     current: _Row | None, poll: wire.EntryPoll, now: float
 ) -> float | None:
--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -217,6 +217,12 @@
                 return self._answer_poll(message)
             case wire.PermitRequest():
                 return self._issue_permits(message)
+            case wire.RelayRequest():
+                return wire.RelayResponse(
+                    entries=self.entry_registry.find_relays(
+                        self._now(), message.entry, message.region
+                    )
+                )
             case wire.SuspectReport():
                 return self._suspect_registry.answer(
                     self._now(), self._require_term(), message
--- a/fulmarseam/entry/_attempts.py
+++ b/fulmarseam/entry/_attempts.py
@@ -31,13 +31,13 @@
     b'expect',
     ATTEMPT_HEADER,
     _requests.DEADLINE_HEADER,
+    _requests.RELAYED_HEADER,
     TRACEPARENT_HEADER,
 }
-_DROPPED_IN_RESPONSE = http.HOP_BY_HOP | {
-    ATTEMPT_HEADER,
-    _answers.OUTCOME_HEADER,
-    _answers.KIND_HEADER,
-}
+_OWN_RESPONSE_HEADERS = {_answers.OUTCOME_HEADER, _answers.KIND_HEADER}
+_DROPPED_IN_RESPONSE = (
+    http.HOP_BY_HOP | _OWN_RESPONSE_HEADERS | {ATTEMPT_HEADER}
+)
 _DROPPED_WITHOUT_BODY = _DROPPED_IN_RESPONSE | {b'content-length'}
 
 
@@ -55,7 +55,8 @@
     waits for the signal that both connections share. `pacers` limit the
     request body and the response body, in this order; both are indexed by
     `direction`: 0 is towards the target, 1 towards the caller. `may_reuse`
-    allows a connection that was kept.
+    allows a connection that was kept. With `is_relay` the request goes to
+    another entry, whose own responses are passed on as they are.
     """
 
     def __init__(
@@ -65,6 +66,7 @@
         connection_pool: http.TargetPool,
         pacers: tuple[_pacing.Pacer, _pacing.Pacer] | None,
         may_reuse: bool = True,
+        is_relay: bool = False,
     ) -> None:
         self._context = context
         self._caller = context.caller
@@ -72,6 +74,9 @@
         self._connection_pool = connection_pool
         self._pacers = pacers
         self._may_reuse = may_reuse
+        self._is_relay = is_relay
+        # Whether a new connection opened.
+        self.has_opened = False
         self._loop = asyncio.get_running_loop()
         self._connection: http.TargetConnection | None = None
         self._attempt_id = secrets.token_hex(ATTEMPT_ID_BYTES).encode()
@@ -100,6 +105,7 @@
             self._is_reused = connection is not None
             if connection is None:
                 connection = await self._open(signal)
+                self.has_opened = True
             try:
                 return await self._run_on_connection(connection)
             except http.TargetError as error:
@@ -183,6 +189,8 @@
             (_requests.DEADLINE_HEADER, b'%d' % max(remaining_ms, 0))
         )
         headers.append((ATTEMPT_HEADER, self._attempt_id))
+        if self._is_relay:
+            headers.append((_requests.RELAYED_HEADER, b'1'))
         if context.traceparent is not None:
             headers.append((TRACEPARENT_HEADER, context.traceparent.encode()))
         return headers
@@ -239,8 +247,11 @@
         dropped = _DROPPED_IN_RESPONSE
         if response.status == 204:
             dropped = _DROPPED_WITHOUT_BODY
+        if self._is_relay:
+            dropped = dropped - _OWN_RESPONSE_HEADERS
         headers = http.drop_headers(response.headers, response.fields, dropped)
-        headers.append((_answers.OUTCOME_HEADER, ANSWERED))
+        if not self._is_relay:
+            headers.append((_answers.OUTCOME_HEADER, ANSWERED))
         self._caller.start_response(
             response.status, headers, response.reason, headers_validated=True
         )
--- a/fulmarseam/entry/_daemon.py
+++ b/fulmarseam/entry/_daemon.py
@@ -11,6 +11,7 @@
 from fulmarseam import http
 from fulmarseam import quarantine
 from fulmarseam import records
+from fulmarseam import relay
 from fulmarseam import settings
 from fulmarseam import steering
 from fulmarseam import telemetry
@@ -24,6 +25,7 @@
 from fulmarseam.entry import _peers
 from fulmarseam.entry import _pools
 from fulmarseam.entry import _proxying
+from fulmarseam.entry import _relaying
 from fulmarseam.entry import _reports
 from fulmarseam.entry import _state
 from fulmarseam.entry import _syncing
@@ -101,6 +103,18 @@
             f'{options.entry_id}.{self.reporter.incarnation}',
         )
         self.lookups = _lookups.Lookups(options, self.state)
+        self._entry_pools = http.TargetPools()
+        self._relayer = _relaying.Relayer(
+            options, self.state, self._entry_pools
+        )
+        self.prober = relay.Prober(
+            relay.Paths(
+                self.pools.choose_probes,
+                self.pools.is_cut_off,
+                self._note_cut_off,
+            ),
+            self.target_pools.is_listening,
+        )
         self.state.on_change = self._apply_change
         self._register_gauges()
         self.caller_server = self._make_caller_server(tracer)
@@ -121,6 +135,8 @@
             pools=self.pools,
             target_pools=self.target_pools,
             crash_guard=self.crash_guard,
+            relayer=self._relayer,
+            count_active=lambda: self.caller_server.active_requests,
             claims=self.claims,
             metrics=self.metrics,
             tracer=tracer,
@@ -153,6 +169,9 @@
     def _request_sync(self) -> None:
         self.synchronizer.request_now()
 
+    def _note_cut_off(self, is_cut_off: bool) -> None:
+        self._log_event('cut_off' if is_cut_off else 'paths_restored')
+
     async def _report_suspects(
         self, report: wire.SuspectReport, timeout_s: float
     ) -> wire.TrialResponse:
@@ -233,6 +252,10 @@
             'targets_ready', lambda: len(self.state.targets.ready())
         )
         register_gauge('suspected_requests', self.crash_guard.count)
+        register_gauge('cut_off', self.pools.is_cut_off)
+        register_gauge(
+            'requests_relayed', self._relayer.relays.count_in_flight
+        )
         register_gauge('requests_in_flight', self.state.slots.total_in_flight)
         register_gauge('revision', lambda: self.state.tables.revision)
         register_gauge(
@@ -245,6 +268,9 @@
         """Serve until `stop_requested` is set, then stop gracefully."""
         async with self._exit_stack as stack:
             await stack.enter_async_context(self.target_pools)
+            await stack.enter_async_context(self._entry_pools)
+            await stack.enter_async_context(self._relayer.relays)
+            await stack.enter_async_context(self.prober)
             await stack.enter_async_context(self.peers)
             await stack.enter_async_context(self.record_server)
             await stack.enter_async_context(self.rpc_server)
--- a/fulmarseam/entry/_outcomes.py
+++ b/fulmarseam/entry/_outcomes.py
@@ -68,6 +68,12 @@
             return self._fail(
                 context, errors.ErrorKind.TARGET_SHED, error, True
             )
+        if attempt.progress is http.Progress.NOT_SENT or (
+            error.reason is http.Reason.BROKEN
+        ):
+            self._pools.note_unreachable(
+                self._loop.time(), placement.pool, target
+            )
         if attempt.progress is http.Progress.NOT_SENT:
             kind = errors.ErrorKind.NO_TARGET
             if error.reason is http.Reason.TIMED_OUT:
--- a/fulmarseam/entry/_pools.py
+++ b/fulmarseam/entry/_pools.py
@@ -4,14 +4,19 @@
 from collections.abc import Callable
 from collections.abc import Collection
 import dataclasses
+import functools
 import random
 import statistics
 from typing import NamedTuple
 
+import logbook
+
 from fulmarseam import errors
 from fulmarseam import ids
 from fulmarseam import membership
+from fulmarseam import relay
 from fulmarseam import steering
+from fulmarseam import telemetry
 from fulmarseam import wire
 from fulmarseam.entry import _state
 
@@ -24,6 +29,8 @@
 # not been confirmed for longer has lost contact and gets no more slots.
 LEADER_CONTACT_TIMEOUT_S = 2.0
 
+_log = logbook.Logger('entry')
+
 
 class Placement(NamedTuple):
     """A request's slot on a target, to be released by `Pools.release`."""
@@ -50,6 +57,7 @@
     def __init__(self, pool: wire.Pool, locality: steering.Locality) -> None:
         self.pool = pool
         self.view = steering.PoolView(pool, locality)
+        self.reachability = steering.Reachability()
         self.queue: steering.RequestQueue[QueuedRequest] = (
             steering.RequestQueue(pool.queue_limit)
         )
@@ -138,6 +146,82 @@
             )
         return pool
 
+    def list_targets(self, name: ids.PoolName) -> list[wire.TargetReport]:
+        """Return the ready targets of a pool."""
+        return [
+            row.report
+            for row in self._state.targets.ready()
+            if row.report.pool == name
+        ]
+
+    def find_unreachable(self, name: ids.PoolName) -> frozenset[ids.TargetId]:
+        """Return the targets of a pool that requests must not use now.
+
+        There are none while the paths of this entry are open.
+        """
+        reachability = self.get(name).reachability
+        if reachability.state is not steering.PathState.CUT_OFF:
+            return frozenset()
+        return frozenset(
+            report.target
+            for report in self.list_targets(name)
+            if not reachability.may_open(report.target)
+        )
+
+    def note_unreachable(
+        self, now: float, name: ids.PoolName, target: ids.TargetId
+    ) -> None:
+        """Record that a target could not be reached or fell silent."""
+        self.get(name).reachability.note_unreachable(
+            now, target, len(self.list_targets(name))
+        )
+
+    def is_cut_off(self) -> bool:
+        """Return whether the paths to the targets of most pools are cut."""
+        cut_count = sum(
+            pool.reachability.state is steering.PathState.CUT_OFF
+            for pool in self._pools.values()
+        )
+        return 2 * cut_count > len(self._pools)
+
+    def choose_probes(self) -> list[relay.Probe]:
+        """Return the targets to connect to, to find out about the paths."""
+        probes = []
+        for name, pool in self._pools.items():
+            if pool.reachability.state is steering.PathState.OPEN:
+                continue
+            reports = {
+                report.target: report for report in self.list_targets(name)
+            }
+            probes += [
+                relay.Probe(
+                    reports[target].address,
+                    functools.partial(self._note_probe, name, target),
+                )
+                for target in pool.reachability.choose_probes(reports)
+            ]
+        return probes
+
+    def _note_probe(
+        self, name: ids.PoolName, target: ids.TargetId, is_reached: bool
+    ) -> None:
+        pool = self._pools.get(name)
+        if pool is None:
+            return
+        previous = pool.reachability.state
+        pool.reachability.note_probe(
+            target, is_reached, len(self.list_targets(name))
+        )
+        if pool.reachability.state is not previous:
+            _log.warning(
+                telemetry.format_event(
+                    'paths',
+                    pool=name,
+                    state=pool.reachability.state.value,
+                    previous=previous.value,
+                )
+            )
+
     def find_incarnation(self, target: ids.TargetId) -> int:
         """Return the incarnation of a target, or 0 if it has left."""
         row = self._state.targets.get(target)
--- a/fulmarseam/entry/_proxying.py
+++ b/fulmarseam/entry/_proxying.py
@@ -1,6 +1,7 @@
 """The path of a caller's request through an entry."""
 
 import asyncio
+from collections.abc import Callable
 from typing import NamedTuple
 
 import logbook
@@ -9,6 +10,7 @@
 from fulmarseam import http
 from fulmarseam import ids
 from fulmarseam import quarantine
+from fulmarseam import relay
 from fulmarseam import steering
 from fulmarseam import telemetry
 from fulmarseam import wire
@@ -19,6 +21,7 @@
 from fulmarseam.entry import _pacing
 from fulmarseam.entry import _placement
 from fulmarseam.entry import _pools
+from fulmarseam.entry import _relaying
 from fulmarseam.entry import _requests
 from fulmarseam.entry import _state
 
@@ -37,6 +40,8 @@
     pools: _pools.Pools
     target_pools: http.TargetPools
     crash_guard: quarantine.CrashGuard
+    relayer: _relaying.Relayer
+    count_active: Callable[[], int]
     claims: _claims.Claims
     metrics: telemetry.Metrics
     tracer: telemetry.Tracer
@@ -57,6 +62,7 @@
             dependencies.pools, dependencies.crash_guard
         )
         self._loop = asyncio.get_running_loop()
+        self.relayed_requests = relay.RelayedRequests()
         self._request_counts: dict[tuple[str, str], int] = {}
         self._retired_callers: set[tuple[str, str]] = set()
 
@@ -70,7 +76,10 @@
         try:
             context = self._admit(request, caller, started)
             route = context.route.name
-            await self._run(context)
+            if context.is_relayed:
+                await self._run_relayed(context)
+            else:
+                await self._run(context)
         except errors.FulmarseamError as error:
             kind = error.kind.value
             raise
@@ -164,6 +173,14 @@
             limit_ms if requested_ms is None else min(limit_ms, requested_ms)
         )
 
+    async def _run_relayed(self, context: _requests.RequestContext) -> None:
+        """Run a request that another entry relays."""
+        self.relayed_requests.start(self._dependencies.count_active())
+        try:
+            await self._run(context)
+        finally:
+            self.relayed_requests.finish()
+
     async def _run(self, context: _requests.RequestContext) -> None:
         """Run a request with its deadline timer, trace span and claim."""
         signal = context.caller.signal
@@ -180,6 +197,9 @@
                 context.traceparent = span.traceparent()
                 if not context.caller.body_done:
                     await context.read_prefix()
+                if self._is_out_of_reach(context):
+                    await self._dependencies.relayer.relay(context)
+                    return
                 claim = self._dependencies.claims.create_claim(context)
                 try:
                     await self._run_claimed(context, claim)
@@ -189,6 +209,24 @@
         finally:
             timer.cancel()
 
+    def _is_out_of_reach(self, context: _requests.RequestContext) -> bool:
+        """Return whether another entry has to run a request.
+
+        Raises `errors.FulmarseamError` if another one relays it already.
+        """
+        pool_name = context.route.pool
+        unreachable = self._pools.find_unreachable(pool_name)
+        if not unreachable or len(unreachable) < len(
+            self._pools.list_targets(pool_name)
+        ):
+            return False
+        if context.is_relayed:
+            raise errors.FulmarseamError(
+                errors.ErrorKind.NO_TARGET,
+                'this entry has lost its paths to the targets',
+            )
+        return True
+
     async def _run_claimed(
         self, context: _requests.RequestContext, claim: _claims.Claim | None
     ) -> None:
@@ -199,7 +237,7 @@
         """
         if claim is not None and not await claim.acquire():
             return
-        avoided: frozenset[ids.TargetId] = frozenset()
+        avoided = self._pools.find_unreachable(context.route.pool)
         pool = self._pools.get(context.route.pool)
         # Without a claim nothing keeps a request that is not idempotent from
         # running twice.
@@ -254,6 +292,9 @@
             attempt = self._make_attempt(context, placement)
             return await self._forward(context, placement, attempt, claim)
         finally:
+            if attempt is not None and attempt.has_opened:
+                reachability = self._pools.get(placement.pool).reachability
+                reachability.note_reached(placement.choice.target)
             sent = attempt is not None and (
                 attempt.progress is not http.Progress.NOT_SENT
             )
--- a/fulmarseam/entry/_requests.py
+++ b/fulmarseam/entry/_requests.py
@@ -9,6 +9,8 @@
 
 DEADLINE_HEADER = b'fulmarseam-deadline-ms'
 REQUEST_ID_HEADER = b'idempotency-key'
+# Marks a request that another entry relays, which is relayed no further.
+RELAYED_HEADER = b'fulmarseam-relayed'
 MAX_DEADLINE_DIGITS = 9
 # Length of the body prefix that fingerprints cover; it is read before the
 # request is sent to a target.
@@ -38,6 +40,7 @@
         'request',
         'request_id',
         'route',
+        'is_relayed',
         'is_trial',
         'traceparent',
         '_fingerprint',
@@ -59,6 +62,8 @@
         self.body_bytes = 0
         self.body_prefix = b''
         self.is_replayable = True
+        # Whether another entry relays the request.
+        self.is_relayed = RELAYED_HEADER in request.fields
         self.is_trial = False
         self._fingerprint: bytes | None = None
 
--- a/fulmarseam/gateway/_attempts.py
+++ b/fulmarseam/gateway/_attempts.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from fulmarseam import http
-from fulmarseam import steering
+from fulmarseam import ids
 from fulmarseam.gateway import _http_names
 from fulmarseam.gateway import _rate_limits
 from fulmarseam.gateway import _requests
@@ -38,29 +38,42 @@
     body: bytes | None
 
 
+class Recipient(NamedTuple):
+    """Where an attempt sends its request: a target, or a relay.
+
+    `header` is the header that the request carries for the recipient only.
+    """
+
+    name: ids.TargetId
+    header: tuple[bytes, bytes]
+
+
 class Attempt:
-    """Sends a request to one target and reads the answer.
+    """Sends a request to one recipient and reads the answer.
 
     `first_byte_deadline` bounds the wait for the head of the answer, and the
     deadline of the request bounds the rest. Both are in seconds of the event
-    loop's clock. `may_reuse` allows a connection that was kept.
+    loop's clock. `may_reuse` allows a connection that was kept, and
+    `may_open` a new one.
     """
 
     def __init__(
         self,
         context: _requests.RequestContext,
-        target: steering.ObservedTarget,
+        recipient: Recipient,
         pool: http.TargetPool,
         http_names: _http_names.HttpNames,
         first_byte_deadline: float,
         may_reuse: bool = True,
+        may_open: bool = True,
     ) -> None:
         self._context = context
-        self._target = target
+        self._recipient = recipient
         self._pool = pool
         self._http_names = http_names
         self._first_byte_deadline = first_byte_deadline
         self._may_reuse = may_reuse
+        self._may_open = may_open
         self._loop = asyncio.get_running_loop()
         self._is_uploading = True
         self._is_reused = False
@@ -71,6 +84,8 @@
         # What the answer says about the rate limit, once one has come.
         self._limit_reading: _rate_limits.LimitReading | None = None
         self.has_answered = False
+        # Whether a new connection opened.
+        self.has_opened = False
         # Whether the target ran the request and did not fail it.
         self.is_served = False
 
@@ -88,6 +103,7 @@
             self._is_reused = connection is not None
             if connection is None:
                 connection = await self._open()
+                self.has_opened = True
             self._connection = connection
             try:
                 return await self._run_on(connection)
@@ -117,9 +133,14 @@
         return (
             self._may_reuse
             and context.request_id is not None
-            and self._target.target not in context.answered_by
+            and self._recipient.name not in context.answered_by
         )
 
+    @property
+    def has_used_kept(self) -> bool:
+        """Return whether the last connection was a kept one."""
+        return self._is_reused
+
     @property
     def pool(self) -> http.TargetPool:
         """Return the connections to the target."""
@@ -155,6 +176,12 @@
         remaining_s = self._context.deadline - self._loop.time()
         if remaining_s <= 0.0:
             raise self._make_timeout_error('the deadline passed')
+        if not self._may_open:
+            raise http.TargetError(
+                http.Reason.NO_CONNECTION_LEFT,
+                http.Progress.NOT_SENT,
+                'no kept connection is left',
+            )
         return await self._pool.open(
             self._context.signal, min(remaining_s, CONNECT_TIMEOUT_S)
         )
@@ -193,13 +220,15 @@
             context.request.headers,
             context.request.fields,
             _DROPPED_REQUEST_HEADERS
-            | {http_names.deadline, http_names.expected_target},
+            | {
+                http_names.deadline,
+                http_names.expected_target,
+                http_names.relayed,
+            },
         )
         remaining_ms = int((context.deadline - self._loop.time()) * 1_000)
         headers.append((http_names.deadline, b'%d' % max(1, remaining_ms)))
-        headers.append(
-            (http_names.expected_target, self._target.target.encode('latin-1'))
-        )
+        headers.append(self._recipient.header)
         if context.request.length is None:
             headers.append((b'transfer-encoding', b'chunked'))
         return headers
@@ -283,7 +312,7 @@
             )
         if response.status == MISDIRECTED_STATUS:
             raise NotRunError('another target has the address', True)
-        self._context.answered_by.add(self._target.target)
+        self._context.answered_by.add(self._recipient.name)
         self._limit_reading = _rate_limits.read_limit(
             response, http_names.rate_limit
         )
--- a/fulmarseam/gateway/_daemon.py
+++ b/fulmarseam/gateway/_daemon.py
@@ -10,6 +10,7 @@
 from fulmarseam import http
 from fulmarseam import ids
 from fulmarseam import quarantine
+from fulmarseam import relay
 from fulmarseam import settings
 from fulmarseam import telemetry
 from fulmarseam import wire
@@ -20,6 +21,7 @@
 from fulmarseam.gateway import _permits
 from fulmarseam.gateway import _poller
 from fulmarseam.gateway import _rate_limits
+from fulmarseam.gateway import _relaying
 from fulmarseam.gateway import _routes
 
 TICK_S = 1.0
@@ -72,6 +74,19 @@
         )
         self._request_log = telemetry.RequestLog()
         self._target_pools = http.TargetPools()
+        self.load_balancer.has_kept_connection = self._target_pools.has_idle
+        self._entry_pools = http.TargetPools()
+        self.relays = relay.Relays(
+            ids.RegionName(options.region), self.poller.fetch_relays
+        )
+        self.prober = relay.Prober(
+            relay.Paths(
+                self.load_balancer.choose_probes,
+                self.load_balancer.is_cut_off,
+                self._set_cut_off,
+            ),
+            self._target_pools.is_listening,
+        )
         self._forwarder = _forwarding.Forwarder(
             _forwarding.Dependencies(
                 mirror=self.mirror,
@@ -85,6 +100,10 @@
                 request_log=self._request_log,
                 pause_guard=self.poller.pause_guard,
                 crash_guard=self.crash_guard,
+                relayer=_relaying.Relayer(
+                    self.relays, http_names, self._entry_pools
+                ),
+                count_active=lambda: self.caller_server.active_requests,
             )
         )
         self.caller_server = http.Server(
@@ -116,8 +135,24 @@
             'requests_in_flight', self.load_balancer.count_in_flight
         )
         register_gauge('suspected_requests', self.crash_guard.count)
+        register_gauge('cut_off', lambda: self.poller.is_cut_off)
+        register_gauge('requests_relayed', self.relays.count_in_flight)
+        register_gauge(
+            'requests_of_entries', self._forwarder.relayed_requests.count
+        )
         register_gauge('senders', lambda: self.poller.senders)
 
+    def _set_cut_off(self, is_cut_off: bool) -> None:
+        """Tell the members at once, as look-ups then leave this entry out."""
+        self.poller.is_cut_off = is_cut_off
+        self.poller.poll_now()
+        _log.warning(
+            telemetry.format_event(
+                'cut_off' if is_cut_off else 'paths_restored',
+                targets=self.load_balancer.count_ready(),
+            )
+        )
+
     async def _report_suspects(
         self, report: wire.SuspectReport, timeout_s: float
     ) -> wire.TrialResponse:
@@ -176,9 +211,12 @@
         """Serve until `stopping` is set, then stop gracefully."""
         async with contextlib.AsyncExitStack() as stack:
             await stack.enter_async_context(self._target_pools)
+            await stack.enter_async_context(self._entry_pools)
             await stack.enter_async_context(self._check_server)
             await stack.enter_async_context(self.caller_server)
             await stack.enter_async_context(self.poller)
+            await stack.enter_async_context(self.relays)
+            await stack.enter_async_context(self.prober)
             stack.callback(self._permits.close)
             stack.callback(self.crash_guard.close)
             tick_task = asyncio.create_task(self._tick())
--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -1,6 +1,7 @@
 """Forwarding of callers' requests to targets, with retries."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Set
 import dataclasses
 import functools
@@ -13,6 +14,7 @@
 from fulmarseam import http
 from fulmarseam import ids
 from fulmarseam import quarantine
+from fulmarseam import relay
 from fulmarseam import steering
 from fulmarseam import telemetry
 from fulmarseam.gateway import _attempts
@@ -22,8 +24,10 @@
 from fulmarseam.gateway import _permits
 from fulmarseam.gateway import _rate_limits
 from fulmarseam.gateway import _refusals
+from fulmarseam.gateway import _relaying
 from fulmarseam.gateway import _requests
 from fulmarseam.gateway import _routes
+from fulmarseam.gateway import _sending
 from fulmarseam.gateway import _summaries
 
 # Time reserved so that the answer reaches the caller before its deadline.
@@ -53,6 +57,8 @@
     request_log: telemetry.RequestLog
     pause_guard: _pauses.PauseGuard
     crash_guard: quarantine.CrashGuard
+    relayer: _relaying.Relayer
+    count_active: Callable[[], int]
 
 
 class _FailedAttempt(NamedTuple):
@@ -87,6 +93,7 @@
         self._dependencies = dependencies
         self._splitter = steering.Splitter()
         self._refusals = _refusals.Refusals(dependencies.load_balancer)
+        self.relayed_requests = relay.RelayedRequests()
         # Requests whose deadline is later are refused, as the process ends.
         self.last_deadline = float('inf')
         self._loop = asyncio.get_running_loop()
@@ -101,11 +108,16 @@
         )
         summary = _summaries.RequestSummary()
         try:
-            await self._process(context, summary)
+            if context.is_relayed:
+                await self._process_relayed(context, summary)
+            else:
+                await self._process(context, summary)
         except errors.FulmarseamError as error:
             summary.outcome = error.kind.value
             summary.detail = error.detail
-            raise
+            if not context.is_relayed or caller.response_started:
+                raise
+            _relaying.send_error(context, error, self._dependencies.http_names)
         except http.CallerGoneError:
             summary.outcome = errors.ErrorKind.CALLER_GONE.value
             raise
@@ -135,6 +147,18 @@
             dependencies.mirror.revision,
         )
 
+    async def _process_relayed(
+        self,
+        context: _requests.RequestContext,
+        summary: _summaries.RequestSummary,
+    ) -> None:
+        """Answer a request that another entry relays."""
+        self.relayed_requests.start(self._dependencies.count_active())
+        try:
+            await self._process(context, summary)
+        finally:
+            self.relayed_requests.finish()
+
     async def _process(
         self,
         context: _requests.RequestContext,
@@ -149,6 +173,12 @@
             )
         await dependencies.pause_guard.wait_until_fresh()
         context.route = dependencies.routes.match(context.host, context.path)
+        context.max_attempts = context.route.max_attempts
+        attempts_left = _requests.read_attempts_left(
+            context.request, dependencies.http_names
+        )
+        if attempts_left is not None:
+            context.max_attempts = min(context.max_attempts, attempts_left)
         summary.route = context.route.name
         self._set_deadline(context)
         if context.deadline > self.last_deadline:
@@ -158,7 +188,11 @@
             )
         pool_name = self._splitter.choose_pool(context.route)
         summary.pool = pool_name
-        dependencies.load_balancer.count_request(self._loop.time(), pool_name)
+        if not context.is_relayed:
+            # The entry that relays a request has counted it.
+            dependencies.load_balancer.count_request(
+                self._loop.time(), pool_name
+            )
         await context.buffer_body()
         await self._attempt_until_done(context, pool_name, summary)
 
@@ -262,9 +296,7 @@
             retries.may_ask,
         )
         if placement.target is None:
-            raise retries.possible_run_error or self._refusals.make_error(
-                now, context.route, retries.pool_name, len(retries.avoided)
-            )
+            return await self._relay_or_refuse(context, retries, summary)
         if not await self._acquire_permit(context, placement.target):
             # Other targets are tried without asking the leader again.
             retries.may_ask = False
@@ -282,6 +314,44 @@
             raise retries.possible_run_error or failure.error
         return False
 
+    async def _relay_or_refuse(
+        self,
+        context: _requests.RequestContext,
+        retries: _Retries,
+        summary: _summaries.RequestSummary,
+    ) -> bool:
+        """Relay a request that no target of this entry can take.
+
+        Raises `errors.FulmarseamError` if it must not be relayed, or if no
+        other entry answers it.
+        """
+        dependencies = self._dependencies
+        now = self._loop.time()
+        failure = relay.RelayFailure()
+        if (
+            not context.is_relayed
+            and context.is_replayable
+            and len(context.attempted) < context.max_attempts
+            and dependencies.load_balancer.is_out_of_reach(
+                now, context.route, retries.pool_name
+            )
+        ):
+            if context.is_trial:
+                # The other entry asks for a trial by itself.
+                context.is_trial = False
+                dependencies.crash_guard.end_trial(context.fingerprint())
+            relayed = await dependencies.relayer.relay(context, summary)
+            if relayed is None:
+                return True
+            failure = relayed
+        raise (
+            retries.possible_run_error
+            or failure.error
+            or self._refusals.make_error(
+                now, context.route, retries.pool_name, len(retries.avoided)
+            )
+        )
+
     async def _acquire_permit(
         self,
         context: _requests.RequestContext,
@@ -336,7 +406,13 @@
         max_idle = int(max_connections * IDLE_CONNECTION_SHARE)
         attempt = _attempts.Attempt(
             context,
-            target,
+            _attempts.Recipient(
+                target.target,
+                (
+                    dependencies.http_names.expected_target,
+                    target.target.encode('latin-1'),
+                ),
+            ),
             dependencies.target_pools.get(
                 target.record.address,
                 max_connections,
@@ -344,9 +420,10 @@
             ),
             dependencies.http_names,
             self._compute_first_byte_deadline(context, target, started_at),
-            not dependencies.crash_guard.needs_new_connection(
+            may_reuse=not dependencies.crash_guard.needs_new_connection(
                 context.fingerprint()
             ),
+            may_open=dependencies.load_balancer.may_open(target),
         )
         if context.is_trial:
             dependencies.crash_guard.start_trial(
@@ -368,10 +445,10 @@
             summary.status = answer.response.status
             summary.outcome = _summaries.ANSWERED
             if answer.body is None:
-                await self._send_answer(context, attempt, answer)
+                await _sending.send_answer(context, attempt, answer)
             dependencies.crash_guard.note_answered(context.fingerprint())
             if answer.body is not None:
-                await self._send_answer(context, attempt, answer)
+                await _sending.send_answer(context, attempt, answer)
             return None
         except _attempts.NotRunError as error:
             return self._handle_not_run(context, target, attempt, error)
@@ -390,9 +467,20 @@
             ) from error
         finally:
             self._note_limit(target, attempt)
+            self._note_connection(target, attempt)
             attempt.close()
             dependencies.load_balancer.release(target)
 
+    def _note_connection(
+        self, target: steering.ObservedTarget, attempt: _attempts.Attempt
+    ) -> None:
+        """Record what the connection of an attempt tells about the paths."""
+        load_balancer = self._dependencies.load_balancer
+        if attempt.has_opened:
+            load_balancer.note_opened(target)
+        elif attempt.has_used_kept and attempt.has_answered:
+            load_balancer.note_kept(self._loop.time(), target, True)
+
     def _note_limit(
         self, target: steering.ObservedTarget, attempt: _attempts.Attempt
     ) -> None:
@@ -413,7 +501,7 @@
         target_count = len(context.attempted | {target.target})
         if (
             not context.route.idempotent
-            or target_count >= context.route.max_attempts
+            or target_count >= context.max_attempts
         ):
             return context.deadline
         return now + steering.compute_attempt_timeout(
@@ -461,51 +549,12 @@
             now < context.deadline
             and context.route.idempotent
             and context.is_replayable
-            and len(context.attempted) < context.route.max_attempts
+            and len(context.attempted) < context.max_attempts
             and self._dependencies.load_balancer.try_acquire_retry(
                 now, target.record.pool
             )
         )
 
-    async def _send_answer(
-        self,
-        context: _requests.RequestContext,
-        attempt: _attempts.Attempt,
-        answer: _attempts.Answer,
-    ) -> None:
-        """Send the answer of a target to the caller."""
-        response = answer.response
-        dropped = http.HOP_BY_HOP
-        if answer.body is not None and context.request.method != b'HEAD':
-            dropped |= {b'content-length'}
-        headers = http.drop_headers(response.headers, response.fields, dropped)
-        if answer.body is not None:
-            if context.request.method != b'HEAD' and response.status not in (
-                204,
-                304,
-            ):
-                length = b'%d' % len(answer.body)
-                headers.append((b'content-length', length))
-            context.caller.start_response(
-                response.status,
-                headers,
-                response.reason,
-                headers_validated=True,
-            )
-            if answer.body:
-                context.caller.send_data(answer.body)
-            context.caller.end_response()
-            return
-        context.caller.start_response(
-            response.status, headers, response.reason, headers_validated=True
-        )
-        try:
-            await attempt.stream_body()
-        except http.TargetError as error:
-            raise errors.FulmarseamError(
-                errors.ErrorKind.TARGET_FAILED, error.detail
-            ) from error
-
     def _handle_not_run(
         self,
         context: _requests.RequestContext,
@@ -517,7 +566,7 @@
         load_balancer = self._dependencies.load_balancer
         now = self._loop.time()
         if error.is_misdirected:
-            load_balancer.eject(now, target)
+            load_balancer.eject(now, target, is_reachable=True)
         else:
             load_balancer.record_failure(target)
         if attempt.load_report:
@@ -552,12 +601,15 @@
         summary.outcome = ''
         is_late = now >= context.deadline
         if attempt.progress is http.Progress.NOT_SENT:
-            load_balancer.eject(now, target)
+            if load_balancer.may_open(target):
+                load_balancer.eject(now, target)
             kind = errors.ErrorKind.NO_CAPACITY
             return _FailedAttempt(
                 errors.FulmarseamError(kind, error.detail), not is_late
             )
         context.attempted.add(target.target)
+        if attempt.lost_kept_connection():
+            load_balancer.note_kept(now, target, False)
         kind = errors.ErrorKind.TARGET_FAILED
         lost_idle_connection = False
         if error.reason is http.Reason.TIMED_OUT:
--- a/fulmarseam/gateway/_http_names.py
+++ b/fulmarseam/gateway/_http_names.py
@@ -12,9 +12,10 @@
     `not_run` marks an answer of a target that did not run the request.
     `load` reports running requests, waiting requests and slots.
     `rate_limit` is the number of requests a second that the target takes
-    from all entries together. `affinity` is the cookie that names the object
-    of a request, and `readiness_path` the path of the platform's readiness
-    checks.
+    from all entries together. `relayed` marks a request that another entry
+    relays, and is the number of targets that may still run it. `affinity` is
+    the cookie that names the object of a request, and `readiness_path` the
+    path of the platform's readiness checks.
     """
 
     request_id: bytes = b'fulmarseam-request-id'
@@ -24,4 +25,5 @@
     load: bytes = b'fulmarseam-load'
     rate_limit: bytes = b'fulmarseam-rate-limit'
     affinity: bytes = b'fulmarseam-object'
+    relayed: bytes = b'fulmarseam-relayed'
     readiness_path: str = '/v1/ready'
--- a/fulmarseam/gateway/_load_balancer.py
+++ b/fulmarseam/gateway/_load_balancer.py
@@ -1,13 +1,16 @@
 """Load balancing of requests over the targets that an entry observes."""
 
+from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Sequence
+import functools
 import zlib
 
 import logbook
 
 from fulmarseam import catalog
 from fulmarseam import ids
+from fulmarseam import relay
 from fulmarseam import settings
 from fulmarseam import steering
 from fulmarseam import telemetry
@@ -52,6 +55,7 @@
         self.retry_budget = retry_budget
         self.targets: list[steering.ObservedTarget] = []
         self.statistics = steering.PoolStatistics()
+        self.reachability = steering.Reachability()
         self._failure_rate = 0.0
         self._failure_rate_at = float('-inf')
 
@@ -90,6 +94,8 @@
         self._evacuated: frozenset[ids.DomainName] = frozenset()
         self.limited_targets = steering.LimitedTargets()
         self.senders = 1
+        # Returns whether there are idle connections to an address.
+        self.has_kept_connection: Callable[[str], bool] = _has_none
 
     # Catalog updates
 
@@ -191,6 +197,106 @@
         """Return this entry's part of the retry slack."""
         return self._options.retry_slack * RETRY_SHARE_USED / self.senders
 
+    # Paths to the targets
+
+    def is_out_of_reach(
+        self, now: float, route: wire.RouteItem, pool_name: ids.PoolName
+    ) -> bool:
+        """Return whether this entry reaches few targets of a request."""
+        pool = self._get_or_create_pool(pool_name)
+        targets = _filter_by_region(pool.targets, route.allowed_regions)
+        lost_count = sum(
+            steering.is_ejected_here(observed, now)
+            or not self._has_path(pool.reachability, observed)
+            for observed in targets
+        )
+        return lost_count > 0 and 2 * lost_count >= len(targets)
+
+    def _has_path(
+        self,
+        reachability: steering.Reachability,
+        observed: steering.ObservedTarget,
+    ) -> bool:
+        """Return whether a request can reach a target now."""
+        return reachability.may_open(observed.target) or (
+            reachability.may_use_kept()
+            and self.has_kept_connection(observed.record.address)
+        )
+
+    def may_open(self, observed: steering.ObservedTarget) -> bool:
+        """Return whether a request may open a connection to a target."""
+        pool = self._get_or_create_pool(observed.record.pool)
+        return pool.reachability.may_open(observed.target)
+
+    def note_kept(
+        self, now: float, observed: steering.ObservedTarget, is_answered: bool
+    ) -> None:
+        """Record an answer on a kept connection, or that it broke."""
+        reachability = self._get_or_create_pool(
+            observed.record.pool
+        ).reachability
+        if is_answered:
+            reachability.note_kept_answer(now)
+        else:
+            reachability.note_kept_break(now)
+
+    def is_cut_off(self) -> bool:
+        """Return whether the paths to most targets are cut."""
+        cut_count = sum(
+            len(pool.targets)
+            for pool in self._pools.values()
+            if pool.reachability.state is steering.PathState.CUT_OFF
+        )
+        return 2 * cut_count > self.count_ready()
+
+    def choose_probes(self) -> list[relay.Probe]:
+        """Return the targets to connect to, to find out about the paths."""
+        return [
+            self._make_probe(self._targets[target])
+            for pool in self._pools.values()
+            for target in pool.reachability.choose_probes(
+                [observed.target for observed in pool.targets]
+            )
+        ]
+
+    def _make_probe(self, observed: steering.ObservedTarget) -> relay.Probe:
+        return relay.Probe(
+            observed.record.address,
+            functools.partial(self._note_probe, observed),
+        )
+
+    def _note_probe(
+        self, observed: steering.ObservedTarget, is_reached: bool
+    ) -> None:
+        """Record whether a target accepted a connection."""
+        pool = self._get_or_create_pool(observed.record.pool)
+        state = pool.reachability.state
+        pool.reachability.note_probe(
+            observed.target, is_reached, len(pool.targets)
+        )
+        if is_reached:
+            steering.end_ejection(observed)
+        new_state = pool.reachability.state
+        if new_state is state:
+            return
+        _log.warning(
+            telemetry.format_event(
+                'paths',
+                pool=observed.record.pool,
+                state=new_state.value,
+                previous=state.value,
+                targets=len(pool.targets),
+            )
+        )
+        if state is steering.PathState.CUT_OFF:
+            for other in pool.targets:
+                steering.end_ejection(other)
+
+    def note_opened(self, observed: steering.ObservedTarget) -> None:
+        """Record a new connection to a target."""
+        pool = self._get_or_create_pool(observed.record.pool)
+        pool.reachability.note_reached(observed.target)
+
     # Observations of all entries
 
     def list_observations(self, now: float) -> list[wire.TargetObservation]:
@@ -198,7 +304,12 @@
         observations = []
         self._reported.clear()
         for observed in self._targets.values():
-            is_ejected = steering.is_reported_ejected(observed, now)
+            pool = self._get_or_create_pool(observed.record.pool)
+            # Without paths this entry knows nothing of its targets.
+            is_ejected = (
+                pool.reachability.state is not steering.PathState.CUT_OFF
+                and steering.is_reported_ejected(observed, now)
+            )
             if observed.in_flight or is_ejected:
                 self._reported[observed.target] = observed.in_flight
                 observations.append(
@@ -268,11 +379,16 @@
         `may_ask` the request may wait for a permit of the leader.
         """
         cold_rate = self._compute_cold_rate(pool_name)
+        reachability = self._get_or_create_pool(pool_name).reachability
 
         def may_send(observed: steering.ObservedTarget) -> bool:
-            return steering.may_send(
-                observed, now, cold_rate
-            ) and self.limited_targets.may_send(now, observed.target, may_ask)
+            return (
+                self._has_path(reachability, observed)
+                and steering.may_send(observed, now, cold_rate)
+                and self.limited_targets.may_send(
+                    now, observed.target, may_ask
+                )
+            )
 
         placement = steering.place_request(
             now,
@@ -401,13 +517,11 @@
         rate = self._get_or_create_pool(pool_name).get_failure_rate(now)
         return rate >= steering.DOUBTFUL_FAILURE_RATE
 
-    def _is_cut_off(self, now: float, pool_name: ids.PoolName) -> bool:
-        """Return whether most targets of a pool are ejected."""
-        targets = self._get_or_create_pool(pool_name).targets
+    def _are_most_ejected(self, now: float, pool: _Pool) -> bool:
         ejected_count = sum(
-            steering.is_ejected(observed, now) for observed in targets
+            steering.is_ejected(observed, now) for observed in pool.targets
         )
-        return 2 * ejected_count > len(targets)
+        return 2 * ejected_count > len(pool.targets)
 
     def record_timeout(
         self, now: float, placement: steering.Placement, elapsed_s: float
@@ -424,10 +538,23 @@
         else:
             steering.note_failure(observed)
 
-    def eject(self, now: float, observed: steering.ObservedTarget) -> None:
-        """Send no requests to an unreachable or silent target for a while."""
+    def eject(
+        self,
+        now: float,
+        observed: steering.ObservedTarget,
+        is_reachable: bool = False,
+    ) -> None:
+        """Send no requests to an unreachable or silent target for a while.
+
+        `is_reachable` is set if another target answered at its address.
+        """
         steering.eject(observed, now)
-        if self._is_cut_off(now, observed.record.pool):
+        pool = self._get_or_create_pool(observed.record.pool)
+        if not is_reachable:
+            pool.reachability.note_unreachable(
+                now, observed.target, len(pool.targets)
+            )
+        if self._are_most_ejected(now, pool):
             # The entry has lost its own links, so the targets stay warm.
             observed.recovering = False
         _log.info(
@@ -441,6 +568,11 @@
         )
 
 
+def _has_none(address: str) -> bool:
+    """Return that there is no idle connection."""
+    return False
+
+
 def _apply_shared_ejections(
     now: float,
     targets: list[steering.ObservedTarget],
--- a/fulmarseam/gateway/_poller.py
+++ b/fulmarseam/gateway/_poller.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 import time
 from typing import Any
 from typing import NamedTuple
@@ -90,6 +91,8 @@
         self._started_at = time.monotonic()
         self.pause_guard = _pauses.PauseGuard(self._handle_pause)
         self.is_draining = False
+        # Whether this entry reaches few targets.
+        self.is_cut_off = False
         self._is_fetching = False
         self._leader = ''
         self._leader_heard_at = float('-inf')
@@ -292,6 +295,7 @@
             ),
             group=wire.compute_group_checksum(self._group),
             suspects_version=suspects_version,
+            is_cut_off=self.is_cut_off,
             **changes_fields,
         )
 
@@ -344,6 +348,30 @@
             return answer
         raise _make_unexpected_error(answer)
 
+    async def fetch_relays(self) -> list[wire.EntryAddress]:
+        """Return the entries that can relay requests of this one.
+
+        Raises `errors.FulmarseamError` if no member answers.
+        """
+        request = wire.RelayRequest(
+            entry=ids.EntryId(self._options.host), region=self._options.region
+        )
+        members = sorted(
+            self._reachable, key=lambda address: address != self._leader
+        )
+        for address in members:
+            with contextlib.suppress(errors.TransportError):
+                # The next member has the same list.
+                answer = await self._clients.call(
+                    address, request, POLL_TIMEOUT_S
+                )
+                if isinstance(answer, wire.RelayResponse):
+                    return answer.entries
+                raise _make_unexpected_error(answer)
+        raise errors.FulmarseamError(
+            errors.ErrorKind.UNAVAILABLE, 'no member is reachable'
+        )
+
     async def _call_leader(
         self, message: wire.Message, timeout_s: float
     ) -> wire.Message:
--- /dev/null
+++ b/fulmarseam/gateway/_relaying.py
@@ -0,0 +1,112 @@
+"""Relaying of requests through entries that reach the targets."""
+
+import functools
+
+from fulmarseam import errors
+from fulmarseam import http
+from fulmarseam import ids
+from fulmarseam import relay
+from fulmarseam import wire
+from fulmarseam.gateway import _answers
+from fulmarseam.gateway import _attempts
+from fulmarseam.gateway import _http_names
+from fulmarseam.gateway import _requests
+from fulmarseam.gateway import _sending
+from fulmarseam.gateway import _summaries
+
+# Connections to another entry, of which half may be idle.
+MAX_CONNECTIONS = 128
+
+
+class Relayer:
+    """Sends requests of this entry's callers through other entries.
+
+    `entry_pools` are the connections to them.
+    """
+
+    def __init__(
+        self,
+        relays: relay.Relays,
+        http_names: _http_names.HttpNames,
+        entry_pools: http.TargetPools,
+    ) -> None:
+        self._relays = relays
+        self._http_names = http_names
+        self._entry_pools = entry_pools
+
+    async def relay(
+        self,
+        context: _requests.RequestContext,
+        summary: _summaries.RequestSummary,
+    ) -> relay.RelayFailure | None:
+        """Relay a request; return None once the caller has its answer."""
+        return await self._relays.relay(
+            context.route.allowed_regions,
+            context.deadline,
+            functools.partial(self._relay_through, context, summary),
+        )
+
+    async def _relay_through(
+        self,
+        context: _requests.RequestContext,
+        summary: _summaries.RequestSummary,
+        entry: wire.EntryAddress,
+    ) -> errors.FulmarseamError | None:
+        """Send a request to one entry; return None if it is answered."""
+        summary.add_relay(entry.address)
+        attempts_left = context.max_attempts - len(context.attempted)
+        attempt = _attempts.Attempt(
+            context,
+            _attempts.Recipient(
+                ids.TargetId(f'entry {entry.address}'),
+                (self._http_names.relayed, b'%d' % attempts_left),
+            ),
+            self._entry_pools.get(
+                entry.address, MAX_CONNECTIONS, MAX_CONNECTIONS // 2
+            ),
+            self._http_names,
+            context.deadline,
+        )
+        try:
+            answer = await attempt.run()
+            summary.status = answer.response.status
+            summary.outcome = _summaries.ANSWERED
+            await _sending.send_answer(context, attempt, answer)
+            return None
+        except _attempts.NotRunError as error:
+            return errors.FulmarseamError(
+                errors.ErrorKind.TARGET_SHED, f'{entry.address}: {error}'
+            )
+        except http.TargetError as error:
+            if context.caller.response_started:
+                raise errors.FulmarseamError(
+                    errors.ErrorKind.TARGET_FAILED, error.detail
+                ) from error
+            kind = errors.ErrorKind.TARGET_FAILED
+            if attempt.progress is http.Progress.NOT_SENT:
+                kind = errors.ErrorKind.NO_CAPACITY
+            elif error.reason is http.Reason.TIMED_OUT:
+                kind = errors.ErrorKind.TARGET_TIMEOUT
+            return errors.FulmarseamError(
+                kind, f'{entry.address}: {error.detail}'
+            )
+        finally:
+            attempt.close()
+
+
+def send_error(
+    context: _requests.RequestContext,
+    error: errors.FulmarseamError,
+    http_names: _http_names.HttpNames,
+) -> None:
+    """Tell the entry that relays a request about an error.
+
+    It tells that entry whether the request has run.
+    """
+    answer = _answers.make_answer(error)
+    headers = list(answer.headers)
+    if context.request_id is not None:
+        headers.append((http_names.request_id, context.request_id))
+    if error.answer.outcome is errors.Outcome.NOT_RUN:
+        headers.append((http_names.not_run, b'1'))
+    context.caller.send_response(answer.status, headers, answer.body)
--- a/fulmarseam/gateway/_requests.py
+++ b/fulmarseam/gateway/_requests.py
@@ -11,6 +11,7 @@
 # request can be retried.
 MAX_BUFFERED_BODY_BYTES = 256 * 1024
 MAX_DEADLINE_DIGITS = 9
+MAX_ATTEMPTS_DIGITS = 3
 
 
 class RequestContext:
@@ -29,7 +30,9 @@
         'deadline',
         'host',
         'is_replayable',
+        'is_relayed',
         'is_trial',
+        'max_attempts',
         'kept',
         'kept_bytes',
         'path',
@@ -62,6 +65,10 @@
         self.kept: list[bytes] = []
         self.kept_bytes = 0
         self.is_replayable = True
+        # Whether another entry relays the request.
+        self.is_relayed = http_names.relayed in request.fields
+        # How many targets may run it.
+        self.max_attempts = 1
         # Whether the current attempt is a trial of a suspected request.
         self.is_trial = False
         self._fingerprint: bytes | None = None
@@ -128,6 +135,25 @@
     return int(value)
 
 
+def read_attempts_left(
+    request: http.Request, http_names: _http_names.HttpNames
+) -> int | None:
+    """Return how many targets may run a relayed request, if it is one.
+
+    Raises `errors.FulmarseamError` if the header is malformed.
+    """
+    value = request.fields.get(http_names.relayed)
+    if value is None:
+        return None
+    if not value.isdigit() or len(value) > MAX_ATTEMPTS_DIGITS:
+        raise errors.FulmarseamError(
+            errors.ErrorKind.MALFORMED_REQUEST,
+            f'{http_names.relayed.decode()}: found {value!r}, expected a '
+            'number of attempts',
+        )
+    return int(value)
+
+
 def read_affinity(
     request: http.Request, http_names: _http_names.HttpNames
 ) -> str | None:
--- a/fulmarseam/gateway/_summaries.py
+++ b/fulmarseam/gateway/_summaries.py
@@ -66,6 +66,10 @@
             )
         )
 
+    def add_relay(self, address: str) -> None:
+        """Note another entry through which the request is relayed."""
+        self.targets.append(f'entry {address}')
+
     def write(
         self,
         log: telemetry.RequestLog,
--- a/fulmarseam/http/_pool.py
+++ b/fulmarseam/http/_pool.py
@@ -148,14 +148,7 @@
 
     async def is_listening(self, timeout_s: float) -> bool:
         """Return whether the target accepts a new connection."""
-        host, port = _server.split_address(self.address)
-        try:
-            async with asyncio.timeout(timeout_s):
-                _, writer = await asyncio.open_connection(host, port)
-        except (TimeoutError, OSError):
-            return False
-        writer.transport.abort()
-        return True
+        return await is_listening(self.address, timeout_s)
 
     def _make_error(
         self, reason: _failures.Reason, detail: str
@@ -228,6 +221,15 @@
             pool.set_limit(limit, idle_limit)
         return pool
 
+    def has_idle(self, address: str) -> bool:
+        """Return whether there are idle connections to a target."""
+        pool = self._pools.get(address)
+        return pool is not None and pool.idle > 0
+
+    async def is_listening(self, address: str, timeout_s: float) -> bool:
+        """Return whether a target accepts a new connection."""
+        return await is_listening(address, timeout_s)
+
     def set_limits(self, limits: dict[str, int]) -> None:
         """Set the limits of all targets.
 
@@ -247,3 +249,15 @@
                 pool.close_idle(now - pool.idle_timeout_s)
                 if not pool.in_use and not pool.idle:
                     del self._pools[address]
+
+
+async def is_listening(address: str, timeout_s: float) -> bool:
+    """Return whether an address accepts a connection, which is closed."""
+    host, port = _server.split_address(address)
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, writer = await asyncio.open_connection(host, port)
+    except (TimeoutError, OSError):
+        return False
+    writer.transport.abort()
+    return True
--- a/fulmarseam/platform/_headers.py
+++ b/fulmarseam/platform/_headers.py
@@ -13,5 +13,6 @@
     load=b'x-server-load',
     rate_limit=b'server-limit',
     affinity=b'x-affinity-key',
+    relayed=b'fulmarseam-relayed',
     readiness_path='/api/ready',
 )
--- /dev/null
+++ b/fulmarseam/relay/_relays.py
@@ -0,0 +1,179 @@
+"""The entries through which an entry relays requests."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Collection
+from collections.abc import Iterator
+import contextlib
+from typing import NamedTuple
+from typing import Self
+
+import logbook
+
+from fulmarseam import errors
+from fulmarseam import ids
+from fulmarseam import telemetry
+from fulmarseam import wire
+
+# The list is fetched before it is needed, as the members may be out of reach
+# as well when the paths to the targets are lost.
+REFRESH_INTERVAL_S = 30.0
+# While requests are relayed, entries come and go.
+BUSY_REFRESH_INTERVAL_S = 1.0
+TICK_S = 0.1
+# Requests in flight that an entry of another region must have less than one of
+# the own region to be preferred.
+REMOTE_PENALTY = 4
+# Requests in flight of this entry at another one.
+MAX_IN_FLIGHT = 64
+
+# An entry that refused a request is not asked again for this long.
+REFUSAL_PAUSE_S = 0.2
+# Entries that are tried for a request, as each may refuse it.
+MAX_TRIED = 3
+
+FetchEntries = Callable[[], Awaitable[list[wire.EntryAddress]]]
+# Sends a request through an entry; returns None if the caller has its answer.
+Send = Callable[[wire.EntryAddress], Awaitable[errors.FulmarseamError | None]]
+
+_log = logbook.Logger('relay')
+
+
+class RelayFailure(NamedTuple):
+    """Why no entry answered a request.
+
+    `error` is None if no entry could be asked.
+    """
+
+    error: errors.FulmarseamError | None = None
+
+
+class Relays:
+    """Chooses among the entries that `fetch` returns; a context manager."""
+
+    def __init__(self, region: ids.RegionName, fetch: FetchEntries) -> None:
+        self._region = region
+        self._fetch = fetch
+        self._entries: list[wire.EntryAddress] = []
+        self._in_flight: dict[str, int] = {}
+        self._refused_until: dict[str, float] = {}
+        self._clock = asyncio.get_running_loop().time
+        self._used_at = float('-inf')
+        self._task: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> Self:
+        self._task = asyncio.create_task(self._refresh())
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _refresh(self) -> None:
+        fetched_at = float('-inf')
+        while True:
+            now = self._clock()
+            is_busy = now - self._used_at < BUSY_REFRESH_INTERVAL_S
+            interval_s = (
+                BUSY_REFRESH_INTERVAL_S
+                if is_busy or not self._entries
+                else REFRESH_INTERVAL_S
+            )
+            if now - fetched_at >= interval_s:
+                fetched_at = now
+                await self._fetch_entries()
+            await asyncio.sleep(TICK_S)
+
+    async def _fetch_entries(self) -> None:
+        try:
+            self._entries = await self._fetch()
+            self._refused_until.clear()
+        except errors.FulmarseamError as error:
+            _log.info(
+                telemetry.format_event(
+                    'relays_unknown',
+                    known=len(self._entries),
+                    reason=error.detail,
+                )
+            )
+
+    async def relay(
+        self,
+        allowed_regions: Collection[ids.RegionName],
+        deadline: float,
+        send: Send,
+    ) -> RelayFailure | None:
+        """Send a request through one entry after another, a few at most.
+
+        An entry that did not run it is followed by the next one. Returns
+        None once the caller has its answer. `deadline` is in seconds of the
+        event loop's clock.
+        """
+        tried: set[str] = set()
+        failure = RelayFailure()
+        while len(tried) < MAX_TRIED and self._clock() < deadline:
+            with self._start(allowed_regions, tried) as entry:
+                if entry is None:
+                    break
+                tried.add(entry.address)
+                error = await send(entry)
+            if error is None:
+                return None
+            failure = RelayFailure(error)
+            self._refused_until[entry.address] = (
+                self._clock() + REFUSAL_PAUSE_S
+            )
+            if error.answer.outcome is not errors.Outcome.NOT_RUN:
+                break
+        return failure
+
+    @contextlib.contextmanager
+    def _start(
+        self,
+        allowed_regions: Collection[ids.RegionName],
+        tried: Collection[str],
+    ) -> Iterator[wire.EntryAddress | None]:
+        """Yield the entry for a request, or None if there is none.
+
+        The request counts as in flight there until the context ends.
+        """
+        self._used_at = self._clock()
+        entry = self._choose(allowed_regions, tried)
+        if entry is None:
+            yield None
+            return
+        in_flight = self._in_flight
+        in_flight[entry.address] = in_flight.get(entry.address, 0) + 1
+        try:
+            yield entry
+        finally:
+            in_flight[entry.address] -= 1
+            if not in_flight[entry.address]:
+                del in_flight[entry.address]
+
+    def _choose(
+        self,
+        allowed_regions: Collection[ids.RegionName],
+        tried: Collection[str],
+    ) -> wire.EntryAddress | None:
+        now = self._clock()
+        candidates = [
+            entry
+            for entry in self._entries
+            if entry.address not in tried
+            and (not allowed_regions or entry.region in allowed_regions)
+            and self._in_flight.get(entry.address, 0) < MAX_IN_FLIGHT
+            and self._refused_until.get(entry.address, 0.0) <= now
+        ]
+        return min(candidates, key=self._compute_cost, default=None)
+
+    def _compute_cost(self, entry: wire.EntryAddress) -> int:
+        in_flight = self._in_flight.get(entry.address, 0)
+        penalty = 0 if entry.region == self._region else REMOTE_PENALTY
+        return in_flight + penalty
+
+    def count_in_flight(self) -> int:
+        """Return the number of requests that are being relayed."""
+        return sum(self._in_flight.values())
--- a/fulmarseam/steering/__init__.py
+++ b/fulmarseam/steering/__init__.py
@@ -23,10 +23,12 @@
 from fulmarseam.steering._observed import compute_mean_failure_rate
 from fulmarseam.steering._observed import DOUBTFUL_FAILURE_RATE
 from fulmarseam.steering._observed import eject
+from fulmarseam.steering._observed import end_ejection
 from fulmarseam.steering._observed import estimate_load
 from fulmarseam.steering._observed import is_cold
 from fulmarseam.steering._observed import is_doubtful
 from fulmarseam.steering._observed import is_ejected
+from fulmarseam.steering._observed import is_ejected_here
 from fulmarseam.steering._observed import is_reported_ejected
 from fulmarseam.steering._observed import is_silent
 from fulmarseam.steering._observed import mark_cold
@@ -52,6 +54,8 @@
 from fulmarseam.steering._queue import Admission
 from fulmarseam.steering._queue import RequestQueue
 from fulmarseam.steering._queue import Ticket
+from fulmarseam.steering._reachability import PathState
+from fulmarseam.steering._reachability import Reachability
 from fulmarseam.steering._retry_budget import RetryBudget
 from fulmarseam.steering._return_times import ReturnTimes
 from fulmarseam.steering._routes import compile_routes
@@ -83,12 +87,14 @@
     'ObservedTarget',
     'OutcomeTable',
     'Locality',
+    'PathState',
     'Placement',
     'PoolStatistics',
     'PoolView',
     'RunKind',
     'WindowedRetryBudget',
     'RequestQueue',
+    'Reachability',
     'RetryBudget',
     'SlotAvailability',
     'RouteIndex',
@@ -105,6 +111,7 @@
     'compile_routes',
     'compute_fingerprint',
     'eject',
+    'end_ejection',
     'estimate_load',
     'estimate_time',
     'compute_mean_failure_rate',
@@ -112,6 +119,7 @@
     'is_cold',
     'is_doubtful',
     'is_ejected',
+    'is_ejected_here',
     'is_reported_ejected',
     'is_silent',
     'match_route',
--- a/fulmarseam/steering/_observed.py
+++ b/fulmarseam/steering/_observed.py
@@ -202,6 +202,12 @@
     target.ejected_until = now + pause_s
 
 
+def end_ejection(target: ObservedTarget) -> None:
+    """Use a target again that accepts connections."""
+    target.ejected_until = 0.0
+    target.failures = 0
+
+
 def is_ejected(target: ObservedTarget, now: float) -> bool:
     """Return whether a target gets no requests."""
     return now < target.avoided_until or is_ejected_here(target, now)
--- a/fulmarseam/wire/__init__.py
+++ b/fulmarseam/wire/__init__.py
@@ -92,6 +92,9 @@
 from fulmarseam.wire._records import RecordWrite
 from fulmarseam.wire._records import StoredAnswer
 from fulmarseam.wire._records import Verdict
+from fulmarseam.wire._relays import EntryAddress
+from fulmarseam.wire._relays import RelayRequest
+from fulmarseam.wire._relays import RelayResponse
 from fulmarseam.wire._rows import Block
 from fulmarseam.wire._rows import Change
 from fulmarseam.wire._rows import Drain
@@ -143,6 +146,7 @@
     'DrainState',
     'Edit',
     'EditResult',
+    'EntryAddress',
     'EntryInfo',
     'EntryPollResponse',
     'EntryPoll',
@@ -200,6 +204,8 @@
     'RecordVerdict',
     'RecordWrite',
     'Registration',
+    'RelayRequest',
+    'RelayResponse',
     'ReplicaMessage',
     'ReplicaRequest',
     'ReplicaResponse',
--- a/fulmarseam/wire/_catalog.py
+++ b/fulmarseam/wire/_catalog.py
@@ -257,7 +257,8 @@
     knows the others as of `limits_version`. `is_offline` is set while it uses
     its offline part of the limits. `group` is the checksum of the members that
     it knows; the response lists them if it is another one. It knows the
-    suspected requests as of `suspects_version`.
+    suspected requests as of `suspects_version`. `is_cut_off` is set while
+    it reaches few targets and relays its requests through other entries.
     """
 
     entry: ids.EntryId
@@ -278,6 +279,7 @@
     is_offline: bool = False
     group: int = 0
     suspects_version: int = 0
+    is_cut_off: bool = False
 
 
 class CatalogChanges(msgspec.Struct, frozen=True, kw_only=True):
--- a/fulmarseam/wire/_codec.py
+++ b/fulmarseam/wire/_codec.py
@@ -11,6 +11,7 @@
 from fulmarseam.wire import _consensus
 from fulmarseam.wire import _peers
 from fulmarseam.wire import _records
+from fulmarseam.wire import _relays
 from fulmarseam.wire import _suspects
 from fulmarseam.wire import _sync
 
@@ -23,6 +24,7 @@
     | _catalog.CatalogMessage
     | _peers.PeerMessage
     | _records.RecordMessage
+    | _relays.RelayMessage
     | _suspects.SuspectMessage
     | _consensus.MemberRequest
     | _consensus.MemberResponse
@@ -56,5 +58,8 @@
     """
     try:
         return decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (
+        msgspec.MsgspecError,
+        UnicodeDecodeError,
+    ) as error:
         raise errors.WireError(str(error)) from error
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -1,8 +1,18 @@
 """Tests of entries that have lost their paths to targets."""
 
 import asyncio
+from typing import ClassVar
+import unittest
 
+from fulmarseam import catalog
+from fulmarseam import errors
+from fulmarseam import ids
+from fulmarseam import relay
+from fulmarseam import steering
+from fulmarseam import wire
 from tests import cut_off_case
+from tests import entry_case
+from tests import fakes
 
 CutKind = cut_off_case.CutKind
 
@@ -46,3 +56,252 @@
         self,
     ) -> None:
         await self.check_cut(CutKind.REFUSED)
+
+    async def test_entries_of_a_zone_without_paths_serve_their_callers(
+        self,
+    ) -> None:
+        await self.measure(RATE_PER_S, 0.5)
+        for entry in (0, 1):
+            self.cut(entry, CutKind.HANGING)
+        await self.measure(RATE_PER_S, SETTLE_S)
+        await self.check_served(0, 1)
+
+    async def test_a_request_does_not_travel_in_circles(self) -> None:
+        await self.measure(RATE_PER_S, 0.5)
+        for entry in range(self.entry_count):
+            self.cut(entry, CutKind.REFUSED)
+        await self.measure(RATE_PER_S, SETTLE_S)
+        shares = await self.measure(RATE_PER_S, 1.0)
+        self.assertEqual([0, 0, 0], [share.served for share in shares])
+        for entry in self.entries:
+            self.assertEqual(0, entry.relays.count_in_flight())
+
+    async def test_an_entry_with_some_paths_uses_them(self) -> None:
+        await self.measure(RATE_PER_S, 0.5)
+        self.cut(0, CutKind.HANGING, targets=3)
+        await self.measure(RATE_PER_S, SETTLE_S)
+        await self.check_served(0)
+        self.assertFalse(self.entries[0].poller.is_cut_off)
+
+    async def test_paths_that_are_back_are_used_again(self) -> None:
+        await self.measure(RATE_PER_S, 0.5)
+        self.cut(0, CutKind.HANGING)
+        await self.measure(RATE_PER_S, SETTLE_S)
+        self.assertTrue(self.entries[0].poller.is_cut_off)
+        self.paths[0].heal()
+        await self.measure(RATE_PER_S, SETTLE_S)
+        self.assertFalse(self.entries[0].poller.is_cut_off)
+        for entry in self.entries[1:]:
+            entry.caller_server.close_listener()
+        reply = await self.measure_one(RATE_PER_S, 1.0)
+        self.assertEqual(reply.served, reply.tries)
+
+    async def test_targets_that_end_do_not_look_like_lost_paths(self) -> None:
+        await self.measure(RATE_PER_S, 0.5)
+        for target in self.targets[:3]:
+            target.stop()
+        await self.measure(RATE_PER_S, SETTLE_S)
+        for entry in self.entries:
+            self.assertFalse(entry.poller.is_cut_off)
+
+
+class RegionTest(cut_off_case.CutOffCase):
+    """Guards against requests in regions that their route forbids."""
+
+    route: ClassVar[dict[str, object]] = {'allowed_regions': ['ost']}
+    entry_regions: ClassVar[dict[str, str]] = {'e1': 'west', 'e2': 'sued'}
+
+    async def test_a_request_is_relayed_in_its_regions_only(self) -> None:
+        await self.measure(RATE_PER_S, 0.5)
+        self.cut(0, CutKind.REFUSED)
+        await self.measure(RATE_PER_S, SETTLE_S)
+        shares = await self.measure(RATE_PER_S, 1.0)
+        self.assertTrue(self.entries[0].poller.is_cut_off)
+        self.assertEqual(0, shares[0].served)
+        # The targets are in the region of the route.
+        self.assertEqual(shares[1].tries, shares[1].served)
+
+
+class GrantsTest(entry_case.EntryCase):
+    """Guards against an entry with grants that refuses its callers."""
+
+    rows: ClassVar[list[wire.Row]] = [
+        wire.Pool(name=fakes.POOL),
+        entry_case.make_route(request_id_required=False, idempotent=False),
+    ]
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.other = self.start_entry(
+            fakes.make_options(self.leader, entry_id='e2')
+        )
+        for number in range(4):
+            await self.start_target(
+                fakes.answer_always(entry_case.OK), f't{number}'
+            )
+        await self.wait_until(lambda: self.entry._relayer.relays._entries)
+
+    def cut(self, made, kind: CutKind) -> None:
+        paths = cut_off_case.CutPools()
+        made.target_pools = paths
+        made.proxy._dependencies = made.proxy._dependencies._replace(
+            target_pools=paths
+        )
+        made.prober.is_listening = paths.is_listening
+        paths.cut_paths(
+            [target.report.address for target in made.state.targets.ready()],
+            kind,
+        )
+
+    async def call_until_cut_off(self) -> None:
+        pool = self.entry.pools.get(fakes.POOL)
+        async with asyncio.timeout(SETTLE_S):
+            while pool.reachability.state is not steering.PathState.CUT_OFF:
+                await self.call('/x')
+
+    async def test_an_entry_without_paths_serves_its_callers(self) -> None:
+        self.cut(self.entry, CutKind.REFUSED)
+        await self.call_until_cut_off()
+        for number in range(5):
+            answer = await self.call(f'/{number}')
+            self.assertEqual((200, '', 'answered'), answer.describe())
+
+    async def test_a_request_does_not_travel_in_circles(self) -> None:
+        self.cut(self.entry, CutKind.REFUSED)
+        self.cut(self.other, CutKind.REFUSED)
+        await self.call_until_cut_off()
+        self.other.pools.get(
+            fakes.POOL
+        ).reachability.state = steering.PathState.CUT_OFF
+        answer = await self.call('/x')
+        self.assertEqual((503, 'not-run'), (answer.status, answer.outcome))
+
+
+class ReachabilityTest(unittest.TestCase):
+    """Tests when an entry takes its paths for lost."""
+
+    def setUp(self) -> None:
+        self.reachability = steering.Reachability()
+        self.targets = [ids.TargetId(f't{number}') for number in range(10)]
+
+    def fail_targets(self, count: int, now: float = 0.0) -> None:
+        for target in self.targets[:count]:
+            self.reachability.note_unreachable(now, target, 10)
+
+    def probe(self, is_reached: bool, rounds: int = 1) -> list[ids.TargetId]:
+        chosen = []
+        for _ in range(rounds):
+            for target in self.reachability.choose_probes(self.targets):
+                chosen.append(target)
+                self.reachability.note_probe(target, is_reached, 10)
+        return chosen
+
+    def test_probes_of_other_targets_decide(self) -> None:
+        self.fail_targets(4)
+        self.assertIs(steering.PathState.SUSPECTED, self.reachability.state)
+        self.assertTrue(self.reachability.may_open(self.targets[0]))
+        chosen = self.probe(False)
+        self.assertFalse(set(chosen) & set(self.targets[:4]))
+        self.assertIs(steering.PathState.CUT_OFF, self.reachability.state)
+        self.assertFalse(self.reachability.may_open(self.targets[9]))
+
+    def test_targets_that_end_are_no_lost_paths(self) -> None:
+        self.fail_targets(4)
+        self.probe(True)
+        self.assertIs(steering.PathState.OPEN, self.reachability.state)
+
+    def test_failures_long_ago_do_not_count(self) -> None:
+        self.fail_targets(3)
+        self.reachability.note_unreachable(6.0, self.targets[3], 10)
+        self.assertIs(steering.PathState.OPEN, self.reachability.state)
+
+    def test_a_reached_target_ends_the_suspicion(self) -> None:
+        self.fail_targets(3)
+        self.reachability.note_reached(self.targets[5])
+        self.fail_targets(3)
+        self.assertIs(steering.PathState.OPEN, self.reachability.state)
+
+    def test_reached_targets_are_used_while_others_are_not(self) -> None:
+        self.fail_targets(4)
+        self.probe(False)
+        self.reachability.note_probe(self.targets[2], True, 10)
+        self.assertTrue(self.reachability.may_open(self.targets[2]))
+        self.assertFalse(self.reachability.may_open(self.targets[3]))
+        self.reachability.note_probe(self.targets[3], False, 10)
+        self.assertIs(steering.PathState.CUT_OFF, self.reachability.state)
+
+    def test_several_reached_targets_in_a_row_end_it(self) -> None:
+        self.fail_targets(4)
+        self.probe(False)
+        self.probe(True)
+        self.assertIs(steering.PathState.OPEN, self.reachability.state)
+
+    def test_a_pool_of_one_target_can_be_cut_off(self) -> None:
+        target = self.targets[0]
+        self.reachability.note_unreachable(0.0, target, 1)
+        [chosen] = self.reachability.choose_probes([target])
+        self.reachability.note_probe(chosen, False, 1)
+        self.assertIs(steering.PathState.CUT_OFF, self.reachability.state)
+
+
+class RelayedRequestsTest(unittest.TestCase):
+    """Guards against an entry that drowns in the requests of others."""
+
+    def test_relayed_requests_are_bounded_by_the_own_ones(self) -> None:
+        relayed = relay.RelayedRequests()
+        for number in range(1, 65):
+            relayed.start(number)
+        with self.assertRaises(errors.FulmarseamError):
+            relayed.start(65)
+        for number in range(66, 69):
+            relayed.start(number)
+        with self.assertRaises(errors.FulmarseamError):
+            relayed.start(69)
+        relayed.finish()
+        self.assertEqual(66, relayed.count())
+
+
+class LookUpTest(unittest.TestCase):
+    """Guards against look-ups that send callers to cut-off entries."""
+
+    def setUp(self) -> None:
+        self.registry = catalog.EntryRegistry()
+
+    def poll(self, name: str, is_cut_off: bool, region: str = 'ost') -> None:
+        self.registry.record_poll(
+            0.0,
+            wire.EntryPoll(
+                entry=ids.EntryId(name),
+                address=name,
+                region=ids.RegionName(region),
+                failure_domain=ids.DomainName('ost-wien'),
+                incarnation=1,
+                state=wire.EntryState.READY,
+                is_cut_off=is_cut_off,
+            ),
+        )
+
+    def find(self) -> list[str]:
+        return self.registry.find_entries(
+            1.0, ids.RegionName('ost'), ids.DomainName('ost-wien'), 64
+        )
+
+    def test_a_cut_off_entry_is_left_out(self) -> None:
+        self.poll('e1', True)
+        self.poll('e2', False)
+        self.assertEqual(['e2'], self.find())
+
+    def test_few_entries_are_not_overloaded(self) -> None:
+        for name, is_cut_off in (('e1', True), ('e2', True), ('e3', False)):
+            self.poll(name, is_cut_off)
+        self.assertEqual(['e1', 'e2', 'e3'], self.find())
+
+    def test_relays_are_other_entries_that_reach_targets(self) -> None:
+        self.poll('e1', True)
+        self.poll('e2', True)
+        self.poll('e3', False)
+        self.poll('w1', False, 'west')
+        relays = self.registry.find_relays(
+            1.0, ids.EntryId('e1'), ids.RegionName('ost')
+        )
+        self.assertEqual(['e3', 'w1'], [entry.address for entry in relays])
