Send no requests to targets whose stored record is odd

Tried for the first time: with a stored record of 0 slots each request of the pool ended with 500 (ZeroDivisionError in the choice), from then on for all callers; with a warm-up of infinity or no number as well. Ports out of range, 400 digits or 70,000 bytes of address did no harm. A message nested 3,000 deep raised RecursionError out of the decoder, which would have ended the polls of that member for good.

Entries now check each record and leave odd ones out, with a log line. They stay in all tables, so that these stay the same everywhere. Deep nesting is an error of the message, an unexpected error no longer ends the polls, an address that cannot be used is a failed connection, and a negative start is refused. OddTargetTest failed before with 500 from 'no-slots' on, and NestingTest with RecursionError.

--- a/fulmarseam/catalog/__init__.py
+++ b/fulmarseam/catalog/__init__.py
@@ -22,6 +22,7 @@
 from fulmarseam.catalog._mirror import CatalogMirror
 from fulmarseam.catalog._packed_changes import PackedChanges
 from fulmarseam.catalog._shared_loads import SharedLoads
+from fulmarseam.catalog._target_checks import find_problem
 
 __all__ = [
     'AnnounceTargets',
@@ -40,4 +41,5 @@
     'TargetLeases',
     'decode_result',
     'encode_command',
+    'find_problem',
 ]
--- a/fulmarseam/gateway/_load_balancer.py
+++ b/fulmarseam/gateway/_load_balancer.py
@@ -89,6 +89,8 @@
         self._rankings: dict[
             tuple[str, str, str], list[steering.ObservedTarget]
         ] = {}
+        # Targets whose record is odd; no request is sent there.
+        self._unusable: set[ids.TargetId] = set()
         # Requests in flight by target as of the last observations.
         self._reported: dict[ids.TargetId, int] = {}
         self._evacuated: frozenset[ids.DomainName] = frozenset()
@@ -106,6 +108,7 @@
         self.limited_targets.retain(self._mirror.list_incarnations())
         for target in self._targets.keys() - records.keys():
             del self._targets[target]
+            self._unusable.discard(target)
         for target, record in records.items():
             self._update_target(now, target, record)
         restored_domains = self._evacuated - self._mirror.evacuated
@@ -136,10 +139,26 @@
             )
             self._targets[target] = observed
         observed.record = record
+        if not self._check_record(record):
+            return
         observed.statistics = self._get_or_create_pool(record.pool).statistics
         if record.cold_ms > 0.0:
             steering.mark_cold(observed, now, record.cold_ms / 1_000)
 
+    def _check_record(self, record: wire.TargetRecord) -> bool:
+        """Return whether requests can be sent to a target; log why not."""
+        problem = catalog.find_problem(record)
+        if problem is None:
+            self._unusable.discard(record.target)
+            return True
+        self._unusable.add(record.target)
+        _log.warning(
+            telemetry.format_event(
+                'target_unusable', target=record.target, reason=problem
+            )
+        )
+        return False
+
     def _compute_token_offset(self, target: ids.TargetId) -> float:
         name = f'{self._options.host} {target}'.encode()
         return (zlib.crc32(name) % TOKEN_OFFSET_STEPS) / TOKEN_OFFSET_STEPS
@@ -155,6 +174,8 @@
             record = observed.record
             if record.phase is not wire.TargetPhase.READY:
                 continue
+            if record.target in self._unusable:
+                continue
             if record.failure_domain in self._evacuated:
                 continue
             self._get_or_create_pool(record.pool).targets.append(observed)
--- a/fulmarseam/gateway/_poller.py
+++ b/fulmarseam/gateway/_poller.py
@@ -158,6 +158,11 @@
                 await self._poll(address)
             except errors.FulmarseamError as error:
                 self._record_reachability(address, error.detail)
+            except Exception:
+                # Without polls the entry would follow no change any more.
+                _log.exception(
+                    telemetry.format_event('poll_failed', address=address)
+                )
             try:
                 async with asyncio.timeout(self._choose_interval(address)):
                     await wake.wait()
--- a/fulmarseam/http/_pool.py
+++ b/fulmarseam/http/_pool.py
@@ -125,9 +125,9 @@
     async def _connect(
         self, signal: _signal.Signal, timeout_s: float
     ) -> _target.TargetConnection:
-        host, port = _server.split_address(self.address)
         loop = asyncio.get_running_loop()
         try:
+            host, port = _server.split_address(self.address)
             async with asyncio.timeout(min(timeout_s, CONNECT_TIMEOUT_S)):
                 _, connection = await loop.create_connection(
                     lambda: _target.TargetConnection(signal), host, port
@@ -140,6 +140,10 @@
             raise self._make_error(
                 _failures.Reason.CONNECT_FAILED, str(error.strerror or error)
             ) from error
+        except (OverflowError, ValueError) as error:
+            raise self._make_error(
+                _failures.Reason.CONNECT_FAILED, f'no address: {error}'
+            ) from error
         connection.on_idle_event = self._drop_idle
         connection.transport.get_extra_info('socket').setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
@@ -253,11 +257,11 @@
 
 async def is_listening(address: str, timeout_s: float) -> bool:
     """Return whether an address accepts a connection, which is closed."""
-    host, port = _server.split_address(address)
     try:
+        host, port = _server.split_address(address)
         async with asyncio.timeout(timeout_s):
             _, writer = await asyncio.open_connection(host, port)
-    except (TimeoutError, OSError):
+    except (TimeoutError, OSError, OverflowError, ValueError):
         return False
     writer.transport.abort()
     return True
--- a/fulmarseam/platform/_targets.py
+++ b/fulmarseam/platform/_targets.py
@@ -50,7 +50,7 @@
         slots=slots,
         phase=_PHASES[state],
         # The start of this incarnation; absent if ids are never reused.
-        born_ms=_values.require(fields.get('born', 0), int, 'beat.born'),
+        born_ms=_read_born(fields, 'beat'),
         sequence=_values.read_field(status, 'sequence', int, 'status'),
         cold_ms=_values.read_ms(status, 'warmupLeft', 'status')
         if 'warmupLeft' in status
@@ -63,7 +63,18 @@
     if not body.strip():
         return 0
     fields = _values.parse_object(body)
-    return int(_values.require(fields.get('born', 0), int, 'leave.born'))
+    return _read_born(fields, 'leave')
+
+
+def _read_born(fields: dict[str, Any], location: str) -> int:
+    born_ms = int(
+        _values.require(fields.get('born', 0), int, f'{location}.born')
+    )
+    if born_ms < 0:
+        raise _values.UnreadableError(
+            f'{location}.born: found {born_ms}, expected 0 or more'
+        )
+    return born_ms
 
 
 def _read_address(fields: dict[str, Any]) -> str:
--- a/fulmarseam/wire/_codec.py
+++ b/fulmarseam/wire/_codec.py
@@ -61,5 +61,6 @@
     except (
         msgspec.MsgspecError,
         UnicodeDecodeError,
+        RecursionError,
     ) as error:
         raise errors.WireError(str(error)) from error
