Bound the bytes of what entries are told of suspects

An answer to a poll listed up to 10 suspected requests with the targets that they broke: by sizes up to 3,000 bytes/s more for each entry after the loss of many targets, above the 6,000 bytes/s of a host, and a lethal request waited its turn behind hundreds of others. Answers list 6 rows now, name targets only after a failed trial, and leave rows with a single strike out if others have changed; an entry that lacks one lets one more copy run.

--- a/fulmarseam/quarantine/_guard.py
+++ b/fulmarseam/quarantine/_guard.py
@@ -421,7 +421,7 @@
                 fingerprint=row.fingerprint.hex(),
                 targets=[
                     ids.TargetId(target.rpartition(_INCARNATION_MARK)[0])
-                    for target in row.targets
+                    for target in self._table.list_targets(row.fingerprint)
                 ],
                 quarantined=row.failed_trials > 0,
                 left_ms=int(
--- a/fulmarseam/quarantine/_registry.py
+++ b/fulmarseam/quarantine/_registry.py
@@ -9,8 +9,8 @@
 # A version holds the term in its upper bits, so that an entry notices a new
 # leader, whose registry starts empty.
 VERSION_BITS = 32
-# Bounds the bytes of an answer: a row with two targets takes about 60.
-MAX_ROWS_PER_ANSWER = 10
+# Bounds the bytes of an answer; most rows take 24.
+MAX_ROWS_PER_ANSWER = 6
 # An entry retries a request at this interval while another trial runs.
 MAX_TRIAL_WAIT_S = 0.25
 
--- a/fulmarseam/steering/_suspects.py
+++ b/fulmarseam/steering/_suspects.py
@@ -80,6 +80,7 @@
 @dataclasses.dataclass(slots=True)
 class _Suspect:
     version: int = 0
+    strikes: int = 0
     targets: list[ids.TargetId] = dataclasses.field(default_factory=list)
     failed_trials: int = 0
     # No trial may start before this time.
@@ -112,6 +113,7 @@
             suspect.trial_until = float('-inf')
         if strike.target in suspect.targets:
             return
+        suspect.strikes += 1
         if len(suspect.targets) < MAX_NAMED_TARGETS:
             suspect.targets.append(strike.target)
         if strike.was_trial:
@@ -174,10 +176,7 @@
             return True
         if suspect.failed_trials:
             return False
-        return (
-            is_answered_since
-            or len(suspect.targets) < STRIKES_OF_SOUND_REQUESTS
-        )
+        return is_answered_since or suspect.strikes < STRIKES_OF_SOUND_REQUESTS
 
     def start_trial(
         self, now: float, fingerprint: bytes, lease_s: float
@@ -227,10 +226,12 @@
         if (
             suspect.version
             and not unknown
+            and suspect.strikes >= row.strikes
             and suspect.failed_trials >= row.failed_trials
         ):
             return
         suspect.targets = (suspect.targets + unknown)[:MAX_NAMED_TARGETS]
+        suspect.strikes = max(suspect.strikes, row.strikes)
         suspect.failed_trials = max(suspect.failed_trials, row.failed_trials)
         suspect.trial_at = max(suspect.trial_at, trial_at)
         suspect.expires_at = max(now, suspect.trial_at) + SUSPECT_LIFETIME_S
@@ -242,13 +243,17 @@
         """Return the rows changed after a version, the oldest first.
 
         At most `limit` rows are returned, with the version that they bring
-        another table to.
+        another table to. If more have changed, those with a single strike
+        give way.
         """
-        changed = sorted(
+        changed = [
             (suspect.version, fingerprint)
             for fingerprint, suspect in self._suspects.items()
             if suspect.version > since and suspect.expires_at > now
-        )
+        ]
+        if len(changed) > limit:
+            changed = self._leave_out(changed, limit)
+        changed.sort()
         version = self.version
         if len(changed) > limit:
             changed = changed[:limit]
@@ -257,6 +262,22 @@
             self._make_row(now, fingerprint) for _, fingerprint in changed
         ]
 
+    def _leave_out(
+        self, changed: list[tuple[int, bytes]], limit: int
+    ) -> list[tuple[int, bytes]]:
+        """Leave out older rows with a single strike, beyond the limit.
+
+        After the loss of many targets such rows are many. A table without
+        them lets one more copy run freely.
+        """
+        repeated = [
+            (version, fingerprint)
+            for version, fingerprint in changed
+            if self._suspects[fingerprint].strikes > 1
+        ]
+        single = sorted(set(changed) - set(repeated), reverse=True)
+        return repeated + single[: max(0, limit - len(repeated))]
+
     def list_rows(self, now: float) -> list[wire.SuspectRow]:
         """Return the requests that have strikes."""
         return [
@@ -269,12 +290,18 @@
         suspect = self._suspects[fingerprint]
         return wire.SuspectRow(
             fingerprint,
-            list(suspect.targets),
+            suspect.strikes,
             suspect.failed_trials,
             max(0, int((suspect.trial_at - now) * 1_000)),
             suspect.is_cleared,
+            list(suspect.targets) if suspect.failed_trials else [],
         )
 
+    def list_targets(self, fingerprint: bytes) -> list[ids.TargetId]:
+        """Return the targets that a suspect broke, as far as known."""
+        suspect = self._suspects.get(fingerprint)
+        return [] if suspect is None else list(suspect.targets)
+
     def get_time_left(self, now: float, fingerprint: bytes) -> float:
         """Return the seconds until a suspect is forgotten."""
         suspect = self._find(now, fingerprint)
--- a/fulmarseam/wire/_suspects.py
+++ b/fulmarseam/wire/_suspects.py
@@ -17,17 +17,20 @@
 
 
 class SuspectRow(msgspec.Struct, frozen=True, array_like=True):
-    """A suspected request, the targets it broke and its failed trials.
+    """A suspected request with its strikes and its failed trials.
 
-    No trial starts before `wait_ms` have passed. With `is_cleared` a target
-    has since answered the request, and its strikes are void.
+    `targets` are the targets that it broke, the first ones, and only after a
+    failed trial: other rows are many, and must be small. No trial starts
+    before `wait_ms` have passed. With `is_cleared` a target has since
+    answered the request, and its strikes are void.
     """
 
     fingerprint: bytes
-    targets: list[ids.TargetId]
+    strikes: int
     failed_trials: int = 0
     wait_ms: int = 0
     is_cleared: bool = False
+    targets: list[ids.TargetId] = []
 
 
 class TrialRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/test_control_traffic.py
+++ b/tests/test_control_traffic.py
@@ -3,8 +3,11 @@
 import random
 import unittest
 
+import msgspec
+
 from fulmarseam import gateway
 from fulmarseam import ids
+from fulmarseam import quarantine
 from fulmarseam import settings
 from fulmarseam import wire
 from fulmarseam.gateway import _poller
@@ -85,6 +88,35 @@
     def test_polls_stay_within_their_bytes(self) -> None:
         self.assertLess(self.count_polls(), MAX_BYTES_PER_S)
 
+    def test_news_of_suspects_stay_within_the_bytes(self) -> None:
+        """Guards against lost targets whose requests fill the links."""
+        registry = quarantine.SuspectRegistry()
+        version = 0
+        peak = 0
+        for second in range(10):
+            strikes = [
+                wire.Strike(self.rng.randbytes(16), self.names[number])
+                for number in range(second, 300)
+            ]
+            registry.answer(0.0, 37, wire.SuspectReport(strikes=strikes))
+            version, rows = registry.list_news(0.0, 37, version)
+            answer = msgspec.structs.replace(
+                self.answer(True, 0),
+                suspects_version=version,
+                suspects=rows,
+            )
+            poll = self.poller._make_poll(False, True, [], version)
+            plain_poll = self.poller._make_poll(False, True, [])
+            peak = max(
+                peak,
+                size(answer)
+                - size(self.answer(True, 0))
+                + size(poll)
+                - size(plain_poll),
+            )
+        extra = peak / _poller.LEADER_POLL_INTERVAL_S
+        self.assertLess(self.count_polls() + extra, MAX_BYTES_PER_S)
+
     def test_asks_for_permits_stay_within_the_bytes(self) -> None:
         """Guards against limited targets that cost more than all polls."""
         limited = self.gateway.load_balancer.limited_targets
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -317,6 +317,7 @@
         self.strike(0.0, b'f', 't2', was_trial=True)
         version, rows = self.table.list_changes(5.0, 0, 10)
         other.merge(100.0, rows)
+        self.assertEqual(2, rows[0].strikes)
         self.assertEqual(15.0, other.check_trial(100.0, b'f').wait_s)
         self.assertEqual((version, []), self.table.list_changes(5.0, 2, 10))
         other.merge(100.0, rows)
@@ -326,14 +327,27 @@
         other = steering.SuspectTable()
         for number in range(25):
             self.strike(0.0, b'f%d' % number, 't1')
+            self.strike(0.0, b'f%d' % number, 't2')
         version = 0
         for count in (10, 10, 5):
             version, rows = self.table.list_changes(0.0, version, 10)
             self.assertEqual(count, len(rows))
             other.merge(0.0, rows)
-        self.assertEqual(25, version)
+        self.assertEqual(50, version)
         self.assertEqual(25, other.count())
 
+    def test_single_strikes_give_way_to_others(self) -> None:
+        """Guards against a lethal request that is told of too late."""
+        for number in range(300):
+            self.strike(0.0, b'f%d' % number, 't1')
+            if number == 100:
+                self.strike(0.0, b'lethal', 't1')
+                self.strike(0.0, b'lethal', 't2', was_trial=True)
+        version, rows = self.table.list_changes(0.0, 0, 6)
+        self.assertEqual(6, len(rows))
+        self.assertIn(b'lethal', [row.fingerprint for row in rows])
+        self.assertEqual(self.table.version, version)
+
     def test_complete_response_clears_the_strikes(self) -> None:
         other = steering.SuspectTable()
         self.strike(0.0, b'f', 't1')
