Split paths, pools and admission off the gateway's modules

Headers with a number, answers of another type and errors of relays are handled in one place each. An entry that refuses a relayed request is left alone for that pool only, so that one pool without room does not hold up the others.

--- a/fulmarseam/entry/_relaying.py
+++ b/fulmarseam/entry/_relaying.py
@@ -52,6 +52,7 @@
         # The bytes that requests take on links between regions are granted
         # for targets only.
         failure = await self.relays.relay(
+            context.route.pool,
             (self._options.region,),
             context.deadline,
             functools.partial(self._send, context),
@@ -88,11 +89,4 @@
                 errors.ErrorKind.TARGET_SHED, f'{entry.address}: {error}'
             )
         except http.TargetError as error:
-            kind = errors.ErrorKind.TARGET_FAILED
-            if attempt.progress is http.Progress.NOT_SENT:
-                kind = errors.ErrorKind.NO_TARGET
-            elif error.reason is http.Reason.TIMED_OUT:
-                kind = errors.ErrorKind.TARGET_TIMEOUT
-            return errors.FulmarseamError(
-                kind, f'{entry.address}: {error.detail}'
-            )
+            return relay.make_error(entry, error, attempt.progress)
--- a/fulmarseam/gateway/_daemon.py
+++ b/fulmarseam/gateway/_daemon.py
@@ -53,7 +53,10 @@
         self.stopping = asyncio.Event()
         self.metrics = telemetry.Metrics()
         self.mirror = catalog.CatalogMirror()
-        self.load_balancer = _load_balancer.LoadBalancer(options, self.mirror)
+        self._target_pools = http.TargetPools()
+        self.load_balancer = _load_balancer.LoadBalancer(
+            options, self.mirror, self._target_pools.has_idle
+        )
         self.routes = _routes.RouteTable()
         self.crash_guard = quarantine.CrashGuard(self._report_suspects)
         self.poller = _poller.Poller(
@@ -73,16 +76,14 @@
             self.poller.request_permits,
         )
         self._request_log = telemetry.RequestLog()
-        self._target_pools = http.TargetPools()
-        self.load_balancer.has_kept_connection = self._target_pools.has_idle
         self._entry_pools = http.TargetPools()
         self.relays = relay.Relays(
             ids.RegionName(options.region), self.poller.fetch_relays
         )
         self.prober = relay.Prober(
             relay.Paths(
-                self.load_balancer.choose_probes,
-                self.load_balancer.is_cut_off,
+                self.load_balancer.paths.choose_probes,
+                self.load_balancer.paths.is_cut_off,
                 self._set_cut_off,
             ),
             self._target_pools.is_listening,
--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from collections.abc import Set
 import dataclasses
-import functools
 from typing import NamedTuple
 
 import logbook
@@ -17,6 +16,7 @@
 from fulmarseam import relay
 from fulmarseam import steering
 from fulmarseam import telemetry
+from fulmarseam.gateway import _admission
 from fulmarseam.gateway import _attempts
 from fulmarseam.gateway import _http_names
 from fulmarseam.gateway import _load_balancer
@@ -35,10 +35,6 @@
 # Share of the connections that a target accepts which all entries together
 # keep idle. The others are for requests in flight, wherever these arrive.
 IDLE_CONNECTION_SHARE = 0.5
-# A copy of a request that runs as a trial waits for its outcome this long.
-MAX_TRIAL_WAIT_S = 1.0
-# A target that has ended refuses a connection within a round trip of 40 ms.
-PROBE_TIMEOUT_S = 0.2
 
 _log = logbook.Logger('gateway')
 
@@ -226,7 +222,9 @@
         while True:
             await self._dependencies.pause_guard.wait_until_fresh()
             try:
-                context.is_trial = await self._admit(context)
+                context.is_trial = await _admission.admit(
+                    context, self._dependencies.crash_guard
+                )
             except errors.FulmarseamError as error:
                 raise retries.possible_run_error or error from None
             try:
@@ -238,38 +236,6 @@
                         context.fingerprint()
                     )
 
-    async def _admit(self, context: _requests.RequestContext) -> bool:
-        """Return whether a request runs as a trial, once it may run.
-
-        Raises `errors.FulmarseamError` if it must not run, and
-        `http.CallerGoneError` if the caller has left while it waited.
-        """
-        crash_guard = self._dependencies.crash_guard
-        wait_until = min(
-            self._loop.time() + MAX_TRIAL_WAIT_S, context.deadline
-        )
-        while True:
-            now = self._loop.time()
-            admission = await crash_guard.admit(
-                context.fingerprint(), context.deadline - now
-            )
-            verdict = admission.verdict
-            if verdict in (quarantine.Verdict.FREE, quarantine.Verdict.TRIAL):
-                return verdict is quarantine.Verdict.TRIAL
-            if verdict is quarantine.Verdict.REFUSE or now >= wait_until:
-                raise crash_guard.make_refusal(
-                    admission, errors.ErrorKind.SUSPECTED
-                )
-            timer = self._loop.call_later(
-                admission.wait_s, context.signal.notify
-            )
-            try:
-                await context.signal.wait()
-            finally:
-                timer.cancel()
-            if context.caller.gone:
-                raise http.CallerGoneError('the caller has left')
-
     async def _attempt_once(
         self,
         context: _requests.RequestContext,
@@ -340,7 +306,9 @@
                 # The other entry asks for a trial by itself.
                 context.is_trial = False
                 dependencies.crash_guard.end_trial(context.fingerprint())
-            relayed = await dependencies.relayer.relay(context, summary)
+            relayed = await dependencies.relayer.relay(
+                context, retries.pool_name, summary
+            )
             if relayed is None:
                 return True
             failure = relayed
@@ -423,7 +391,7 @@
             may_reuse=not dependencies.crash_guard.needs_new_connection(
                 context.fingerprint()
             ),
-            may_open=dependencies.load_balancer.may_open(target),
+            may_open=dependencies.load_balancer.paths.may_open(target),
         )
         if context.is_trial:
             dependencies.crash_guard.start_trial(
@@ -453,8 +421,12 @@
         except _attempts.NotRunError as error:
             return self._handle_not_run(context, target, attempt, error)
         except http.TargetError as error:
-            if error.reason is http.Reason.BROKEN:
-                await self._note_broken(context, target, attempt, error)
+            is_broken = error.reason is http.Reason.BROKEN
+            if is_broken and attempt.progress is not http.Progress.NOT_SENT:
+                dependencies.metrics.add('broken_attempts_total')
+                await _admission.note_broken(
+                    context, target, attempt, dependencies.crash_guard
+                )
             return self._handle_failure(
                 context, placement, attempt, error, started_at, summary
             )
@@ -475,11 +447,11 @@
         self, target: steering.ObservedTarget, attempt: _attempts.Attempt
     ) -> None:
         """Record what the connection of an attempt tells about the paths."""
-        load_balancer = self._dependencies.load_balancer
+        paths = self._dependencies.load_balancer.paths
         if attempt.has_opened:
-            load_balancer.note_opened(target)
+            paths.note_opened(target)
         elif attempt.has_used_kept and attempt.has_answered:
-            load_balancer.note_kept(self._loop.time(), target, True)
+            paths.note_kept(self._loop.time(), target, True)
 
     def _note_limit(
         self, target: steering.ObservedTarget, attempt: _attempts.Attempt
@@ -601,7 +573,7 @@
         summary.outcome = ''
         is_late = now >= context.deadline
         if attempt.progress is http.Progress.NOT_SENT:
-            if load_balancer.may_open(target):
+            if load_balancer.paths.may_open(target):
                 load_balancer.eject(now, target)
             kind = errors.ErrorKind.NO_CAPACITY
             return _FailedAttempt(
@@ -609,7 +581,7 @@
             )
         context.attempted.add(target.target)
         if attempt.lost_kept_connection():
-            load_balancer.note_kept(now, target, False)
+            load_balancer.paths.note_kept(now, target, False)
         kind = errors.ErrorKind.TARGET_FAILED
         lost_idle_connection = False
         if error.reason is http.Reason.TIMED_OUT:
@@ -624,38 +596,3 @@
             self._try_acquire_retry(context, target),
             same_target=lost_idle_connection,
         )
-
-    async def _note_broken(
-        self,
-        context: _requests.RequestContext,
-        target: steering.ObservedTarget,
-        attempt: _attempts.Attempt,
-        error: http.TargetError,
-    ) -> None:
-        """Record a connection that broke while a target may have run it.
-
-        The fingerprint in the log links the copies of a request.
-        """
-        if attempt.progress is http.Progress.NOT_SENT:
-            return
-        dependencies = self._dependencies
-        dependencies.metrics.add('broken_attempts_total')
-        _log.info(
-            telemetry.format_event(
-                'attempt_broken',
-                id=(context.request_id or b'').decode('latin-1'),
-                fingerprint=context.fingerprint().hex(),
-                target=target.target,
-                address=target.record.address,
-                reason=error.detail,
-            )
-        )
-        await dependencies.crash_guard.note_broken(
-            context.fingerprint(),
-            target.target,
-            target.record.born_ms,
-            context.is_trial,
-            functools.partial(attempt.pool.is_listening, PROBE_TIMEOUT_S)
-            if attempt.lost_kept_connection()
-            else None,
-        )
--- a/fulmarseam/gateway/_load_balancer.py
+++ b/fulmarseam/gateway/_load_balancer.py
@@ -3,18 +3,18 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Sequence
-import functools
 import zlib
 
 import logbook
 
 from fulmarseam import catalog
 from fulmarseam import ids
-from fulmarseam import relay
 from fulmarseam import settings
 from fulmarseam import steering
 from fulmarseam import telemetry
 from fulmarseam import wire
+from fulmarseam.gateway import _paths
+from fulmarseam.gateway import _pools
 
 # A target that is reachable again may have restarted, so it counts as cold
 # until its announcement can arrive, within a heartbeat of 1.5 s and a poll.
@@ -31,8 +31,6 @@
 REMOTE_LOAD_PENALTY = 0.4
 # Number of different token offsets between 0 and 1.
 TOKEN_OFFSET_STEPS = 1_000
-# The failure rate of a pool is computed again after this time.
-FAILURE_RATE_INTERVAL_S = 0.2
 # The loads that all entries observe together replace a report of the target
 # that is older than this.
 MIN_REPLACED_REPORT_AGE_S = 0.1
@@ -48,25 +46,9 @@
 _log = logbook.Logger('gateway')
 
 
-class _Pool:
-    """The targets of one pool that may get new requests."""
-
-    def __init__(self, retry_budget: steering.WindowedRetryBudget) -> None:
-        self.retry_budget = retry_budget
-        self.targets: list[steering.ObservedTarget] = []
-        self.statistics = steering.PoolStatistics()
-        self.reachability = steering.Reachability()
-        self._failure_rate = 0.0
-        self._failure_rate_at = float('-inf')
-
-    def get_failure_rate(self, now: float) -> float:
-        """Return the mean failure rate of the targets."""
-        if now - self._failure_rate_at >= FAILURE_RATE_INTERVAL_S:
-            self._failure_rate_at = now
-            self._failure_rate = steering.compute_mean_failure_rate(
-                self.targets
-            )
-        return self._failure_rate
+def _has_none(address: str) -> bool:
+    """Return that there is no idle connection."""
+    return False
 
 
 class LoadBalancer:
@@ -77,7 +59,10 @@
     """
 
     def __init__(
-        self, options: settings.GatewaySettings, mirror: catalog.CatalogMirror
+        self,
+        options: settings.GatewaySettings,
+        mirror: catalog.CatalogMirror,
+        has_kept_connection: Callable[[str], bool] = _has_none,
     ) -> None:
         self._options = options
         self._mirror = mirror
@@ -85,7 +70,7 @@
             options.cold_factor, options.cold_slack
         )
         self._targets: dict[ids.TargetId, steering.ObservedTarget] = {}
-        self._pools: dict[ids.PoolName, _Pool] = {}
+        self._pools: dict[ids.PoolName, _pools.Pool] = {}
         self._rankings: dict[
             tuple[str, str, str], list[steering.ObservedTarget]
         ] = {}
@@ -96,8 +81,7 @@
         self._evacuated: frozenset[ids.DomainName] = frozenset()
         self.limited_targets = steering.LimitedTargets()
         self.senders = 1
-        # Returns whether there are idle connections to an address.
-        self.has_kept_connection: Callable[[str], bool] = _has_none
+        self.paths = _paths.Paths(self._pools, has_kept_connection)
 
     # Catalog updates
 
@@ -180,11 +164,11 @@
                 continue
             self._get_or_create_pool(record.pool).targets.append(observed)
 
-    def _get_or_create_pool(self, name: ids.PoolName) -> _Pool:
+    def _get_or_create_pool(self, name: ids.PoolName) -> _pools.Pool:
         pool = self._pools.get(name)
         if pool is None:
             options = self._options
-            pool = self._pools[name] = _Pool(
+            pool = self._pools[name] = _pools.Pool(
                 steering.WindowedRetryBudget(
                     options.retry_ratio * RETRY_SHARE_USED,
                     self._compute_slack(),
@@ -218,106 +202,20 @@
         """Return this entry's part of the retry slack."""
         return self._options.retry_slack * RETRY_SHARE_USED / self.senders
 
-    # Paths to the targets
-
     def is_out_of_reach(
         self, now: float, route: wire.RouteItem, pool_name: ids.PoolName
     ) -> bool:
         """Return whether this entry reaches few targets of a request."""
-        pool = self._get_or_create_pool(pool_name)
-        targets = _filter_by_region(pool.targets, route.allowed_regions)
+        targets = _filter_by_region(
+            self._get_or_create_pool(pool_name).targets, route.allowed_regions
+        )
         lost_count = sum(
             steering.is_ejected_here(observed, now)
-            or not self._has_path(pool.reachability, observed)
+            or not self.paths.may_send(observed)
             for observed in targets
         )
         return lost_count > 0 and 2 * lost_count >= len(targets)
 
-    def _has_path(
-        self,
-        reachability: steering.Reachability,
-        observed: steering.ObservedTarget,
-    ) -> bool:
-        """Return whether a request can reach a target now."""
-        return reachability.may_open(observed.target) or (
-            reachability.may_use_kept()
-            and self.has_kept_connection(observed.record.address)
-        )
-
-    def may_open(self, observed: steering.ObservedTarget) -> bool:
-        """Return whether a request may open a connection to a target."""
-        pool = self._get_or_create_pool(observed.record.pool)
-        return pool.reachability.may_open(observed.target)
-
-    def note_kept(
-        self, now: float, observed: steering.ObservedTarget, is_answered: bool
-    ) -> None:
-        """Record an answer on a kept connection, or that it broke."""
-        reachability = self._get_or_create_pool(
-            observed.record.pool
-        ).reachability
-        if is_answered:
-            reachability.note_kept_answer(now)
-        else:
-            reachability.note_kept_break(now)
-
-    def is_cut_off(self) -> bool:
-        """Return whether the paths to most targets are cut."""
-        cut_count = sum(
-            len(pool.targets)
-            for pool in self._pools.values()
-            if pool.reachability.state is steering.PathState.CUT_OFF
-        )
-        return 2 * cut_count > self.count_ready()
-
-    def choose_probes(self) -> list[relay.Probe]:
-        """Return the targets to connect to, to find out about the paths."""
-        return [
-            self._make_probe(self._targets[target])
-            for pool in self._pools.values()
-            for target in pool.reachability.choose_probes(
-                [observed.target for observed in pool.targets]
-            )
-        ]
-
-    def _make_probe(self, observed: steering.ObservedTarget) -> relay.Probe:
-        return relay.Probe(
-            observed.record.address,
-            functools.partial(self._note_probe, observed),
-        )
-
-    def _note_probe(
-        self, observed: steering.ObservedTarget, is_reached: bool
-    ) -> None:
-        """Record whether a target accepted a connection."""
-        pool = self._get_or_create_pool(observed.record.pool)
-        state = pool.reachability.state
-        pool.reachability.note_probe(
-            observed.target, is_reached, len(pool.targets)
-        )
-        if is_reached:
-            steering.end_ejection(observed)
-        new_state = pool.reachability.state
-        if new_state is state:
-            return
-        _log.warning(
-            telemetry.format_event(
-                'paths',
-                pool=observed.record.pool,
-                state=new_state.value,
-                previous=state.value,
-                targets=len(pool.targets),
-            )
-        )
-        if state is steering.PathState.CUT_OFF:
-            for other in pool.targets:
-                steering.end_ejection(other)
-
-    def note_opened(self, observed: steering.ObservedTarget) -> None:
-        """Record a new connection to a target."""
-        pool = self._get_or_create_pool(observed.record.pool)
-        pool.reachability.note_reached(observed.target)
-
     # Observations of all entries
 
     def list_observations(self, now: float) -> list[wire.TargetObservation]:
@@ -325,12 +223,10 @@
         observations = []
         self._reported.clear()
         for observed in self._targets.values():
-            pool = self._get_or_create_pool(observed.record.pool)
             # Without paths this entry knows nothing of its targets.
-            is_ejected = (
-                pool.reachability.state is not steering.PathState.CUT_OFF
-                and steering.is_reported_ejected(observed, now)
-            )
+            is_ejected = not self.paths.is_cut(
+                observed
+            ) and steering.is_reported_ejected(observed, now)
             if observed.in_flight or is_ejected:
                 self._reported[observed.target] = observed.in_flight
                 observations.append(
@@ -400,11 +296,10 @@
         `may_ask` the request may wait for a permit of the leader.
         """
         cold_rate = self._compute_cold_rate(pool_name)
-        reachability = self._get_or_create_pool(pool_name).reachability
 
         def may_send(observed: steering.ObservedTarget) -> bool:
             return (
-                self._has_path(reachability, observed)
+                self.paths.may_send(observed)
                 and steering.may_send(observed, now, cold_rate)
                 and self.limited_targets.may_send(
                     now, observed.target, may_ask
@@ -538,7 +433,7 @@
         rate = self._get_or_create_pool(pool_name).get_failure_rate(now)
         return rate >= steering.DOUBTFUL_FAILURE_RATE
 
-    def _are_most_ejected(self, now: float, pool: _Pool) -> bool:
+    def _are_most_ejected(self, now: float, pool: _pools.Pool) -> bool:
         ejected_count = sum(
             steering.is_ejected(observed, now) for observed in pool.targets
         )
@@ -572,9 +467,7 @@
         steering.eject(observed, now)
         pool = self._get_or_create_pool(observed.record.pool)
         if not is_reachable:
-            pool.reachability.note_unreachable(
-                now, observed.target, len(pool.targets)
-            )
+            self.paths.note_unreachable(now, observed)
         if self._are_most_ejected(now, pool):
             # The entry has lost its own links, so the targets stay warm.
             observed.recovering = False
@@ -589,11 +482,6 @@
         )
 
 
-def _has_none(address: str) -> bool:
-    """Return that there is no idle connection."""
-    return False
-
-
 def _apply_shared_ejections(
     now: float,
     targets: list[steering.ObservedTarget],
--- a/fulmarseam/gateway/_poller.py
+++ b/fulmarseam/gateway/_poller.py
@@ -7,6 +7,7 @@
 from typing import Any
 from typing import NamedTuple
 from typing import Self
+from typing import TypeVar
 
 import logbook
 
@@ -42,6 +43,8 @@
 # it is a seed.
 MEMBER_RETENTION_S = 30.0
 
+T = TypeVar('T')
+
 _log = logbook.Logger('gateway')
 
 
@@ -231,7 +234,7 @@
         is_leader = address == self._leader and self._mirror.is_complete
         sent_at = self._loop.time()
         rows, changes = self._limited_targets.list_unreported(sent_at)
-        answer = await self._clients.call(
+        response = await self._clients.call(
             address,
             self._make_poll(
                 wants_changes,
@@ -241,8 +244,7 @@
             ),
             timeout_s,
         )
-        if not isinstance(answer, wire.EntryPollResponse):
-            raise _make_unexpected_error(answer)
+        answer = _expect(response, wire.EntryPollResponse)
         self._record_reachability(address, None)
         self.senders = max(1, answer.entry_count)
         if answer.leader:
@@ -336,10 +338,9 @@
 
         Raises `errors.FulmarseamError` if no leader answers.
         """
-        answer = await self._call_leader(request, timeout_s)
-        if isinstance(answer, wire.PermitResponse):
-            return answer
-        raise _make_unexpected_error(answer)
+        return _expect(
+            await self._call_leader(request, timeout_s), wire.PermitResponse
+        )
 
     async def report_suspects(
         self, report: wire.SuspectReport, timeout_s: float
@@ -348,10 +349,9 @@
 
         Raises `errors.FulmarseamError` if no leader answers.
         """
-        answer = await self._call_leader(report, timeout_s)
-        if isinstance(answer, wire.TrialResponse):
-            return answer
-        raise _make_unexpected_error(answer)
+        return _expect(
+            await self._call_leader(report, timeout_s), wire.TrialResponse
+        )
 
     async def fetch_relays(self) -> list[wire.EntryAddress]:
         """Return the entries that can relay requests of this one.
@@ -370,9 +370,7 @@
                 answer = await self._clients.call(
                     address, request, POLL_TIMEOUT_S
                 )
-                if isinstance(answer, wire.RelayResponse):
-                    return answer.entries
-                raise _make_unexpected_error(answer)
+                return _expect(answer, wire.RelayResponse).entries
         raise errors.FulmarseamError(
             errors.ErrorKind.UNAVAILABLE, 'no member is reachable'
         )
@@ -403,9 +401,14 @@
         )
 
 
-def _make_unexpected_error(answer: wire.Message) -> errors.FulmarseamError:
-    """Return the error for an answer of another type than expected."""
-    return errors.FulmarseamError(
+def _expect(answer: wire.Message, expected: type[T]) -> T:
+    """Return an answer of the expected type.
+
+    Raises `errors.FulmarseamError` for a failure or another message.
+    """
+    if isinstance(answer, expected):
+        return answer
+    raise errors.FulmarseamError(
         errors.ErrorKind.UNAVAILABLE,
         getattr(answer, 'detail', type(answer).__name__),
     )
--- a/fulmarseam/gateway/_relaying.py
+++ b/fulmarseam/gateway/_relaying.py
@@ -37,10 +37,12 @@
     async def relay(
         self,
         context: _requests.RequestContext,
+        pool: ids.PoolName,
         summary: _summaries.RequestSummary,
     ) -> relay.RelayFailure | None:
         """Relay a request; return None once the caller has its answer."""
         return await self._relays.relay(
+            pool,
             context.route.allowed_regions,
             context.deadline,
             functools.partial(self._relay_through, context, summary),
@@ -82,14 +84,7 @@
                 raise errors.FulmarseamError(
                     errors.ErrorKind.TARGET_FAILED, error.detail
                 ) from error
-            kind = errors.ErrorKind.TARGET_FAILED
-            if attempt.progress is http.Progress.NOT_SENT:
-                kind = errors.ErrorKind.NO_CAPACITY
-            elif error.reason is http.Reason.TIMED_OUT:
-                kind = errors.ErrorKind.TARGET_TIMEOUT
-            return errors.FulmarseamError(
-                kind, f'{entry.address}: {error.detail}'
-            )
+            return relay.make_error(entry, error, attempt.progress)
         finally:
             attempt.close()
 
--- a/fulmarseam/gateway/_requests.py
+++ b/fulmarseam/gateway/_requests.py
@@ -123,16 +123,9 @@
 
     Raises `errors.FulmarseamError` if the header is malformed.
     """
-    value = request.fields.get(http_names.deadline)
-    if value is None:
-        return None
-    if not value.isdigit() or len(value) > MAX_DEADLINE_DIGITS:
-        raise errors.FulmarseamError(
-            errors.ErrorKind.MALFORMED_REQUEST,
-            f'{http_names.deadline.decode()}: found {value!r}, expected '
-            'milliseconds',
-        )
-    return int(value)
+    return _read_number(
+        request, http_names.deadline, MAX_DEADLINE_DIGITS, 'milliseconds'
+    )
 
 
 def read_attempts_left(
@@ -142,14 +135,21 @@
 
     Raises `errors.FulmarseamError` if the header is malformed.
     """
-    value = request.fields.get(http_names.relayed)
+    return _read_number(
+        request, http_names.relayed, MAX_ATTEMPTS_DIGITS, 'attempts'
+    )
+
+
+def _read_number(
+    request: http.Request, header: bytes, max_digits: int, unit: str
+) -> int | None:
+    value = request.fields.get(header)
     if value is None:
         return None
-    if not value.isdigit() or len(value) > MAX_ATTEMPTS_DIGITS:
+    if not value.isdigit() or len(value) > max_digits:
         raise errors.FulmarseamError(
             errors.ErrorKind.MALFORMED_REQUEST,
-            f'{http_names.relayed.decode()}: found {value!r}, expected a '
-            'number of attempts',
+            f'{header.decode()}: found {value!r}, expected {unit}',
         )
     return int(value)
 
--- a/fulmarseam/relay/__init__.py
+++ b/fulmarseam/relay/__init__.py
@@ -4,7 +4,7 @@
 through other entries, which serve them like requests of their own callers
 but relay them no further::
 
-    failure = await relays.relay(allowed_regions, deadline, send)
+    failure = await relays.relay(pool, allowed_regions, deadline, send)
     if failure is not None:
         raise failure.error or refusal
 """
@@ -13,6 +13,7 @@
 from fulmarseam.relay._probes import Probe
 from fulmarseam.relay._probes import Prober
 from fulmarseam.relay._relayed import RelayedRequests
+from fulmarseam.relay._relays import make_error
 from fulmarseam.relay._relays import RelayFailure
 from fulmarseam.relay._relays import Relays
 
@@ -23,4 +24,5 @@
     'RelayFailure',
     'RelayedRequests',
     'Relays',
+    'make_error',
 ]
--- a/fulmarseam/relay/_relays.py
+++ b/fulmarseam/relay/_relays.py
@@ -12,6 +12,7 @@
 import logbook
 
 from fulmarseam import errors
+from fulmarseam import http
 from fulmarseam import ids
 from fulmarseam import telemetry
 from fulmarseam import wire
@@ -28,7 +29,7 @@
 # Requests in flight of this entry at another one.
 MAX_IN_FLIGHT = 64
 
-# An entry that refused a request is not asked again for this long.
+# An entry that refused a request for a pool is left alone for this long.
 REFUSAL_PAUSE_S = 0.2
 # Entries that are tried for a request, as each may refuse it.
 MAX_TRIED = 3
@@ -57,7 +58,8 @@
         self._fetch = fetch
         self._entries: list[wire.EntryAddress] = []
         self._in_flight: dict[str, int] = {}
-        self._refused_until: dict[str, float] = {}
+        # Until when an entry is not asked for a pool again.
+        self._refused_until: dict[tuple[str, ids.PoolName], float] = {}
         self._clock = asyncio.get_running_loop().time
         self._used_at = float('-inf')
         self._task: asyncio.Task[None] | None = None
@@ -101,20 +103,22 @@
 
     async def relay(
         self,
+        pool: ids.PoolName,
         allowed_regions: Collection[ids.RegionName],
         deadline: float,
         send: Send,
     ) -> RelayFailure | None:
-        """Send a request through one entry after another, a few at most.
+        """Send a request for a pool through one entry after another.
 
-        An entry that did not run it is followed by the next one. Returns
+        An entry that did not run it is followed by the next one, a few at
+        most. Returns
         None once the caller has its answer. `deadline` is in seconds of the
         event loop's clock.
         """
         tried: set[str] = set()
         failure = RelayFailure()
         while len(tried) < MAX_TRIED and self._clock() < deadline:
-            with self._start(allowed_regions, tried) as entry:
+            with self._start(pool, allowed_regions, tried) as entry:
                 if entry is None:
                     break
                 tried.add(entry.address)
@@ -122,7 +126,7 @@
             if error is None:
                 return None
             failure = RelayFailure(error)
-            self._refused_until[entry.address] = (
+            self._refused_until[entry.address, pool] = (
                 self._clock() + REFUSAL_PAUSE_S
             )
             if error.answer.outcome is not errors.Outcome.NOT_RUN:
@@ -132,6 +136,7 @@
     @contextlib.contextmanager
     def _start(
         self,
+        pool: ids.PoolName,
         allowed_regions: Collection[ids.RegionName],
         tried: Collection[str],
     ) -> Iterator[wire.EntryAddress | None]:
@@ -140,7 +145,7 @@
         The request counts as in flight there until the context ends.
         """
         self._used_at = self._clock()
-        entry = self._choose(allowed_regions, tried)
+        entry = self._choose(pool, allowed_regions, tried)
         if entry is None:
             yield None
             return
@@ -155,6 +160,7 @@
 
     def _choose(
         self,
+        pool: ids.PoolName,
         allowed_regions: Collection[ids.RegionName],
         tried: Collection[str],
     ) -> wire.EntryAddress | None:
@@ -165,7 +171,7 @@
             if entry.address not in tried
             and (not allowed_regions or entry.region in allowed_regions)
             and self._in_flight.get(entry.address, 0) < MAX_IN_FLIGHT
-            and self._refused_until.get(entry.address, 0.0) <= now
+            and self._refused_until.get((entry.address, pool), 0.0) <= now
         ]
         return min(candidates, key=self._compute_cost, default=None)
 
@@ -177,3 +183,17 @@
     def count_in_flight(self) -> int:
         """Return the number of requests that are being relayed."""
         return sum(self._in_flight.values())
+
+
+def make_error(
+    entry: wire.EntryAddress,
+    error: http.TargetError,
+    progress: http.Progress,
+) -> errors.FulmarseamError:
+    """Return the error of a request that another entry did not answer."""
+    kind = errors.ErrorKind.TARGET_FAILED
+    if progress is http.Progress.NOT_SENT:
+        kind = errors.ErrorKind.NO_TARGET
+    elif error.reason is http.Reason.TIMED_OUT:
+        kind = errors.ErrorKind.TARGET_TIMEOUT
+    return errors.FulmarseamError(kind, f'{entry.address}: {error.detail}')
