--- a/fulmarseam/entry/_pools.py
+++ b/fulmarseam/entry/_pools.py
@@ -212,12 +212,14 @@
         pool.reachability.note_probe(
             target, is_reached, len(self.list_targets(name))
         )
-        if pool.reachability.state is not previous:
+        state = pool.reachability.state
+        is_change = state is not previous
+        if is_change and steering.PathState.CUT_OFF in (state, previous):
             _log.warning(
                 telemetry.format_event(
                     'paths',
                     pool=name,
-                    state=pool.reachability.state.value,
+                    state=state.value,
                     previous=previous.value,
                 )
             )
--- a/fulmarseam/gateway/_paths.py
+++ b/fulmarseam/gateway/_paths.py
@@ -113,7 +113,9 @@
         if is_reached:
             steering.end_ejection(observed)
         new_state = pool.reachability.state
-        if new_state is state:
+        if steering.PathState.CUT_OFF not in (state, new_state) or (
+            new_state is state
+        ):
             return
         _log.warning(
             telemetry.format_event(
