Wait shorter for the leader's word on a strike than for its answer

A report of a strike timed out after 0.3 s, and a call that times out replaces the connection that the polls of the entry use as well: a leader behind a full link would have lost the polls of each entry that reports a broken connection. Found by reading. The call now gets as long as a poll (0.8 s), and the caller's request waits 0.3 s of it. The new test fails without the change (time-out of 0.3 s, answer after 0.6 s).

--- a/fulmarseam/quarantine/_guard.py
+++ b/fulmarseam/quarantine/_guard.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import enum
+from typing import Any
 from typing import NamedTuple
 
 import logbook
@@ -19,6 +20,9 @@
 # A caller whose request broke a target is answered this much later at most,
 # so that the leader knows of the strike before the caller repeats it.
 REPORT_TIMEOUT_S = 0.3
+# A call that times out replaces the connection that polls use as well, so a
+# slow leader gets as long as for a poll.
+CALL_TIMEOUT_S = 0.8
 # A trial that the leader does not hear of again ends after this time.
 MAX_TRIAL_LEASE_S = 10.0
 # While another trial of its request runs, a copy waits and asks again.
@@ -109,7 +113,7 @@
         # Requests whose reused connection broke at a target that still
         # listens; their next run uses a new connection.
         self._unconfirmed: dict[bytes, float] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[Any]] = set()
 
     def close(self) -> None:
         """Cancel the reports in progress."""
@@ -384,6 +388,26 @@
         known: list[wire.SuspectRow] | None = None,
     ) -> wire.TrialResponse:
         """Send what the leader does not know yet; keep it if that fails."""
+        task = asyncio.create_task(self._send_report(trial, known or []))
+        self._tasks.add(task)
+        task.add_done_callback(self._finish_report)
+        done, _ = await asyncio.wait((task,), timeout=REPORT_TIMEOUT_S)
+        if not done:
+            raise errors.FulmarseamError(
+                errors.ErrorKind.UNAVAILABLE,
+                f'no answer within {REPORT_TIMEOUT_S} s',
+            )
+        return task.result()
+
+    def _finish_report(self, task: asyncio.Task[wire.TrialResponse]) -> None:
+        """Forget a report; who waited for it has logged its error."""
+        self._tasks.discard(task)
+        if not task.cancelled():
+            task.exception()
+
+    async def _send_report(
+        self, trial: wire.TrialRequest | None, known: list[wire.SuspectRow]
+    ) -> wire.TrialResponse:
         strikes, self._strikes = self._strikes, []
         answered, self._answered = self._answered, set()
         ended, self._ended = self._ended, set()
@@ -393,10 +417,10 @@
                     strikes=strikes,
                     answered=sorted(answered),
                     ended=sorted(ended),
-                    known=known or [],
+                    known=known,
                     trial=trial,
                 ),
-                REPORT_TIMEOUT_S,
+                CALL_TIMEOUT_S,
             )
         except errors.FulmarseamError:
             self._strikes = (strikes + self._strikes)[-MAX_PENDING:]
--- a/tests/test_crash_requests.py
+++ b/tests/test_crash_requests.py
@@ -183,6 +183,8 @@
         self.term = 1
         self.reports: list[wire.SuspectReport] = []
         self.is_leader_reachable = True
+        self.leader_delay_s = 0.0
+        self.timeouts_s: list[float] = []
         self.guard = quarantine.CrashGuard(self.answer)
         self.other = quarantine.CrashGuard(self.answer)
 
@@ -191,6 +193,8 @@
     ) -> wire.TrialResponse:
         if not self.is_leader_reachable:
             raise errors.NotLeaderError()
+        self.timeouts_s.append(timeout_s)
+        await asyncio.sleep(self.leader_delay_s)
         self.reports.append(report)
         return self.registry.answer(self.now(), self.term, report)
 
@@ -333,6 +337,22 @@
             quarantine.Verdict.REFUSE, await self.admit(b'f', self.other)
         )
 
+    async def test_a_slow_leader_holds_nobody_up_and_keeps_its_connection(
+        self,
+    ) -> None:
+        """A call that times out would replace the connection of the polls."""
+        self.leader_delay_s = 0.6
+        started_at = self.now()
+        await self.strike(b'f', 't1')
+        self.assertLess(self.now() - started_at, 0.5)
+        self.assertGreater(min(self.timeouts_s), self.leader_delay_s)
+        await asyncio.sleep(0.5)
+        self.sync(self.other)
+        self.leader_delay_s = 0.0
+        self.assertIs(
+            quarantine.Verdict.TRIAL, await self.admit(b'f', self.other)
+        )
+
     async def test_a_request_that_turned_lethal_is_held_back(self) -> None:
         self.guard.note_answered(b'f')
         for number in range(3):
