Ask entries that refuse relayed requests less often

While all targets of a pool are down for all entries, each entry takes its paths for lost and would have asked up to 16 others for each of its requests, each of them five times a second: by arithmetic up to 80 relayed requests a second, about 160 KB/s on a link of 300 KB/s. Found by reading. The pause after a refusal now doubles up to 1.6 s for that entry and pool, until one is answered. The new test sends 100 requests for a pool that all refuse: at most 16 are relayed.

--- a/fulmarseam/relay/_relays.py
+++ b/fulmarseam/relay/_relays.py
@@ -29,8 +29,11 @@
 # Requests in flight of this entry at another one.
 MAX_IN_FLIGHT = 64
 
-# An entry that refused a request for a pool is left alone for this long.
-REFUSAL_PAUSE_S = 0.2
+# An entry that refused a request for a pool is left alone for the minimum time
+# first, and for up to the maximum if it refuses further ones: the targets of
+# the pool may be down for all entries.
+REFUSAL_PAUSE_MIN_S = 0.2
+REFUSAL_PAUSE_MAX_S = 1.6
 # Entries that are tried for a request, as each may refuse it.
 MAX_TRIED = 3
 
@@ -50,6 +53,13 @@
     error: errors.FulmarseamError | None = None
 
 
+class _Pause(NamedTuple):
+    """How long an entry is left alone for a pool."""
+
+    until: float
+    duration_s: float
+
+
 class Relays:
     """Chooses among the entries that `fetch` returns; a context manager."""
 
@@ -58,8 +68,8 @@
         self._fetch = fetch
         self._entries: list[wire.EntryAddress] = []
         self._in_flight: dict[str, int] = {}
-        # Until when an entry is not asked for a pool again.
-        self._refused_until: dict[tuple[str, ids.PoolName], float] = {}
+        # Pauses since the last answer, by entry and pool.
+        self._pauses: dict[tuple[str, ids.PoolName], _Pause] = {}
         self._clock = asyncio.get_running_loop().time
         self._used_at = float('-inf')
         self._task: asyncio.Task[None] | None = None
@@ -91,7 +101,7 @@
     async def _fetch_entries(self) -> None:
         try:
             self._entries = await self._fetch()
-            self._refused_until.clear()
+            self._forget_others()
         except errors.FulmarseamError as error:
             _log.info(
                 telemetry.format_event(
@@ -124,15 +134,36 @@
                 tried.add(entry.address)
                 error = await send(entry)
             if error is None:
+                self._pauses.pop((entry.address, pool), None)
                 return None
             failure = RelayFailure(error)
-            self._refused_until[entry.address, pool] = (
-                self._clock() + REFUSAL_PAUSE_S
-            )
+            self._pause((entry.address, pool))
             if error.answer.outcome is not errors.Outcome.NOT_RUN:
                 break
         return failure
 
+    def _pause(self, key: tuple[str, ids.PoolName]) -> None:
+        """Leave an entry alone for a pool, for longer each time."""
+        duration_s = REFUSAL_PAUSE_MIN_S
+        if key in self._pauses:
+            duration_s = min(
+                2 * self._pauses[key].duration_s, REFUSAL_PAUSE_MAX_S
+            )
+        self._pauses[key] = _Pause(self._clock() + duration_s, duration_s)
+
+    def _forget_others(self) -> None:
+        """Forget the pauses of entries that are no longer known."""
+        known = {entry.address for entry in self._entries}
+        for address, pool in list(self._pauses):
+            if address not in known:
+                del self._pauses[address, pool]
+
+    def _is_paused(
+        self, now: float, entry: wire.EntryAddress, pool: ids.PoolName
+    ) -> bool:
+        pause = self._pauses.get((entry.address, pool))
+        return pause is not None and now < pause.until
+
     @contextlib.contextmanager
     def _start(
         self,
@@ -171,7 +202,7 @@
             if entry.address not in tried
             and (not allowed_regions or entry.region in allowed_regions)
             and self._in_flight.get(entry.address, 0) < MAX_IN_FLIGHT
-            and self._refused_until.get((entry.address, pool), 0.0) <= now
+            and not self._is_paused(now, entry, pool)
         ]
         return min(candidates, key=self._compute_cost, default=None)
 
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -261,6 +261,68 @@
         self.assertEqual(66, relayed.count())
 
 
+class RelaysTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against relays that fill the links while a pool is down."""
+
+    async def asyncSetUp(self) -> None:
+        self.sent: list[str] = []
+        self.error: errors.FulmarseamError | None = None
+        self.relays = await self.enterAsyncContext(
+            relay.Relays(ids.RegionName('ost'), self.list_entries)
+        )
+        await asyncio.sleep(0.05)
+
+    async def list_entries(self) -> list[wire.EntryAddress]:
+        return [
+            wire.EntryAddress(f'e{number}', ids.RegionName('ost'))
+            for number in range(4)
+        ]
+
+    async def send(
+        self, entry: wire.EntryAddress
+    ) -> errors.FulmarseamError | None:
+        self.sent.append(entry.address)
+        return self.error
+
+    async def relay(self, pool: str, count: int) -> None:
+        deadline = asyncio.get_running_loop().time() + 60.0
+        for _ in range(count):
+            await self.relays.relay(
+                ids.PoolName(pool), (), deadline, self.send
+            )
+            await asyncio.sleep(0.01)
+
+    async def test_entries_that_refuse_a_pool_are_asked_seldom(self) -> None:
+        self.error = errors.FulmarseamError(
+            errors.ErrorKind.TARGET_SHED, 'no room'
+        )
+        await self.relay('down', 100)
+        # Each entry after 0, 0.2, 0.6 and 1.4 s, at most.
+        self.assertLessEqual(len(self.sent), 4 * 4)
+        self.error = None
+        self.sent.clear()
+        await self.relay('other', 3)
+        self.assertEqual(3, len(self.sent))
+
+    async def test_an_answer_ends_the_pauses_of_an_entry(self) -> None:
+        self.error = errors.FulmarseamError(
+            errors.ErrorKind.TARGET_SHED, 'no room'
+        )
+        await self.relay('p', 2)
+        await asyncio.sleep(0.25)
+        self.error = None
+        self.sent.clear()
+        await self.relay('p', 8)
+        self.assertEqual(8, len(self.sent))
+
+    async def test_a_request_that_may_have_run_is_relayed_once(self) -> None:
+        self.error = errors.FulmarseamError(
+            errors.ErrorKind.TARGET_FAILED, 'broken'
+        )
+        await self.relay('p', 1)
+        self.assertEqual(1, len(self.sent))
+
+
 class LookUpTest(unittest.TestCase):
     """Guards against look-ups that send callers to cut-off entries."""
 
