Keep polling beside an odd target of a pool that no other target has

Found on reading the change again: an odd record is left out before its pool is known, and the observations that polls carry asked that pool for its paths. An odd target of a pool of its own would have failed every poll of the leader with KeyError. The pool is now known first, and only targets that are ejected are asked for their paths. The new test failed with KeyError.

--- a/fulmarseam/gateway/_load_balancer.py
+++ b/fulmarseam/gateway/_load_balancer.py
@@ -123,9 +123,9 @@
             )
             self._targets[target] = observed
         observed.record = record
+        observed.statistics = self._get_or_create_pool(record.pool).statistics
         if not self._check_record(record):
             return
-        observed.statistics = self._get_or_create_pool(record.pool).statistics
         if record.cold_ms > 0.0:
             steering.mark_cold(observed, now, record.cold_ms / 1_000)
 
@@ -224,9 +224,9 @@
         self._reported.clear()
         for observed in self._targets.values():
             # Without paths this entry knows nothing of its targets.
-            is_ejected = not self.paths.is_cut(
-                observed
-            ) and steering.is_reported_ejected(observed, now)
+            is_ejected = steering.is_reported_ejected(
+                observed, now
+            ) and not self.paths.is_cut(observed)
             if observed.in_flight or is_ejected:
                 self._reported[observed.target] = observed.in_flight
                 observations.append(
--- a/tests/test_odd_targets.py
+++ b/tests/test_odd_targets.py
@@ -60,6 +60,16 @@
         # One has announced itself properly since.
         self.assertEqual(3, self.gateway.load_balancer.count_ready())
 
+    async def test_an_odd_target_of_an_unknown_pool_ends_no_poll(
+        self,
+    ) -> None:
+        await self.add_target('sound', serve)
+        await self.put_route()
+        fixtures.announce(self.machine, 'odd', pool='unknown', slots=0)
+        await self.wait_for_catalog()
+        observations = self.gateway.load_balancer.list_observations(0.0)
+        self.assertEqual([], observations)
+
     async def test_an_unreadable_answer_does_not_end_the_polls(self) -> None:
         await self.add_target('sound', serve)
         await self.put_route()
