Reproduce: copies of a lethal request that differ in their caller

What callers see: where a request ends the targets that run it and each copy comes with another cookie or other credentials, targets go on ending, and most other requests find no target.

A third test, sound requests that share the path with a lethal one, passes and must go on to do so.

--- a/tests/crash_case.py
+++ b/tests/crash_case.py
@@ -1,6 +1,7 @@
 """Entries whose targets end while they run certain requests."""
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 import itertools
 from typing import NamedTuple
@@ -21,12 +22,18 @@
 RESTART_S = 3.0
 SERVICE_S = 0.02
 RESPONSE_TIMEOUT_S = 10.0
+DEFAULT_HEADERS = 'cookie: fulmarseam-object=7\r\n'
+
+
+def _make_default_headers(number: int) -> str:
+    return DEFAULT_HEADERS
 
 
 class CrashTarget:
     """A target that ends while it runs a request for a lethal path.
 
-    It is back at its address some seconds later, under another id.
+    A path may be lethal with certain cookies only. The target is back at its
+    address some seconds later, under another id.
     """
 
     def __init__(
@@ -105,7 +112,10 @@
         headers: dict[str, str],
     ) -> None:
         current_id = self._id
-        if path not in self._lethal_paths:
+        lethal_cookies = self._case.lethal_cookies
+        if path not in self._lethal_paths or (
+            lethal_cookies and headers.get('cookie') not in lethal_cookies
+        ):
             await asyncio.sleep(self.service_s)
             await gateway_case.write_response(writer, headers)
             return
@@ -135,6 +145,8 @@
         await super().asyncSetUp()
         self._spawned: set[asyncio.Task[None]] = set()
         self.lethal_paths = {LETHAL_PATH}
+        # Any cookie is lethal if this is empty.
+        self.lethal_cookies: set[str] = set()
         await self.put_items(idempotent=self.idempotent, max_attempts=3)
         self.crash_targets = [
             CrashTarget(self, f't{number}', self.lethal_paths)
@@ -160,7 +172,12 @@
         task.add_done_callback(self._spawned.discard)
 
     async def call(
-        self, entry: int, path: str, body: bytes = b'', method: str = 'GET'
+        self,
+        entry: int,
+        path: str,
+        body: bytes = b'',
+        method: str = 'GET',
+        headers: str = DEFAULT_HEADERS,
     ) -> Reply:
         """Send a request with a new id to an entry."""
         loop = asyncio.get_running_loop()
@@ -169,7 +186,7 @@
         reader, writer = await asyncio.open_connection(host, int(port))
         writer.write(
             f'{method} {path} HTTP/1.1\r\nhost: shop.example\r\n'
-            f'cookie: fulmarseam-object=7\r\n'
+            f'{headers}'
             f'fulmarseam-request-id: q{next(self._request_ids)}\r\n'
             f'content-length: {len(body)}\r\n\r\n'.encode()
             + body
@@ -193,10 +210,12 @@
         duration_s: float,
         choose_entry,
         body: bytes = b'',
+        make_headers: Callable[[int], str] = _make_default_headers,
     ) -> list[Reply]:
         """Send a request at each interval; return the answers.
 
-        `choose_entry` gets the number of the call and returns its entry.
+        `choose_entry` gets the number of the call and returns its entry, and
+        `make_headers` the header lines that differ between calls.
         """
         loop = asyncio.get_running_loop()
         started_at = loop.time()
@@ -206,7 +225,12 @@
             await asyncio.sleep(max(0.0, due_at - loop.time()))
             calls.append(
                 asyncio.create_task(
-                    self.call(choose_entry(number), path, body)
+                    self.call(
+                        choose_entry(number),
+                        path,
+                        body,
+                        headers=make_headers(number),
+                    )
                 )
             )
         return await asyncio.gather(*calls)
--- a/tests/test_crash_requests.py
+++ b/tests/test_crash_requests.py
@@ -21,7 +21,13 @@
 class LethalRequestTest(crash_case.CrashCase):
     """Guards against a request that ends one target after another."""
 
-    async def play(self, choose_entry, body: bytes = b'') -> None:
+    async def play(
+        self,
+        choose_entry,
+        body: bytes = b'',
+        make_headers=lambda number: crash_case.DEFAULT_HEADERS,
+        sound_path: str = '/r/sound',
+    ) -> None:
         """Send a lethal request beside others, and check the bounds."""
         lethal, sound = await asyncio.gather(
             self.call_repeatedly(
@@ -30,12 +36,16 @@
                 DURATION_S,
                 choose_entry,
                 body,
+                make_headers,
             ),
             self.call_repeatedly(
-                '/r/sound',
+                sound_path,
                 SOUND_INTERVAL_S,
                 DURATION_S,
                 lambda number: number % self.entry_count,
+                make_headers=lambda number: (
+                    f'cookie: fulmarseam-object=9; session={number % 20}\r\n'
+                ),
             ),
         )
         served = sum(reply.status == 200 for reply in sound)
@@ -80,6 +90,35 @@
             self.play(lambda number: number % self.entry_count, b'body'),
         )
 
+    # Copies were recognised by what they say of their caller as well.
+    async def test_copies_with_new_cookies_end_few_targets(self) -> None:
+        await self.play(
+            lambda number: number % self.entry_count,
+            make_headers=lambda number: (
+                f'cookie: fulmarseam-object={number}\r\n'
+                f'fulmarseam-deadline-ms: {1_500 + number}\r\n'
+            ),
+        )
+
+    async def test_copies_with_other_credentials_end_few_targets(
+        self,
+    ) -> None:
+        await self.play(
+            lambda number: number % self.entry_count,
+            make_headers=lambda number: (
+                f'authorization: Bearer {number % 9}\r\n'
+            ),
+        )
+
+    async def test_callers_that_share_the_path_are_served(self) -> None:
+        lethal_cookie = 'fulmarseam-object=1'
+        self.lethal_cookies.add(lethal_cookie)
+        await self.play(
+            lambda number: number % self.entry_count,
+            make_headers=lambda number: f'cookie: {lethal_cookie}\r\n',
+            sound_path=crash_case.LETHAL_PATH,
+        )
+
     async def test_a_restart_of_all_entries_forgets_nothing(self) -> None:
         for number in range(3):
             await self.call(number, crash_case.LETHAL_PATH)
