Recognise copies of a lethal request that differ in their caller

What callers see: targets go on ending under one request whose copies come with other cookies or credentials, and most other requests find no target.

Cause: the fingerprint covers what a request says of its caller, so each variant was a request of its own, with two ends of its own.

Now a second digest covers the content alone. It collects the strikes of requests that no target has answered lately; after two of them, requests of other callers for it run as trials.

--- a/fulmarseam/entry/_requests.py
+++ b/fulmarseam/entry/_requests.py
@@ -65,7 +65,7 @@
         # Whether another entry relays the request.
         self.is_relayed = RELAYED_HEADER in request.fields
         self.is_trial = False
-        self._fingerprint: bytes | None = None
+        self._fingerprint: steering.Fingerprint | None = None
 
     def keep_for_replay(self, piece: bytes) -> None:
         """Keep a body piece for retries while the body is within the limit."""
@@ -76,8 +76,8 @@
         elif self.is_replayable:
             self.replay_pieces.append(piece)
 
-    def fingerprint(self) -> bytes:
-        """Return a fingerprint that is the same when a request is repeated."""
+    def fingerprint(self) -> steering.Fingerprint:
+        """Return digests that are the same when a request is repeated."""
         if self._fingerprint is None:
             self._fingerprint = steering.compute_fingerprint(
                 self.method,
@@ -99,7 +99,7 @@
             f'{self.path} {self.request.length}',
             b'',
             self.body_prefix,
-        ).hex()
+        ).full.hex()
 
     async def read_prefix(self) -> None:
         """Read the body prefix that fingerprints cover.
--- a/fulmarseam/gateway/_admission.py
+++ b/fulmarseam/gateway/_admission.py
@@ -66,7 +66,7 @@
         telemetry.format_event(
             'attempt_broken',
             id=(context.request_id or b'').decode('latin-1'),
-            fingerprint=context.fingerprint().hex(),
+            fingerprint=context.fingerprint().full.hex(),
             target=target.target,
             address=target.record.address,
         )
--- a/fulmarseam/gateway/_requests.py
+++ b/fulmarseam/gateway/_requests.py
@@ -71,7 +71,7 @@
         self.max_attempts = 1
         # Whether the current attempt is a trial of a suspected request.
         self.is_trial = False
-        self._fingerprint: bytes | None = None
+        self._fingerprint: steering.Fingerprint | None = None
 
     @property
     def signal(self) -> http.Signal:
@@ -79,10 +79,10 @@
         assert self.caller.signal is not None
         return self.caller.signal
 
-    def fingerprint(self) -> bytes:
-        """Return a digest that is the same when the request is repeated.
+    def fingerprint(self) -> steering.Fingerprint:
+        """Return digests that are the same when the request is repeated.
 
-        It covers the body as far as that is buffered.
+        They cover the body as far as that is buffered.
         """
         if self._fingerprint is None:
             self._fingerprint = steering.compute_fingerprint(
--- a/fulmarseam/quarantine/_guard.py
+++ b/fulmarseam/quarantine/_guard.py
@@ -80,7 +80,7 @@
 
     time: float
     target: ids.TargetId
-    fingerprint: bytes
+    content: bytes
 
 
 class CrashGuard:
@@ -104,14 +104,15 @@
         self._breaks: collections.deque[_Break] = collections.deque(
             maxlen=MAX_BREAKS
         )
-        # Trials of this entry without an outcome, and their targets.
-        self._trials: set[bytes] = set()
+        # Trials of this entry without an outcome: the digest that allowed
+        # each, and the request that runs. Then their targets.
+        self._trials: dict[bytes, bytes] = {}
         self._trial_targets: dict[bytes, ids.TargetId] = {}
         self._strikes: list[wire.Strike] = []
         self._answered: set[bytes] = set()
         self._ended: set[bytes] = set()
-        # Requests whose reused connection broke at a target that still
-        # listens; their next run uses a new connection.
+        # Contents of requests whose reused connection broke at a target that
+        # still listens; their next run uses a new connection.
         self._unconfirmed: dict[bytes, None] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
 
@@ -122,7 +123,9 @@
 
     # Admission
 
-    async def admit(self, fingerprint: bytes, time_left_s: float) -> Admission:
+    async def admit(
+        self, fingerprint: steering.Fingerprint, time_left_s: float
+    ) -> Admission:
         """Return whether a request may run now, asking the leader if needed.
 
         After a TRIAL its outcome must be told to `note_answered` or
@@ -131,46 +134,74 @@
         now = self._clock()
         if self._may_run_freely(now, fingerprint):
             return _FREE
-        permission = self._table.check_trial(now, fingerprint)
+        suspect = self._choose_suspect(now, fingerprint)
+        permission = self._table.check_trial(now, suspect)
         if not permission.wait_s:
-            permission = await self._ask_for_trial(fingerprint, time_left_s)
+            permission = await self._ask_for_trial(suspect, time_left_s)
         if self._may_run_freely(self._clock(), fingerprint):
             # Another entry got an answer in the meantime.
-            self._end_unused_trial(fingerprint, permission)
+            self._end_unused_trial(suspect, fingerprint, permission)
             return _FREE
         if permission.is_running:
             return Admission(Verdict.WAIT, RECHECK_INTERVAL_S)
         if permission.wait_s:
             return Admission(Verdict.REFUSE, permission.wait_s)
-        self._trials.add(fingerprint)
+        self._trials[suspect] = fingerprint.full
         return Admission(Verdict.TRIAL)
 
-    def must_try(self, fingerprint: bytes) -> bool:
+    def must_try(self, fingerprint: steering.Fingerprint) -> bool:
         """Return whether a request may only run as a trial."""
         return not self._may_run_freely(self._clock(), fingerprint)
 
-    def needs_new_connection(self, fingerprint: bytes) -> bool:
+    def needs_new_connection(self, fingerprint: steering.Fingerprint) -> bool:
         """Return whether a request should not use a kept connection.
 
         A kept connection may break because the target had closed it, which
         proves nothing about the request.
         """
-        return fingerprint in self._unconfirmed or self._table.is_suspect(
-            self._clock(), fingerprint
+        now = self._clock()
+        return (
+            fingerprint.content in self._unconfirmed
+            or self._table.is_suspect(now, fingerprint.full)
+            or not self._may_run_freely(now, fingerprint)
         )
 
-    def _may_run_freely(self, now: float, fingerprint: bytes) -> bool:
-        if not self._table.is_suspect(now, fingerprint):
-            return True
-        answered_at = self._answered_at.get(fingerprint)
-        if answered_at is None or now - answered_at > SOUND_S:
-            return False
-        return self._table.may_be_sound(
+    def _may_run_freely(
+        self, now: float, fingerprint: steering.Fingerprint
+    ) -> bool:
+        is_struck = self._table.is_suspect(now, fingerprint.full)
+        if not self._was_answered_lately(now, fingerprint.full):
+            return not is_struck and not self._table.is_suspect(
+                now, fingerprint.content
+            )
+        return not is_struck or self._table.may_be_sound(
             now,
-            fingerprint,
-            answered_at > self._struck_at.get(fingerprint, now),
+            fingerprint.full,
+            self._answered_at[fingerprint.full]
+            > self._struck_at.get(fingerprint.full, now),
         )
 
+    def _was_answered_lately(self, now: float, full: bytes) -> bool:
+        answered_at = self._answered_at.get(full)
+        return answered_at is not None and now - answered_at <= SOUND_S
+
+    def _choose_suspect(
+        self, now: float, fingerprint: steering.Fingerprint
+    ) -> bytes:
+        """Return the digest whose trials a request has to wait for.
+
+        Once several callers' requests have proved lethal, the content decides
+        also for a request that has strikes itself.
+        """
+        full, content = fingerprint
+        if not self._table.is_suspect(now, full):
+            return content
+        if self._table.is_proven(now, content):
+            full_wait_s = self._table.check_trial(now, full).wait_s
+            if self._table.check_trial(now, content).wait_s > full_wait_s:
+                return content
+        return full
+
     async def _ask_for_trial(
         self, fingerprint: bytes, time_left_s: float
     ) -> steering.TrialPermission:
@@ -195,10 +226,13 @@
         return steering.TrialPermission(0.0)
 
     def _end_unused_trial(
-        self, fingerprint: bytes, permission: steering.TrialPermission
+        self,
+        suspect: bytes,
+        fingerprint: steering.Fingerprint,
+        permission: steering.TrialPermission,
     ) -> None:
         if not permission.wait_s:
-            self._trials.add(fingerprint)
+            self._trials[suspect] = fingerprint.full
             self.end_trial(fingerprint)
 
     def make_refusal(
@@ -213,47 +247,66 @@
 
     # Trials
 
-    def start_trial(self, fingerprint: bytes, target: ids.TargetId) -> None:
+    def start_trial(
+        self, fingerprint: steering.Fingerprint, target: ids.TargetId
+    ) -> None:
         """Record the target of a trial, so that no other trial runs there."""
-        self._trial_targets[fingerprint] = target
+        self._trial_targets[fingerprint.full] = target
 
     def list_trial_targets(self) -> frozenset[ids.TargetId]:
         """Return the targets that run a trial for this entry."""
         return frozenset(self._trial_targets.values())
 
-    def end_trial(self, fingerprint: bytes) -> None:
+    def end_trial(self, fingerprint: steering.Fingerprint) -> None:
         """Record the end of a trial, whatever its outcome was."""
-        self._trial_targets.pop(fingerprint, None)
-        if fingerprint in self._trials:
-            self._trials.remove(fingerprint)
-            self._table.end_trial(fingerprint)
-            self._ended.add(fingerprint)
-            self._report_soon()
+        self._trial_targets.pop(fingerprint.full, None)
+        for suspect in fingerprint:
+            if self._trials.get(suspect) == fingerprint.full:
+                del self._trials[suspect]
+                self._table.end_trial(suspect)
+                self._ended.add(suspect)
+                self._report_soon()
 
     # Outcomes
 
-    def note_answered(self, fingerprint: bytes) -> None:
-        """Record a complete answer of a target, which clears all strikes."""
+    def note_answered(self, fingerprint: steering.Fingerprint) -> None:
+        """Record a complete answer of a target, which clears all strikes.
+
+        It says little about requests of the same content that say something
+        else about their caller, unless it ran as a trial of that content.
+        """
         now = self._clock()
-        self._answered_at.pop(fingerprint, None)
+        full, content = fingerprint
+        self._answered_at.pop(full, None)
         if len(self._answered_at) >= MAX_SOUND_REQUESTS:
             del self._answered_at[next(iter(self._answered_at))]
-        self._answered_at[fingerprint] = now
-        self._unconfirmed.pop(fingerprint, None)
-        self._trials.discard(fingerprint)
-        if self._table.clear(now, fingerprint):
-            self._struck_at.pop(fingerprint, None)
-            self._answered.add(fingerprint)
+        self._answered_at[full] = now
+        self._unconfirmed.pop(content, None)
+        if self._trials.get(content) == full:
+            del self._trials[content]
+            self._answered.add(content)
             self._report_soon()
-            _log.info(
-                telemetry.format_event(
-                    'suspect_cleared', fingerprint=fingerprint.hex()
-                )
+            self._clear(now, content)
+        self._trials.pop(full, None)
+        if self._clear(now, full):
+            self._struck_at.pop(full, None)
+            self._answered.add(full)
+            self._report_soon()
+
+    def _clear(self, now: float, suspect: bytes) -> bool:
+        """Drop the strikes of a digest; return whether there were any."""
+        if not self._table.clear(now, suspect):
+            return False
+        _log.info(
+            telemetry.format_event(
+                'suspect_cleared', fingerprint=suspect.hex()
             )
+        )
+        return True
 
     async def note_broken(
         self,
-        fingerprint: bytes,
+        fingerprint: steering.Fingerprint,
         target: ids.TargetId,
         incarnation: int,
         was_trial: bool,
@@ -268,31 +321,38 @@
         one.
         """
         broken_at = self._clock()
-        self._breaks.append(_Break(broken_at, target, fingerprint))
+        full, content = fingerprint
+        self._breaks.append(_Break(broken_at, target, content))
         await asyncio.sleep(BREAK_SETTLE_S)
         is_unconfirmed = is_listening is not None and await is_listening()
         if is_unconfirmed:
-            self._mark_unconfirmed(fingerprint)
-        elif not self._is_one_of_many(fingerprint, broken_at):
+            self._mark_unconfirmed(content)
+        elif not self._is_one_of_many(content, broken_at):
             process = ids.TargetId(f'{target}{_INCARNATION_MARK}{incarnation}')
-            await self._strike(wire.Strike(fingerprint, process, was_trial))
+            is_content_trial = was_trial and self._trials.get(content) == full
+            strikes = [
+                wire.Strike(full, process, was_trial and not is_content_trial)
+            ]
+            if not self._was_answered_lately(broken_at, full):
+                strikes.append(wire.Strike(content, process, is_content_trial))
+            await self._strike(strikes)
             return True
         _log.info(
             telemetry.format_event(
                 'strike_dismissed',
-                fingerprint=fingerprint.hex(),
+                fingerprint=full.hex(),
                 target=target,
                 reason='idle' if is_unconfirmed else 'many',
             )
         )
         return False
 
-    def _mark_unconfirmed(self, fingerprint: bytes) -> None:
+    def _mark_unconfirmed(self, content: bytes) -> None:
         if len(self._unconfirmed) >= MAX_PENDING:
             del self._unconfirmed[next(iter(self._unconfirmed))]
-        self._unconfirmed[fingerprint] = None
+        self._unconfirmed[content] = None
 
-    def _is_one_of_many(self, fingerprint: bytes, broken_at: float) -> bool:
+    def _is_one_of_many(self, content: bytes, broken_at: float) -> bool:
         """Return whether other targets broke without running the request."""
         since = broken_at - BREAK_WINDOW_S
         until = broken_at + BREAK_SETTLE_S
@@ -300,27 +360,28 @@
             found for found in self._breaks if since <= found.time <= until
         ]
         running = {
-            found.target
-            for found in recent
-            if found.fingerprint == fingerprint
+            found.target for found in recent if found.content == content
         }
         others = {found.target for found in recent} - running
         return len(others) >= UNRELATED_BREAKS
 
-    async def _strike(self, strike: wire.Strike) -> None:
+    async def _strike(self, strikes: list[wire.Strike]) -> None:
+        """Record the strikes of one broken connection, and report them."""
         now = self._clock()
-        self._trials.discard(strike.fingerprint)
-        self._table.strike(now, strike)
-        self._note_struck(now, strike.fingerprint)
-        _log.warning(
-            telemetry.format_event(
-                'strike',
-                fingerprint=strike.fingerprint.hex(),
-                target=strike.target,
-                was_trial=strike.was_trial,
+        for strike in strikes:
+            if strike.was_trial:
+                self._trials.pop(strike.fingerprint, None)
+            self._table.strike(now, strike)
+            self._note_struck(now, strike.fingerprint)
+            _log.warning(
+                telemetry.format_event(
+                    'strike',
+                    fingerprint=strike.fingerprint.hex(),
+                    target=strike.target,
+                    was_trial=strike.was_trial,
+                )
             )
-        )
-        self._strikes.append(strike)
+        self._strikes += strikes
         del self._strikes[:-MAX_PENDING]
         try:
             await self._report()
@@ -453,4 +514,5 @@
                 ),
             )
             for row in self._table.list_rows(now)
+            if row.failed_trials or not steering.is_content(row.fingerprint)
         ]
--- a/fulmarseam/steering/__init__.py
+++ b/fulmarseam/steering/__init__.py
@@ -67,6 +67,8 @@
 from fulmarseam.steering._slots import SlotTracker
 from fulmarseam.steering._split import Splitter
 from fulmarseam.steering._suspects import compute_fingerprint
+from fulmarseam.steering._suspects import Fingerprint
+from fulmarseam.steering._suspects import is_content
 from fulmarseam.steering._suspects import MAX_SUSPECTS
 from fulmarseam.steering._suspects import SuspectTable
 from fulmarseam.steering._suspects import TRIAL_DELAYS_S
@@ -81,6 +83,7 @@
     'AllocatorOptions',
     'Choice',
     'ColdRateLimit',
+    'Fingerprint',
     'Grants',
     'Outliers',
     'LinkTokens',
@@ -117,6 +120,7 @@
     'compute_mean_failure_rate',
     'compute_attempt_timeout',
     'is_cold',
+    'is_content',
     'is_doubtful',
     'is_ejected',
     'is_ejected_here',
--- a/fulmarseam/steering/_suspects.py
+++ b/fulmarseam/steering/_suspects.py
@@ -20,26 +20,60 @@
 MAX_NAMED_TARGETS = 4
 HASHED_BODY_BYTES = 16 * 1024
 FINGERPRINT_BYTES = 16
+# Digests of the content alone are shorter, which tells the two kinds apart.
+CONTENT_BYTES = 15
 # Number of strikes from which on a request counts as sound only if a target
 # has answered it since the last one.
 STRIKES_OF_SOUND_REQUESTS = 3
+# Number of targets that end under requests of the same content before this
+# holds back what other callers send: one may end for reasons of its own.
+STRIKES_OF_CONTENT = 2
+# Trials in a row that targets answer before a content is cleared. One answer
+# shows only that the request of one caller is sound.
+ANSWERS_CLEARING_CONTENT = 3
+
+
+class Fingerprint(NamedTuple):
+    """Digests that are the same for each copy of a request.
+
+    `full` covers what the request says about its caller, and `content` does
+    not, so that a caller whose copies differ in it is recognised as well.
+    """
+
+    full: bytes
+    content: bytes
 
 
 def compute_fingerprint(
     method: str, host: str, path: str, caller: bytes, body: bytes
-) -> bytes:
-    """Return a digest that is the same for each copy of a request.
+) -> Fingerprint:
+    """Return the digests of a request.
 
     `caller` is what the request says about its caller, and `body` is the
     beginning of the body, of which 16 KiB are hashed. The id of the request
     is left out, as callers may choose a new one when they repeat it.
     """
-    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-    for part in (method, normalize_host(host), path):
-        _add_part(digest, part.encode())
+    texts = (method, normalize_host(host), path)
+    parts = [text.encode() for text in texts]
+    hashed_body = body[:HASHED_BODY_BYTES]
+    content = _compute_digest(CONTENT_BYTES, parts, hashed_body)
     if caller:
-        _add_part(digest, caller)
-    digest.update(body[:HASHED_BODY_BYTES])
+        parts.append(caller)
+    return Fingerprint(
+        _compute_digest(FINGERPRINT_BYTES, parts, hashed_body), content
+    )
+
+
+def is_content(digest: bytes) -> bool:
+    """Return whether a digest covers only the content of requests."""
+    return len(digest) == CONTENT_BYTES
+
+
+def _compute_digest(size: int, parts: list[bytes], body: bytes) -> bytes:
+    digest = hashlib.blake2b(digest_size=size)
+    for part in parts:
+        _add_part(digest, part)
+    digest.update(body)
     return digest.digest()
 
 
@@ -83,6 +117,8 @@
     strikes: int = 0
     targets: list[ids.TargetId] = dataclasses.field(default_factory=list)
     failed_trials: int = 0
+    # Answered trials of a content since its last strike.
+    answers: int = 0
     # No trial may start before this time.
     trial_at: float = 0.0
     # A trial runs until this time at the latest.
@@ -96,7 +132,9 @@
 
     After its first strike a request runs as a trial, one at a time. Only a
     trial that breaks another target proves that the request is the cause,
-    and delays the next trial. A complete answer clears all strikes.
+    and delays the next trial. A complete answer clears all strikes. The
+    digest of a content needs several strikes before its requests run as
+    trials, and several answers to be cleared.
     """
 
     def __init__(self) -> None:
@@ -114,6 +152,7 @@
         if strike.target in suspect.targets:
             return
         suspect.strikes += 1
+        suspect.answers = 0
         if len(suspect.targets) < MAX_NAMED_TARGETS:
             suspect.targets.append(strike.target)
         if strike.was_trial:
@@ -154,14 +193,33 @@
         suspect = self._find(now, fingerprint)
         if suspect is None:
             return False
+        if is_content(fingerprint):
+            suspect.answers += 1
+            suspect.trial_until = float('-inf')
+            if suspect.answers < ANSWERS_CLEARING_CONTENT:
+                return False
+        self._mark_cleared(now, suspect)
+        return True
+
+    def _mark_cleared(self, now: float, suspect: _Suspect) -> None:
         suspect.is_cleared = True
         suspect.expires_at = now + CLEARED_LIFETIME_S
         self._mark_changed(suspect)
-        return True
 
     def is_suspect(self, now: float, fingerprint: bytes) -> bool:
-        """Return whether a request has strikes."""
-        return self._find(now, fingerprint) is not None
+        """Return whether the strikes of a request demand trials."""
+        suspect = self._find(now, fingerprint)
+        if suspect is None:
+            return False
+        return (
+            not is_content(fingerprint)
+            or suspect.strikes >= STRIKES_OF_CONTENT
+        )
+
+    def is_proven(self, now: float, fingerprint: bytes) -> bool:
+        """Return whether a trial has broken a target."""
+        suspect = self._find(now, fingerprint)
+        return suspect is not None and suspect.failed_trials > 0
 
     def may_be_sound(
         self, now: float, fingerprint: bytes, is_answered_since: bool
@@ -213,10 +271,11 @@
             self._merge_row(now, row)
 
     def _merge_row(self, now: float, row: wire.SuspectRow) -> None:
+        suspect = self._find(now, row.fingerprint)
         if row.is_cleared:
-            self.clear(now, row.fingerprint)
+            if suspect is not None:
+                self._mark_cleared(now, suspect)
             return
-        suspect = self._find(now, row.fingerprint)
         if suspect is None:
             suspect = self._create(now, row.fingerprint)
         unknown = [
--- a/tests/entry_case.py
+++ b/tests/entry_case.py
@@ -185,4 +185,4 @@
 
 def compute_fingerprint(method: str, host: str, path: str) -> bytes:
     """Return the fingerprint of a request without key and body."""
-    return steering.compute_fingerprint(method, host, path, b'', b'')
+    return steering.compute_fingerprint(method, host, path, b'', b'').full
--- a/tests/test_crash_requests.py
+++ b/tests/test_crash_requests.py
@@ -7,6 +7,7 @@
 from fulmarseam import errors
 from fulmarseam import ids
 from fulmarseam import quarantine
+from fulmarseam import steering
 from fulmarseam import wire
 from tests import crash_case
 
@@ -214,6 +215,11 @@
         self.assertEqual(ends, len(self.list_ends()))
 
 
+def make_fingerprint(name: bytes, caller: bytes = b'') -> steering.Fingerprint:
+    """Return the digests of a request named `name` of a caller."""
+    return steering.compute_fingerprint('GET', 'h', name.decode(), caller, b'')
+
+
 class GuardTest(unittest.IsolatedAsyncioTestCase):
     """Tests what an entry holds back and what it tells the leader."""
 
@@ -253,13 +259,15 @@
         guard: quarantine.CrashGuard | None = None,
     ) -> bool:
         return await (guard or self.guard).note_broken(
-            name, ids.TargetId(target), 1, was_trial
+            make_fingerprint(name), ids.TargetId(target), 1, was_trial
         )
 
     async def admit(
         self, name: bytes, guard: quarantine.CrashGuard | None = None
     ) -> quarantine.Verdict:
-        admission = await (guard or self.guard).admit(name, 1.0)
+        admission = await (guard or self.guard).admit(
+            make_fingerprint(name), 1.0
+        )
         return admission.verdict
 
     async def test_a_suspect_runs_once_among_all_entries(self) -> None:
@@ -274,13 +282,63 @@
         self.assertIs(verdict.REFUSE, await self.admit(b'f'))
         self.assertIs(verdict.REFUSE, await self.admit(b'f', self.other))
 
+    async def break_content(self) -> None:
+        """Let two targets end, each under the request of another caller."""
+        for number in range(2):
+            await self.guard.note_broken(
+                make_fingerprint(b'f', b'%d' % number),
+                ids.TargetId(f't{number}'),
+                1,
+                False,
+            )
+
+    async def test_a_content_that_broke_two_targets_runs_as_a_trial(
+        self,
+    ) -> None:
+        sound = make_fingerprint(b'f', b'sound')
+        self.guard.note_answered(sound)
+        await self.break_content()
+        self.sync(self.other)
+        new = make_fingerprint(b'f', b'new')
+        for guard in (self.guard, self.other):
+            admission = await guard.admit(new, 1.0)
+            self.assertIs(quarantine.Verdict.TRIAL, admission.verdict)
+            if guard is self.guard:
+                guard.end_trial(new)
+                await asyncio.sleep(0.01)
+        await self.other.note_broken(new, ids.TargetId('t9'), 1, True)
+        self.sync(self.guard)
+        for caller in (b'0', b'newer'):
+            admission = await self.guard.admit(
+                make_fingerprint(b'f', caller), 1.0
+            )
+            self.assertIs(quarantine.Verdict.REFUSE, admission.verdict)
+        admission = await self.guard.admit(sound, 1.0)
+        self.assertIs(quarantine.Verdict.FREE, admission.verdict)
+
+    async def test_answers_to_several_callers_clear_a_content(self) -> None:
+        await self.break_content()
+        verdicts = []
+        for number in range(10, 15):
+            fingerprint = make_fingerprint(b'f', b'%d' % number)
+            admission = await self.guard.admit(fingerprint, 1.0)
+            verdicts.append(admission.verdict)
+            self.guard.note_answered(fingerprint)
+            self.guard.end_trial(fingerprint)
+            await asyncio.sleep(0.01)
+        verdict = quarantine.Verdict
+        self.assertEqual([verdict.TRIAL] * 3 + [verdict.FREE] * 2, verdicts)
+        self.sync(self.other)
+        admission = await self.other.admit(make_fingerprint(b'f', b'x'), 1.0)
+        self.assertIs(verdict.FREE, admission.verdict)
+
     async def test_a_target_that_starts_again_under_its_id_counts_again(
         self,
     ) -> None:
         target = ids.TargetId('t1')
-        await self.guard.note_broken(b'f', target, 1, False)
+        await self.guard.note_broken(make_fingerprint(b'f'), target, 1, False)
         self.assertIs(quarantine.Verdict.TRIAL, await self.admit(b'f'))
-        await self.guard.note_broken(b'f', target, 2, True)
+        await self.guard.note_broken(make_fingerprint(b'f'), target, 2, True)
         self.assertIs(quarantine.Verdict.REFUSE, await self.admit(b'f'))
         [row] = self.guard.list_rows()
         self.assertEqual(['t1', 't1'], row.targets)
@@ -290,7 +348,7 @@
     ) -> None:
         await self.strike(b'f', 't1')
         self.assertIs(quarantine.Verdict.TRIAL, await self.admit(b'f'))
-        self.guard.end_trial(b'f')
+        self.guard.end_trial(make_fingerprint(b'f'))
         await asyncio.sleep(0.01)
         self.sync(self.other)
         self.assertIs(
@@ -301,7 +359,7 @@
         await self.strike(b'f', 't1')
         self.sync(self.other)
         self.assertIs(quarantine.Verdict.TRIAL, await self.admit(b'f'))
-        self.guard.note_answered(b'f')
+        self.guard.note_answered(make_fingerprint(b'f'))
         await asyncio.sleep(0.01)
         self.sync(self.other)
         for guard in (self.guard, self.other):
@@ -339,11 +397,17 @@
 
         target = ids.TargetId('t1')
         self.assertFalse(
-            await self.guard.note_broken(b'f', target, 1, False, listen)
+            await self.guard.note_broken(
+                make_fingerprint(b'f'), target, 1, False, listen
+            )
+        )
+        self.assertTrue(
+            self.guard.needs_new_connection(make_fingerprint(b'f'))
         )
-        self.assertTrue(self.guard.needs_new_connection(b'f'))
         self.assertTrue(
-            await self.guard.note_broken(b'g', target, 1, False, refuse)
+            await self.guard.note_broken(
+                make_fingerprint(b'g'), target, 1, False, refuse
+            )
         )
 
     async def test_a_new_leader_learns_what_entries_know(self) -> None:
@@ -393,7 +457,7 @@
         )
 
     async def test_a_request_that_turned_lethal_is_held_back(self) -> None:
-        self.guard.note_answered(b'f')
+        self.guard.note_answered(make_fingerprint(b'f'))
         for number in range(3):
             self.assertIs(quarantine.Verdict.FREE, await self.admit(b'f'))
             await self.strike(b'f', f't{number}')
