Heed targets that leave or say when they want requests again

What callers and targets see: a target that said in its answers that it leaves went on getting requests (92 too late in 5.5 s with one of five, 204 with four), and one that had refused with Retry-After got nothing for seconds after its time, while a pool that refused as a whole was asked again within it.

Cause: entries read neither header. Only announcements told them of a leave, and each refusal counted as a failure of the target.

Both are now states of one table, decided in steering, kept by entry and ended by a new process. Relayed answers name their target, so that the entry that passes them on knows what it has promised.

--- a/fulmarseam/gateway/_attempts.py
+++ b/fulmarseam/gateway/_attempts.py
@@ -5,6 +5,7 @@
 
 from fulmarseam import http
 from fulmarseam import ids
+from fulmarseam import notices
 from fulmarseam.gateway import _http_names
 from fulmarseam.gateway import _rate_limits
 from fulmarseam.gateway import _requests
@@ -81,6 +82,10 @@
         self._buffered = bytearray()
         self.progress = http.Progress.NOT_SENT
         self.load_report = b''
+        # What the answer says about the requests that the target wants.
+        self._notice: notices.Notice | None = None
+        # Whether the target refused and told when it wants requests again.
+        self.names_pause = False
         # What the answer says about the rate limit, once one has come.
         self._limit_reading: _rate_limits.LimitReading | None = None
         self.has_answered = False
@@ -123,6 +128,12 @@
         self._limit_reading = None
         return reading
 
+    def take_notice(self) -> notices.Notice | None:
+        """Return what the answer says about the requests wanted, once."""
+        notice = self._notice
+        self._notice = None
+        return notice
+
     def _may_reuse_connection(self) -> bool:
         """Return whether the request id tells the answer from late others.
 
@@ -141,6 +152,11 @@
         """Return whether the last connection was a kept one."""
         return self._is_reused
 
+    @property
+    def recipient_header(self) -> tuple[bytes, bytes]:
+        """Return the header that the request carries for its recipient."""
+        return self._recipient.header
+
     @property
     def pool(self) -> http.TargetPool:
         """Return the connections to the target."""
@@ -313,6 +329,8 @@
         if response.status == MISDIRECTED_STATUS:
             raise NotRunError('another target has the address', True)
         self._context.answered_by.add(self._recipient.name)
+        self._notice = notices.read_notice(response, http_names.leaving)
+        self.names_pause = self._notice.pause_s > 0.0
         self._limit_reading = _rate_limits.read_limit(
             response, http_names.rate_limit
         )
--- a/fulmarseam/gateway/_daemon.py
+++ b/fulmarseam/gateway/_daemon.py
@@ -102,7 +102,10 @@
                 pause_guard=self.poller.pause_guard,
                 crash_guard=self.crash_guard,
                 relayer=_relaying.Relayer(
-                    self.relays, http_names, self._entry_pools
+                    self.relays,
+                    http_names,
+                    self._entry_pools,
+                    self.load_balancer,
                 ),
                 count_active=lambda: self.caller_server.active_requests,
             )
--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -400,7 +400,7 @@
         try:
             answer = await attempt.run()
             # Before the answer is passed on, which may take long.
-            self._note_limit(target, attempt)
+            self._note_statements(target, attempt)
             self._record_answer(placement, attempt, answer, started_at)
             if self._may_retry_error_answer(context, target, answer):
                 return _FailedAttempt(
@@ -412,6 +412,8 @@
                 )
             summary.status = answer.response.status
             summary.outcome = _summaries.ANSWERED
+            if context.is_relayed:
+                answer.response.headers.append(attempt.recipient_header)
             if answer.body is None:
                 await _sending.send_answer(context, attempt, answer)
             dependencies.crash_guard.note_answered(context.fingerprint())
@@ -438,7 +440,7 @@
                 f'the request body broke off: {error.detail}',
             ) from error
         finally:
-            self._note_limit(target, attempt)
+            self._note_statements(target, attempt)
             self._note_connection(target, attempt)
             attempt.close()
             dependencies.load_balancer.release(target)
@@ -453,10 +455,15 @@
         elif attempt.has_used_kept and attempt.has_answered:
             paths.note_kept(self._loop.time(), target, True)
 
-    def _note_limit(
+    def _note_statements(
         self, target: steering.ObservedTarget, attempt: _attempts.Attempt
     ) -> None:
-        """Record what an answer says about the rate limit of its target."""
+        """Record what an answer says about its target, once."""
+        notice = attempt.take_notice()
+        if notice is not None:
+            self._dependencies.load_balancer.record_notice(
+                self._loop.time(), target.target, notice
+            )
         reading = attempt.take_limit_reading()
         if reading is not None:
             self._dependencies.rate_limits.note_reading(
@@ -494,7 +501,8 @@
         if attempt.load_report:
             load_balancer.record_load_report(now, target, attempt.load_report)
         if answer.response.status >= 500:
-            load_balancer.record_failure(target)
+            if not attempt.names_pause:
+                load_balancer.record_failure(target)
         else:
             load_balancer.record_answer(now, placement, now - started_at)
 
@@ -539,7 +547,7 @@
         now = self._loop.time()
         if error.is_misdirected:
             load_balancer.eject(now, target, is_reachable=True)
-        else:
+        elif not attempt.names_pause:
             load_balancer.record_failure(target)
         if attempt.load_report:
             load_balancer.record_load_report(now, target, attempt.load_report)
@@ -549,6 +557,7 @@
             context.is_replayable
             and load_balancer.try_acquire_retry(now, pool_name),
             same_target=not error.is_misdirected
+            and not attempt.names_pause
             and load_balancer.is_pool_failing(now, pool_name),
         )
 
--- a/fulmarseam/gateway/_http_names.py
+++ b/fulmarseam/gateway/_http_names.py
@@ -11,6 +11,7 @@
     the id of the intended target; any other target refuses the request.
     `not_run` marks an answer of a target that did not run the request.
     `load` reports running requests, waiting requests and slots.
+    `leaving` is `1` in the answers of a target that leaves.
     `rate_limit` is the number of requests a second that the target takes
     from all entries together. `relayed` marks a request that another entry
     relays, and is the number of targets that may still run it. `affinity` is
@@ -23,6 +24,7 @@
     expected_target: bytes = b'fulmarseam-target'
     not_run: bytes = b'fulmarseam-not-run'
     load: bytes = b'fulmarseam-load'
+    leaving: bytes = b'fulmarseam-leaving'
     rate_limit: bytes = b'fulmarseam-rate-limit'
     affinity: bytes = b'fulmarseam-object'
     relayed: bytes = b'fulmarseam-relayed'
--- a/fulmarseam/gateway/_load_balancer.py
+++ b/fulmarseam/gateway/_load_balancer.py
@@ -9,6 +9,7 @@
 
 from fulmarseam import catalog
 from fulmarseam import ids
+from fulmarseam import notices
 from fulmarseam import settings
 from fulmarseam import steering
 from fulmarseam import telemetry
@@ -80,6 +81,8 @@
         self._reported: dict[ids.TargetId, int] = {}
         self._evacuated: frozenset[ids.DomainName] = frozenset()
         self.limited_targets = steering.LimitedTargets()
+        self.notices = steering.NoticeTable()
+        self._notice_recorder = notices.NoticeRecorder(self.notices)
         self.senders = 1
         self.paths = _paths.Paths(self._pools, has_kept_connection)
 
@@ -162,8 +165,25 @@
                 continue
             if record.failure_domain in self._evacuated:
                 continue
+            if self.notices.is_leaving(observed.process):
+                continue
             self._get_or_create_pool(record.pool).targets.append(observed)
 
+    def record_notice(
+        self,
+        now: float,
+        target: ids.TargetId,
+        notice: notices.Notice,
+        source: str = 'answer',
+    ) -> None:
+        """Record what a target says about the requests that it wants."""
+        observed = self._targets.get(target)
+        if observed is not None and self._notice_recorder.record(
+            now, observed.process, notice, source
+        ):
+            self._rankings.clear()
+            self._group_targets()
+
     def _get_or_create_pool(self, name: ids.PoolName) -> _pools.Pool:
         pool = self._pools.get(name)
         if pool is None:
@@ -187,6 +207,14 @@
         """Return the targets of a pool that may get requests."""
         return self._get_or_create_pool(pool_name).targets
 
+    def get_allowed_targets(
+        self, route: wire.RouteItem, pool_name: ids.PoolName
+    ) -> Sequence[steering.ObservedTarget]:
+        """Return the targets of a pool that a route may use."""
+        return _filter_by_region(
+            self._get_or_create_pool(pool_name).targets, route.allowed_regions
+        )
+
     def count_in_flight(self) -> int:
         """Return the number of requests in flight on all targets."""
         return sum(observed.in_flight for observed in self._targets.values())
@@ -206,9 +234,7 @@
         self, now: float, route: wire.RouteItem, pool_name: ids.PoolName
     ) -> bool:
         """Return whether this entry reaches few targets of a request."""
-        targets = _filter_by_region(
-            self._get_or_create_pool(pool_name).targets, route.allowed_regions
-        )
+        targets = self.get_allowed_targets(route, pool_name)
         lost_count = sum(
             steering.is_ejected_here(observed, now)
             or not self.paths.may_send(observed)
@@ -300,6 +326,7 @@
         def may_send(observed: steering.ObservedTarget) -> bool:
             return (
                 self.paths.may_send(observed)
+                and self._is_wanted(now, observed)
                 and steering.may_send(observed, now, cold_rate)
                 and self.limited_targets.may_send(
                     now, observed.target, may_ask
@@ -325,10 +352,23 @@
         )
         if placement.target is not None:
             steering.note_start(placement.target, now)
+            self.notices.note_sent(now, placement.target.process)
             if steering.is_cold(placement.target, now):
                 placement.target.tokens -= 1.0
         return placement
 
+    def _is_wanted(
+        self, now: float, observed: steering.ObservedTarget
+    ) -> bool:
+        """Return whether a target wants a request now."""
+        return not self.notices or self.notices.may_send(now, observed.process)
+
+    def _is_due(self, now: float, observed: steering.ObservedTarget) -> bool:
+        """Return whether a target that returns should get a request now."""
+        return bool(self.notices) and self.notices.is_due(
+            now, observed.process
+        )
+
     def _compute_cold_rate(self, pool_name: ids.PoolName) -> float:
         pool = self._mirror.pools.get(pool_name)
         if pool is None or pool.cold_per_s <= 0.0:
@@ -348,12 +388,14 @@
 
         All entries of a region prefer the same targets for an object.
         """
-        targets = _filter_by_region(
-            self._get_or_create_pool(pool_name).targets, route.allowed_regions
-        )
+        targets = self.get_allowed_targets(route, pool_name)
         if affinity_key is None or not route.sticky:
             return sorted(
-                targets, key=lambda observed: _compute_load_cost(now, observed)
+                targets,
+                key=lambda observed: (
+                    not self._is_due(now, observed),
+                    _compute_load_cost(now, observed),
+                ),
             )
         ranking_key = (
             pool_name,
@@ -373,7 +415,7 @@
         return ranking
 
     def _compute_weights(
-        self, targets: list[steering.ObservedTarget]
+        self, targets: Sequence[steering.ObservedTarget]
     ) -> dict[ids.TargetId, float]:
         """Return the share of the objects that each target should serve."""
         slots: dict[ids.RegionName, int] = {}
--- a/fulmarseam/gateway/_relaying.py
+++ b/fulmarseam/gateway/_relaying.py
@@ -1,15 +1,18 @@
 """Relaying of requests through entries that reach the targets."""
 
+import asyncio
 import functools
 
 from fulmarseam import errors
 from fulmarseam import http
 from fulmarseam import ids
+from fulmarseam import notices
 from fulmarseam import relay
 from fulmarseam import wire
 from fulmarseam.gateway import _answers
 from fulmarseam.gateway import _attempts
 from fulmarseam.gateway import _http_names
+from fulmarseam.gateway import _load_balancer
 from fulmarseam.gateway import _requests
 from fulmarseam.gateway import _sending
 from fulmarseam.gateway import _summaries
@@ -29,10 +32,12 @@
         relays: relay.Relays,
         http_names: _http_names.HttpNames,
         entry_pools: http.TargetPools,
+        load_balancer: _load_balancer.LoadBalancer,
     ) -> None:
         self._relays = relays
         self._http_names = http_names
         self._entry_pools = entry_pools
+        self._load_balancer = load_balancer
 
     async def relay(
         self,
@@ -71,6 +76,7 @@
         )
         try:
             answer = await attempt.run()
+            self._note_leaving(attempt, answer)
             summary.status = answer.response.status
             summary.outcome = _summaries.ANSWERED
             await _sending.send_answer(context, attempt, answer)
@@ -88,6 +94,31 @@
         finally:
             attempt.close()
 
+    def _note_leaving(
+        self, attempt: _attempts.Attempt, answer: _attempts.Answer
+    ) -> None:
+        """Record that a target leaves, if a relayed answer says so.
+
+        The other entry names the target in the header that this one would
+        have sent to it; callers do not get that.
+        """
+        response = answer.response
+        header = self._http_names.expected_target
+        target = response.fields.get(header)
+        notice = attempt.take_notice()
+        if target is None:
+            return
+        response.headers[:] = [
+            item for item in response.headers if item[0] != header
+        ]
+        if notice is not None and notice.is_leaving:
+            self._load_balancer.record_notice(
+                asyncio.get_running_loop().time(),
+                ids.TargetId(target.decode('latin-1')),
+                notices.Notice(is_leaving=True),
+                'relay',
+            )
+
 
 def send_error(
     context: _requests.RequestContext,
--- a/fulmarseam/platform/_headers.py
+++ b/fulmarseam/platform/_headers.py
@@ -11,6 +11,7 @@
     expected_target=b'x-expect-instance',
     not_run=b'x-not-executed',
     load=b'x-server-load',
+    leaving=b'server-leaving',
     rate_limit=b'server-limit',
     affinity=b'x-affinity-key',
     relayed=b'fulmarseam-relayed',
--- a/fulmarseam/steering/__init__.py
+++ b/fulmarseam/steering/__init__.py
@@ -18,6 +18,10 @@
 from fulmarseam.steering._limited_targets import LimitedTargets
 from fulmarseam.steering._links import LinkTokens
 from fulmarseam.steering._lookups import order_entries
+from fulmarseam.steering._notices import MAX_PAUSE_S
+from fulmarseam.steering._notices import NoticeState
+from fulmarseam.steering._notices import NoticeTable
+from fulmarseam.steering._notices import TargetProcess
 from fulmarseam.steering._observed import ColdRateLimit
 from fulmarseam.steering._observed import compute_attempt_timeout
 from fulmarseam.steering._observed import compute_mean_failure_rate
@@ -87,6 +91,9 @@
     'Grants',
     'Outliers',
     'LinkTokens',
+    'MAX_PAUSE_S',
+    'NoticeState',
+    'NoticeTable',
     'ObservedTarget',
     'OutcomeTable',
     'Locality',
@@ -108,6 +115,7 @@
     'Splitter',
     'SuspectTable',
     'TRIAL_DELAYS_S',
+    'TargetProcess',
     'TrialPermission',
     'Ticket',
     'choose_target',
--- a/fulmarseam/steering/_observed.py
+++ b/fulmarseam/steering/_observed.py
@@ -9,6 +9,7 @@
 
 from fulmarseam import ids
 from fulmarseam import wire
+from fulmarseam.steering import _notices
 from fulmarseam.steering import _pool_statistics
 
 # Half-life of the weight of a load report, if requests end sooner than that.
@@ -95,6 +96,14 @@
         """Return the id of the target."""
         return self.record.target
 
+    @property
+    def process(self) -> _notices.TargetProcess:
+        """Return the process that the target runs as."""
+        record = self.record
+        return _notices.TargetProcess(
+            record.target, record.address, record.born_ms
+        )
+
 
 def estimate_load(target: ObservedTarget, now: float) -> float:
     """Return the estimated number of running and queued requests.
--- a/tests/rate_limit_case.py
+++ b/tests/rate_limit_case.py
@@ -30,6 +30,7 @@
         self.rate_per_s: float | None = None
         self.value: str | None = None
         self.is_refusing = False
+        self.is_leaving = False
         self.arrivals: list[float] = []
         self.server = gateway_case.Target(self._serve)
         self._service_s = service_s
@@ -43,6 +44,8 @@
             value = f'{self.rate_per_s:g}'
         if value is not None:
             extra['fulmarseam_rate_limit'] = value
+        if self.is_leaving:
+            extra['fulmarseam_leaving'] = '1'
         if self.is_refusing:
             await gateway_case.write_response(
                 writer, headers, 503, b'', fulmarseam_not_run='1', **extra
@@ -52,10 +55,14 @@
 
 
 class Caller:
-    """Sends requests to one entry, each on a new connection."""
+    """Sends requests to one entry, each on a new connection.
 
-    def __init__(self, address: str) -> None:
+    The ids of the requests begin with `name`.
+    """
+
+    def __init__(self, address: str, name: str = 'e') -> None:
         self.address = address
+        self.name = name
         self.statuses: list[int] = []
         self.retry_after_s: list[float] = []
         # How long each refusal took.
@@ -80,8 +87,8 @@
         host, _, port = self.address.rpartition(':')
         reader, writer = await asyncio.open_connection(host, int(port))
         writer.write(
-            b'GET /r/x HTTP/1.1\r\nhost: shop.example\r\n'
-            b'fulmarseam-request-id: q%d\r\n\r\n' % number
+            f'GET /r/x HTTP/1.1\r\nhost: shop.example\r\n'
+            f'fulmarseam-request-id: {self.name}.q{number}\r\n\r\n'.encode()
         )
         async with asyncio.timeout(10.0):
             found = await gateway_case.read_head(reader)
