Heed notices of targets in entries with grants as well

Callers waited in the queue of a pool whose targets wanted no requests until their deadline, and a target that said that it leaves went on getting them. Entries with grants read neither header.

They record both in the same table as entries of a catalog group, leave such targets out of the choice, and refuse at once, with the time of the first return, when no target wants a request. Both tests failed before.

--- a/fulmarseam/entry/_answers.py
+++ b/fulmarseam/entry/_answers.py
@@ -1,6 +1,7 @@
 """Error responses that an entry generates itself."""
 
 import json
+import math
 
 from fulmarseam import errors
 from fulmarseam import http
@@ -40,6 +41,8 @@
     retry_after_ms = None
     if answer.retry is not errors.Retry.NEVER:
         retry_after_ms = RETRY_AFTER_MS.get(error.kind, 1_000)
+        if error.retry_after_s is not None:
+            retry_after_ms = math.ceil(error.retry_after_s * 1_000)
     body = json.dumps(
         {
             'kind': error.kind.value,
--- a/fulmarseam/entry/_attempts.py
+++ b/fulmarseam/entry/_attempts.py
@@ -8,6 +8,7 @@
 
 from fulmarseam import errors
 from fulmarseam import http
+from fulmarseam import notices
 from fulmarseam import records
 from fulmarseam import steering
 from fulmarseam import wire
@@ -22,6 +23,7 @@
 # kept connection is not taken for the one that is due.
 ATTEMPT_HEADER = b'fulmarseam-attempt'
 ATTEMPT_ID_BYTES = 8
+LEAVING_HEADER = b'fulmarseam-leaving'
 SHED_STATUS = 503
 # A target that has ended refuses a connection within a round trip of 40 ms.
 PROBE_TIMEOUT_S = 0.2
@@ -77,6 +79,8 @@
         self._is_relay = is_relay
         # Whether a new connection opened.
         self.has_opened = False
+        # What the response says about the requests that the target wants.
+        self.notice = notices.NO_NOTICE
         self._loop = asyncio.get_running_loop()
         self._connection: http.TargetConnection | None = None
         self._attempt_id = secrets.token_hex(ATTEMPT_ID_BYTES).encode()
@@ -142,6 +146,7 @@
         self._send_request(connection)
         response = await self._wait_for_response(connection)
         self._check_attempt(response)
+        self.notice = notices.read_notice(response, LEAVING_HEADER)
         if is_shed(response):
             raise TargetShedError(f'{self._choice.target} shed the request')
         self._start_response(response)
--- a/fulmarseam/entry/_outcomes.py
+++ b/fulmarseam/entry/_outcomes.py
@@ -35,6 +35,7 @@
         self,
         context: _requests.RequestContext,
         placement: _pools.Placement,
+        attempt: _attempts.Attempt,
         status: int,
         started: float,
     ) -> None:
@@ -42,7 +43,8 @@
         target = placement.choice.target
         outcomes = self._pools.outcomes
         if status >= 500:
-            outcomes.record_failure(now, target)
+            if not attempt.notice.pause_s:
+                outcomes.record_failure(now, target)
         else:
             outcomes.record_success(now, target, now - started)
         self._pools.get(placement.pool).record_service_time(now - started)
@@ -63,7 +65,8 @@
             return self._fail(
                 context, errors.ErrorKind.NO_CAPACITY, error, True
             )
-        self._pools.outcomes.record_failure(self._loop.time(), target)
+        if not attempt.notice.pause_s:
+            self._pools.outcomes.record_failure(self._loop.time(), target)
         if isinstance(error, _attempts.TargetShedError):
             return self._fail(
                 context, errors.ErrorKind.TARGET_SHED, error, True
--- a/fulmarseam/entry/_placement.py
+++ b/fulmarseam/entry/_placement.py
@@ -126,6 +126,7 @@
             raise errors.FulmarseamError(
                 queued.refusal,
                 f'no slot of pool {pool.pool.name} is available',
+                queued.retry_after_s,
             )
         return queued.placement
 
@@ -149,6 +150,15 @@
                 placement = self._try_place(context, pool, avoided)
                 if placement is not None:
                     return placement
+                now = self._loop.time()
+                if self._pools.wants_nothing(now, pool):
+                    raise errors.FulmarseamError(
+                        errors.ErrorKind.NO_CAPACITY,
+                        f'no target of pool {pool.pool.name} wants requests',
+                        self._pools.schedule_return(
+                            now, pool, context.route.priority
+                        ),
+                    )
                 timer = self._loop.call_later(
                     SLOT_POLL_INTERVAL_S, signal.notify
                 )
--- a/fulmarseam/entry/_pools.py
+++ b/fulmarseam/entry/_pools.py
@@ -14,6 +14,7 @@
 from fulmarseam import errors
 from fulmarseam import ids
 from fulmarseam import membership
+from fulmarseam import notices
 from fulmarseam import relay
 from fulmarseam import steering
 from fulmarseam import telemetry
@@ -24,6 +25,8 @@
 SERVICE_TIME_SAMPLES = 64
 # Service time assumed before the first response.
 INITIAL_SERVICE_TIME_S = 0.0
+# A shorter service time would let refused callers return together.
+MIN_SERVICE_TIME_S = 0.05
 RATE_SMOOTHING_FACTOR = 0.3
 # A new control leader is elected within 2 s. An entry whose configuration has
 # not been confirmed for longer has lost contact and gets no more slots.
@@ -49,6 +52,7 @@
     notify: Callable[[], None]
     placement: Placement | None = None
     refusal: errors.ErrorKind | None = None
+    retry_after_s: float | None = None
 
 
 class PoolState:
@@ -58,6 +62,7 @@
         self.pool = pool
         self.view = steering.PoolView(pool, locality)
         self.reachability = steering.Reachability()
+        self.return_times = steering.ReturnTimes()
         self.queue: steering.RequestQueue[QueuedRequest] = (
             steering.RequestQueue(pool.queue_limit)
         )
@@ -129,6 +134,8 @@
         self._pools: dict[ids.PoolName, PoolState] = {}
         self._mirror_version = -1
         self.outcomes = steering.OutcomeTable()
+        self.notices = steering.NoticeTable()
+        self._notice_recorder = notices.NoticeRecorder(self.notices)
 
     def list_pools(self) -> list[PoolState]:
         """Return the states of all pools."""
@@ -224,6 +231,71 @@
                 )
             )
 
+    # Notices of targets
+
+    def record_notice(
+        self, now: float, placement: Placement, notice: notices.Notice
+    ) -> None:
+        """Record what a target says about the requests that it wants."""
+        self._notice_recorder.record(
+            now, self._find_process(placement.choice.target), notice
+        )
+
+    def _find_process(self, target: ids.TargetId) -> steering.TargetProcess:
+        row = self._state.targets.get(target)
+        if row is None:
+            return steering.TargetProcess(target, '', 0)
+        report = row.report
+        return steering.TargetProcess(
+            target, report.address, report.incarnation
+        )
+
+    def _list_unwilling(
+        self, now: float, name: ids.PoolName
+    ) -> frozenset[ids.TargetId]:
+        """Return the targets of a pool that want no request now."""
+        if not self.notices:
+            return frozenset()
+        return frozenset(
+            report.target
+            for report in self.list_targets(name)
+            if not self.notices.may_send(
+                now, self._find_process(report.target)
+            )
+        )
+
+    def wants_nothing(self, now: float, pool: PoolState) -> bool:
+        """Return whether no target of a pool wants a request now."""
+        name = pool.pool.name
+        unwilling = self._list_unwilling(now, name)
+        return len(unwilling) > 0 and (
+            len(unwilling) == len(self.list_targets(name))
+        )
+
+    def schedule_return(
+        self, now: float, pool: PoolState, priority: int
+    ) -> float | None:
+        """Return when a caller should come back to a pool that wants nothing.
+
+        This is None if all targets leave. Callers return one after another,
+        as fast as the target that wants requests first can serve them.
+        """
+        returns = []
+        for report in self.list_targets(pool.pool.name):
+            process = self._find_process(report.target)
+            if not self.notices.is_leaving(process):
+                return_at = self.notices.get_return_time(now, process)
+                returns.append((return_at, report.slots))
+        if not returns:
+            return None
+        return_at, slots = min(returns)
+        rate_per_s = slots / max(pool.service_time_s, MIN_SERVICE_TIME_S)
+        return (
+            return_at
+            - now
+            + pool.return_times.schedule(return_at, priority, rate_per_s)
+        )
+
     def find_incarnation(self, target: ids.TargetId) -> int:
         """Return the incarnation of a target, or 0 if it has left."""
         row = self._state.targets.get(target)
@@ -270,7 +342,7 @@
         while (first := pool.queue.peek()) is not None:
             placement = self.try_place(now, pool)
             if placement is None:
-                if self._has_lost_leader(now):
+                if self._has_lost_leader(now) or self.wants_nothing(now, pool):
                     self._refuse_all(pool, errors.ErrorKind.NO_CAPACITY)
                 return
             pool.queue.pop()
@@ -310,6 +382,10 @@
         if self._has_lost_leader(now):
             queued.refusal = errors.ErrorKind.NO_CAPACITY
             return None
+        if self.wants_nothing(now, pool):
+            queued.refusal = errors.ErrorKind.NO_CAPACITY
+            queued.retry_after_s = self.schedule_return(now, pool, priority)
+            return None
         admission = pool.queue.push(
             now, queued, priority, deadline, pool.service_time_s
         )
@@ -355,7 +431,7 @@
             self._rng,
             preferred_region=shifts.get_preferred_region(name),
             blocked_regions=blocked_regions,
-            avoided_targets=avoided,
+            avoided_targets=self._list_unwilling(now, name).union(avoided),
         )
         if choice is None or not self._state.slots.try_acquire(
             now, choice.target
@@ -364,6 +440,8 @@
         if not shifts.try_acquire(name, choice.region):
             self._state.slots.release(choice.target)
             return None
+        if self.notices:
+            self.notices.note_sent(now, self._find_process(choice.target))
         pool.in_flight += 1
         if choice.is_remote:
             placed = pool.remote_placements
--- a/fulmarseam/entry/_proxying.py
+++ b/fulmarseam/entry/_proxying.py
@@ -292,6 +292,10 @@
             attempt = self._make_attempt(context, placement)
             return await self._forward(context, placement, attempt, claim)
         finally:
+            if attempt is not None:
+                self._pools.record_notice(
+                    self._loop.time(), placement, attempt.notice
+                )
             if attempt is not None and attempt.has_opened:
                 reachability = self._pools.get(placement.pool).reachability
                 reachability.note_reached(placement.choice.target)
@@ -330,7 +334,7 @@
             _outcomes.settle_claim(claim, attempt, error)
             raise
         self._outcome_handler.record_response(
-            context, placement, status, started
+            context, placement, attempt, status, started
         )
         if claim is not None:
             claim.finish(attempt.stored_answer)
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -1,6 +1,7 @@
 """Tests of what targets say about themselves in their answers."""
 
 import asyncio
+import json
 import unittest
 
 import logbook
@@ -11,6 +12,8 @@
 from fulmarseam import steering
 from tests import catalog_fixtures as fixtures
 from tests import cut_off_case
+from tests import entry_case
+from tests import fakes
 from tests import notice_case
 
 RATE_PER_S = 15.0
@@ -154,6 +157,70 @@
         self.assertGreater(len(left), 0)
 
 
+class GrantsTest(entry_case.EntryCase):
+    """Guards against entries with grants that ignore notices."""
+
+    async def start_switched(
+        self, name: str
+    ) -> tuple[fakes.FakeTarget, list[bytes]]:
+        """Start a target; the last item of the list is its answer."""
+        answers = [entry_case.OK]
+
+        async def serve(
+            target: fakes.FakeTarget,
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            while True:
+                await fakes.read_request(target, reader, bytearray())
+                writer.write(answers[-1])
+
+        return await self.start_target(serve, name), answers
+
+    async def call_often(self) -> list[int]:
+        answers = [await self.call('/x') for _ in range(10)]
+        return [answer.status for answer in answers]
+
+    async def test_a_target_that_leaves_gets_no_more_requests(self) -> None:
+        leaving, answers = await self.start_switched('t1')
+        answers.append(
+            entry_case.OK.replace(
+                b'OK\r\n', b'OK\r\nFulmarseam-Leaving: 1\r\n'
+            )
+        )
+        self.assertEqual(200, (await self.call('/x')).status)
+        received = len(leaving.received_bytes)
+        self.assertEqual([503] * 10, await self.call_often())
+        await self.start_switched('t2')
+        self.assertEqual([200] * 10, await self.call_often())
+        self.assertEqual(received, len(leaving.received_bytes))
+
+    async def test_a_target_that_pauses_returns_at_its_time(self) -> None:
+        paused, answers = await self.start_switched('t1')
+        answers.append(
+            entry_case.SHED.replace(b'X\r\n', b'X\r\nRetry-After: 0.6\r\n')
+        )
+        loop = asyncio.get_running_loop()
+        refused_at = loop.time()
+        self.assertEqual(503, (await self.call('/x')).status)
+        received = len(paused.received_bytes)
+        answers.append(entry_case.OK)
+        waits_s = []
+        while True:
+            answer = await self.call('/x')
+            if answer.status == 200:
+                break
+            self.assertLess(loop.time(), refused_at + 1.6)
+            self.assertEqual(received, len(paused.received_bytes))
+            waits_s.append(json.loads(answer.body)['retry_after_ms'] / 1_000)
+            await asyncio.sleep(0.05)
+        self.assertGreaterEqual(loop.time() - refused_at, 0.6)
+        # Refused at once, with the time that is left.
+        self.assertGreater(len(waits_s), 5)
+        self.assertGreater(waits_s[0], 0.5)
+        self.assertLess(waits_s[-1], waits_s[0])
+
+
 class TableTest(unittest.TestCase):
     """Tests the states of a target, without a network."""
 
