Replace builds and give notices in the fault soak

Nothing tested that two builds serve side by side, and the stand-in targets of the soak knew neither notices nor lethal requests.

--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -16,6 +16,7 @@
 READ_PATH = '/read/'
 WRITE_PATH = '/write/'
 MOVE_PATH = '/move/'
+LETHAL_PATH = f'{READ_PATH}{_targets.LETHAL_NAME}'
 # Deadline that callers send, as on the users' shortest routes.
 DEADLINE_S = 1.5
 # Time after the deadline in which a caller still accepts a response.
@@ -28,6 +29,20 @@
 STATUS_NOT_RUN = (408, 421, 429, 503)
 
 
+async def send_lethal_requests(
+    system: _system.System, interval_s: float
+) -> None:
+    """Send copies of a request that ends its targets, at any entry."""
+    while True:
+        await asyncio.sleep(interval_s)
+        await _calls.call(
+            random.choice(system.list_entries()),
+            'GET',
+            LETHAL_PATH,
+            headers={'host': HOST, 'x-request-id': uuid.uuid4().hex},
+        )
+
+
 class Caller:
     """Sends one request after the other, partly on reused connections."""
 
--- a/tests/soak/_calls.py
+++ b/tests/soak/_calls.py
@@ -83,17 +83,19 @@
     path: str,
     body: bytes = b'',
     timeout_s: float = 1.0,
+    headers: Mapping[str, str] | None = None,
 ) -> Reply | None:
     """Send one request on a new connection.
 
-    Returns None without a complete response before the timeout.
+    `headers` include the host, which is the address without them. Returns
+    None without a complete response before the timeout.
     """
     connection = Connection(address)
     try:
         async with asyncio.timeout(timeout_s):
             await connection.open(timeout_s)
             return await connection.exchange(
-                method, path, {'host': address}, body
+                method, path, headers or {'host': address}, body
             )
     except OSError:
         return None
--- a/tests/soak/_checks.py
+++ b/tests/soak/_checks.py
@@ -4,6 +4,7 @@
 import math
 
 from tests import arrivals
+from tests import crash_case
 from tests.soak import _callers
 from tests.soak import _operator
 from tests.soak import _plan
@@ -13,6 +14,8 @@
 # Bounds that the users state for their deployments, in seconds.
 UNDISTURBED_S = 3.0
 DRAIN_S = 2.5
+PAUSE_SLACK_S = 0.5
+MAX_PAUSED_ARRIVALS = 2
 CONFIG_APPLY_S = 2.5
 REGRESS_SLACK_S = 0.25
 EVACUATE_S = 5.0
@@ -22,6 +25,8 @@
 # After SIGTERM a process has its grace period and 1 s to finish requests.
 STOP_TIMEOUT_S = _system.GRACE_S + 1.0
 
+LINK_KINDS = frozenset(kind.value for kind in _plan.LINK_KINDS)
+
 Runs = dict[str, list[_record.Run]]
 
 
@@ -43,6 +48,14 @@
             for span in self._spans[name]
         )
 
+    def had_no_link_fault(self, name: str, start: float, end: float) -> bool:
+        """Return whether no fault held up the link of a target."""
+        return not any(
+            span.started_at <= end and span.ended_at >= start
+            for span in self._spans[name]
+            if span.kind in LINK_KINDS
+        )
+
     def was_undisturbed(self, entry: str, moment: float) -> bool:
         """Return whether no fault hit an entry or the group recently."""
         start = moment - UNDISTURBED_S
@@ -76,6 +89,8 @@
         *_check_moves(record, runs, timeline),
         *_check_stops(record, runs, timeline),
         *_check_limits(record, timeline),
+        *_check_notices(record, timeline),
+        *_check_lethal_requests(record),
         *_check_read_back(record),
         *_check_recovery(record),
     ]
@@ -311,6 +326,63 @@
     return found
 
 
+def _check_notices(
+    record: _record.Record, timeline: FaultTimeline
+) -> list[str]:
+    """Check that entries keep to what targets said in their answers.
+
+    A restart or pause of the entry since then excuses it, and so does a link
+    to the target that holds requests back.
+    """
+    entries = {call.request: call.entry for call in record.calls}
+    sent_at = {call.request: call.sent_at for call in record.calls}
+    arrived: dict[tuple[str, str], list[_record.Arrival]] = (
+        collections.defaultdict(list)
+    )
+    for arrival in record.arrivals:
+        entry = entries.get(arrival.request, '')
+        arrived[arrival.target, entry].append(arrival)
+    found = []
+    for notice in record.notices:
+        entry = entries.get(notice.request, '')
+        start, end, allowed = notice.at + DRAIN_S, math.inf, 0
+        if notice.pause_s:
+            start = notice.at + PAUSE_SLACK_S
+            end = notice.at + notice.pause_s
+            allowed = MAX_PAUSED_ARRIVALS
+        late = [
+            arrival
+            for arrival in arrived[notice.target, entry]
+            if start < arrival.at < end
+            and (notice.pause_s or sent_at[arrival.request] > start)
+            and timeline.had_no_fault(entry, notice.at, arrival.at)
+            and timeline.had_no_link_fault(notice.host, notice.at, arrival.at)
+        ]
+        if entry and len(late) > allowed:
+            found.append(
+                f'{len(late)} requests through {entry} after {notice}'
+            )
+    return found
+
+
+def _check_lethal_requests(record: _record.Record) -> list[str]:
+    """Check that a lethal request ends few targets."""
+    ends = sorted(record.lethal_ends)
+    late = 0
+    if len(ends) > 2:
+        settled_at = ends[2] + crash_case.SETTLE_S
+        late = sum(at > settled_at for at in record.lethal_arrivals)
+    if (
+        len(ends) <= crash_case.MAX_ENDS
+        and late <= crash_case.MAX_LATE_ARRIVALS
+    ):
+        return []
+    return [
+        f'{len(ends)} targets ended under a lethal request, which came {late} '
+        f'times more later than {crash_case.SETTLE_S:g} s after the third end'
+    ]
+
+
 def _check_read_back(record: _record.Record) -> list[str]:
     """Check that the newest acknowledged version is in force at the end."""
     if record.read_back is None:
--- a/tests/soak/_operator.py
+++ b/tests/soak/_operator.py
@@ -52,6 +52,7 @@
     def __init__(self, system: _system.System, record: _record.Record) -> None:
         self._system = system
         self._record = record
+        self._version = FIRST_VERSION
 
     async def set_up(self) -> None:
         """Send the first configuration."""
@@ -97,16 +98,20 @@
 
     async def move_repeatedly(self) -> None:
         """Move the route to the next pool again and again."""
-        version = FIRST_VERSION
         while True:
             await asyncio.sleep(random.uniform(*MOVE_GAP_S))
-            version += random.randint(1, 2)
-            paths = [self._make_next_move(version)]
-            upsert = {'hosts': [{'host': _callers.HOST, 'paths': paths}]}
-            if await self._send_until_acknowledged(
-                'PATCH', '/api/config', {'upsert': upsert}
-            ):
-                self._record.acknowledged[version] = time.monotonic()
+            await self.move()
+
+    async def move(self) -> None:
+        """Move the route to the next pool."""
+        self._version += random.randint(1, 2)
+        version = self._version
+        paths = [self._make_next_move(version)]
+        upsert = {'hosts': [{'host': _callers.HOST, 'paths': paths}]}
+        if await self._send_until_acknowledged(
+            'PATCH', '/api/config', {'upsert': upsert}
+        ):
+            self._record.acknowledged[version] = time.monotonic()
 
     async def evacuate(self) -> None:
         """Evacuate a failure domain, then end the evacuation."""
--- a/tests/soak/_plan.py
+++ b/tests/soak/_plan.py
@@ -19,6 +19,9 @@
 # to be kept after 3 s, and requests are counted over 4 s.
 LIMIT_S = 9.0
 MEAN_LIMIT_GAP_S = 4.0
+# Time between two notices of targets, which they give for some seconds.
+MEAN_NOTICE_GAP_S = 4.0
+NOTICE_S = (2.0, 4.0)
 # By then callers have made their first lookups and connections.
 FIRST_AT_S = 1.0
 
@@ -42,6 +45,8 @@
     SLOW = 'slow'
     SHED = 'shed'
     LIMIT = 'limit'
+    SAY_LEAVING = 'say-leaving'
+    SAY_PAUSE = 'say-pause'
 
 
 class Fault(NamedTuple):
@@ -53,7 +58,7 @@
     for_s: float
 
 
-_LINK_KINDS = (
+LINK_KINDS = (
     FaultKind.HOLD,
     FaultKind.HOLD_THERE,
     FaultKind.HOLD_BACK,
@@ -66,7 +71,7 @@
     FaultKind.STOP,
     FaultKind.WIPE,
     FaultKind.TEAR,
-    *_LINK_KINDS,
+    *LINK_KINDS,
 )
 _ENTRY_KINDS = (FaultKind.PAUSE, FaultKind.KILL, FaultKind.STOP)
 _TARGET_KINDS = (
@@ -75,7 +80,7 @@
     FaultKind.REPLACE,
     FaultKind.SLOW,
     FaultKind.SHED,
-    *_LINK_KINDS,
+    *LINK_KINDS,
 )
 
 
@@ -97,6 +102,7 @@
                 continue
         faults.append(fault)
     faults.extend(_draw_limits(seed, length_s))
+    faults.extend(_draw_notices(seed, length_s))
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
@@ -112,6 +118,19 @@
     return limits
 
 
+def _draw_notices(seed: int, length_s: float) -> list[Fault]:
+    """Return the notices of targets, drawn apart from other faults."""
+    rng = random.Random(f'notices-{seed}')
+    notices = []
+    at_s = FIRST_AT_S
+    while at_s < length_s:
+        name = f'target-{rng.randint(1, TARGETS)}'
+        kind = rng.choice((FaultKind.SAY_LEAVING, FaultKind.SAY_PAUSE))
+        notices.append(Fault(at_s, kind, name, rng.choice(NOTICE_S)))
+        at_s += rng.expovariate(1.0 / MEAN_NOTICE_GAP_S)
+    return notices
+
+
 def _draw_fault(rng: random.Random, at_s: float) -> Fault:
     for_s = rng.choice((0.2, 0.8, 2.0, 4.0))
     group = rng.random()
--- a/tests/soak/_record.py
+++ b/tests/soak/_record.py
@@ -38,6 +38,20 @@
 
     target: str
     at: float
+    request: str = ''
+
+
+class Notice(NamedTuple):
+    """An answer in which a target says what requests it wants.
+
+    `pause_s` is the time for which it wants none, or 0 if it leaves.
+    """
+
+    request: str
+    target: str
+    host: str
+    at: float
+    pause_s: float = 0.0
 
 
 class Limit(NamedTuple):
@@ -76,6 +90,10 @@
     runs: list[Run] = dataclasses.field(default_factory=list)
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
     limits: list[Limit] = dataclasses.field(default_factory=list)
+    notices: list[Notice] = dataclasses.field(default_factory=list)
+    # When lethal requests reached targets, and when targets ended of them.
+    lethal_arrivals: list[float] = dataclasses.field(default_factory=list)
+    lethal_ends: list[float] = dataclasses.field(default_factory=list)
     moves: list[Move] = dataclasses.field(default_factory=list)
     # When each version, leave and evacuation was acknowledged.
     acknowledged: dict[int, float] = dataclasses.field(default_factory=dict)
--- a/tests/soak/_system.py
+++ b/tests/soak/_system.py
@@ -75,6 +75,8 @@
     ) -> None:
         self.name = name
         self.options = options
+        # Directory of the build that the next start runs.
+        self.build = ROOT
         self._role = role
         self._path = directory / f'{name}.yaml'
         self._log = directory / f'{name}.log'
@@ -93,7 +95,7 @@
                 '-m',
                 'fulmarseam.platform',
                 self._role,
-                cwd=ROOT,
+                cwd=self.build,
                 env={**os.environ, 'FULMARSEAM_BOOT': str(self._path)},
                 stdout=log,
                 stderr=log,
@@ -253,6 +255,13 @@
             for number in range(1, _plan.MEMBERS + 1)
         ]
 
+    def list_entries(self) -> list[str]:
+        """Return the addresses of the entries."""
+        return [
+            f'127.0.22.{number}:{self._entry_port}'
+            for number in range(1, _plan.ENTRIES + 1)
+        ]
+
     def find_entry(self, address: str) -> str:
         """Return the name of the entry that listens on an address."""
         return f'edge-{address.partition(":")[0].rpartition(".")[2]}'
@@ -325,6 +334,15 @@
                 )
             )
 
+    async def replace(
+        self, name: str, build: pathlib.Path, is_kill: bool
+    ) -> None:
+        """Start a process again with a build; its disk is kept."""
+        process = self.processes[name]
+        process.build = build
+        kind = _plan.FaultKind.KILL if is_kill else _plan.FaultKind.STOP
+        await self.apply(_plan.Fault(0.0, kind, name, RESTART_DELAY_S))
+
     async def _inject(self, process: Process, fault: _plan.Fault) -> None:
         match fault.kind:
             case _plan.FaultKind.PAUSE:
--- a/tests/soak/_targets.py
+++ b/tests/soak/_targets.py
@@ -1,6 +1,7 @@
 """Targets of the soak: they announce themselves and run requests."""
 
 import asyncio
+from collections.abc import Callable
 import json
 import random
 import time
@@ -20,6 +21,12 @@
 # Factor on the service time; the slowest run takes 1 s, within the
 # deadline of callers.
 SLOW_FACTOR = 8.0
+# A request for a path that ends so ends the target that runs it.
+LETHAL_NAME = 'lethal'
+LETHAL_RUN_S = 0.03
+RESTART_S = 3.0
+# A target that pauses refuses requests for this long.
+REFUSE_S = 1.0
 # Callers send each target about 11 requests a second.
 RATE_LIMITS_PER_S = (1.0, 3.0)
 # A target keeps serving this long after its leave was acknowledged.
@@ -32,7 +39,12 @@
     """One incarnation of a target, which runs requests."""
 
     def __init__(
-        self, target: str, pool: str, domain: str, record: _record.Record
+        self,
+        target: str,
+        pool: str,
+        domain: str,
+        record: _record.Record,
+        end: Callable[[], None],
     ) -> None:
         self.target = target
         self.pool = pool
@@ -43,7 +55,11 @@
         self.slowdown = 1.0
         self.is_shedding = False
         self.rate_limit_per_s: float | None = None
+        self.is_leaving = False
+        # Named in refusals of all requests, if set.
+        self.pause_s = 0.0
         self._record = record
+        self._end = end
         self._slots = asyncio.Semaphore(SLOTS)
         self._request_count = 0
 
@@ -59,10 +75,26 @@
         if request.headers.get('x-expect-instance') != self.target:
             return _server.ServerResponse(421, {**headers}, b'')
         self._record.arrivals.append(
-            _record.Arrival(self.target, time.monotonic())
+            _record.Arrival(
+                self.target,
+                time.monotonic(),
+                request.headers.get('x-request-id', ''),
+            )
         )
+        if request.path.endswith(LETHAL_NAME):
+            self._record.lethal_arrivals.append(time.monotonic())
+            self._end()
+            await asyncio.sleep(RESTART_S)
         if self.rate_limit_per_s is not None:
             headers['Server-Limit'] = f'{self.rate_limit_per_s:g}'
+        if self.is_leaving:
+            headers['Server-Leaving'] = '1'
+        if self.pause_s:
+            self._note(request, self.pause_s)
+            headers['Retry-After'] = f'{self.pause_s:g}'
+            return _server.ServerResponse(
+                503, {**headers, 'X-Not-Executed': '1'}, b''
+            )
         if self.is_shedding or self._request_count >= SLOTS + QUEUE_LIMIT:
             return _server.ServerResponse(
                 503, {**headers, 'X-Not-Executed': '1'}, b''
@@ -70,10 +102,26 @@
         self._request_count += 1
         try:
             async with self._slots:
-                return await self._run(request, headers)
+                response = await self._run(request, headers)
+                if 'Server-Leaving' in headers:
+                    self._note(request)
+                return response
         finally:
             self._request_count -= 1
 
+    def _note(
+        self, request: _server.ServerRequest, pause_s: float = 0.0
+    ) -> None:
+        self._record.notices.append(
+            _record.Notice(
+                request.headers.get('x-request-id', ''),
+                self.target,
+                self.target.rpartition('-')[0],
+                time.monotonic(),
+                pause_s,
+            )
+        )
+
     async def _run(
         self, request: _server.ServerRequest, headers: dict[str, str]
     ) -> _server.ServerResponse:
@@ -114,6 +162,7 @@
         self._current: _Incarnation | None = None
         self._server: _server.Server | None = None
         self._announcing: asyncio.Task[None] | None = None
+        self._ending: asyncio.Task[None] | None = None
         self.control = asyncio.Lock()
         system.add_link(self.name, self._proxy_address, self._listen_address)
 
@@ -125,6 +174,7 @@
             self._pool,
             _system.find_domain(self._number),
             self._record,
+            self._end_soon,
         )
         self._server = _server.Server(
             self._listen_address, self._current.handle
@@ -132,6 +182,25 @@
         await self._server.__aenter__()
         self._announcing = asyncio.create_task(self._announce_periodically())
 
+    def _end_soon(self) -> None:
+        """End under a lethal request, unless the target ends already."""
+        if self._ending is None or self._ending.done():
+            self._ending = asyncio.create_task(self._end_and_restart())
+
+    async def _end_and_restart(self) -> None:
+        await asyncio.sleep(LETHAL_RUN_S)
+        async with self.control:
+            started = time.monotonic()
+            self._record.lethal_ends.append(started)
+            await self.crash()
+            await asyncio.sleep(RESTART_S)
+            await self.start()
+            self._record.disturbances.append(
+                _record.Disturbance(
+                    self.name, 'lethal', started, time.monotonic()
+                )
+            )
+
     async def crash(self) -> None:
         """End without announcing a leave; all connections break."""
         if self._announcing is not None:
@@ -239,6 +308,16 @@
                 current.slowdown = SLOW_FACTOR
                 await asyncio.sleep(fault.for_s)
                 current.slowdown = 1.0
+            case _plan.FaultKind.SAY_LEAVING:
+                current.is_leaving = True
+                await asyncio.sleep(fault.for_s + LEAVE_SERVE_S)
+                await self.crash()
+                await asyncio.sleep(1.0)
+                await self.start()
+            case _plan.FaultKind.SAY_PAUSE:
+                current.pause_s = fault.for_s
+                await asyncio.sleep(REFUSE_S)
+                current.pause_s = 0.0
             case _plan.FaultKind.SHED:
                 current.is_shedding = True
                 await asyncio.sleep(fault.for_s)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -227,6 +227,39 @@
         )
         self.assertEqual([], _checks.check_record(self.record))
 
+    def add_notice(self, pause_s: float, after_s: float) -> None:
+        """Add a notice, and three requests some seconds later."""
+        self.record.notices.append(
+            _record.Notice('r0', 'beta-1', 'target-2', 100.0, pause_s)
+        )
+        for number in range(4):
+            at = 100.0 + (after_s if number else 0.0)
+            add_call(self.record, f'r{number}', _callers.READ_PATH, at, 'beta')
+            self.record.arrivals.append(
+                _record.Arrival('beta-1', at + 0.01, f'r{number}')
+            )
+
+    def test_requests_to_a_target_that_said_it_leaves(self) -> None:
+        self.add_notice(0.0, 2.6)
+        self.assert_found('3 requests through edge-1')
+
+    def test_requests_to_a_target_that_wants_none(self) -> None:
+        self.add_notice(2.0, 1.0)
+        self.assert_found('3 requests through edge-1')
+
+    def test_requests_after_a_pause_or_a_restart_of_the_entry(self) -> None:
+        self.add_notice(2.0, 2.1)
+        self.add_notice(0.0, 4.0)
+        self.record.disturbances.append(
+            _record.Disturbance('edge-1', 'kill', 101.0, 102.0)
+        )
+        self.assertEqual([], _checks.check_record(self.record))
+
+    def test_a_lethal_request_that_ends_many_targets(self) -> None:
+        self.record.lethal_ends = [1.0, 2.0, 3.0]
+        self.record.lethal_arrivals = [7.0, 8.0, 9.0, 10.0]
+        self.assert_found('came 4 times more')
+
     def test_an_acknowledged_version_that_is_gone(self) -> None:
         self.record.read_back = {}
         self.assert_found('expected one of')
