Record notices for the process that gave them

An answer of a process that ended meanwhile would have been recorded for the next process of its target, and in entries with grants an attempt that got no answer would have ended the pause of its target. Found on reading the change again; neither was seen in a run.

--- a/fulmarseam/entry/_attempts.py
+++ b/fulmarseam/entry/_attempts.py
@@ -79,8 +79,9 @@
         self._is_relay = is_relay
         # Whether a new connection opened.
         self.has_opened = False
-        # What the response says about the requests that the target wants.
-        self.notice = notices.NO_NOTICE
+        # What the response says about the requests that the target wants,
+        # once one has come.
+        self.notice: notices.Notice | None = None
         self._loop = asyncio.get_running_loop()
         self._connection: http.TargetConnection | None = None
         self._attempt_id = secrets.token_hex(ATTEMPT_ID_BYTES).encode()
@@ -122,6 +123,10 @@
                 self._connection_pool.release(connection)
                 self._caller.stop_body_timeout()
 
+    def names_pause(self) -> bool:
+        """Return whether the target told when it wants requests again."""
+        return self.notice is not None and self.notice.pause_s > 0.0
+
     def get_listening_check(self) -> Callable[[], Awaitable[bool]] | None:
         """Return a check of the target if a kept connection broke.
 
--- a/fulmarseam/entry/_outcomes.py
+++ b/fulmarseam/entry/_outcomes.py
@@ -43,7 +43,7 @@
         target = placement.choice.target
         outcomes = self._pools.outcomes
         if status >= 500:
-            if not attempt.notice.pause_s:
+            if not attempt.names_pause():
                 outcomes.record_failure(now, target)
         else:
             outcomes.record_success(now, target, now - started)
@@ -65,7 +65,7 @@
             return self._fail(
                 context, errors.ErrorKind.NO_CAPACITY, error, True
             )
-        if not attempt.notice.pause_s:
+        if not attempt.names_pause():
             self._pools.outcomes.record_failure(self._loop.time(), target)
         if isinstance(error, _attempts.TargetShedError):
             return self._fail(
--- a/fulmarseam/entry/_pools.py
+++ b/fulmarseam/entry/_pools.py
@@ -234,14 +234,16 @@
     # Notices of targets
 
     def record_notice(
-        self, now: float, placement: Placement, notice: notices.Notice
+        self,
+        now: float,
+        process: steering.TargetProcess,
+        notice: notices.Notice,
     ) -> None:
         """Record what a target says about the requests that it wants."""
-        self._notice_recorder.record(
-            now, self._find_process(placement.choice.target), notice
-        )
+        self._notice_recorder.record(now, process, notice)
 
-    def _find_process(self, target: ids.TargetId) -> steering.TargetProcess:
+    def find_process(self, target: ids.TargetId) -> steering.TargetProcess:
+        """Return the process that a target runs as, as far as known."""
         row = self._state.targets.get(target)
         if row is None:
             return steering.TargetProcess(target, '', 0)
@@ -259,9 +261,7 @@
         return frozenset(
             report.target
             for report in self.list_targets(name)
-            if not self.notices.may_send(
-                now, self._find_process(report.target)
-            )
+            if not self.notices.may_send(now, self.find_process(report.target))
         )
 
     def wants_nothing(self, now: float, pool: PoolState) -> bool:
@@ -282,7 +282,7 @@
         """
         returns = []
         for report in self.list_targets(pool.pool.name):
-            process = self._find_process(report.target)
+            process = self.find_process(report.target)
             if not self.notices.is_leaving(process):
                 return_at = self.notices.get_return_time(now, process)
                 returns.append((return_at, report.slots))
@@ -441,7 +441,7 @@
             self._state.slots.release(choice.target)
             return None
         if self.notices:
-            self.notices.note_sent(now, self._find_process(choice.target))
+            self.notices.note_sent(now, self.find_process(choice.target))
         pool.in_flight += 1
         if choice.is_remote:
             placed = pool.remote_placements
--- a/fulmarseam/entry/_proxying.py
+++ b/fulmarseam/entry/_proxying.py
@@ -288,13 +288,14 @@
     ) -> _outcomes.FailedAttempt | None:
         """Run an attempt and release its slot; None on success."""
         attempt = None
+        process = self._pools.find_process(placement.choice.target)
         try:
             attempt = self._make_attempt(context, placement)
             return await self._forward(context, placement, attempt, claim)
         finally:
-            if attempt is not None:
+            if attempt is not None and attempt.notice is not None:
                 self._pools.record_notice(
-                    self._loop.time(), placement, attempt.notice
+                    self._loop.time(), process, attempt.notice
                 )
             if attempt is not None and attempt.has_opened:
                 reachability = self._pools.get(placement.pool).reachability
--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -462,7 +462,7 @@
         notice = attempt.take_notice()
         if notice is not None:
             self._dependencies.load_balancer.record_notice(
-                self._loop.time(), target.target, notice
+                self._loop.time(), target.process, notice
             )
         reading = attempt.take_limit_reading()
         if reading is not None:
--- a/fulmarseam/gateway/_load_balancer.py
+++ b/fulmarseam/gateway/_load_balancer.py
@@ -172,18 +172,23 @@
     def record_notice(
         self,
         now: float,
-        target: ids.TargetId,
+        process: steering.TargetProcess,
         notice: notices.Notice,
         source: str = 'answer',
     ) -> None:
         """Record what a target says about the requests that it wants."""
-        observed = self._targets.get(target)
-        if observed is not None and self._notice_recorder.record(
-            now, observed.process, notice, source
-        ):
+        if self._notice_recorder.record(now, process, notice, source):
             self._rankings.clear()
             self._group_targets()
 
+    def record_relayed_leave(self, now: float, target: ids.TargetId) -> None:
+        """Record that a target leaves, as an answer says to another entry."""
+        observed = self._targets.get(target)
+        if observed is not None:
+            self.record_notice(
+                now, observed.process, notices.Notice(is_leaving=True), 'relay'
+            )
+
     def _get_or_create_pool(self, name: ids.PoolName) -> _pools.Pool:
         pool = self._pools.get(name)
         if pool is None:
@@ -352,7 +357,8 @@
         )
         if placement.target is not None:
             steering.note_start(placement.target, now)
-            self.notices.note_sent(now, placement.target.process)
+            if self.notices:
+                self.notices.note_sent(now, placement.target.process)
             if steering.is_cold(placement.target, now):
                 placement.target.tokens -= 1.0
         return placement
--- a/fulmarseam/gateway/_refusals.py
+++ b/fulmarseam/gateway/_refusals.py
@@ -78,6 +78,8 @@
     ) -> steering.ObservedTarget | None:
         """Return the target that wants requests first, if none does now."""
         notices = self._load_balancer.notices
+        if not notices:
+            return None
         waiting = []
         for observed in self._load_balancer.get_allowed_targets(
             route, pool_name
--- a/fulmarseam/gateway/_relaying.py
+++ b/fulmarseam/gateway/_relaying.py
@@ -6,7 +6,6 @@
 from fulmarseam import errors
 from fulmarseam import http
 from fulmarseam import ids
-from fulmarseam import notices
 from fulmarseam import relay
 from fulmarseam import wire
 from fulmarseam.gateway import _answers
@@ -112,11 +111,9 @@
             item for item in response.headers if item[0] != header
         ]
         if notice is not None and notice.is_leaving:
-            self._load_balancer.record_notice(
+            self._load_balancer.record_relayed_leave(
                 asyncio.get_running_loop().time(),
                 ids.TargetId(target.decode('latin-1')),
-                notices.Notice(is_leaving=True),
-                'relay',
             )
 
 
--- a/fulmarseam/steering/_notices.py
+++ b/fulmarseam/steering/_notices.py
@@ -71,6 +71,7 @@
     def __init__(self) -> None:
         self._notices: dict[ids.TargetId, _Notice] = {}
 
+    # A table without notices is false, which spares a look-up per target.
     def __len__(self) -> int:
         return len(self._notices)
 
