--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -13,6 +13,7 @@
 from fulmarseam import errors
 from fulmarseam import ids
 from fulmarseam import quarantine
+from fulmarseam import steering
 from fulmarseam import transport
 from fulmarseam import wire
 from fulmarseam.commands import _ctl_output
@@ -271,8 +272,11 @@
             return registry.answer(now, 1, report)
 
         guard = quarantine.CrashGuard(report)
+        fingerprint = steering.compute_fingerprint('GET', 'h', '/', b'', b'')
         for target, was_trial in (('t1', False), ('t2', True)):
-            await guard.note_broken(b'f', ids.TargetId(target), 1, was_trial)
+            await guard.note_broken(
+                fingerprint, ids.TargetId(target), 1, was_trial
+            )
 
         async def handle(message: wire.Message) -> wire.Message:
             self.assertIsInstance(message, wire.QuarantineRequest)
