--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,22 +1,100 @@
-"""A stale order of a frozen machine ends a newer evacuation."""
+"""A relayed upload that a second entry takes over loses its end."""
 
 import asyncio
-import signal
-import time
+import contextlib
+import hashlib
+import os
+import random
+import socket
+import struct
 import uuid
 
 import deployment
 
-ZONE = 'b1'
-EVACUATE_S = 5.0
-CONTACT_S = 3.0
-FREEZE_S = 7.0
 SERVICE = 'orders'
+CUT_S = 6.0
+# Larger than what an entry keeps of a body, far smaller than `maxBodyBytes`.
+BODY_BYTES = 400_000
+CHUNK_BYTES = 16_000
+CLIENTS = 3
+
+
+class Upstream(deployment.Upstream):
+    """A sound server, which the machines in `cut` do not reach."""
+
+    def __init__(self, *args, **options):
+        super().__init__(*args, **options)
+        # Process ids of the machines that are cut off from all servers.
+        self.cut = set()
+        self.bodies = {}
+        self._writers = set()
+
+    def set_cut(self, processes):
+        """Cut these machines off; their connections are reset."""
+        self.cut = set(processes)
+        for writer in list(self._writers):
+            if is_owned(writer, self.cut):
+                reset(writer)
+
+    async def serve(self, reader, writer):
+        """Serve the requests of a connection, one after another."""
+        if is_owned(writer, self.cut):
+            reset(writer)
+            return
+        self._writers.add(writer)
+        try:
+            await super().serve(reader, writer)
+        finally:
+            self._writers.discard(writer)
+
+    async def answer(self, writer, method, path, headers, body):
+        """Run a request and write its answer."""
+        name = headers.get('x-request-id', '')
+        self.bodies[name] = body
+        await super().answer(writer, method, path, headers, body)
+
+
+def reset(writer):
+    """Reset a connection."""
+    with contextlib.suppress(OSError):
+        writer.get_extra_info('socket').setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
+    writer.transport.abort()
+
+
+def is_owned(writer, processes):
+    """Return whether the peer of a connection is one of these processes.
+
+    All machines of the deployment share the loopback interface, so the
+    kernel's table of connections tells which one has opened this one.
+    """
+    peer = writer.get_extra_info('peername')
+    if not processes or peer is None:
+        return False
+    address = ''.join(f'{int(part):02X}' for part in peer[0].split('.')[::-1])
+    wanted = f'{address}:{peer[1]:04X}'
+    inode = None
+    with open('/proc/net/tcp', encoding='ascii') as table:
+        for line in table:
+            fields = line.split()
+            if fields[1] == wanted:
+                inode = fields[9]
+    for process in processes:
+        folder = f'/proc/{process}/fd'
+        with contextlib.suppress(OSError):
+            for name in os.listdir(folder):
+                with contextlib.suppress(OSError):
+                    if os.readlink(f'{folder}/{name}') == f'socket:[{inode}]':
+                        return True
+    return False
 
 
 async def main(record):
-    """Return whether EVAC held."""
-    async with deployment.Deployment(record) as system:
+    """Return whether UNASKED held."""
+    async with deployment.Deployment(
+        record, entry_zones=('a1', 'a1', 'b1', 'c1')
+    ) as system:
         await system.configure(
             deployment.make_config(
                 [deployment.make_service(SERVICE)],
@@ -24,93 +102,106 @@
             )
         )
         servers = [
-            deployment.Upstream(system, SERVICE, zone, number)
-            for number, zone in enumerate(('a1', 'b1', 'c1', 'b2'), 1)
+            Upstream(system, SERVICE, zone, number, slots=20)
+            for number, zone in enumerate(('a1', 'b1', 'c1', 'a2'), 1)
         ]
         for server in servers:
             await server.start()
         await system.wait_ready()
         await asyncio.sleep(2.0)
-        clients = asyncio.create_task(send_requests(system, record))
-        try:
-            acked_at, calm_at = await disturb(system, record)
-            await asyncio.sleep(calm_at + 6.0 - time.monotonic())
-        finally:
-            clients.cancel()
-            for server in servers:
-                await server.stop()
-        return judge(record, servers, acked_at, calm_at)
+        sent = {}
+        clients = [
+            asyncio.create_task(send_requests(system, record, sent))
+            for _ in range(CLIENTS)
+        ]
+        await asyncio.sleep(3.0)
+        if deployment.is_troubled():
+            cut_off(system, record, servers, system.entries[:2])
+        await asyncio.sleep(CUT_S)
+        cut_off(system, record, servers, [])
+        await asyncio.sleep(2.0)
+        for client in clients:
+            client.cancel()
+        await asyncio.gather(*clients, return_exceptions=True)
+        for server in servers:
+            await server.stop()
+        return judge(record, servers, sent)
+
+
+def cut_off(system, record, servers, entries):
+    """Cut entries off from all servers, and join all others."""
+    names = ','.join(entry.name for entry in entries)
+    record.add('cut_off', entries=names or 'none')
+    for server in servers:
+        server.set_cut(entry.process.pid for entry in entries)
 
 
-async def send_requests(system, record):
-    """Send a request to each entry ten times a second."""
+async def send_requests(system, record, sent):
+    """Upload bodies in chunks through the first entry, one by one."""
+    entry = system.entries[0]
+    connection = None
     while True:
-        for entry in system.entries:
-            name = uuid.uuid4().hex[:16]
-            reply = await deployment.call(
-                entry.address('front'),
-                'POST',
-                '/orders/x',
-                b'{}',
-                {'X-Request-Id': name, 'X-Deadline-Ms': '1000'},
+        if connection is None:
+            connection = await deployment.Connection.open(
+                entry.address('front'), 5.0
             )
-            record.add(
-                'answer',
-                entry=entry.name,
-                id=name,
-                status=reply.status if reply else 'none',
-            )
-        await asyncio.sleep(0.1)
+        name = uuid.uuid4().hex[:16]
+        body = random.randbytes(BODY_BYTES)
+        sent[name] = body
+        record.add('sent', entry=entry.name, id=name, bytes=len(body))
+        reply = await upload(connection, name, body)
+        record.add(
+            'answered', id=name, status=reply.status if reply else 'none'
+        )
+        if reply is None or reply.headers.get('connection') == 'close':
+            connection.close()
+            connection = None
+        await asyncio.sleep(0.05)
 
 
-async def disturb(system, record):
-    """Evacuate a zone, take it back and evacuate it again.
+async def upload(connection, name, body):
+    """Send a request with a body in chunks; return the reply, or None."""
+    head = (
+        f'PUT /orders/upload HTTP/1.1\r\nHost: {deployment.HOST}\r\n'
+        f'X-Request-Id: {name}\r\nX-Deadline-Ms: 2000\r\n'
+        'Transfer-Encoding: chunked\r\n\r\n'
+    )
+    parts = [head.encode()]
+    for start in range(0, len(body), CHUNK_BYTES):
+        chunk = body[start : start + CHUNK_BYTES]
+        parts.append(f'{len(chunk):x}\r\n'.encode() + chunk + b'\r\n')
+    parts.append(b'0\r\n\r\n')
+    connection.writer.write(b''.join(parts))
+    with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        found = await deployment.read_head(connection.reader)
+        if found is not None:
+            line, headers = found
+            content = await deployment.read_body(connection.reader, headers)
+            return deployment.Reply(int(line.split()[1]), headers, content)
+    return None
 
-    The machine that the withdrawal reaches first is frozen. Returns when the
-    second evacuation was acknowledged, and when machines are in touch again.
-    """
-    operator = deployment.Operator(system)
-    path = f'/api/evacuate/{ZONE}'
-    # A machine that is neither a seed nor, by then, likely to lead.
-    frozen, *others = reversed(system.cores)
-    await operator.order('POST', path, others)
-    await asyncio.sleep(3.0)
-    frozen_at = time.monotonic()
-    if deployment.is_troubled():
-        frozen.send(signal.SIGSTOP)
-        record.add('frozen', machine=frozen.name)
-    await asyncio.sleep(0.5)
-    await operator.order('DELETE', path, [frozen, *others])
-    await asyncio.sleep(2.0)
-    acked_at = await operator.order('POST', path, others)
-    await asyncio.sleep(frozen_at + FREEZE_S - time.monotonic())
-    if deployment.is_troubled():
-        frozen.send(signal.SIGCONT)
-        record.add('thawed', machine=frozen.name)
-    return acked_at, time.monotonic() + CONTACT_S
-
-
-def judge(record, servers, acked_at, calm_at):
-    """Return whether no request reached the zone after the bound."""
-    since = max(acked_at + EVACUATE_S, calm_at)
-    late = [
-        (server.id, name, at)
-        for server in servers
-        if server.zone == ZONE
-        for name, at in server.runs
-        if at > since
-    ]
-    for server, name, at in late[:20]:
-        record.add(
-            'broken',
-            rule='EVAC',
-            server=server,
-            id=name,
-            after_ack_s=f'{at - acked_at:.3f}',
-        )
-    record.add('late_requests', count=len(late))
-    print(f'{len(late)} requests reached the evacuated zone')
-    return not late
+
+def judge(record, servers, sent):
+    """Return whether every request ran with the body that was sent."""
+    runs = 0
+    changed = 0
+    for server in servers:
+        for name, body in server.bodies.items():
+            runs += 1
+            if sent.get(name) == body:
+                continue
+            changed += 1
+            record.add(
+                'broken',
+                rule='UNASKED',
+                server=server.id,
+                id=name,
+                sent=len(sent.get(name, b'')),
+                ran=len(body),
+                digest=hashlib.sha256(body).hexdigest()[:16],
+            )
+    print(f'{runs} runs, {changed} of them with another body than was sent')
+    return not changed
 
 
 if __name__ == '__main__':
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -152,7 +152,10 @@
             'PYTHONDONTWRITEBYTECODE': '1',
             'FULMARSEAM_BOOT': str(boot),
         }
-        with open(folder / 'log.txt', 'ab') as log:
+        log = os.open(
+            folder / 'log.txt', os.O_WRONLY | os.O_CREAT | os.O_APPEND
+        )
+        try:
             self.process = await asyncio.create_subprocess_exec(
                 *role['run'].split(),
                 cwd=ROOT,
@@ -161,6 +164,8 @@
                 stdout=log,
                 stderr=log,
             )
+        finally:
+            os.close(log)
 
     def send(self, number):
         """Send a signal to the program."""
@@ -409,9 +414,7 @@
     try:
         async with asyncio.timeout(timeout_s):
             connection = await Connection.open(address, timeout_s)
-            return await connection.exchange(
-                method, path, headers or {}, body
-            )
+            return await connection.exchange(method, path, headers or {}, body)
     except OSError:
         return None
     finally:
@@ -541,7 +544,10 @@
         task = asyncio.current_task()
         self._keep(task)
         with contextlib.suppress(
-            OSError, asyncio.IncompleteReadError, asyncio.CancelledError
+            OSError,
+            ValueError,
+            asyncio.IncompleteReadError,
+            asyncio.CancelledError,
         ):
             await self.serve(reader, writer)
         with contextlib.suppress(OSError, RuntimeError):
