--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,12 +11,14 @@
 
 import deployment
 
-SERVICE = 'orders'
-CUT_S = 6.0
+SERVICES = ('orders', 'returns', 'quotes', 'visits')
+CUT_S = 5.0
+CUTS = 5
+PAUSE_S = 5.0
 # Larger than what an entry keeps of a body, far smaller than `maxBodyBytes`.
 BODY_BYTES = 400_000
 CHUNK_BYTES = 16_000
-CLIENTS = 3
+CLIENTS = 2
 
 
 class Upstream(deployment.Upstream):
@@ -97,13 +99,19 @@
     ) as system:
         await system.configure(
             deployment.make_config(
-                [deployment.make_service(SERVICE)],
-                [deployment.make_route('r-orders', '/orders/', SERVICE)],
+                [deployment.make_service(name) for name in SERVICES],
+                [
+                    deployment.make_route(f'r-{name}', f'/{name}/', name)
+                    for name in SERVICES
+                ],
             )
         )
+        places = [
+            (name, zone) for name in SERVICES for zone in ('a1', 'b1', 'c1')
+        ]
         servers = [
-            Upstream(system, SERVICE, zone, number, slots=20)
-            for number, zone in enumerate(('a1', 'b1', 'c1', 'a2'), 1)
+            Upstream(system, name, zone, number, slots=20)
+            for number, (name, zone) in enumerate(places, 1)
         ]
         for server in servers:
             await server.start()
@@ -111,14 +119,16 @@
         await asyncio.sleep(2.0)
         sent = {}
         clients = [
-            asyncio.create_task(send_requests(system, record, sent))
+            asyncio.create_task(send_requests(system, record, sent, name))
+            for name in SERVICES
             for _ in range(CLIENTS)
         ]
-        await asyncio.sleep(3.0)
-        if deployment.is_troubled():
-            cut_off(system, record, servers, system.entries[:2])
-        await asyncio.sleep(CUT_S)
-        cut_off(system, record, servers, [])
+        for _ in range(CUTS):
+            await asyncio.sleep(PAUSE_S)
+            if deployment.is_troubled():
+                cut_off(system, record, servers, system.entries[:2])
+            await asyncio.sleep(CUT_S)
+            cut_off(system, record, servers, [])
         await asyncio.sleep(2.0)
         for client in clients:
             client.cancel()
@@ -136,7 +146,7 @@
         server.set_cut(entry.process.pid for entry in entries)
 
 
-async def send_requests(system, record, sent):
+async def send_requests(system, record, sent, service):
     """Upload bodies in chunks through the first entry, one by one."""
     entry = system.entries[0]
     connection = None
@@ -149,20 +159,20 @@
         body = random.randbytes(BODY_BYTES)
         sent[name] = body
         record.add('sent', entry=entry.name, id=name, bytes=len(body))
-        reply = await upload(connection, name, body)
+        reply = await upload(connection, service, name, body)
         record.add(
             'answered', id=name, status=reply.status if reply else 'none'
         )
         if reply is None or reply.headers.get('connection') == 'close':
             connection.close()
             connection = None
-        await asyncio.sleep(0.05)
+        await asyncio.sleep(0.1)
 
 
-async def upload(connection, name, body):
+async def upload(connection, service, name, body):
     """Send a request with a body in chunks; return the reply, or None."""
     head = (
-        f'PUT /orders/upload HTTP/1.1\r\nHost: {deployment.HOST}\r\n'
+        f'PUT /{service}/upload HTTP/1.1\r\nHost: {deployment.HOST}\r\n'
         f'X-Request-Id: {name}\r\nX-Deadline-Ms: 2000\r\n'
         'Transfer-Encoding: chunked\r\n\r\n'
     )
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,7 @@
 """A stale order of a frozen machine ends a newer evacuation."""
 
 import asyncio
+import random
 import signal
 import time
 import uuid
@@ -20,7 +21,11 @@
         await system.configure(
             deployment.make_config(
                 [deployment.make_service(SERVICE)],
-                [deployment.make_route('r-orders', '/orders/', SERVICE)],
+                [
+                    deployment.make_route(
+                        'r-orders', '/orders/', SERVICE, sessionAffinity=True
+                    )
+                ],
             )
         )
         servers = [
@@ -52,7 +57,11 @@
                 'POST',
                 '/orders/x',
                 b'{}',
-                {'X-Request-Id': name, 'X-Deadline-Ms': '1000'},
+                {
+                    'X-Request-Id': name,
+                    'X-Deadline-Ms': '1000',
+                    'Cookie': f'X-Affinity-Key={random.randrange(50)}',
+                },
             )
             record.add(
                 'answer',
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -80,10 +80,6 @@
         self._file.write(f'{now:9.3f} {event} {words}\n')
         self._file.flush()
 
-    def close(self):
-        """Close the file."""
-        self._file.close()
-
 
 def is_troubled():
     """Return whether the disruption is to take place."""
@@ -602,6 +598,16 @@
         writer.write(f'HTTP/1.1 {status} -\r\n{lines}\r\n'.encode() + body)
 
 
+async def _run_until_told(case):
+    """Run a case; SIGTERM ends it and all processes that it started."""
+    task = asyncio.ensure_future(case)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    try:
+        return await task
+    except asyncio.CancelledError:
+        raise CannotRunError('told to stop') from None
+
+
 def run_case(main):
     """Run `main(record)` and exit as the cases have to.
 
@@ -610,16 +616,17 @@
     folder = pathlib.Path(sys.argv[0]).resolve().parent
     record = Record(folder / 'record.txt')
     try:
-        held = asyncio.run(main(record))
-    except CannotRunError as error:
-        record.add('cannot_run', reason=error)
-        print(f'cannot run: {error}')
-        sys.exit(2)
+        held = asyncio.run(_run_until_told(main(record)))
     except Exception as error:
         record.add('cannot_run', reason=repr(error))
-        print(f'cannot run: {error!r}')
-        sys.exit(2)
+        _exit(2, f'cannot run: {error!r}')
     record.add('result', held=held)
-    record.close()
-    print('the rule held' if held else 'the rule was broken')
-    sys.exit(0 if held else 1)
+    if held:
+        _exit(0, 'the rule held')
+    _exit(1, 'the rule was broken')
+
+
+def _exit(code, text):
+    """End at once; connections that are still open need no farewell."""
+    print(text, flush=True)
+    os._exit(code)
