--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -468,6 +468,7 @@
         self.running = 0
         # Pairs of request id and time, of all requests that have begun.
         self.runs = []
+        self.announcing = None
         self._server = None
         self._tasks = set()
 
@@ -482,7 +483,8 @@
             self._serve_guarded, self.ip, 0
         )
         self.port = self._server.sockets[0].getsockname()[1]
-        self._keep(asyncio.create_task(self._announce_periodically()))
+        self.announcing = asyncio.create_task(self._announce_periodically())
+        self._keep(self.announcing)
 
     def _keep(self, task):
         self._tasks.add(task)
