--- a/review/3/case.py
+++ b/review/3/case.py
@@ -52,6 +52,7 @@
     while True:
         for entry in system.entries:
             name = uuid.uuid4().hex[:16]
+            record.add('sent', entry=entry.name, id=name)
             reply = await deployment.call(
                 entry.address('front'),
                 'POST',
