--- a/review/4/case.py
+++ b/review/4/case.py
@@ -9,7 +9,7 @@
 
 SERVICE = 'orders'
 CLIENTS = 40
-CONFIG_APPLY_S = 2.0
+CONFIG_APPLY_S = 2.5
 OLD_MAX_BYTES = 4096
 NEW_MAX_BYTES = 1048576
 SMALL_BODY = b'a' * 200
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -36,7 +36,7 @@
     'ttl_max': '5s',
     'grace': '6s',
     'retryBudgetRatio': '0.2',
-    'retrySlack': '64',
+    'retrySlack': '56',
     'retryWindow': '10s',
     'warmupFactor': '1.5',
     'warmupSlack': '5',
@@ -308,7 +308,7 @@
     return {
         'name': name,
         'healthPath': '/health',
-        'maxConns': 390,
+        'maxConns': 330,
         'protocol': 'h1',
         'tls': False,
         'warmup': '3s',
