--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,6 +11,9 @@
 
 import deployment
 
+# With TROUBLE=0 the case does the same without the disruption.
+IS_TROUBLED = os.environ.get('TROUBLE', '1') != '0'
+
 SERVICES = ('orders', 'returns', 'quotes', 'visits')
 CUT_S = 5.0
 CUTS = 5
@@ -125,7 +128,7 @@
         ]
         for _ in range(CUTS):
             await asyncio.sleep(PAUSE_S)
-            if deployment.is_troubled():
+            if IS_TROUBLED:
                 cut_off(system, record, servers, system.entries[:2])
             await asyncio.sleep(CUT_S)
             cut_off(system, record, servers, [])
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,7 @@
 """A stale order of a frozen machine ends a newer evacuation."""
 
 import asyncio
+import os
 import random
 import signal
 import time
@@ -8,6 +9,9 @@
 
 import deployment
 
+# With TROUBLE=0 the case does the same without the disruption.
+IS_TROUBLED = os.environ.get('TROUBLE', '1') != '0'
+
 ZONE = 'b1'
 EVACUATE_S = 5.0
 CONTACT_S = 3.0
@@ -86,7 +90,7 @@
     await operator.order('POST', path, others)
     await asyncio.sleep(3.0)
     frozen_at = time.monotonic()
-    if deployment.is_troubled():
+    if IS_TROUBLED:
         frozen.send(signal.SIGSTOP)
         record.add('frozen', machine=frozen.name)
     await asyncio.sleep(0.5)
@@ -94,7 +98,7 @@
     await asyncio.sleep(2.0)
     acked_at = await operator.order('POST', path, others)
     await asyncio.sleep(frozen_at + FREEZE_S - time.monotonic())
-    if deployment.is_troubled():
+    if IS_TROUBLED:
         frozen.send(signal.SIGCONT)
         record.add('thawed', machine=frozen.name)
     return acked_at, time.monotonic() + CONTACT_S
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -2,12 +2,16 @@
 
 import asyncio
 import json
+import os
 import signal
 import time
 import uuid
 
 import deployment
 
+# With TROUBLE=0 the case does the same without the disruption.
+IS_TROUBLED = os.environ.get('TROUBLE', '1') != '0'
+
 FIRST = 'katalog'
 LATER = 'returns'
 FREEZE_S = 7.5
@@ -101,7 +105,7 @@
     """Restart servers while a machine of the core is frozen."""
     frozen, *others = reversed(system.cores)
     frozen_at = time.monotonic()
-    if deployment.is_troubled():
+    if IS_TROUBLED:
         frozen.send(signal.SIGSTOP)
         record.add('frozen', machine=frozen.name)
     await asyncio.gather(
@@ -111,7 +115,7 @@
         )
     )
     await asyncio.sleep(frozen_at + FREEZE_S - time.monotonic())
-    if deployment.is_troubled():
+    if IS_TROUBLED:
         frozen.send(signal.SIGCONT)
         record.add('thawed', machine=frozen.name)
 
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -81,11 +81,6 @@
         self._file.flush()
 
 
-def is_troubled():
-    """Return whether the disruption is to take place."""
-    return os.environ.get('TROUBLE', '1') != '0'
-
-
 def find_port(host='127.0.0.1'):
     """Return a port that is free now."""
     with socket.socket() as found:
