Split the forwarding of requests by job

Attempts and what they show of targets are in _target_attempts, decisions on another attempt in _retries, and the objects used in _dependencies. Behaviour is unchanged.

--- a/fulmarseam/gateway/_daemon.py
+++ b/fulmarseam/gateway/_daemon.py
@@ -15,6 +15,7 @@
 from fulmarseam import telemetry
 from fulmarseam import wire
 from fulmarseam.gateway import _answers
+from fulmarseam.gateway import _dependencies
 from fulmarseam.gateway import _forwarding
 from fulmarseam.gateway import _http_names
 from fulmarseam.gateway import _load_balancer
@@ -89,7 +90,7 @@
             self._target_pools.is_listening,
         )
         self._forwarder = _forwarding.Forwarder(
-            _forwarding.Dependencies(
+            _dependencies.Dependencies(
                 mirror=self.mirror,
                 routes=self.routes,
                 load_balancer=self.load_balancer,
--- /dev/null
+++ b/fulmarseam/gateway/_target_attempts.py
@@ -0,0 +1,179 @@
+"""Attempts to get a request answered by the target that was chosen."""
+
+import asyncio
+
+from fulmarseam import errors
+from fulmarseam import http
+from fulmarseam import steering
+from fulmarseam.gateway import _admission
+from fulmarseam.gateway import _attempts
+from fulmarseam.gateway import _dependencies
+from fulmarseam.gateway import _requests
+from fulmarseam.gateway import _retries
+from fulmarseam.gateway import _sending
+from fulmarseam.gateway import _summaries
+
+# Share of the connections that a target accepts which all entries together
+# keep idle. The others are for requests in flight, wherever these arrive.
+IDLE_CONNECTION_SHARE = 0.5
+
+
+class TargetAttempts:
+    """Runs attempts and records what they show of their targets."""
+
+    def __init__(self, dependencies: _dependencies.Dependencies) -> None:
+        self._dependencies = dependencies
+        self._retry_policy = _retries.RetryPolicy(dependencies.load_balancer)
+        self._loop = asyncio.get_running_loop()
+
+    async def run(
+        self,
+        context: _requests.RequestContext,
+        placement: steering.Placement,
+        summary: _summaries.RequestSummary,
+    ) -> _retries.FailedAttempt | None:
+        """Try one target; return None if the caller got its answer."""
+        target = placement.target
+        assert target is not None
+        dependencies = self._dependencies
+        started_at = self._loop.time()
+        pool_item = dependencies.mirror.pools.get(target.record.pool)
+        max_connections = pool_item.max_connections if pool_item else 1
+        max_idle = int(max_connections * IDLE_CONNECTION_SHARE)
+        attempt = _attempts.Attempt(
+            context,
+            _attempts.Recipient(
+                target.target,
+                (
+                    dependencies.http_names.expected_target,
+                    target.target.encode('latin-1'),
+                ),
+            ),
+            dependencies.target_pools.get(
+                target.record.address,
+                max_connections,
+                max(1, max_idle // dependencies.load_balancer.senders),
+            ),
+            dependencies.http_names,
+            self._compute_first_byte_deadline(context, target, started_at),
+            may_reuse=not dependencies.crash_guard.needs_new_connection(
+                context.fingerprint()
+            ),
+            may_open=dependencies.load_balancer.paths.may_open(target),
+        )
+        if context.is_trial:
+            dependencies.crash_guard.start_trial(
+                context.fingerprint(), target.target
+            )
+        try:
+            answer = await attempt.run()
+            # Before the answer is passed on, which may take long.
+            self._note_statements(target, attempt)
+            self._record_answer(placement, attempt, answer, started_at)
+            if self._retry_policy.may_retry_error_answer(
+                context, target, answer
+            ):
+                return _retries.FailedAttempt(
+                    errors.FulmarseamError(
+                        errors.ErrorKind.TARGET_FAILED,
+                        'the target answered 500',
+                    ),
+                    True,
+                )
+            summary.status = answer.response.status
+            summary.outcome = _summaries.ANSWERED
+            if context.is_relayed:
+                answer.response.headers.append(attempt.recipient_header)
+            if answer.body is None:
+                await _sending.send_answer(context, attempt, answer)
+            dependencies.crash_guard.note_answered(context.fingerprint())
+            if answer.body is not None:
+                await _sending.send_answer(context, attempt, answer)
+            return None
+        except _attempts.NotRunError as error:
+            return self._retry_policy.handle_not_run(
+                context, target, attempt, error
+            )
+        except http.TargetError as error:
+            is_broken = error.reason is http.Reason.BROKEN
+            if is_broken and attempt.progress is not http.Progress.NOT_SENT:
+                dependencies.metrics.add('broken_attempts_total')
+                await _admission.note_broken(
+                    context, target, attempt, dependencies.crash_guard
+                )
+            return self._retry_policy.handle_failure(
+                context, placement, attempt, error, started_at, summary
+            )
+        except errors.FulmarseamError as error:
+            if attempt.progress is http.Progress.NOT_SENT:
+                raise
+            raise errors.FulmarseamError(
+                errors.ErrorKind.TARGET_FAILED,
+                f'the request body broke off: {error.detail}',
+            ) from error
+        finally:
+            self._note_statements(target, attempt)
+            self._note_connection(target, attempt)
+            attempt.close()
+            dependencies.load_balancer.release(target)
+
+    def _note_connection(
+        self, target: steering.ObservedTarget, attempt: _attempts.Attempt
+    ) -> None:
+        """Record what the connection of an attempt tells about the paths."""
+        paths = self._dependencies.load_balancer.paths
+        if attempt.has_opened:
+            paths.note_opened(target)
+        elif attempt.has_used_kept and attempt.has_answered:
+            paths.note_kept(self._loop.time(), target, True)
+
+    def _note_statements(
+        self, target: steering.ObservedTarget, attempt: _attempts.Attempt
+    ) -> None:
+        """Record what an answer says about its target, once."""
+        notice = attempt.take_notice()
+        if notice is not None:
+            self._dependencies.load_balancer.record_notice(
+                self._loop.time(), target.process, notice
+            )
+        reading = attempt.take_limit_reading()
+        if reading is not None:
+            self._dependencies.rate_limits.note_reading(
+                self._loop.time(), target, reading, attempt.is_served
+            )
+
+    def _compute_first_byte_deadline(
+        self,
+        context: _requests.RequestContext,
+        target: steering.ObservedTarget,
+        now: float,
+    ) -> float:
+        """Return when to give up on a target that has not answered yet."""
+        target_count = len(context.attempted | {target.target})
+        if (
+            not context.route.idempotent
+            or target_count >= context.max_attempts
+        ):
+            return context.deadline
+        return now + steering.compute_attempt_timeout(
+            target, context.deadline - now
+        )
+
+    def _record_answer(
+        self,
+        placement: steering.Placement,
+        attempt: _attempts.Attempt,
+        answer: _attempts.Answer,
+        started_at: float,
+    ) -> None:
+        target = placement.target
+        assert target is not None
+        now = self._loop.time()
+        load_balancer = self._dependencies.load_balancer
+        if attempt.load_report:
+            load_balancer.record_load_report(now, target, attempt.load_report)
+        if answer.response.status >= 500:
+            if not attempt.names_pause:
+                load_balancer.record_failure(target)
+        else:
+            load_balancer.record_answer(now, placement, now - started_at)
