Use load reports that tell how long work takes

A load report of four figures was treated as unreadable, so an entry knew nothing of the load of such a target.

Three or four figures are accepted. The fourth scales the run times that are expected at the target, its attempt timeouts and the time after which it counts as silent; a request without affinity prefers hosts that are fast now. Run times are learned as those of the usual pace.

--- a/fulmarseam/gateway/_load_balancer.py
+++ b/fulmarseam/gateway/_load_balancer.py
@@ -43,6 +43,8 @@
 # Cached rankings of targets, one per object. The busiest deployments have at
 # least some hundred objects per route.
 MAX_RANKINGS = 20_000
+# A load report that is unreadable is logged up to this length.
+MAX_SHOWN_REPORT_BYTES = 40
 
 _log = logbook.Logger('gateway')
 
@@ -448,19 +450,25 @@
     def record_load_report(
         self, now: float, observed: steering.ObservedTarget, report: bytes
     ) -> None:
-        """Record a load report of the form `running,waiting,slots`."""
+        """Record a load report of the form `running,waiting,slots`.
+
+        A fourth figure tells how long work takes there now, in percent of
+        the usual time.
+        """
         try:
-            running, waiting, _ = (int(part) for part in report.split(b','))
-        except ValueError:
+            load = steering.parse_load_report(report)
+        except ValueError as error:
             _log.debug(
                 telemetry.format_event(
                     'load_report_unreadable',
                     target=observed.target,
-                    found=repr(report),
+                    found=repr(report[:MAX_SHOWN_REPORT_BYTES]),
+                    reason=error,
                 )
             )
             return
-        steering.note_report(observed, now, running, waiting)
+        steering.note_report(observed, now, load.running, load.waiting)
+        observed.work_factor.note(now, load.work_percent)
 
     def record_answer(
         self, now: float, placement: steering.Placement, service_s: float
@@ -470,7 +478,9 @@
         cold_s = min(self._get_cold_s(observed), RECOVERY_COLD_S)
         steering.note_answer(observed, now, service_s, cold_s)
         if placement.availability is steering.SlotAvailability.FREE:
-            observed.statistics.note_run(placement.run_kind, service_s)
+            observed.statistics.note_run(
+                placement.run_kind, service_s / observed.work_factor.get(now)
+            )
 
     def record_failure(self, observed: steering.ObservedTarget) -> None:
         """Record a request that a target refused or failed."""
@@ -494,9 +504,10 @@
         observed = _get_target(placement)
         statistics = observed.statistics
         is_free = placement.availability is steering.SlotAvailability.FREE
-        if is_free and elapsed_s > statistics.estimate_run(placement.run_kind):
+        usual_s = elapsed_s / observed.work_factor.get(now)
+        if is_free and usual_s > statistics.estimate_run(placement.run_kind):
             # The run would have taken even longer.
-            statistics.note_run(placement.run_kind, elapsed_s)
+            statistics.note_run(placement.run_kind, usual_s)
         if steering.is_silent(observed, now):
             self.eject(now, observed)
         else:
@@ -563,6 +574,11 @@
 
 
 def _compute_load_cost(now: float, observed: steering.ObservedTarget) -> float:
-    """Return the load of a target per slot, with any remote penalty."""
+    """Return the load of a target per slot, with any remote penalty.
+
+    A target whose work takes twice as long counts like one at the usual pace
+    whose slots are in use.
+    """
     load = steering.estimate_load(observed, now) / observed.record.slots
-    return load + REMOTE_LOAD_PENALTY if observed.is_remote else load
+    cost = (1.0 + load) * observed.work_factor.get(now) - 1.0
+    return cost + REMOTE_LOAD_PENALTY if observed.is_remote else cost
--- a/fulmarseam/gateway/_refusals.py
+++ b/fulmarseam/gateway/_refusals.py
@@ -112,7 +112,8 @@
         return_at = self._load_balancer.notices.get_return_time(
             now, first.process
         )
-        rate_per_s = first.record.slots / max(first.service_s, MIN_SERVICE_S)
+        service_s = first.service_s * first.work_factor.get(now)
+        rate_per_s = first.record.slots / max(service_s, MIN_SERVICE_S)
         return_times = self._pause_returns.setdefault(
             pool_name, steering.ReturnTimes()
         )
--- a/fulmarseam/gateway/_target_attempts.py
+++ b/fulmarseam/gateway/_target_attempts.py
@@ -156,7 +156,7 @@
         ):
             return context.deadline
         return now + steering.compute_attempt_timeout(
-            target, context.deadline - now
+            target, context.deadline - now, now
         )
 
     def _record_answer(
--- a/fulmarseam/steering/__init__.py
+++ b/fulmarseam/steering/__init__.py
@@ -17,6 +17,9 @@
 from fulmarseam.steering._choice import PoolView
 from fulmarseam.steering._limited_targets import LimitedTargets
 from fulmarseam.steering._links import LinkTokens
+from fulmarseam.steering._load_reports import LoadReport
+from fulmarseam.steering._load_reports import parse_load_report
+from fulmarseam.steering._load_reports import WorkFactor
 from fulmarseam.steering._lookups import order_entries
 from fulmarseam.steering._notices import MAX_PAUSE_S
 from fulmarseam.steering._notices import NoticeState
@@ -91,6 +94,7 @@
     'Grants',
     'Outliers',
     'LinkTokens',
+    'LoadReport',
     'MAX_PAUSE_S',
     'NoticeState',
     'NoticeTable',
@@ -103,6 +107,7 @@
     'PoolView',
     'RunKind',
     'WindowedRetryBudget',
+    'WorkFactor',
     'RequestQueue',
     'Reachability',
     'RetryBudget',
@@ -143,6 +148,7 @@
     'note_shared_load',
     'note_start',
     'order_entries',
+    'parse_load_report',
     'place_request',
     'rank_targets',
     'compute_region_shares',
--- a/fulmarseam/steering/_observed.py
+++ b/fulmarseam/steering/_observed.py
@@ -9,6 +9,7 @@
 
 from fulmarseam import ids
 from fulmarseam import wire
+from fulmarseam.steering import _load_reports
 from fulmarseam.steering import _notices
 from fulmarseam.steering import _pool_statistics
 
@@ -67,6 +68,7 @@
     requests in flight started or when the last response came.
     `token_offset`, between 0 and 1, differs between entries, so that many
     entries with a low rate each do not all send in the same second.
+    `service_s` is what requests take while the work factor is 1.
     `statistics` are those of its pool.
     """
 
@@ -90,6 +92,9 @@
     silent_since: float = 0.0
     token_offset: float = 0.0
     recovering: bool = False
+    work_factor: _load_reports.WorkFactor = dataclasses.field(
+        default_factory=_load_reports.WorkFactor
+    )
 
     @property
     def target(self) -> ids.TargetId:
@@ -139,21 +144,29 @@
     """
     if not target.in_flight:
         return False
-    limit_s = max(SILENCE_MIN_S, SILENCE_SERVICE_TIMES * target.service_s)
+    # The factor as of the last response: it must not fall while none comes.
+    factor = max(1.0, target.work_factor.get(target.silent_since))
+    limit_s = max(
+        SILENCE_MIN_S, SILENCE_SERVICE_TIMES * target.service_s * factor
+    )
     return now - target.silent_since > limit_s
 
 
 def compute_attempt_timeout(
-    target: ObservedTarget, time_left_s: float
+    target: ObservedTarget, time_left_s: float, now: float | None = None
 ) -> float:
     """Return the seconds after which to try another target instead.
 
-    This is all of the time left if it does not allow another attempt.
+    This is all of the time left if it does not allow another attempt. With
+    `now`, the timeout grows with the work factor of the target; it does not
+    shrink, as a run for an uncached object may take as long as usual.
     """
     if target.response_count < ATTEMPT_TIMEOUT_MIN_RESPONSES:
         return time_left_s
+    factor = 1.0 if now is None else max(1.0, target.work_factor.get(now))
     timeout_s = max(
-        ATTEMPT_TIMEOUT_MIN_S, ATTEMPT_TIMEOUT_SERVICE_TIMES * target.service_s
+        ATTEMPT_TIMEOUT_MIN_S,
+        ATTEMPT_TIMEOUT_SERVICE_TIMES * target.service_s * factor,
     )
     if time_left_s - timeout_s < timeout_s:
         return time_left_s
@@ -190,7 +203,8 @@
     target.failures = 0
     target.ejected_until = 0.0
     target.failure_rate -= OUTCOME_WEIGHT * target.failure_rate
-    target.service_s += SERVICE_TIME_WEIGHT * (service_s - target.service_s)
+    usual_s = service_s / target.work_factor.get(now)
+    target.service_s += SERVICE_TIME_WEIGHT * (usual_s - target.service_s)
 
 
 def note_failure(target: ObservedTarget) -> None:
--- a/fulmarseam/steering/_placement.py
+++ b/fulmarseam/steering/_placement.py
@@ -31,14 +31,16 @@
 class Placement(NamedTuple):
     """The target for an attempt, or None if no target can take it.
 
-    `run_kind` tells what run time is expected there, and `wait_rounds` the
-    queue, in rounds of all slots.
+    `run_kind` tells what run time is expected there, `wait_rounds` the
+    queue, in rounds of all slots, and `work_factor` how long work takes there
+    now compared with the usual time.
     """
 
     target: _observed.ObservedTarget | None
     availability: SlotAvailability
     run_kind: _pool_statistics.RunKind = _pool_statistics.RunKind.FIRST_CHOICE
     wait_rounds: float = 0.0
+    work_factor: float = 1.0
 
 
 MaySend = Callable[[_observed.ObservedTarget], bool]
@@ -77,8 +79,9 @@
         if _observed.is_ejected(target, now) or not may_send(target):
             continue
         run_kind = _find_run_kind(target, now, healthy_count, max_choices)
+        factor = target.work_factor.get(now)
         if run_kind is _pool_statistics.RunKind.COLD and (
-            target.statistics.estimate_run(run_kind) > usable_s
+            target.statistics.estimate_run(run_kind) * factor > usable_s
         ):
             continue
         wait = _estimate_wait(target, now)
@@ -86,23 +89,29 @@
             if not wait and doubtful is None:
                 doubtful = target
             continue
-        cost = wait
+        cost = (1.0 + wait) * factor - 1.0 if wait else 0.0
         if max_choices is not None:
             cost += healthy_count * UNCACHED_COST_ROUNDS
         healthy_count += 1
         if not cost:
-            return Placement(target, SlotAvailability.FREE, run_kind)
+            return Placement(
+                target, SlotAvailability.FREE, run_kind, 0.0, factor
+            )
         if best is None or cost < best_cost:
             best_cost = cost
             availability = (
                 SlotAvailability.QUEUE if wait else SlotAvailability.FREE
             )
-            best = Placement(target, availability, run_kind, wait)
+            best = Placement(target, availability, run_kind, wait, factor)
         if healthy_count == max_choices:
             break
     max_wait = UNCACHED_COST_ROUNDS if max_choices is not None else 0.0
     if doubtful is not None and (best is None or best.wait_rounds > max_wait):
-        return Placement(doubtful, SlotAvailability.FREE)
+        return Placement(
+            doubtful,
+            SlotAvailability.FREE,
+            work_factor=doubtful.work_factor.get(now),
+        )
     if best is not None and _may_queue(best, priority, usable_s):
         return best
     return Placement(None, SlotAvailability.NONE)
@@ -141,9 +150,8 @@
         target.service_s,
         statistics.estimate_run(_pool_statistics.RunKind.FIRST_CHOICE),
     )
-    return placement.wait_rounds * round_s + max(
-        target.service_s, statistics.estimate_run(placement.run_kind)
-    )
+    run_s = max(target.service_s, statistics.estimate_run(placement.run_kind))
+    return (placement.wait_rounds * round_s + run_s) * placement.work_factor
 
 
 def _estimate_wait(target: _observed.ObservedTarget, now: float) -> float:
