Split the load balancer of gateways by job

Each job is now in a module: gateway/_target_table.py, _shared_observations.py, _placement.py and _outcomes.py. LoadBalancer composes them with the interface that it had. Rankings are dropped when the version of the table changes, in place of explicit calls.

--- /dev/null
+++ b/fulmarseam/gateway/_placement.py
@@ -0,0 +1,191 @@
+"""Choice of the target for each request."""
+
+from collections.abc import Collection
+from collections.abc import Sequence
+
+from fulmarseam import catalog
+from fulmarseam import ids
+from fulmarseam import settings
+from fulmarseam import steering
+from fulmarseam import wire
+from fulmarseam.gateway import _paths
+from fulmarseam.gateway import _target_table
+
+# Targets that share the requests for one object. With more, an overload would
+# spread each object over all targets; these would then keep no object cached,
+# stay slow and prolong the overload.
+TARGETS_PER_OBJECT = 2
+# Load per slot that is added for targets in other regions when targets are
+# ranked for a request without affinity.
+REMOTE_LOAD_PENALTY = 0.4
+# Cached rankings of targets, one per object. The busiest deployments have at
+# least some hundred objects per route.
+MAX_RANKINGS = 20_000
+
+
+class Placer:
+    """Ranks the targets of a pool for a request and takes the best one."""
+
+    def __init__(
+        self,
+        options: settings.GatewaySettings,
+        mirror: catalog.CatalogMirror,
+        table: _target_table.TargetTable,
+        paths: _paths.Paths,
+    ) -> None:
+        self._options = options
+        self._mirror = mirror
+        self._table = table
+        self._paths = paths
+        self._cold_rate_limit = steering.ColdRateLimit(
+            options.cold_factor, options.cold_slack
+        )
+        self._rankings: dict[
+            tuple[str, str, str], list[steering.ObservedTarget]
+        ] = {}
+        # The version of the table that the rankings are of.
+        self._ranked_version = 0
+
+    def place(
+        self,
+        now: float,
+        route: wire.RouteItem,
+        pool_name: ids.PoolName,
+        affinity_key: str | None,
+        avoided: Collection[ids.TargetId],
+        time_left_s: float,
+        may_ask: bool = True,
+    ) -> steering.Placement:
+        """Choose a target and count the request there, if one has room.
+
+        `affinity_key` names the object of the request, if known. With
+        `may_ask` the request may wait for a permit of the leader.
+        """
+        cold_rate = self._compute_cold_rate(pool_name)
+
+        def may_send(observed: steering.ObservedTarget) -> bool:
+            return (
+                self._paths.may_send(observed)
+                and self._is_wanted(now, observed)
+                and steering.may_send(observed, now, cold_rate)
+                and self._table.limited_targets.may_send(
+                    now, observed.target, may_ask
+                )
+            )
+
+        placement = steering.place_request(
+            now,
+            (
+                observed
+                for observed in self._rank_targets(
+                    now, route, pool_name, affinity_key
+                )
+                if observed.target not in avoided
+            ),
+            may_send,
+            route.priority,
+            time_left_s,
+            TARGETS_PER_OBJECT
+            if route.sticky and affinity_key is not None
+            else None,
+            self._table.get_or_create_pool(pool_name).get_failure_rate(now),
+        )
+        if placement.target is not None:
+            steering.note_start(placement.target, now)
+            if self._table.notices:
+                self._table.notices.note_sent(now, placement.target.process)
+            if steering.is_cold(placement.target, now):
+                placement.target.tokens -= 1.0
+        return placement
+
+    def _is_wanted(
+        self, now: float, observed: steering.ObservedTarget
+    ) -> bool:
+        """Return whether a target wants a request now."""
+        return not self._table.notices or self._table.notices.may_send(
+            now, observed.process
+        )
+
+    def _is_due(self, now: float, observed: steering.ObservedTarget) -> bool:
+        """Return whether a target that returns should get a request now."""
+        return bool(self._table.notices) and self._table.notices.is_due(
+            now, observed.process
+        )
+
+    def _compute_cold_rate(self, pool_name: ids.PoolName) -> float:
+        pool = self._mirror.pools.get(pool_name)
+        if pool is None or pool.cold_per_s <= 0.0:
+            return float('inf')
+        return self._cold_rate_limit.compute_sender_rate(
+            pool.cold_per_s, self._table.senders
+        )
+
+    def _rank_targets(
+        self,
+        now: float,
+        route: wire.RouteItem,
+        pool_name: ids.PoolName,
+        affinity_key: str | None,
+    ) -> list[steering.ObservedTarget]:
+        """Return the targets for a request in the order of preference.
+
+        All entries of a region prefer the same targets for an object.
+        """
+        targets = self._table.get_allowed_targets(route, pool_name)
+        if affinity_key is None or not route.sticky:
+            return sorted(
+                targets,
+                key=lambda observed: (
+                    not self._is_due(now, observed),
+                    _compute_load_cost(now, observed),
+                ),
+            )
+        if self._ranked_version != self._table.version:
+            self._ranked_version = self._table.version
+            self._rankings.clear()
+        ranking_key = (
+            pool_name,
+            ','.join(route.allowed_regions),
+            affinity_key,
+        )
+        ranking = self._rankings.get(ranking_key)
+        if ranking is None:
+            if len(self._rankings) >= MAX_RANKINGS:
+                self._rankings.clear()
+            ranking = self._rankings[ranking_key] = [
+                self._table.targets[target]
+                for target in steering.rank_targets(
+                    affinity_key, self._compute_weights(targets)
+                )
+            ]
+        return ranking
+
+    def _compute_weights(
+        self, targets: Sequence[steering.ObservedTarget]
+    ) -> dict[ids.TargetId, float]:
+        """Return the share of the objects that each target should serve."""
+        slots: dict[ids.RegionName, int] = {}
+        for observed in targets:
+            region = observed.record.region
+            slots[region] = slots.get(region, 0) + observed.record.slots
+        options = self._options
+        shares = steering.compute_region_shares(
+            options.region, slots, len(set(options.domains.values()))
+        )
+        return {
+            observed.target: shares[observed.record.region]
+            * observed.record.slots
+            / slots[observed.record.region]
+            for observed in targets
+        }
+
+
+def _compute_load_cost(now: float, observed: steering.ObservedTarget) -> float:
+    """Return the load of a target per slot, with any remote penalty.
+
+    A target whose work takes twice as long counts like one at the usual pace
+    whose slots are in use.
+    """
+    load = steering.estimate_load(observed, now) / observed.record.slots
+    cost = (1.0 + load) * observed.work_factor.get(now) - 1.0
+    return cost + REMOTE_LOAD_PENALTY if observed.is_remote else cost
