Add organisations to the catalog

Callers are to belong to organisations with keys, a priority, regions and a quota, which operators configure like routes. The new kind of item keeps digests of the keys: the text with the keys stays with the members, which return it as it was sent, and is in no message to entries and no error. Each key has one owner, so that entries that start later agree and a moved key does not fall back. Entries get organisations only if their poll says that they read them, as the previous release cannot.

--- a/fulmarseam/catalog/__init__.py
+++ b/fulmarseam/catalog/__init__.py
@@ -20,6 +20,7 @@
 from fulmarseam.catalog._heartbeats import TargetLeases
 from fulmarseam.catalog._machine import Catalog
 from fulmarseam.catalog._mirror import CatalogMirror
+from fulmarseam.catalog._organisations import OrganisationTable
 from fulmarseam.catalog._packed_changes import PackedChanges
 from fulmarseam.catalog._shared_loads import SharedLoads
 from fulmarseam.catalog._target_checks import find_problem
@@ -35,6 +36,7 @@
     'EvacuateDomain',
     'HeartbeatTracker',
     'LeaveTarget',
+    'OrganisationTable',
     'PackedChanges',
     'PutItems',
     'ReadRevision',
--- a/fulmarseam/catalog/_items.py
+++ b/fulmarseam/catalog/_items.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 
+import msgspec
+
 from fulmarseam import wire
 
 ItemKey = tuple[wire.ItemKind, str]
@@ -50,20 +52,50 @@
         for item in items:
             if isinstance(item.row, wire.RouteItem):
                 problems.extend(_check_route(item.row, pools))
+            elif isinstance(item.row, wire.OrganisationItem):
+                problems.extend(_check_organisation(item.row))
         problems.extend(_find_duplicate_matches(items))
+        problems.extend(_find_shared_keys(items))
         return problems
 
     def put(self, items: Sequence[wire.Item]) -> list[ItemKey]:
-        """Store the items with newer versions; return their keys."""
+        """Store the items with newer versions; return the changed keys.
+
+        A key of an organisation that a newer item lists is taken away from
+        the organisation that had it, whose text stays as it is.
+        """
         changed = []
         for item in items:
             key = (item.kind, item.name)
             current = self._items.get(key)
             if current is None or item.version > current.version:
                 self._items[key] = item
+                if isinstance(item.row, wire.OrganisationItem):
+                    changed.extend(self._take_over_keys(item.row))
                 changed.append(key)
         return changed
 
+    def _take_over_keys(self, owner: wire.OrganisationItem) -> list[ItemKey]:
+        """Remove the keys of an organisation from all others."""
+        taken = set(owner.key_digests)
+        changed = []
+        for key, item in self._items.items():
+            row = item.row
+            if (
+                not isinstance(row, wire.OrganisationItem)
+                or row.name == owner.name
+                or taken.isdisjoint(row.key_digests)
+            ):
+                continue
+            kept = [
+                digest for digest in row.key_digests if digest not in taken
+            ]
+            self._items[key] = msgspec.structs.replace(
+                item, row=msgspec.structs.replace(row, key_digests=kept)
+            )
+            changed.append(key)
+        return changed
+
     def get(self, key: ItemKey) -> wire.Item:
         """Return the newest version of an item."""
         return self._items[key]
@@ -107,6 +139,46 @@
     return problems
 
 
+def _check_organisation(organisation: wire.OrganisationItem) -> list[str]:
+    name = organisation.name
+    problems = []
+    # The name is the value of a header.
+    if not name.isprintable() or name != name.strip() or not name:
+        problems.append(
+            f'organisation: name: found {name!r}, expected printable '
+            'characters without spaces around them'
+        )
+    if organisation.rate_per_s < 0.0:
+        problems.append(
+            f'organisation {name}: rate_per_s: found '
+            f'{organisation.rate_per_s:g}, expected 0 or more'
+        )
+    if organisation.burst < 0.0:
+        problems.append(
+            f'organisation {name}: burst: found {organisation.burst:g}, '
+            'expected 0 or more'
+        )
+    return problems
+
+
+def _find_shared_keys(items: Sequence[wire.Item]) -> list[str]:
+    """Report organisations of one call that have the same key."""
+    problems = []
+    owners: dict[bytes, str] = {}
+    for item in items:
+        row = item.row
+        if not isinstance(row, wire.OrganisationItem):
+            continue
+        for digest in row.key_digests:
+            owner = owners.setdefault(digest, row.name)
+            if owner != row.name:
+                problems.append(
+                    f'organisation {row.name}: keys: found a key of '
+                    f'organisation {owner}, expected keys of its own'
+                )
+    return problems
+
+
 def _find_duplicate_matches(items: Sequence[wire.Item]) -> list[str]:
     """Report routes of one call that match the same requests."""
     problems = []
--- a/fulmarseam/catalog/_machine.py
+++ b/fulmarseam/catalog/_machine.py
@@ -156,13 +156,15 @@
         revision: int,
         removals_revision: int,
         max_rows: int = MAX_ROWS_PER_ANSWER,
+        has_organisations: bool = False,
     ) -> wire.CatalogChanges:
         """Return up to `max_rows` changes after `revision`.
 
         `removals_revision` is the revision up to which the entry knows all
         removed targets. An entry that missed removals which are no longer
         kept gets the full state, from its first row. An entry at revision 0
-        has no targets, so it gets no removals.
+        has no targets, so it gets no removals. Organisations are listed with
+        `has_organisations`, as entries of earlier releases cannot read them.
         """
         full = removals_revision < self._removals_trimmed_to
         after = 0 if full else revision
@@ -178,6 +180,10 @@
                 msgspec.structs.replace(self.items.get(key), source=b'')
                 for key in keys
                 if isinstance(key, tuple)
+                and (
+                    has_organisations
+                    or key[0] is not wire.ItemKind.ORGANISATION
+                )
             ],
             targets=[
                 record
--- a/fulmarseam/catalog/_mirror.py
+++ b/fulmarseam/catalog/_mirror.py
@@ -22,6 +22,7 @@
         self.routes: dict[str, wire.RouteItem] = {}
         self.pools: dict[str, wire.PoolItem] = {}
         self.limits: wire.LimitsItem | None = None
+        self.organisations: dict[str, wire.OrganisationItem] = {}
         self.targets: dict[ids.TargetId, wire.TargetRecord] = {}
         self.evacuated: frozenset[ids.DomainName] = frozenset()
         # Targets that the full changes in progress have not listed yet.
@@ -73,6 +74,8 @@
                 self.routes.pop(item.name, None)
             case wire.ItemKind.POOL:
                 self.pools.pop(item.name, None)
+            case wire.ItemKind.ORGANISATION:
+                self.organisations.pop(item.name, None)
         match item.row:
             case wire.RouteItem():
                 self.routes[item.name] = item.row
@@ -80,3 +83,5 @@
                 self.pools[item.name] = item.row
             case wire.LimitsItem():
                 self.limits = item.row
+            case wire.OrganisationItem():
+                self.organisations[item.name] = item.row
--- a/fulmarseam/catalog/_packed_changes.py
+++ b/fulmarseam/catalog/_packed_changes.py
@@ -15,17 +15,22 @@
 
     def __init__(self, machine: _machine.Catalog) -> None:
         self._machine = machine
-        self._answers: collections.OrderedDict[tuple[int, int], bytes] = (
-            collections.OrderedDict()
-        )
+        self._answers: collections.OrderedDict[
+            tuple[int, int, bool], bytes
+        ] = collections.OrderedDict()
         self._revision = 0
 
-    def get(self, revision: int, removals_revision: int) -> bytes:
+    def get(
+        self,
+        revision: int,
+        removals_revision: int,
+        has_organisations: bool = False,
+    ) -> bytes:
         """Return the packed changes after `revision`; see `list_changes`."""
         if self._machine.revision != self._revision:
             self._answers.clear()
             self._revision = self._machine.revision
-        key = (revision, removals_revision)
+        key = (revision, removals_revision, has_organisations)
         packed = self._answers.get(key)
         if packed is None:
             packed = self._answers[key] = wire.pack_changes(
@@ -33,6 +38,7 @@
                     revision,
                     removals_revision,
                     _machine.MAX_PACKED_ROWS_PER_ANSWER,
+                    has_organisations,
                 )
             )
             if len(self._answers) > MAX_CACHED_ANSWERS:
--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -249,9 +249,13 @@
         if poll.wants_changes and poll.revision < self.catalog.revision:
             known = (poll.revision, poll.removals_revision)
             if poll.accepts_packed:
-                packed_changes = self._packed_changes.get(*known)
+                packed_changes = self._packed_changes.get(
+                    *known, poll.reads_organisations
+                )
             else:
-                changes = self.catalog.list_changes(*known)
+                changes = self.catalog.list_changes(
+                    *known, has_organisations=poll.reads_organisations
+                )
         target_loads = b''
         if poll.wants_loads:
             self._shared_loads.record(now, poll)
--- a/fulmarseam/gateway/_poller.py
+++ b/fulmarseam/gateway/_poller.py
@@ -277,6 +277,7 @@
                 'revision': self._mirror.revision,
                 'removals_revision': self._mirror.removals_revision,
                 'accepts_packed': True,
+                'reads_organisations': True,
             }
         return wire.EntryPoll(
             entry=ids.EntryId(options.host),
--- a/fulmarseam/platform/_items.py
+++ b/fulmarseam/platform/_items.py
@@ -1,7 +1,7 @@
 """Conversion of configuration items from and to the platform's JSON.
 
-An operator's call lists routes under their hosts, pools under `services`, and
-one item of limits.
+An operator's call lists routes under their hosts, pools under `services`,
+organisations under `tenants`, and one item of limits.
 """
 
 from collections.abc import Iterable
@@ -18,6 +18,7 @@
     'routes': wire.ItemKind.ROUTE,
     'services': wire.ItemKind.POOL,
     'limits': wire.ItemKind.LIMITS,
+    'tenants': wire.ItemKind.ORGANISATION,
 }
 _LIMITS_NAME = 'limits'
 
@@ -40,6 +41,8 @@
         yield _read_limits(
             _values.require(upsert['limits'], dict, 'upsert.limits')
         )
+    for fields in _read_objects(upsert, 'tenants', 'upsert'):
+        yield _read_organisation(fields)
     for host_fields in _read_objects(upsert, 'hosts', 'upsert'):
         host = _values.read_field(host_fields, 'host', str, 'upsert.hosts')
         for fields in _read_objects(host_fields, 'paths', f'host {host}'):
@@ -137,18 +140,72 @@
             bool,
             f'{location}.sessionAffinity',
         ),
-        allowed_regions=[
-            _values.require(region, str, f'{location}.allowedRegions')
-            for region in _values.require(
-                fields.get('allowedRegions') or [],
-                list,
-                f'{location}.allowedRegions',
-            )
-        ],
+        allowed_regions=_read_regions(fields, location),
+        allow_anonymous=_values.require(
+            fields.get('allowAnonymous', False),
+            bool,
+            f'{location}.allowAnonymous',
+        ),
     )
     return _make_item(wire.ItemKind.ROUTE, route, fields)
 
 
+def _read_regions(
+    fields: dict[str, Any], location: str
+) -> list[ids.RegionName]:
+    location = f'{location}.allowedRegions'
+    return [
+        ids.RegionName(_values.require(region, str, location))
+        for region in _values.require(
+            fields.get('allowedRegions') or [], list, location
+        )
+    ]
+
+
+def _read_organisation(fields: dict[str, Any]) -> wire.Item:
+    name = _values.read_field(fields, 'name', str, 'tenant')
+    location = f'tenant {name}'
+    priority = fields.get('priority')
+    organisation = wire.OrganisationItem(
+        name=ids.OrganisationName(name),
+        version=_values.read_field(fields, 'version', int, location),
+        key_digests=_read_key_digests(fields, location),
+        priority=None
+        if priority is None
+        else _values.require(priority, int, f'{location}.priority'),
+        rate_per_s=_read_optional_number(fields, 'ratePerS', location),
+        burst=_read_optional_number(fields, 'burst', location),
+        allowed_regions=_read_regions(fields, location),
+    )
+    return _make_item(wire.ItemKind.ORGANISATION, organisation, fields)
+
+
+def _read_key_digests(fields: dict[str, Any], location: str) -> list[bytes]:
+    """Return the digests of the keys; an empty key is never accepted.
+
+    The error tells no value, as that could be a key.
+    """
+    keys = fields.get('apiKeys')
+    if keys is None:
+        return []
+    if not isinstance(keys, list) or not all(
+        isinstance(key, str) for key in keys
+    ):
+        raise _values.UnreadableError(
+            f'{location}.apiKeys: found something else, expected a list of '
+            'texts'
+        )
+    return [wire.compute_key_digest(key.encode()) for key in keys if key]
+
+
+def _read_optional_number(
+    fields: dict[str, Any], name: str, location: str
+) -> float:
+    if fields.get(name) is None:
+        return 0.0
+    return _values.read_number(fields, name, location)
+
+
 def _read_split(fields: dict[str, Any], location: str) -> list[wire.SplitPart]:
     if fields.get('split') is None:
         pool = _values.read_field(fields, 'service', str, location)
@@ -181,6 +238,7 @@
     """Return the JSON body that lists all items, without dropped ones."""
     services: list[Any] = []
     hosts: dict[str, list[Any]] = {}
+    organisations: list[Any] = []
     config: dict[str, Any] = {'services': services}
     for item in items:
         if item.row is None:
@@ -193,6 +251,10 @@
                 config['limits'] = fields
             case wire.RouteItem():
                 hosts.setdefault(item.row.host, []).append(fields)
+            case wire.OrganisationItem():
+                organisations.append(fields)
+    if organisations:
+        config['tenants'] = organisations
     config['hosts'] = [
         {'host': host, 'paths': paths} for host, paths in hosts.items()
     ]
--- a/fulmarseam/platform/_values.py
+++ b/fulmarseam/platform/_values.py
@@ -58,18 +58,27 @@
 def require(found: Any, expected: type[Any], location: str) -> Any:
     """Return `found` if it has the expected type.
 
-    A boolean does not count as an integer. Raises `UnreadableError`.
+    A boolean does not count as an integer. Raises `UnreadableError`, which
+    tells no content of lists and objects: they may hold keys.
     """
     is_boolean = isinstance(found, bool)
     if not isinstance(found, expected) or (
         is_boolean and expected is not bool
     ):
         raise UnreadableError(
-            f'{location}: found {found!r}, expected {expected.__name__}'
+            f'{location}: found {_describe(found)}, expected '
+            f'{expected.__name__}'
         )
     return found
 
 
+def _describe(found: Any) -> str:
+    """Return a value for an error, without the content of a container."""
+    if isinstance(found, (dict, list)):
+        return type(found).__name__
+    return repr(found)
+
+
 def read_field(
     fields: dict[str, Any], name: str, expected: type[Any], location: str
 ) -> Any:
@@ -82,7 +91,7 @@
     found = fields.get(name)
     if isinstance(found, bool) or not isinstance(found, (int, float)):
         raise UnreadableError(
-            f'{location}.{name}: found {found!r}, expected a number'
+            f'{location}.{name}: found {_describe(found)}, expected a number'
         )
     return float(found)
 
--- a/fulmarseam/wire/__init__.py
+++ b/fulmarseam/wire/__init__.py
@@ -27,6 +27,7 @@
 from fulmarseam.wire._catalog import CatalogChanges
 from fulmarseam.wire._catalog import CatalogCommand
 from fulmarseam.wire._catalog import CatalogResult
+from fulmarseam.wire._catalog import compute_key_digest
 from fulmarseam.wire._catalog import EntryPoll
 from fulmarseam.wire._catalog import EntryPollResponse
 from fulmarseam.wire._catalog import EntryState
@@ -34,6 +35,7 @@
 from fulmarseam.wire._catalog import ItemKind
 from fulmarseam.wire._catalog import ItemRow
 from fulmarseam.wire._catalog import LimitsItem
+from fulmarseam.wire._catalog import OrganisationItem
 from fulmarseam.wire._catalog import PermitAsk
 from fulmarseam.wire._catalog import PermitRequest
 from fulmarseam.wire._catalog import PermitResponse
@@ -167,6 +169,7 @@
     'ItemRow',
     'LeaveNotice',
     'LimitsItem',
+    'OrganisationItem',
     'Link',
     'LinkDemand',
     'LinkRate',
@@ -255,4 +258,5 @@
     'unpack_changes',
     'unpack_loads',
     'compute_group_checksum',
+    'compute_key_digest',
 ]
--- a/fulmarseam/wire/_catalog.py
+++ b/fulmarseam/wire/_catalog.py
@@ -5,12 +5,20 @@
 """
 
 import enum
+import hashlib
 
 import msgspec
 
 from fulmarseam import ids
 from fulmarseam.wire import _suspects
 
+KEY_DIGEST_BYTES = 16
+
+
+def compute_key_digest(key: bytes) -> bytes:
+    """Return what stands for the key of an organisation."""
+    return hashlib.blake2b(key, digest_size=KEY_DIGEST_BYTES).digest()
+
 
 class SplitPart(msgspec.Struct, frozen=True, array_like=True):
     """A pool and its relative share of a route's requests."""
@@ -34,6 +42,7 @@
     A request is sent to at most `max_attempts` targets; a request that is
     not idempotent never runs twice. `sticky` sends the requests for one
     object to the same target. An empty `allowed_regions` allows all regions.
+    With `allow_anonymous` requests need no key of an organisation.
     """
 
     name: ids.RouteName
@@ -48,6 +57,7 @@
     idempotent: bool = False
     sticky: bool = False
     allowed_regions: list[ids.RegionName] = []
+    allow_anonymous: bool = False
 
 
 class PoolItem(
@@ -84,7 +94,30 @@
     name: str = 'limits'
 
 
-ItemRow = RouteItem | PoolItem | LimitsItem
+class OrganisationItem(
+    msgspec.Struct,
+    tag='organisation_item',
+    frozen=True,
+    kw_only=True,
+    array_like=True,
+):
+    """Callers that share keys and a quota over all entries.
+
+    `key_digests` are those of the keys, see `compute_key_digest`. `priority`
+    replaces that of the routes, unless it is None. A `rate_per_s` of 0 is no
+    quota. Targets lie in `allowed_regions` and in those of the route.
+    """
+
+    name: ids.OrganisationName
+    version: int
+    key_digests: list[bytes] = []
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    allowed_regions: list[ids.RegionName] = []
+
+
+ItemRow = RouteItem | PoolItem | LimitsItem | OrganisationItem
 
 
 class ItemKind(enum.Enum):
@@ -93,13 +126,15 @@
     ROUTE = 'route'
     POOL = 'pool'
     LIMITS = 'limits'
+    ORGANISATION = 'organisation'
 
 
 class Item(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """One version of an item; `row` is None if it was deleted.
 
     `source` is the content as the operator sent it, so that a read returns
-    it in the same form.
+    it in the same form. That of an organisation has its keys: it is neither
+    logged nor sent to entries.
     """
 
     kind: ItemKind
@@ -259,6 +294,8 @@
     it knows; the response lists them if it is another one. It knows the
     suspected requests as of `suspects_version`. `is_cut_off` is set while
     it reaches few targets and relays its requests through other entries.
+    `reads_organisations` is set by an entry that can read items of this kind;
+    others do not get them.
     """
 
     entry: ids.EntryId
@@ -280,6 +317,7 @@
     group: int = 0
     suspects_version: int = 0
     is_cut_off: bool = False
+    reads_organisations: bool = False
 
 
 class CatalogChanges(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/catalog_fixtures.py
+++ b/tests/catalog_fixtures.py
@@ -65,6 +65,32 @@
     )
 
 
+def make_organisation(
+    name: str, version: int, *keys: str, **fields: Any
+) -> wire.Item:
+    """Return a version of an organisation."""
+    row = wire.OrganisationItem(
+        name=ids.OrganisationName(name),
+        version=version,
+        key_digests=[wire.compute_key_digest(key.encode()) for key in keys],
+        **fields,
+    )
+    return wire.Item(
+        kind=wire.ItemKind.ORGANISATION,
+        name=name,
+        version=version,
+        row=row,
+        source=repr(keys).encode(),
+    )
+
+
+def make_organisation_removal(name: str, version: int) -> wire.Item:
+    """Return a version that removes an organisation."""
+    return wire.Item(
+        kind=wire.ItemKind.ORGANISATION, name=name, version=version
+    )
+
+
 def make_route_removal(name: str, version: int) -> wire.Item:
     """Return a version that removes a route."""
     return wire.Item(kind=wire.ItemKind.ROUTE, name=name, version=version)
--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -159,7 +159,9 @@
         changes = None
         if message.wants_changes:
             changes = self.machine.list_changes(
-                message.revision, message.removals_revision
+                message.revision,
+                message.removals_revision,
+                has_organisations=message.reads_organisations,
             )
         members = self.members
         if message.group == wire.compute_group_checksum(members):
