Check the keys of organisations at the entries

With organisations in the configuration, an entry identifies the caller at the start of a request and before each attempt and relay, so that a removed key is refused on open connections and for waiting requests as well. Targets get the name of the organisation instead of the key. A relaying entry passes the key on to the second entry, which checks it by itself and refuses it if it knows no organisations yet. A setting without a value counts as absent, as templates render fields that a deployment lacks that way.

--- a/fulmarseam/errors/_kinds.py
+++ b/fulmarseam/errors/_kinds.py
@@ -28,6 +28,7 @@
     BODY_TOO_LARGE = 'body_too_large'
     REQUEST_TIMEOUT = 'request_timeout'
     NO_ROUTE = 'no_route'
+    UNAUTHENTICATED = 'unauthenticated'
     METHOD_NOT_ALLOWED = 'method_not_allowed'
     ROUTE_RETIRED = 'route_retired'
     REQUEST_ID_REQUIRED = 'request_id_required'
@@ -86,6 +87,7 @@
     ErrorKind.BODY_TOO_LARGE: Answer(413, _NOT_RUN, _NEVER, 10),
     ErrorKind.REQUEST_TIMEOUT: Answer(408, _NOT_RUN, _NEVER, 10),
     ErrorKind.NO_ROUTE: Answer(404, _NOT_RUN, _NEVER, 11),
+    ErrorKind.UNAUTHENTICATED: Answer(401, _NOT_RUN, _NEVER, 16),
     ErrorKind.METHOD_NOT_ALLOWED: Answer(405, _NOT_RUN, _NEVER, 11),
     ErrorKind.ROUTE_RETIRED: Answer(410, _NOT_RUN, _NEVER, 11),
     ErrorKind.REQUEST_ID_REQUIRED: Answer(400, _NOT_RUN, _NEVER, 10),
--- a/fulmarseam/gateway/_answers.py
+++ b/fulmarseam/gateway/_answers.py
@@ -34,4 +34,6 @@
         retry_after_s = RETRY_AFTER_S.get(error.kind)
     if retry_after_s is not None:
         headers.append((b'retry-after', b'%.2f' % retry_after_s))
+    if error.kind is errors.ErrorKind.UNAUTHENTICATED:
+        headers.append((b'www-authenticate', b'Bearer'))
     return http.LocalResponse(answer.status, headers, body.encode() + b'\n')
--- a/fulmarseam/gateway/_attempts.py
+++ b/fulmarseam/gateway/_attempts.py
@@ -7,6 +7,7 @@
 from fulmarseam import ids
 from fulmarseam import notices
 from fulmarseam.gateway import _http_names
+from fulmarseam.gateway import _organisations
 from fulmarseam.gateway import _rate_limits
 from fulmarseam.gateway import _requests
 
@@ -43,10 +44,12 @@
     """Where an attempt sends its request: a target, or a relay.
 
     `header` is the header that the request carries for the recipient only.
+    `is_entry` tells a relay from a target.
     """
 
     name: ids.TargetId
     header: tuple[bytes, bytes]
+    is_entry: bool = False
 
 
 class Attempt:
@@ -247,7 +250,9 @@
         headers.append(self._recipient.header)
         if context.request.length is None:
             headers.append((b'transfer-encoding', b'chunked'))
-        return headers
+        return _organisations.set_identity(
+            headers, context, http_names, self._recipient.is_entry
+        )
 
     def _upload(self, connection: http.TargetConnection) -> None:
         """Send what has arrived of the rest of the body, unbuffered."""
--- a/fulmarseam/gateway/_daemon.py
+++ b/fulmarseam/gateway/_daemon.py
@@ -19,6 +19,7 @@
 from fulmarseam.gateway import _forwarding
 from fulmarseam.gateway import _http_names
 from fulmarseam.gateway import _load_balancer
+from fulmarseam.gateway import _organisations
 from fulmarseam.gateway import _permits
 from fulmarseam.gateway import _poller
 from fulmarseam.gateway import _rate_limits
@@ -59,6 +60,7 @@
             options, self.mirror, self._target_pools.has_idle
         )
         self.routes = _routes.RouteTable()
+        self.organisations = catalog.OrganisationTable()
         self.crash_guard = quarantine.CrashGuard(self._report_suspects)
         self.poller = _poller.Poller(
             options,
@@ -76,6 +78,12 @@
             self.load_balancer.limited_targets,
             self.poller.request_permits,
         )
+        organisation_guard = _organisations.OrganisationGuard(
+            self.organisations,
+            http_names,
+            self.poller.pause_guard,
+            options.revoke if options.revoke_strict else None,
+        )
         self._request_log = telemetry.RequestLog()
         self._entry_pools = http.TargetPools()
         self.relays = relay.Relays(
@@ -93,6 +101,7 @@
             _dependencies.Dependencies(
                 mirror=self.mirror,
                 routes=self.routes,
+                organisations=organisation_guard,
                 load_balancer=self.load_balancer,
                 rate_limits=self.rate_limits,
                 permits=self._permits,
@@ -107,6 +116,7 @@
                     http_names,
                     self._entry_pools,
                     self.load_balancer,
+                    organisation_guard,
                 ),
                 count_active=lambda: self.caller_server.active_requests,
             )
@@ -166,6 +176,7 @@
     def _apply_catalog(self) -> None:
         """Apply a changed catalog to routes, targets and limits."""
         self.routes.update(self.mirror.routes.values())
+        self.organisations.update(self.mirror.organisations.values())
         self.load_balancer.set_senders(self.poller.senders)
         self.load_balancer.update(self._loop.time())
         self.rate_limits.retain(self.mirror.targets.keys())
--- a/fulmarseam/gateway/_dependencies.py
+++ b/fulmarseam/gateway/_dependencies.py
@@ -9,6 +9,7 @@
 from fulmarseam import telemetry
 from fulmarseam.gateway import _http_names
 from fulmarseam.gateway import _load_balancer
+from fulmarseam.gateway import _organisations
 from fulmarseam.gateway import _pauses
 from fulmarseam.gateway import _permits
 from fulmarseam.gateway import _rate_limits
@@ -21,6 +22,7 @@
 
     mirror: catalog.CatalogMirror
     routes: _routes.RouteTable
+    organisations: _organisations.OrganisationGuard
     load_balancer: _load_balancer.LoadBalancer
     rate_limits: _rate_limits.RateLimits
     permits: _permits.PermitClient
--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -112,14 +112,18 @@
                 'the configuration is not known yet',
             )
         await dependencies.pause_guard.wait_until_fresh()
-        context.route = dependencies.routes.match(context.host, context.path)
+        context.matched_route = dependencies.routes.match(
+            context.host, context.path
+        )
+        context.route = context.matched_route
+        summary.route = context.route.name
+        self._identify(context, summary)
         context.max_attempts = context.route.max_attempts
         attempts_left = _requests.read_attempts_left(
             context.request, dependencies.http_names
         )
         if attempts_left is not None:
             context.max_attempts = min(context.max_attempts, attempts_left)
-        summary.route = context.route.name
         self._set_deadline(context)
         if context.deadline > self.last_deadline:
             raise errors.FulmarseamError(
@@ -136,6 +140,16 @@
         await context.buffer_body()
         await self._attempt_until_done(context, pool_name, summary)
 
+    def _identify(
+        self,
+        context: _requests.RequestContext,
+        summary: _summaries.RequestSummary,
+    ) -> None:
+        """Check the key of the caller, which may have been removed."""
+        self._dependencies.organisations.check(context)
+        if context.organisation is not None:
+            summary.organisation = context.organisation.name
+
     def _set_deadline(self, context: _requests.RequestContext) -> None:
         caller_timeout_ms = _requests.read_deadline_ms(
             context.request, self._dependencies.http_names
@@ -190,6 +204,10 @@
 
         Raises `errors.FulmarseamError` if no further attempt is allowed.
         """
+        try:
+            self._identify(context, summary)
+        except errors.FulmarseamError as error:
+            raise retries.possible_run_error or error from None
         now = self._loop.time()
         avoided: Set[ids.TargetId] = retries.avoided
         if context.is_trial:
@@ -211,6 +229,12 @@
             # Other targets are tried without asking the leader again.
             retries.may_ask = False
             return False
+        try:
+            # The wait for the permit may have been long.
+            self._identify(context, summary)
+        except errors.FulmarseamError as error:
+            self._dependencies.load_balancer.release(placement.target)
+            raise retries.possible_run_error or error from None
         self._note_placement(placement, now, summary)
         failure = await self._target_attempts.run(context, placement, summary)
         if failure is None:
--- a/fulmarseam/gateway/_http_names.py
+++ b/fulmarseam/gateway/_http_names.py
@@ -16,7 +16,8 @@
     from all entries together. `relayed` marks a request that another entry
     relays, and is the number of targets that may still run it. `affinity` is
     the cookie that names the object of a request, and `readiness_path` the
-    path of the platform's readiness checks.
+    path of the platform's readiness checks. `organisation` names the
+    organisation of the caller to targets and other entries.
     """
 
     request_id: bytes = b'fulmarseam-request-id'
@@ -29,3 +30,4 @@
     affinity: bytes = b'fulmarseam-object'
     relayed: bytes = b'fulmarseam-relayed'
     readiness_path: str = '/v1/ready'
+    organisation: bytes = b'fulmarseam-organisation'
--- a/fulmarseam/gateway/_pauses.py
+++ b/fulmarseam/gateway/_pauses.py
@@ -43,6 +43,8 @@
         self._on_pause = on_pause
         self._clock = clock
         self._last_seen_at = clock()
+        # When the last request was sent that a current member answered.
+        self._answered_at = self._last_seen_at
         self._paused_at: float | None = None
         self._is_fresh = asyncio.Event()
         self._is_fresh.set()
@@ -66,10 +68,15 @@
 
     def note_answer(self, sent_at: float) -> None:
         """Record the answer of a member to a request sent at `get_time()`."""
+        self._answered_at = max(self._answered_at, sent_at)
         if self._paused_at is not None and sent_at >= self._paused_at:
             self._paused_at = None
             self._is_fresh.set()
 
+    def get_silence(self) -> float:
+        """Return the seconds since a member was known to have answered."""
+        return self._clock() - self._answered_at
+
     async def wait_until_fresh(self) -> None:
         """Wait after a pause, at most for `REFRESH_TIMEOUT_S`."""
         self.check()
--- a/fulmarseam/gateway/_relaying.py
+++ b/fulmarseam/gateway/_relaying.py
@@ -12,6 +12,7 @@
 from fulmarseam.gateway import _attempts
 from fulmarseam.gateway import _http_names
 from fulmarseam.gateway import _load_balancer
+from fulmarseam.gateway import _organisations
 from fulmarseam.gateway import _requests
 from fulmarseam.gateway import _sending
 from fulmarseam.gateway import _summaries
@@ -32,7 +33,9 @@
         http_names: _http_names.HttpNames,
         entry_pools: http.TargetPools,
         load_balancer: _load_balancer.LoadBalancer,
+        organisations: _organisations.OrganisationGuard,
     ) -> None:
+        self._organisations = organisations
         self._relays = relays
         self._http_names = http_names
         self._entry_pools = entry_pools
@@ -59,6 +62,7 @@
         entry: wire.EntryAddress,
     ) -> errors.FulmarseamError | None:
         """Send a request to one entry; return None if it is answered."""
+        self._organisations.check(context)
         summary.add_relay(entry.address)
         attempts_left = context.max_attempts - len(context.attempted)
         attempt = _attempts.Attempt(
@@ -66,6 +70,7 @@
             _attempts.Recipient(
                 ids.TargetId(f'entry {entry.address}'),
                 (self._http_names.relayed, b'%d' % attempts_left),
+                is_entry=True,
             ),
             self._entry_pools.get(
                 entry.address, MAX_CONNECTIONS, MAX_CONNECTIONS // 2
--- a/fulmarseam/gateway/_requests.py
+++ b/fulmarseam/gateway/_requests.py
@@ -28,13 +28,16 @@
         'attempted',
         'caller',
         'deadline',
+        'hides_credentials',
         'host',
         'is_replayable',
         'is_relayed',
         'is_trial',
+        'matched_route',
         'max_attempts',
         'kept',
         'kept_bytes',
+        'organisation',
         'path',
         'request',
         'request_id',
@@ -58,6 +61,11 @@
         self.request_path = self.path.encode('latin-1')
         self.request_id = request.fields.get(http_names.request_id)
         self.route: wire.RouteItem
+        # The route as it is for any organisation.
+        self.matched_route: wire.RouteItem
+        self.organisation: wire.OrganisationItem | None = None
+        # Whether targets must not see the credentials of the caller.
+        self.hides_credentials = False
         # Targets that may have run the request; a route bounds their number.
         self.attempted: set[ids.TargetId] = set()
         # Targets that have answered it, if only to refuse it.
--- a/fulmarseam/gateway/_summaries.py
+++ b/fulmarseam/gateway/_summaries.py
@@ -26,6 +26,7 @@
         'detail',
         'affinity_key',
         'inputs',
+        'organisation',
         'outcome',
         'pool',
         'route',
@@ -37,6 +38,7 @@
         self.route = ''
         self.pool = ''
         self.affinity_key = ''
+        self.organisation = ''
         self.outcome = ''
         self.detail = ''
         self.status = 0
@@ -85,6 +87,7 @@
             route=self.route,
             pool=self.pool,
             object=self.affinity_key,
+            organisation=self.organisation,
             targets=','.join(self.targets),
             inputs=','.join(self.inputs),
             status=self.status,
--- a/fulmarseam/platform/_headers.py
+++ b/fulmarseam/platform/_headers.py
@@ -14,6 +14,7 @@
     leaving=b'server-leaving',
     rate_limit=b'server-limit',
     affinity=b'x-affinity-key',
+    organisation=b'x-tenant',
     relayed=b'fulmarseam-relayed',
     readiness_path='/api/ready',
 )
--- a/fulmarseam/settings/_catalog.py
+++ b/fulmarseam/settings/_catalog.py
@@ -72,7 +72,9 @@
     bounds hold for the sum of all entries: in any `retry_window` a pool
     gets at most `retry_ratio` x its requests + `retry_slack` repeats. A
     cold target gets at most its rate x `cold_factor` + `cold_slack`
-    requests a second.
+    requests a second. Removed keys of organisations are refused within
+    `revoke`; with `revoke_strict` an entry that has heard from no member for
+    that long refuses all requests.
     """
 
     host: ids.HostId = _option(_options.identifier())
@@ -92,6 +94,8 @@
     cold_factor: float = _option(_options.number(0.0, 100.0), 1.5)
     cold_slack: float = _option(_options.number(0.0, 1e6), 5.0)
     max_connections: int = _option(_options.integer(1, 1_000_000), 4_000)
+    revoke: float = _option(_options.duration(0.1, 600.0), 5.0)
+    revoke_strict: bool = _option(_options.boolean(), False)
     log_level: str = _option(_levels(), 'info')
 
     def list_peers(self) -> tuple[str, ...]:
--- a/fulmarseam/settings/_options.py
+++ b/fulmarseam/settings/_options.py
@@ -243,6 +243,8 @@
 ) -> Any:
     """Return an instance of `schema` made of checked values.
 
+    A setting without a value counts as absent if it is not required: that is
+    how templates render fields that a deployment does not have.
     Raises `InvalidValueError` with all problems of the section.
     """
     fields = {item.name: item for item in dataclasses.fields(schema)}
@@ -260,6 +262,8 @@
             if _is_required(item):
                 problems.append(f'{key}: found nothing, expected a value')
             continue
+        if found[name] is None and not _is_required(item):
+            continue
         try:
             checked[name] = item.metadata[_CHECK](key, found[name])
         except InvalidValueError as error:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,6 +3,7 @@
 import json
 import pathlib
 import re
+from typing import ClassVar
 import unittest
 
 from fulmarseam import settings
@@ -104,6 +105,87 @@
                     _items.read_call(body)
 
 
+class OrganisationItemTest(unittest.TestCase):
+    """Guards against misreading organisations or telling their keys."""
+
+    TENANT: ClassVar[dict[str, object]] = {
+        'name': 'acme',
+        'apiKeys': ['key-one', 'key-two'],
+        'priority': 0,
+        'ratePerS': 40,
+        'burst': 80.5,
+        'allowedRegions': ['ost'],
+        'version': 3,
+        'fieldOfTomorrow': 1,
+    }
+
+    def _make_call(self, **fields: object) -> bytes:
+        return json.dumps(
+            {
+                'upsert': {'tenants': [{**self.TENANT, **fields}]},
+                'remove': {'tenants': [{'name': 'old', 'version': 9}]},
+            }
+        ).encode()
+
+    def test_a_call_becomes_items(self) -> None:
+        item, removed = _items.read_call(self._make_call())
+        row = item.row
+        assert isinstance(row, wire.OrganisationItem)
+        self.assertEqual((row.name, row.version), ('acme', 3))
+        self.assertEqual((row.priority, row.rate_per_s), (0, 40.0))
+        self.assertEqual(row.burst, 80.5)
+        self.assertEqual(row.allowed_regions, ['ost'])
+        self.assertEqual(
+            row.key_digests,
+            [
+                wire.compute_key_digest(b'key-one'),
+                wire.compute_key_digest(b'key-two'),
+            ],
+        )
+        self.assertNotIn('key-one', repr(row))
+        self.assertEqual(removed.kind, wire.ItemKind.ORGANISATION)
+        self.assertEqual((removed.name, removed.version), ('old', 9))
+
+    def test_absent_fields_mean_no_limit(self) -> None:
+        body = b'{"upsert":{"tenants":[{"name":"a","version":1}]}}'
+        (item,) = _items.read_call(body)
+        row = item.row
+        assert isinstance(row, wire.OrganisationItem)
+        self.assertEqual((row.rate_per_s, row.burst), (0.0, 0.0))
+        self.assertIsNone(row.priority)
+        self.assertEqual((row.key_digests, row.allowed_regions), ([], []))
+
+    def test_organisations_are_read_back_as_they_were_sent(self) -> None:
+        found = json.loads(
+            _items.write_items(_items.read_call(self._make_call()))
+        )
+        self.assertEqual(found['tenants'], [self.TENANT])
+
+    def test_a_route_may_allow_anonymous_callers(self) -> None:
+        for value in (True, False):
+            route = _items.read_call(make_call(allowAnonymous=value))[2].row
+            assert isinstance(route, wire.RouteItem)
+            self.assertEqual(route.allow_anonymous, value)
+
+    def test_the_error_of_a_malformed_call_tells_no_key(self) -> None:
+        calls: list[object] = [
+            {'tenants': [{**self.TENANT, 'apiKeys': 'key-one'}]},
+            {'tenants': [{**self.TENANT, 'apiKeys': ['key-one', 7]}]},
+            {'tenants': [{**self.TENANT, 'version': ['key-one']}]},
+            {'tenants': self.TENANT},
+            {'tenants': [[self.TENANT]]},
+            [{'tenants': [self.TENANT]}],
+            {'tenants': [{**self.TENANT, 'ratePerS': ['key-one']}]},
+            {'tenants': [{**self.TENANT, 'priority': {'a': 'key-one'}}]},
+        ]
+        for upsert in calls:
+            body = json.dumps({'upsert': upsert}).encode()
+            with self.subTest(body):
+                with self.assertRaises(_values.UnreadableError) as raised:
+                    _items.read_call(body)
+                self.assertNotIn('key-one', str(raised.exception))
+
+
 class HeartbeatTest(unittest.TestCase):
     """Guards against misreading the announcements of other software."""
 
@@ -181,9 +263,15 @@
     'bounds.retryWindow': '10s',
     'bounds.warmupFactor': '1.5',
     'bounds.warmupSlack': '5',
+    'bounds.revoke': '5s',
+    'bounds.revokeStrict': 'true',
 }
 
 
+# Fields that earlier deployments do not have.
+NEWER_FIELDS = {'bounds.revoke', 'bounds.revokeStrict'}
+
+
 class TemplateTest(unittest.TestCase):
     """Guards against templates that yield invalid settings."""
 
@@ -208,3 +296,15 @@
         )
         self.assertEqual(loaded.retry_slack, 56.0)
         self.assertEqual(loaded.grace, 6.0)
+        self.assertTrue(loaded.revoke_strict)
+
+    def test_fields_that_a_deployment_lacks_count_as_absent(self) -> None:
+        text = (ROOT / 'deploy' / 'entry.yaml').read_text(encoding='utf-8')
+        filled = re.sub(
+            r'\{\{(.+?)\}\}',
+            lambda match: '' if match[1] in NEWER_FIELDS else FIELDS[match[1]],
+            text,
+        )
+        loaded = settings.parse_settings(filled, settings.GatewaySettings)
+        self.assertEqual(loaded.revoke, 5.0)
+        self.assertFalse(loaded.revoke_strict)
