Cut the paths of split attempts in the tests of lost paths

The attempts have their own record of the objects they use since the split of the forwarding, and the test replaced only that of the forwarder, so that it cut nothing. Three tests of tests.test_cut_off failed for that reason on; the others passed without a cut. All 24 pass now.

--- a/tests/cut_off_case.py
+++ b/tests/cut_off_case.py
@@ -108,9 +108,11 @@
             paths = CutPools()
             entry._target_pools = paths
             entry.prober.is_listening = paths.is_listening
-            entry._forwarder._dependencies = (
-                entry._forwarder._dependencies._replace(target_pools=paths)
+            dependencies = entry._forwarder._dependencies._replace(
+                target_pools=paths
             )
+            entry._forwarder._dependencies = dependencies
+            entry._forwarder._target_attempts._dependencies = dependencies
             self.paths.append(paths)
 
     def cut(
