Cut the paths of split target attempts in tests

The forwarder hands its dependencies to TargetAttempts since the split of gateway/_forwarding.py, so the test case that replaces the pools of an entry no longer cut its paths. On three tests of tests.test_cut_off failed: test_a_request_does_not_travel_in_circles, test_paths_that_are_back_are_used_again and RegionTest.test_a_request_is_relayed_in_its_regions_only. The case now replaces the pools of both; the checks are unchanged. After: all 24 tests of the module pass.

--- a/tests/cut_off_case.py
+++ b/tests/cut_off_case.py
@@ -108,9 +108,11 @@
             paths = CutPools()
             entry._target_pools = paths
             entry.prober.is_listening = paths.is_listening
-            entry._forwarder._dependencies = (
-                entry._forwarder._dependencies._replace(target_pools=paths)
+            forwarder = entry._forwarder
+            forwarder._dependencies = forwarder._dependencies._replace(
+                target_pools=paths
             )
+            forwarder._target_attempts._dependencies = forwarder._dependencies
             self.paths.append(paths)
 
     def cut(
