Start the body of a request anew for each attempt

Cause: the forwarder checked is_replayable before the first relay only. After an answer "not run", Relays.relay went on to further entries although the part of the body beyond what an entry keeps was gone. The attempt sent the kept part and, as the caller had sent its end, terminated the body: in chunks the next entry ran a complete request without that part; with a declared length end_request raised ValueError and the caller got 500. In an entry with grants nothing of such a body was left, and the attempt sent an empty one.

Change: http.CallerBody owns the body in both kinds of entry: the kept beginning, whether more than that was passed on, and whether the caller's end was seen. Every attempt (first, retry, relay, further relay, after 421, after a kept connection that had closed) gets its reader from start(), which raises the new kind body_not_kept (502, unknown) without the beginning. The retry policies and Relays.relay ask can_start() first, so the caller keeps the error of the attempt before, with its outcome.

--- a/fulmarseam/entry/_attempts.py
+++ b/fulmarseam/entry/_attempts.py
@@ -86,7 +86,8 @@
         self._connection: http.TargetConnection | None = None
         self._attempt_id = secrets.token_hex(ATTEMPT_ID_BYTES).encode()
         self._is_reused = False
-        self._uploading = True
+        # Reads the rest of the body until all of it is sent.
+        self._body: http.BodyReader | None = None
         self.progress = http.Progress.NOT_SENT
         self.response_bytes = 0
         self.store_answer = False
@@ -163,18 +164,19 @@
     # Request
 
     def _send_request(self, connection: http.TargetConnection) -> None:
+        self._body = body = self._context.body.start()
         connection.send_head(
             self._context.request.method,
             self._context.path.encode('latin-1'),
             self._make_request_headers(),
             headers_validated=True,
         )
-        for piece in self._context.replay_pieces:
+        for piece in body.kept:
             connection.send_data(piece)
             self._charge(0, len(piece))
-        if self._caller.body_done:
+        if body.has_ended:
             connection.end_request()
-            self._uploading = False
+            self._body = None
         else:
             connection.flush()
 
@@ -207,19 +209,18 @@
 
     def _upload(self, connection: http.TargetConnection) -> None:
         """Forward what has been received of the request body."""
-        while self._uploading and not connection.write_paused:
+        while self._body is not None and not connection.write_paused:
             if not self._may_forward(0):
                 return
-            piece = self._caller.poll_body()
+            piece = self._body.poll()
             if piece is None:
                 self._caller.start_body_timeout()
                 return
             if not piece:
                 connection.end_request()
-                self._uploading = False
+                self._body = None
                 self._caller.stop_body_timeout()
                 return
-            self._context.keep_for_replay(piece)
             self._charge(0, len(piece))
             connection.send_data(piece)
             connection.flush()
@@ -310,12 +311,10 @@
         A target that responds early may refuse the rest of the body; its
         response is still valid.
         """
-        if not self._uploading:
-            return
         try:
             self._upload(connection)
         except http.TargetError:
-            self._uploading = False
+            self._body = None
 
     def _set_stored_answer(self, response: http.Response) -> None:
         fits_limit = self.response_bytes <= records.MAX_STORED_BODY_BYTES
--- a/fulmarseam/entry/_outcomes.py
+++ b/fulmarseam/entry/_outcomes.py
@@ -112,7 +112,7 @@
     ) -> FailedAttempt:
         retryable = (
             may_repeat
-            and context.is_replayable
+            and context.body.can_start()
             and not context.caller.response_started
             and not context.caller.gone
             and self._loop.time() < context.deadline
--- a/fulmarseam/entry/_relaying.py
+++ b/fulmarseam/entry/_relaying.py
@@ -55,6 +55,7 @@
             context.route.pool,
             (self._options.region,),
             context.deadline,
+            context.body,
             functools.partial(self._send, context),
         )
         if failure is not None:
--- a/fulmarseam/entry/_requests.py
+++ b/fulmarseam/entry/_requests.py
@@ -21,22 +21,21 @@
 
 
 class RequestContext:
-    """One request: its head, its deadline and the body kept for retries.
+    """One request: its head, its deadline and its body.
 
+    Each attempt starts `body` anew.
     `arrived_at` and `deadline` are in seconds of the event loop's clock.
     """
 
     __slots__ = (
         'arrived_at',
+        'body',
         'caller',
         'deadline',
         'host',
-        'replay_pieces',
-        'body_bytes',
         'method',
         'path',
         'body_prefix',
-        'is_replayable',
         'request',
         'request_id',
         'route',
@@ -58,24 +57,13 @@
         self.route: wire.Route
         self.request_id: str | None = None
         self.traceparent: str | None = None
-        self.replay_pieces: list[bytes] = []
-        self.body_bytes = 0
+        self.body = http.CallerBody(caller, MAX_REPLAY_BODY_BYTES)
         self.body_prefix = b''
-        self.is_replayable = True
         # Whether another entry relays the request.
         self.is_relayed = RELAYED_HEADER in request.fields
         self.is_trial = False
         self._fingerprint: steering.Fingerprint | None = None
 
-    def keep_for_replay(self, piece: bytes) -> None:
-        """Keep a body piece for retries while the body is within the limit."""
-        self.body_bytes += len(piece)
-        if self.body_bytes > MAX_REPLAY_BODY_BYTES:
-            self.is_replayable = False
-            self.replay_pieces = []
-        elif self.is_replayable:
-            self.replay_pieces.append(piece)
-
     def fingerprint(self) -> steering.Fingerprint:
         """Return digests that are the same when a request is repeated."""
         if self._fingerprint is None:
@@ -107,17 +95,8 @@
         Raises `http.CallerGoneError` and `errors.FulmarseamError` like
         `poll_body`, and `deadline_unreachable` at the deadline.
         """
-        caller = self.caller
-        while not caller.body_done and self.body_bytes < BODY_PREFIX_BYTES:
-            piece = caller.poll_body()
-            if piece:
-                self.replay_pieces.append(piece)
-                self.body_bytes += len(piece)
-            elif piece is None:
-                caller.start_body_timeout()
-                await self.wait()
-        caller.stop_body_timeout()
-        self.body_prefix = b''.join(self.replay_pieces)[:BODY_PREFIX_BYTES]
+        await self.body.read_ahead(BODY_PREFIX_BYTES, self.wait)
+        self.body_prefix = self.body.join_kept()[:BODY_PREFIX_BYTES]
 
     async def wait(self) -> None:
         """Wait for the signal of a connection, a slot or a timer.
--- a/fulmarseam/errors/_kinds.py
+++ b/fulmarseam/errors/_kinds.py
@@ -47,6 +47,7 @@
     TARGET_SHED = 'target_shed'
     TARGET_FAILED = 'target_failed'
     TARGET_TIMEOUT = 'target_timeout'
+    BODY_NOT_KEPT = 'body_not_kept'
     CALLER_GONE = 'caller_gone'
     VERSION_CONFLICT = 'version_conflict'
     EDIT_ID_CONFLICT = 'edit_id_conflict'
@@ -105,6 +106,7 @@
     ErrorKind.TARGET_SHED: Answer(503, _NOT_RUN, _OTHER, 14),
     ErrorKind.TARGET_FAILED: Answer(502, _UNKNOWN, _SAME, 13),
     ErrorKind.TARGET_TIMEOUT: Answer(504, _UNKNOWN, _SAME, 13),
+    ErrorKind.BODY_NOT_KEPT: Answer(502, _UNKNOWN, _SAME, 13),
     ErrorKind.CALLER_GONE: Answer(499, _UNKNOWN, _SAME, 13),
     ErrorKind.VERSION_CONFLICT: Answer(409, _NOT_RUN, _NEVER, 20),
     ErrorKind.EDIT_ID_CONFLICT: Answer(422, _NOT_RUN, _NEVER, 21),
--- a/fulmarseam/gateway/_attempts.py
+++ b/fulmarseam/gateway/_attempts.py
@@ -76,7 +76,8 @@
         self._may_reuse = may_reuse
         self._may_open = may_open
         self._loop = asyncio.get_running_loop()
-        self._is_uploading = True
+        # Reads the rest of the body until all of it is sent.
+        self._body: http.BodyReader | None = None
         self._is_reused = False
         self._connection: http.TargetConnection | None = None
         self._buffered = bytearray()
@@ -215,17 +216,18 @@
 
     def _send(self, connection: http.TargetConnection) -> None:
         context = self._context
+        self._body = body = context.body.start()
         connection.send_head(
             context.request.method,
             context.request_path,
             self._make_headers(),
             headers_validated=True,
         )
-        for chunk in context.kept:
+        for chunk in body.kept:
             connection.send_data(chunk)
-        if context.caller.body_done:
+        if body.has_ended:
             connection.end_request()
-            self._is_uploading = False
+            self._body = None
         else:
             connection.flush()
 
@@ -252,18 +254,17 @@
     def _upload(self, connection: http.TargetConnection) -> None:
         """Send what has arrived of the rest of the body, unbuffered."""
         caller = self._context.caller
-        while self._is_uploading and not connection.write_paused:
-            chunk = caller.poll_body()
+        while self._body is not None and not connection.write_paused:
+            chunk = self._body.poll()
             if chunk is None:
                 caller.start_body_timeout()
                 connection.flush()
                 return
             if not chunk:
                 connection.end_request()
-                self._is_uploading = False
+                self._body = None
                 caller.stop_body_timeout()
                 return
-            self._context.is_replayable = False
             connection.send_data(chunk)
 
     # Reading the answer
--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -240,7 +240,7 @@
         failure = relay.RelayFailure()
         if (
             not context.is_relayed
-            and context.is_replayable
+            and context.body.can_start()
             and len(context.attempted) < context.max_attempts
             and dependencies.load_balancer.is_out_of_reach(
                 now, context.route, retries.pool_name
--- a/fulmarseam/gateway/_relaying.py
+++ b/fulmarseam/gateway/_relaying.py
@@ -49,6 +49,7 @@
             pool,
             context.route.allowed_regions,
             context.deadline,
+            context.body,
             functools.partial(self._relay_through, context, summary),
         )
 
--- a/fulmarseam/gateway/_requests.py
+++ b/fulmarseam/gateway/_requests.py
@@ -18,23 +18,21 @@
     """One request: its route, its deadline and its body.
 
     `deadline` is in seconds of the event loop's clock. `request_path` is
-    sent to targets byte for byte as the caller sent it. `kept` holds the
-    chunks of the body that retries send again.
+    sent to targets byte for byte as the caller sent it. Each attempt starts
+    `body` anew.
     """
 
     __slots__ = (
         'answered_by',
         'arrived_at',
         'attempted',
+        'body',
         'caller',
         'deadline',
         'host',
-        'is_replayable',
         'is_relayed',
         'is_trial',
         'max_attempts',
-        'kept',
-        'kept_bytes',
         'path',
         'request',
         'request_id',
@@ -62,9 +60,7 @@
         self.attempted: set[ids.TargetId] = set()
         # Targets that have answered it, if only to refuse it.
         self.answered_by: set[ids.TargetId] = set()
-        self.kept: list[bytes] = []
-        self.kept_bytes = 0
-        self.is_replayable = True
+        self.body = http.CallerBody(caller, MAX_BUFFERED_BODY_BYTES)
         # Whether another entry relays the request.
         self.is_relayed = http_names.relayed in request.fields
         # How many targets may run it.
@@ -90,7 +86,7 @@
                 self.host,
                 self.path,
                 http.identify_caller(self.request),
-                b''.join(self.kept),
+                self.body.join_kept(),
             )
         return self._fingerprint
 
@@ -100,20 +96,12 @@
         Raises `http.CallerGoneError` if the caller has left, and the errors
         of `http.CallerConnection.poll_body`.
         """
-        caller = self.caller
-        while (
-            not caller.body_done and self.kept_bytes < MAX_BUFFERED_BODY_BYTES
-        ):
-            chunk = caller.poll_body()
-            if chunk:
-                self.kept.append(chunk)
-                self.kept_bytes += len(chunk)
-            elif chunk is None:
-                caller.start_body_timeout()
-                await self.signal.wait()
-                if caller.gone:
-                    raise http.CallerGoneError('the caller has left')
-        caller.stop_body_timeout()
+        await self.body.read_ahead(MAX_BUFFERED_BODY_BYTES, self._wait)
+
+    async def _wait(self) -> None:
+        await self.signal.wait()
+        if self.caller.gone:
+            raise http.CallerGoneError('the caller has left')
 
 
 def read_deadline_ms(
--- a/fulmarseam/gateway/_retries.py
+++ b/fulmarseam/gateway/_retries.py
@@ -68,7 +68,7 @@
         return (
             now < context.deadline
             and context.route.idempotent
-            and context.is_replayable
+            and context.body.can_start()
             and len(context.attempted) < context.max_attempts
             and self._load_balancer.try_acquire_retry(now, target.record.pool)
         )
@@ -92,7 +92,7 @@
         pool_name = target.record.pool
         return FailedAttempt(
             errors.FulmarseamError(errors.ErrorKind.TARGET_SHED, str(error)),
-            context.is_replayable
+            context.body.can_start()
             and load_balancer.try_acquire_retry(now, pool_name),
             same_target=not error.is_misdirected
             and not attempt.names_pause
@@ -124,7 +124,8 @@
                 load_balancer.eject(now, target)
             kind = errors.ErrorKind.NO_CAPACITY
             return FailedAttempt(
-                errors.FulmarseamError(kind, error.detail), not is_late
+                errors.FulmarseamError(kind, error.detail),
+                context.body.can_start() and not is_late,
             )
         context.attempted.add(target.target)
         if attempt.lost_kept_connection():
--- a/fulmarseam/http/__init__.py
+++ b/fulmarseam/http/__init__.py
@@ -24,6 +24,8 @@
 
 from fulmarseam.http._addressing import find_host_and_path
 from fulmarseam.http._addressing import identify_caller
+from fulmarseam.http._bodies import BodyReader
+from fulmarseam.http._bodies import CallerBody
 from fulmarseam.http._bodies import read_body
 from fulmarseam.http._caller import CallerConnection
 from fulmarseam.http._caller import Request
@@ -47,6 +49,8 @@
 
 __all__ = [
     'BUFFER_BYTES',
+    'BodyReader',
+    'CallerBody',
     'CallerConnection',
     'CallerGoneError',
     'HOP_BY_HOP',
--- a/fulmarseam/relay/__init__.py
+++ b/fulmarseam/relay/__init__.py
@@ -4,7 +4,9 @@
 through other entries, which serve them like requests of their own callers
 but relay them no further::
 
-    failure = await relays.relay(pool, allowed_regions, deadline, send)
+    failure = await relays.relay(
+        pool, allowed_regions, deadline, body, send
+    )
     if failure is not None:
         raise failure.error or refusal
 """
--- a/fulmarseam/relay/_relays.py
+++ b/fulmarseam/relay/_relays.py
@@ -116,18 +116,22 @@
         pool: ids.PoolName,
         allowed_regions: Collection[ids.RegionName],
         deadline: float,
+        body: http.CallerBody,
         send: Send,
     ) -> RelayFailure | None:
         """Send a request for a pool through one entry after another.
 
         An entry that did not run it is followed by the next one, a few at
-        most. Returns
-        None once the caller has its answer. `deadline` is in seconds of the
-        event loop's clock.
+        most, while `body` can start again. Returns None once the caller has
+        its answer. `deadline` is in seconds of the event loop's clock.
         """
         tried: set[str] = set()
         failure = RelayFailure()
-        while len(tried) < MAX_TRIED and self._clock() < deadline:
+        while (
+            len(tried) < MAX_TRIED
+            and body.can_start()
+            and self._clock() < deadline
+        ):
             with self._start(pool, allowed_regions, tried) as entry:
                 if entry is None:
                     break
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -3,9 +3,11 @@
 import asyncio
 from typing import ClassVar
 import unittest
+from unittest import mock
 
 from fulmarseam import catalog
 from fulmarseam import errors
+from fulmarseam import http
 from fulmarseam import ids
 from fulmarseam import relay
 from fulmarseam import steering
@@ -267,6 +269,7 @@
     async def asyncSetUp(self) -> None:
         self.sent: list[str] = []
         self.error: errors.FulmarseamError | None = None
+        self.body = http.CallerBody(mock.Mock(), 0)
         self.relays = await self.enterAsyncContext(
             relay.Relays(ids.RegionName('ost'), self.list_entries)
         )
@@ -288,7 +291,7 @@
         deadline = asyncio.get_running_loop().time() + 60.0
         for _ in range(count):
             await self.relays.relay(
-                ids.PoolName(pool), (), deadline, self.send
+                ids.PoolName(pool), (), deadline, self.body, self.send
             )
             await asyncio.sleep(0.01)
 
