Tell callers that a refused upload may have run through a relay

Cause: an attempt at a target turns a refusal of the rest of a body (too large, late, malformed) into target_failed once it has sent bytes. The relayers of both kinds of entry passed the refusal on as it was, so the caller of a relayed upload got 400, 408 or 413 with the outcome "not-run" while another entry or its target had the beginning of the request.

Change: relay.make_body_error makes target_failed (502, unknown) unless nothing was sent.

Looked for elsewhere: attempts at targets do it in gateway/_target_attempts and entry/_proxying; bodies that are read before the first attempt are refused as before, as nothing has run.

Before: test_a_relayed_upload_that_is_refused_may_have_run failed in both kinds of entry (400, not-run). After: it passes.

--- a/fulmarseam/entry/_relaying.py
+++ b/fulmarseam/entry/_relaying.py
@@ -91,3 +91,5 @@
             )
         except http.TargetError as error:
             return relay.make_error(entry, error, attempt.progress)
+        except errors.FulmarseamError as error:
+            raise relay.make_body_error(error, attempt.progress) from error
--- a/fulmarseam/gateway/_relaying.py
+++ b/fulmarseam/gateway/_relaying.py
@@ -91,6 +91,8 @@
                     errors.ErrorKind.TARGET_FAILED, error.detail
                 ) from error
             return relay.make_error(entry, error, attempt.progress)
+        except errors.FulmarseamError as error:
+            raise relay.make_body_error(error, attempt.progress) from error
         finally:
             attempt.close()
 
--- a/fulmarseam/relay/__init__.py
+++ b/fulmarseam/relay/__init__.py
@@ -15,6 +15,7 @@
 from fulmarseam.relay._probes import Probe
 from fulmarseam.relay._probes import Prober
 from fulmarseam.relay._relayed import RelayedRequests
+from fulmarseam.relay._relays import make_body_error
 from fulmarseam.relay._relays import make_error
 from fulmarseam.relay._relays import RelayFailure
 from fulmarseam.relay._relays import Relays
@@ -26,5 +27,6 @@
     'RelayFailure',
     'RelayedRequests',
     'Relays',
+    'make_body_error',
     'make_error',
 ]
--- a/fulmarseam/relay/_relays.py
+++ b/fulmarseam/relay/_relays.py
@@ -232,3 +232,18 @@
     elif error.reason is http.Reason.TIMED_OUT:
         kind = errors.ErrorKind.TARGET_TIMEOUT
     return errors.FulmarseamError(kind, f'{entry.address}: {error.detail}')
+
+
+def make_body_error(
+    error: errors.FulmarseamError, progress: http.Progress
+) -> errors.FulmarseamError:
+    """Return the error of a request whose body was refused while it was sent.
+
+    What has been sent of it may have run.
+    """
+    if progress is http.Progress.NOT_SENT:
+        return error
+    return errors.FulmarseamError(
+        errors.ErrorKind.TARGET_FAILED,
+        f'the request body broke off: {error.detail}',
+    )
--- a/tests/test_caller_bodies.py
+++ b/tests/test_caller_bodies.py
@@ -48,6 +48,13 @@
     }
 
 
+# The first part of it has been sent before the rest is refused.
+BROKEN_CHUNKS = (
+    b'transfer-encoding: chunked',
+    frame_chunks(LARGE_BODY).removesuffix(b'0\r\n\r\n') + b'zz\r\n',
+)
+
+
 async def read_head(reader: asyncio.StreamReader) -> dict[bytes, bytes]:
     """Return the headers of a request."""
     head = await reader.readuntil(b'\r\n\r\n')
@@ -263,6 +270,14 @@
                 await asyncio.sleep(0.1)
                 self.assertEqual([], peer.bodies)
 
+    # The caller was told that the request had not run.
+    async def test_a_relayed_upload_that_is_refused_may_have_run(self) -> None:
+        await self.put_route()
+        await self.start_peers(Peer())
+        reply = await self.upload(*BROKEN_CHUNKS)
+        self.assertEqual(502, reply.status, reply)
+        self.assertIn(b'unknown', reply.body)
+
     async def test_an_expected_upload_arrives_whole(self) -> None:
         await self.put_route()
         peer = Peer()
@@ -355,6 +370,11 @@
                 self.assertEqual(200, answer.status, answer.data)
                 self.assertEqual([SMALL_BODY], peers[2].bodies)
 
+    async def test_a_relayed_upload_that_is_refused_may_have_run(self) -> None:
+        await self.start_peers(Peer())
+        answer = await self.upload(*BROKEN_CHUNKS)
+        self.assertEqual((502, 'unknown'), (answer.status, answer.outcome))
+
     async def test_an_upload_that_breaks_off_is_not_terminated(self) -> None:
         peer = Peer()
         await self.start_peers(peer)
