Hold the slot of a request in one context

Cause: TargetAttempts.run encoded the id of the target as latin-1 before its try, so an id beyond latin-1 raised after place() had counted the request: the caller got 500 and the target kept a request in flight for ever. Heads of requests are sent without a second check, so an id with a line end would also have added lines to them.

Change: Forwarder._attempt_once holds what place() counted in one context, which ends however the permit, the log entry or the attempt end. A target whose id cannot be a header value is ejected and the request goes to another one, or is refused as not run (503).

Looked for elsewhere: what stands between place() and the try of an attempt (_note_placement, needs_new_connection, target pools, start_trial) leaked in the same way and is covered by the context; an entry with grants makes its attempt within the try and sends no target ids; the other latin-1 encodings are of text that was decoded from latin-1.

--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -1,7 +1,9 @@
 """Forwarding of callers' requests to targets, with retries."""
 
 import asyncio
+from collections.abc import Iterator
 from collections.abc import Set
+import contextlib
 
 import logbook
 
@@ -207,12 +209,15 @@
         )
         if placement.target is None:
             return await self._relay_or_refuse(context, retries, summary)
-        if not await self._acquire_permit(context, placement.target):
-            # Other targets are tried without asking the leader again.
-            retries.may_ask = False
-            return False
-        self._note_placement(placement, now, summary)
-        failure = await self._target_attempts.run(context, placement, summary)
+        with self._hold(placement.target):
+            if not await self._acquire_permit(context, placement.target):
+                # Other targets are tried without asking the leader again.
+                retries.may_ask = False
+                return False
+            self._note_placement(placement, now, summary)
+            failure = await self._target_attempts.run(
+                context, placement, summary
+            )
         if failure is None:
             return True
         summary.targets[-1] += f':{failure.error.kind.value}'
@@ -224,6 +229,14 @@
             raise retries.possible_run_error or failure.error
         return False
 
+    @contextlib.contextmanager
+    def _hold(self, target: steering.ObservedTarget) -> Iterator[None]:
+        """Count a placed request at its target until the context ends."""
+        try:
+            yield
+        finally:
+            self._dependencies.load_balancer.release(target)
+
     async def _relay_or_refuse(
         self,
         context: _requests.RequestContext,
@@ -271,20 +284,12 @@
     ) -> bool:
         """Return whether the target may get the request now.
 
-        Gives the target back otherwise. Raises `http.CallerGoneError` if the
-        caller has left while the request waited for the leader.
+        Raises `http.CallerGoneError` if the caller has left while the
+        request waited for the leader.
         """
-        is_permitted = False
-        try:
-            is_permitted = await self._dependencies.permits.acquire(
-                target.target
-            )
-            if context.caller.gone:
-                is_permitted = False
-                raise http.CallerGoneError('the caller has left')
-        finally:
-            if not is_permitted:
-                self._dependencies.load_balancer.release(target)
+        is_permitted = await self._dependencies.permits.acquire(target.target)
+        if context.caller.gone:
+            raise http.CallerGoneError('the caller has left')
         return is_permitted
 
     def _note_placement(
--- a/fulmarseam/gateway/_target_attempts.py
+++ b/fulmarseam/gateway/_target_attempts.py
@@ -1,9 +1,11 @@
 """Attempts to get a request answered by the target that was chosen."""
 
 import asyncio
+import re
 
 from fulmarseam import errors
 from fulmarseam import http
+from fulmarseam import ids
 from fulmarseam import steering
 from fulmarseam.gateway import _admission
 from fulmarseam.gateway import _attempts
@@ -17,6 +19,22 @@
 # keep idle. The others are for requests in flight, wherever these arrive.
 IDLE_CONNECTION_SHARE = 0.5
 
+# Visible text that does not begin or end with a space.
+_HEADER_VALUE = re.compile(rb'[!-~\x80-\xff]([ -~\x80-\xff]*[!-~\x80-\xff])?')
+
+
+def encode_target_id(target: ids.TargetId) -> bytes | None:
+    """Return the header value that names a target, or None if none can.
+
+    Requests carry headers that h11 has checked before, so nothing behind
+    this would refuse a line end in the id.
+    """
+    try:
+        value = target.encode('latin-1')
+    except UnicodeEncodeError:
+        return None
+    return value if _HEADER_VALUE.fullmatch(value) else None
+
 
 class TargetAttempts:
     """Runs attempts and records what they show of their targets."""
@@ -37,6 +55,18 @@
         assert target is not None
         dependencies = self._dependencies
         started_at = self._loop.time()
+        header_value = encode_target_id(target.target)
+        if header_value is None:
+            dependencies.load_balancer.eject(
+                started_at, target, is_reachable=True
+            )
+            return _retries.FailedAttempt(
+                errors.FulmarseamError(
+                    errors.ErrorKind.NO_TARGET,
+                    f'{target.target!r} cannot be sent in a header',
+                ),
+                context.body.can_start(),
+            )
         pool_item = dependencies.mirror.pools.get(target.record.pool)
         max_connections = pool_item.max_connections if pool_item else 1
         max_idle = int(max_connections * IDLE_CONNECTION_SHARE)
@@ -44,10 +74,7 @@
             context,
             _attempts.Recipient(
                 target.target,
-                (
-                    dependencies.http_names.expected_target,
-                    target.target.encode('latin-1'),
-                ),
+                (dependencies.http_names.expected_target, header_value),
             ),
             dependencies.target_pools.get(
                 target.record.address,
@@ -115,7 +142,6 @@
             self._note_statements(target, attempt)
             self._note_connection(target, attempt)
             attempt.close()
-            dependencies.load_balancer.release(target)
 
     def _note_connection(
         self, target: steering.ObservedTarget, attempt: _attempts.Attempt
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import time
+from unittest import mock
 
 from fulmarseam import settings
 from fulmarseam import transport
@@ -188,6 +189,54 @@
             self.assertEqual(reply.status, 200)
 
 
+class SlotTest(gateway_case.GatewayCase):
+    """Guards against requests that end and still count at their target."""
+
+    # Each request for a target whose id latin-1 cannot encode used to count
+    # there for ever, and its caller got 500.
+    async def test_a_target_id_beyond_latin_1_holds_no_slot(self) -> None:
+        await self.add_target('ключ', serve)
+        await self.put_route()
+        for _ in range(5):
+            reply = await self.call()
+            self.assertEqual(503, reply.status, reply)
+        self.assertEqual(0, self.gateway.load_balancer.count_in_flight())
+
+    async def test_a_target_id_adds_no_line_to_the_head(self) -> None:
+        for name in ('t\r\nx-added: 1', 't\n', ' t', 't\0', ''):
+            with self.subTest(name):
+                target = await self.add_target(name, serve)
+                await self.put_route()
+                self.assertEqual(503, (await self.call()).status)
+                self.assertEqual([], target.heads)
+
+    async def test_other_targets_serve_beside_such_an_id(self) -> None:
+        odd = await self.add_target('ключ', serve)
+        await self.add_target('t1', serve)
+        await self.put_route(max_attempts=2)
+        statuses = [(await self.call()).status for _ in range(10)]
+        self.assertEqual([200] * 10, statuses)
+        self.assertEqual([], odd.heads)
+        self.assertEqual(0, self.gateway.load_balancer.count_in_flight())
+
+    async def test_an_attempt_that_fails_to_start_holds_no_slot(self) -> None:
+        await self.add_target('t1', serve)
+        await self.put_route()
+        for owner, name in (
+            (self.gateway.load_balancer.limited_targets, 'get_rate'),
+            (self.gateway.crash_guard, 'needs_new_connection'),
+        ):
+            with (
+                self.subTest(name),
+                mock.patch.object(owner, name, side_effect=ValueError),
+            ):
+                self.assertEqual(500, (await self.call()).status)
+                self.assertEqual(
+                    0, self.gateway.load_balancer.count_in_flight()
+                )
+        self.assertEqual(200, (await self.call()).status)
+
+
 class IdleConnectionTest(gateway_case.GatewayCase):
     """Guards against the effects of a target that drops idle connections.
 
