--- a/fulmarseam/entry/_relaying.py
+++ b/fulmarseam/entry/_relaying.py
@@ -55,6 +55,7 @@
             context.route.pool,
             (self._options.region,),
             context.deadline,
+            context.body,
             functools.partial(self._send, context),
         )
         if failure is not None:
@@ -90,3 +91,5 @@
             )
         except http.TargetError as error:
             return relay.make_error(entry, error, attempt.progress)
+        except errors.FulmarseamError as error:
+            raise relay.make_body_error(error, attempt.progress) from error
--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -1,7 +1,9 @@
 """Forwarding of callers' requests to targets, with retries."""
 
 import asyncio
+from collections.abc import Iterator
 from collections.abc import Set
+import contextlib
 
 import logbook
 
@@ -225,18 +227,20 @@
         )
         if placement.target is None:
             return await self._relay_or_refuse(context, retries, summary)
-        if not await self._acquire_permit(context, placement.target):
-            # Other targets are tried without asking the leader again.
-            retries.may_ask = False
-            return False
-        try:
-            # The wait for the permit may have been long.
-            self._identify(context, summary)
-        except errors.FulmarseamError as error:
-            self._dependencies.load_balancer.release(placement.target)
-            raise retries.possible_run_error or error from None
-        self._note_placement(placement, now, summary)
-        failure = await self._target_attempts.run(context, placement, summary)
+        with self._hold(placement.target):
+            if not await self._acquire_permit(context, placement.target):
+                # Other targets are tried without asking the leader again.
+                retries.may_ask = False
+                return False
+            try:
+                # The wait for the permit may have been long.
+                self._identify(context, summary)
+            except errors.FulmarseamError as error:
+                raise retries.possible_run_error or error from None
+            self._note_placement(placement, now, summary)
+            failure = await self._target_attempts.run(
+                context, placement, summary
+            )
         if failure is None:
             return True
         summary.targets[-1] += f':{failure.error.kind.value}'
@@ -248,6 +252,14 @@
             raise retries.possible_run_error or failure.error
         return False
 
+    @contextlib.contextmanager
+    def _hold(self, target: steering.ObservedTarget) -> Iterator[None]:
+        """Count a placed request at its target until the context ends."""
+        try:
+            yield
+        finally:
+            self._dependencies.load_balancer.release(target)
+
     async def _relay_or_refuse(
         self,
         context: _requests.RequestContext,
@@ -264,7 +276,7 @@
         failure = relay.RelayFailure()
         if (
             not context.is_relayed
-            and context.is_replayable
+            and context.body.can_start()
             and len(context.attempted) < context.max_attempts
             and dependencies.load_balancer.is_out_of_reach(
                 now, context.route, retries.pool_name
@@ -295,20 +307,12 @@
     ) -> bool:
         """Return whether the target may get the request now.
 
-        Gives the target back otherwise. Raises `http.CallerGoneError` if the
-        caller has left while the request waited for the leader.
+        Raises `http.CallerGoneError` if the caller has left while the
+        request waited for the leader.
         """
-        is_permitted = False
-        try:
-            is_permitted = await self._dependencies.permits.acquire(
-                target.target
-            )
-            if context.caller.gone:
-                is_permitted = False
-                raise http.CallerGoneError('the caller has left')
-        finally:
-            if not is_permitted:
-                self._dependencies.load_balancer.release(target)
+        is_permitted = await self._dependencies.permits.acquire(target.target)
+        if context.caller.gone:
+            raise http.CallerGoneError('the caller has left')
         return is_permitted
 
     def _note_placement(
--- a/fulmarseam/gateway/_relaying.py
+++ b/fulmarseam/gateway/_relaying.py
@@ -52,6 +52,7 @@
             pool,
             context.route.allowed_regions,
             context.deadline,
+            context.body,
             functools.partial(self._relay_through, context, summary),
         )
 
@@ -95,6 +96,8 @@
                     errors.ErrorKind.TARGET_FAILED, error.detail
                 ) from error
             return relay.make_error(entry, error, attempt.progress)
+        except errors.FulmarseamError as error:
+            raise relay.make_body_error(error, attempt.progress) from error
         finally:
             attempt.close()
 
