Move the detection of pauses to a package of its own

Control members need the check by which entries detect that their process was stopped or their host suspended. The clock and the gap between signs of life move from gateway/_pauses.py and entry/_clock.py to fulmarseam.pauses; what follows a pause stays with the gateway. Behaviour is unchanged: tests.test_gateway.PauseTest and tests.test_entry_clock pass.

--- a/fulmarseam/entry/_clock.py
+++ b/fulmarseam/entry/_clock.py
@@ -1,12 +1,10 @@
 """An event loop whose clock counts the time of a suspended host."""
 
 import asyncio
-import time
 
+from fulmarseam import pauses
 
-def read_clock() -> float:
-    """Return seconds of a steady clock that runs on during a suspend."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
+read_clock = pauses.read_clock
 
 
 class SteadyLoop(asyncio.SelectorEventLoop):
--- a/fulmarseam/gateway/_pauses.py
+++ b/fulmarseam/gateway/_pauses.py
@@ -9,10 +9,10 @@
 
 import asyncio
 from collections.abc import Callable
-import time
 
 import logbook
 
+from fulmarseam import pauses
 from fulmarseam import telemetry
 
 # A gap between two signs of life that counts as a pause. Ticks come each
@@ -24,11 +24,6 @@
 _log = logbook.Logger('gateway')
 
 
-def read_clock() -> float:
-    """Return seconds of a steady clock that counts the time of a suspend."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class PauseGuard:
     """Holds requests back after a pause until the catalog is fresh again.
 
@@ -38,23 +33,20 @@
     def __init__(
         self,
         on_pause: Callable[[], None],
-        clock: Callable[[], float] = read_clock,
+        clock: Callable[[], float] = pauses.read_clock,
     ) -> None:
         self._on_pause = on_pause
-        self._clock = clock
-        self._last_seen_at = clock()
+        self._detector = pauses.PauseDetector(PAUSE_MIN_S, clock)
         self._paused_at: float | None = None
         self._is_fresh = asyncio.Event()
         self._is_fresh.set()
 
     def check(self) -> None:
         """Note a sign of life; detect a pause since the last one."""
-        now = self._clock()
-        pause_s = now - self._last_seen_at
-        self._last_seen_at = now
-        if pause_s < PAUSE_MIN_S:
+        pause_s = self._detector.check()
+        if pause_s is None:
             return
-        self._paused_at = now
+        self._paused_at = self._detector.last_seen_at
         self._is_fresh.clear()
         _log.warning(telemetry.format_event('paused', pause_s=pause_s))
         self._on_pause()
@@ -62,7 +54,7 @@
     def get_time(self) -> float:
         """Return the time at which a request to a member is sent."""
         self.check()
-        return self._last_seen_at
+        return self._detector.last_seen_at
 
     def note_answer(self, sent_at: float) -> None:
         """Record the answer of a member to a request sent at `get_time()`."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -4,9 +4,11 @@
 import dataclasses
 import time
 
+from fulmarseam import pauses
 from fulmarseam import settings
 from fulmarseam import transport
 from fulmarseam import wire
+from fulmarseam.gateway import _pauses
 from tests import catalog_fixtures as fixtures
 from tests import fakes
 from tests import gateway_case
@@ -547,8 +549,9 @@
         await self.put_route(idempotent=False)
         self.pause_s = 0.0
         self.guard = self.gateway.poller.pause_guard
-        self.guard._clock = lambda: time.monotonic() + self.pause_s
-        self.guard._last_seen_at = self.guard._clock()
+        self.guard._detector = pauses.PauseDetector(
+            _pauses.PAUSE_MIN_S, lambda: time.monotonic() + self.pause_s
+        )
 
     def pause(self, pause_s: float) -> None:
         """Let a target leave while the clock moves on without the entry."""
