Carry out no command that has waited longer than its sender

A control member that was frozen for 7 s carried out withdrawals of evacuations and leaves of targets that still lay in its sockets, although their senders had gone and later commands had been acknowledged. Other delays had the same effect: a suspend of the host, a body that came late, a sender that closed while the member waited for a leader, and a command that was forwarded to the leader and delivered after a partition.

A forwarded command carries its end by the clock of the leader, so no clocks are compared.

--- a/fulmarseam/control/__init__.py
+++ b/fulmarseam/control/__init__.py
@@ -13,5 +13,6 @@
 from fulmarseam.control._catalog import CatalogMember
 from fulmarseam.control._daemon import Daemon
 from fulmarseam.control._daemon import serve
+from fulmarseam.control._pending_calls import PendingCall
 
-__all__ = ['CatalogMember', 'Daemon', 'serve']
+__all__ = ['CatalogMember', 'Daemon', 'PendingCall', 'serve']
--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 import time
 from typing import Self
@@ -21,6 +22,7 @@
 from fulmarseam import telemetry
 from fulmarseam import transport
 from fulmarseam import wire
+from fulmarseam.control import _pending_calls
 from fulmarseam.control import _rate_limits
 
 # A member that hears no leader for a random time within these bounds starts
@@ -46,6 +48,8 @@
 # Pause before a member rejoins under a new identity.
 REJOIN_DELAY_S = 0.1
 
+_READ_REVISION = catalog.encode_command(catalog.ReadRevision())
+
 _log = logbook.Logger('control')
 
 
@@ -76,6 +80,7 @@
         self._clients = transport.RpcClients()
         self._member: consensus.Member | None = None
         self._exit_stack = contextlib.AsyncExitStack()
+        self._arrivals = _pending_calls.ArrivalClock()
         self._tasks: list[asyncio.Task[None]] = []
         # Gets the exception of a background task, which must never end.
         self.failed: asyncio.Future[None] = self._loop.create_future()
@@ -113,6 +118,7 @@
         for work in (
             self._run_memberships(),
             self._forward_renewals(),
+            self._arrivals.run(),
         ):
             task = asyncio.create_task(work)
             task.add_done_callback(self._report_failure)
@@ -208,9 +214,10 @@
     async def handle(self, message: wire.Message) -> wire.Message:
         """Answer a request to the RPC server of the member."""
         match message:
-            case wire.CatalogCommand(command=command):
-                return await self._propose(command)
+            case wire.CatalogCommand():
+                return await self._handle_command(message)
             case wire.TargetRenewal(targets=targets):
+                self._arrivals.require_recent(RENEWAL_TIMEOUT_S)
                 self._target_leases.renew(self._now(), targets)
                 return wire.Ok()
             case wire.EntryPoll():
@@ -326,16 +333,29 @@
 
     # Commands
 
-    async def wait_until_current(self) -> None:
+    def make_call(
+        self, is_wanted: Callable[[], bool] = _pending_calls.is_wanted_always
+    ) -> _pending_calls.PendingCall:
+        """Return the call whose bytes have just been read.
+
+        `is_wanted` tells whether its sender still waits for the answer.
+        """
+        return _pending_calls.PendingCall(
+            self._arrivals.get_earliest() + COMMAND_TIMEOUT_S, is_wanted
+        )
+
+    async def wait_until_current(
+        self, call: _pending_calls.PendingCall | None = None
+    ) -> None:
         """Wait until this member has applied all commands accepted so far.
 
         Raises `errors.FulmarseamError` with `UNAVAILABLE` when that takes
-        too long.
+        too long, and like `submit`.
         """
-        result = await self.submit(catalog.ReadRevision())
-        deadline = self._now() + COMMAND_TIMEOUT_S
+        result = await self.submit(catalog.ReadRevision(), call)
+        call = call or self.make_call()
         while self.catalog.revision < result.revision:
-            if self._now() >= deadline:
+            if call.get_left_s() <= 0.0:
                 raise errors.FulmarseamError(
                     errors.ErrorKind.UNAVAILABLE,
                     f'found revision {self.catalog.revision}, expected '
@@ -344,38 +364,79 @@
             await asyncio.sleep(COMMAND_RETRY_PAUSE_S)
 
     async def submit(
-        self, command: catalog.Command, timeout_s: float = COMMAND_TIMEOUT_S
+        self,
+        command: catalog.Command,
+        call: _pending_calls.PendingCall | None = None,
     ) -> wire.CatalogResult:
         """Replicate a command and return its result.
 
-        Commands are idempotent, so one with an unknown outcome is retried.
-        Raises `errors.FulmarseamError` with `UNAVAILABLE` when there is no
-        result in time; the command may still be applied later.
+        Commands are idempotent, so one with an unknown outcome is retried,
+        until `call` is stale. Raises `errors.FulmarseamError` with
+        `UNAVAILABLE` when there is no result in time; the command may still
+        be applied later, but before any that is accepted after `call` has
+        ended. Raises it with `CALLER_GONE` when the sender has gone.
         """
         data = catalog.encode_command(command)
-        deadline = self._now() + timeout_s
+        call = call or self.make_call()
+        call.check()
         reason = 'no leader is known'
-        while (left_s := deadline - self._now()) > 0.0:
+        while (left_s := call.get_left_s()) > 0.0:
+            call.check()
             try:
                 async with asyncio.timeout(left_s):
-                    return await self._send_to_leader(data)
+                    return await self._send_to_leader(data, call)
             except TimeoutError:
                 reason = 'no result in time'
             except errors.FulmarseamError as error:
+                if error.kind is errors.ErrorKind.CALLER_GONE:
+                    raise
                 reason = error.detail
             await asyncio.sleep(COMMAND_RETRY_PAUSE_S)
         raise errors.FulmarseamError(errors.ErrorKind.UNAVAILABLE, reason)
 
-    async def _send_to_leader(self, data: bytes) -> wire.CatalogResult:
+    async def _send_to_leader(
+        self, data: bytes, call: _pending_calls.PendingCall
+    ) -> wire.CatalogResult:
         """Send a command to the leader, which may be this member."""
         if self.is_leader():
             return await self._propose(data)
         address = self._find_leader_address()
         if address is None:
             raise errors.NotLeaderError()
-        answer = await self._clients.call(
-            address, wire.CatalogCommand(command=data), FORWARD_TIMEOUT_S
+        if data == _READ_REVISION:
+            # A read that comes late does no harm.
+            return await self._forward(
+                address, wire.CatalogCommand(command=data)
+            )
+        clock = await self._forward(
+            address,
+            wire.CatalogCommand(
+                # A leader of the previous release carries this out.
+                command=_READ_REVISION,
+                asks_clock=True,
+            ),
+        )
+        call.check()
+        if not clock.clock_ms:
+            return await self._forward(
+                address, wire.CatalogCommand(command=data)
+            )
+        # The leader read its clock before it answered, so the time left
+        # from now on ends too early by that delay, never too late.
+        left_ms = int(call.get_left_s() * 1_000)
+        return await self._forward(
+            address,
+            wire.CatalogCommand(
+                command=data,
+                term=clock.term,
+                expires_ms=clock.clock_ms + left_ms,
+            ),
         )
+
+    async def _forward(
+        self, address: str, message: wire.CatalogCommand
+    ) -> wire.CatalogResult:
+        answer = await self._clients.call(address, message, FORWARD_TIMEOUT_S)
         if isinstance(answer, wire.CatalogResult):
             return answer
         raise errors.FulmarseamError(
@@ -383,6 +444,23 @@
             f'{address}: {getattr(answer, "detail", type(answer).__name__)}',
         )
 
+    async def _handle_command(
+        self, message: wire.CatalogCommand
+    ) -> wire.CatalogResult:
+        """Carry out a command that another member has forwarded in time."""
+        if message.asks_clock:
+            return wire.CatalogResult(
+                revision=self.catalog.revision,
+                problems=[],
+                term=self._require_term(),
+                clock_ms=_pending_calls.read_clock_ms(),
+            )
+        if message.expires_ms:
+            _pending_calls.check_forwarded(
+                message.term, message.expires_ms, self._require_term()
+            )
+        return await self._propose(message.command)
+
     async def _propose(self, data: bytes) -> wire.CatalogResult:
         if self._member is None:
             raise errors.NotLeaderError()
@@ -423,13 +501,19 @@
 
     # Targets
 
-    async def announce(self, record: wire.TargetRecord) -> None:
+    async def announce(
+        self,
+        record: wire.TargetRecord,
+        call: _pending_calls.PendingCall | None = None,
+    ) -> None:
         """Record the announcement of a target.
 
         Returns once a change is committed. Raises `errors.FulmarseamError`
         with `UNAVAILABLE` when this member has no leader, so that the target
-        announces itself to another member.
+        announces itself to another member, and like `submit`.
         """
+        call = call or self.make_call()
+        call.check()
         if not self.has_leader():
             raise errors.FulmarseamError(
                 errors.ErrorKind.UNAVAILABLE, 'no leader is known'
@@ -440,7 +524,7 @@
         )
         if not is_change or not self.catalog.targets.is_newer(record):
             return
-        await self.submit(catalog.AnnounceTargets(records=[record]))
+        await self.submit(catalog.AnnounceTargets(records=[record]), call)
         _log.info(
             telemetry.format_event(
                 'target_state',
@@ -454,15 +538,50 @@
             )
         )
 
-    async def leave(self, target: ids.TargetId, born_ms: int) -> None:
-        """Record that a target has left; raises like `announce`."""
-        await self.submit(catalog.LeaveTarget(target=target, born_ms=born_ms))
+    async def leave(
+        self,
+        target: ids.TargetId,
+        born_ms: int,
+        call: _pending_calls.PendingCall | None = None,
+    ) -> None:
+        """Record that a target has left; raises like `announce`.
+
+        `born_ms` 0 means the incarnation in force when the call arrived. The
+        command names it, so that it cannot end a later one.
+        """
+        call = call or self.make_call()
+        if not born_ms:
+            await call.confirm()
+            await self.wait_until_current(call)
+            current = self.catalog.targets.get(target)
+            born_ms = current.born_ms if current is not None else 0
+            if current is None:
+                return
+        await self.submit(
+            catalog.LeaveTarget(target=target, born_ms=born_ms), call
+        )
         _log.info(
             telemetry.format_event(
                 'target_state', target=target, phase='gone', born=born_ms
             )
         )
 
+    async def evacuate(
+        self,
+        domain: ids.DomainName,
+        active: bool,
+        call: _pending_calls.PendingCall | None = None,
+    ) -> wire.CatalogResult:
+        """Start or end the evacuation of a failure domain.
+
+        Nothing orders these commands but their arrival. Raises like `submit`.
+        """
+        call = call or self.make_call()
+        await call.confirm()
+        return await self.submit(
+            catalog.EvacuateDomain(failure_domain=domain, active=active), call
+        )
+
     async def _forward_renewals(self) -> None:
         """Forward renewals to the leader, or drop silent targets as leader."""
         while True:
--- a/fulmarseam/platform/_control_api.py
+++ b/fulmarseam/platform/_control_api.py
@@ -49,18 +49,27 @@
     ) -> None:
         """Answer a request of an operator or a target."""
         path, _ = _split_target(request)
+
+        def is_wanted() -> bool:
+            return not caller.gone
+
+        call = self._member.make_call(is_wanted)
         body = await http.read_body(caller)
+        if path == CONFIG_PATH:
+            # The upload of a configuration may take longer than its sender
+            # waits for the answer.
+            call = self._member.make_call(is_wanted)
         method = request.method.decode('ascii')
         try:
             if path == CONFIG_PATH:
-                await self._handle_config(method, body, caller)
+                await self._handle_config(method, body, caller, call)
             elif path.startswith(TARGETS_PATH):
                 target = parse.unquote(path.removeprefix(TARGETS_PATH))
-                await self._handle_target(method, target, body)
+                await self._handle_target(method, target, body, call)
                 caller.send_response(200, JSON_HEADERS, b'{}')
             elif path.startswith(EVACUATION_PATH):
                 domain = parse.unquote(path.removeprefix(EVACUATION_PATH))
-                await self._handle_evacuation(method, domain)
+                await self._handle_evacuation(method, domain, call)
                 caller.send_response(200, JSON_HEADERS, b'{}')
             else:
                 raise errors.FulmarseamError(errors.ErrorKind.NOT_FOUND, path)
@@ -75,7 +84,11 @@
             ) from error
 
     async def _handle_config(
-        self, method: str, body: bytes, caller: http.CallerConnection
+        self,
+        method: str,
+        body: bytes,
+        caller: http.CallerConnection,
+        call: control.PendingCall,
     ) -> None:
         if method == 'GET':
             await self._member.wait_until_current()
@@ -86,7 +99,7 @@
         items = _items.read_call(body)
         digest = hashlib.blake2b(body, digest_size=DIGEST_BYTES).digest()
         result = await self._member.submit(
-            catalog.PutItems(items=items, digest=digest)
+            catalog.PutItems(items=items, digest=digest), call
         )
         _log.info(
             telemetry.format_event(
@@ -105,24 +118,28 @@
         caller.send_response(200, JSON_HEADERS, b'{}')
 
     async def _handle_target(
-        self, method: str, target: str, body: bytes
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        call: control.PendingCall,
     ) -> None:
         if method == 'DELETE':
             born_ms = _targets.read_leave(body)
-            await self._member.leave(ids.TargetId(target), born_ms)
+            await self._member.leave(ids.TargetId(target), born_ms, call)
             return
         _require_method(method, 'PUT')
         record = _targets.read_heartbeat(target, body, self._options.domains)
-        await self._member.announce(record)
+        await self._member.announce(record, call)
 
-    async def _handle_evacuation(self, method: str, domain: str) -> None:
+    async def _handle_evacuation(
+        self, method: str, domain: str, call: control.PendingCall
+    ) -> None:
         if method != 'DELETE':
             _require_method(method, 'POST')
         evacuate = method == 'POST'
-        result = await self._member.submit(
-            catalog.EvacuateDomain(
-                failure_domain=ids.DomainName(domain), active=evacuate
-            )
+        result = await self._member.evacuate(
+            ids.DomainName(domain), evacuate, call
         )
         _log.info(
             telemetry.format_event(
--- a/fulmarseam/wire/_catalog.py
+++ b/fulmarseam/wire/_catalog.py
@@ -140,9 +140,17 @@
 class CatalogCommand(
     msgspec.Struct, tag='catalog_command', frozen=True, kw_only=True
 ):
-    """A command that a member forwards to the leader."""
+    """A command that a member forwards to the leader.
+
+    The leader of `term` refuses it after `expires_ms` by its own clock; 0
+    means no end. With `asks_clock`, the command is not carried out; the
+    result tells that clock.
+    """
 
     command: bytes
+    term: int = 0
+    expires_ms: int = 0
+    asks_clock: bool = False
 
 
 class CatalogResult(
@@ -151,11 +159,14 @@
     """The result of a catalog command.
 
     `problems` lists why the command was rejected; no part of a rejected
-    command is applied.
+    command is applied. `term` and `clock_ms` answer a command that asked
+    for the clock.
     """
 
     revision: int
     problems: list[str] = []
+    term: int = 0
+    clock_ms: int = 0
 
 
 class TargetRenewal(
