Keep a data directory that cannot be opened now

A member took any error at the lock file of its directory, and any file that it could not read, for damage. As a member of a catalog group it then deleted its log and vote and rejoined as a new member, for example when it had too many open files. Only a file that is missing or fails its checks is damage now.

--- a/fulmarseam/consensus/__init__.py
+++ b/fulmarseam/consensus/__init__.py
@@ -18,6 +18,7 @@
 from fulmarseam.consensus._interface import StateMachine
 from fulmarseam.consensus._runtime import Member
 from fulmarseam.consensus._storage import clear_directory
+from fulmarseam.consensus._storage import DirectoryUnavailableError
 from fulmarseam.consensus._storage import load_or_assign_member_id
 from fulmarseam.consensus._storage import StorageFailedError
 
@@ -27,6 +28,7 @@
 )
 
 __all__ = [
+    'DirectoryUnavailableError',
     'PEER_MESSAGES',
     'DiscoverySettings',
     'Member',
--- a/fulmarseam/consensus/_storage.py
+++ b/fulmarseam/consensus/_storage.py
@@ -23,6 +23,9 @@
 _SNAPSHOT_NAME = re.compile(r'snapshot-(\d{20})')
 
 
+DirectoryUnavailableError = _storage_frames.DirectoryUnavailableError
+
+
 class StorageFailedError(Exception):
     """A write or sync failed; nothing more may be written.
 
@@ -53,6 +56,10 @@
         return _identity_decoder.decode(content).member
     except (FileNotFoundError, IndexError):
         return ids.MemberId(f'{host}.{uuid.uuid4().hex[:12]}')
+    except OSError as error:
+        raise DirectoryUnavailableError(
+            f'{path}: {error.strerror or error}'
+        ) from error
     except msgspec.MsgspecError as error:
         raise errors.DamagedDataError(f'{path}: offset 0: {error}') from error
 
@@ -73,8 +80,9 @@
 class Storage:
     """The data directory of one member.
 
-    Raises `errors.DamagedDataError` for a directory that cannot be used,
-    and `StorageFailedError` when a write or sync fails.
+    Raises `errors.DamagedDataError` for damaged files,
+    `DirectoryUnavailableError` for a directory that cannot be opened or read
+    now, and `StorageFailedError` when a write or sync fails.
     """
 
     def __init__(self, directory: str, member: ids.MemberId) -> None:
@@ -98,7 +106,7 @@
                 self._directory / 'lock', os.O_RDWR | os.O_CREAT, 0o600
             )
         except OSError as error:
-            raise errors.DamagedDataError(
+            raise DirectoryUnavailableError(
                 f'data_dir: found {self._directory} ({error.strerror}), '
                 'expected a directory that this process may write to'
             ) from error
@@ -123,10 +131,9 @@
         try:
             fcntl.flock(self._lock_file, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError as error:
-            raise errors.FulmarseamError(
-                errors.ErrorKind.UNAVAILABLE,
+            raise DirectoryUnavailableError(
                 f'data_dir: found {self._directory} in use by another '
-                'process, expected a directory of its own',
+                'process, expected a directory of its own'
             ) from error
 
     def _require_empty(self) -> None:
--- a/fulmarseam/consensus/_storage_frames.py
+++ b/fulmarseam/consensus/_storage_frames.py
@@ -23,6 +23,13 @@
 _CHECKSUM_SEED = 0x66756C6D
 
 
+class DirectoryUnavailableError(errors.FulmarseamError):
+    """The data directory cannot be used now; its content may be sound."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(errors.ErrorKind.UNAVAILABLE, detail)
+
+
 def make_frame(payload: bytes) -> bytes:
     """Return a frame; its CRC-32 covers the length and the payload."""
     length = len(payload)
@@ -84,11 +91,19 @@
 
 
 def read_file(path: pathlib.Path) -> bytes:
-    """Return the content of a file; raises `errors.DamagedDataError`."""
+    """Return the content of a file.
+
+    Raises `errors.DamagedDataError` if the file is missing, and
+    `DirectoryUnavailableError` if it cannot be read.
+    """
     try:
         return path.read_bytes()
-    except OSError as error:
+    except FileNotFoundError as error:
         raise make_damage_error(path, 0, str(error.strerror)) from error
+    except OSError as error:
+        raise DirectoryUnavailableError(
+            f'{path}: {error.strerror or error}'
+        ) from error
 
 
 def write_all(file: int, data: bytes) -> None:
--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -154,6 +154,14 @@
                 )
                 await asyncio.sleep(DISK_RETRY_DELAY_S)
                 continue
+            except consensus.DirectoryUnavailableError as error:
+                # Too many open files, for example. The content may be sound
+                # and hold the vote of this member, so it is kept.
+                _log.error(
+                    telemetry.format_event('disk_failed', reason=error.detail)
+                )
+                await asyncio.sleep(DISK_RETRY_DELAY_S)
+                continue
             except errors.DamagedDataError as error:
                 # The other members have the state of this one, so it rejoins
                 # as a new member, as after a lost disk.
--- a/tests/test_catalog_member.py
+++ b/tests/test_catalog_member.py
@@ -3,9 +3,11 @@
 import asyncio
 import contextlib
 import dataclasses
+import os
 import pathlib
 import shutil
 import tempfile
+from typing import Any
 import unittest
 from unittest import mock
 
@@ -232,6 +234,31 @@
         await self.put(self.members()[0], fixtures.make_pool('katalog', 1))
         await self.wait_for_item('katalog')
 
+    async def test_an_error_at_the_lock_file_keeps_the_files(self) -> None:
+        await self.put(self.members()[1], fixtures.make_pool('katalog', 1))
+        await self.wait_for_item('katalog')
+        host = self.hosts[2]
+        await host.stop()
+        directory = pathlib.Path(host.options.data_dir)
+        identity = (directory / 'identity').read_bytes()
+        real_open = os.open
+        refused = 0
+
+        def refuse(path: Any, *args: Any, **fields: Any) -> int:
+            nonlocal refused
+            if str(path) == str(directory / 'lock') and refused < 3:
+                refused += 1
+                raise OSError(24, 'Too many open files')
+            return real_open(path, *args, **fields)
+
+        with mock.patch.object(_storage.os, 'open', refuse):
+            await host.start()
+            await asyncio.sleep(2.0)
+        self.assertEqual(3, refused)
+        self.assertEqual(identity, (directory / 'identity').read_bytes())
+        await self.wait_for_voters(3, 'core-2')
+        await self.wait_for_item('katalog')
+
 
 class TargetTest(CatalogMemberCase):
     """Guards against targets that are dropped too early or too late."""
--- a/tests/test_consensus_storage.py
+++ b/tests/test_consensus_storage.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 from fulmarseam import errors
+from fulmarseam import ids
 from fulmarseam import wire
 from fulmarseam.consensus import _core_types
 from fulmarseam.consensus import _storage
@@ -179,6 +180,43 @@
         self.assertIs(errors.ErrorKind.UNAVAILABLE, caught.exception.kind)
 
 
+class UnavailableTest(StorageTestCase):
+    """Guards against sound files that are taken for damaged.
+
+    The owner deletes the files of a damaged directory.
+    """
+
+    def test_a_lock_file_that_cannot_be_opened_is_no_damage(self) -> None:
+        failure = OSError(24, 'Too many open files')
+        with mock.patch.object(os, 'open', side_effect=failure):
+            self.check_unavailable()
+
+    def test_a_directory_without_permission_is_no_damage(self) -> None:
+        failure = PermissionError(13, 'Permission denied')
+        with mock.patch.object(os, 'open', side_effect=failure):
+            self.check_unavailable()
+
+    def test_a_file_that_cannot_be_read_is_no_damage(self) -> None:
+        self.open().close()
+        failure = OSError(24, 'Too many open files')
+        with mock.patch.object(
+            pathlib.Path, 'read_bytes', side_effect=failure
+        ):
+            self.check_unavailable()
+            with self.assertRaises(errors.FulmarseamError) as caught:
+                _storage.load_or_assign_member_id(
+                    str(self.directory), ids.HostId('h')
+                )
+        self.assertIs(errors.ErrorKind.UNAVAILABLE, caught.exception.kind)
+
+    def check_unavailable(self) -> None:
+        """Check that the directory cannot be opened but is not damaged."""
+        with self.assertRaises(errors.FulmarseamError) as caught:
+            self.open()
+        self.assertIs(errors.ErrorKind.UNAVAILABLE, caught.exception.kind)
+        self.assertNotIsInstance(caught.exception, errors.DamagedDataError)
+
+
 class FailedSyncTest(StorageTestCase):
     """Guards against answers based on data that was not synced."""
 
