Refuse to remove a pool that a route still names

A call that removed a pool was accepted while a live route named it; from then on the route had no targets. The leader now refuses such a call with a problem for each pool and route. What counts is the state after the whole call, so it may remove or move the routes as well. Versions that are not newer count for nothing, and an accepted call is acknowledged again.

The check runs before the command enters the log, with the calls that are not yet applied, because members of both releases have to apply each entry of the log alike (docs/design/compatibility.md).

tests.test_catalog_member.FoundingTest.test_a_pool_that_a_route_names_cannot_be_removed failed before the change; it, tests.test_catalog.PoolRemovalTest and the other tests of tests.test_catalog pass after it.

--- a/fulmarseam/catalog/__init__.py
+++ b/fulmarseam/catalog/__init__.py
@@ -8,6 +8,7 @@
 
 from fulmarseam.catalog._commands import AnnounceTargets
 from fulmarseam.catalog._commands import Command
+from fulmarseam.catalog._commands import decode_command
 from fulmarseam.catalog._commands import decode_result
 from fulmarseam.catalog._commands import DropTargets
 from fulmarseam.catalog._commands import encode_command
@@ -40,6 +41,7 @@
     'ReadRevision',
     'SharedLoads',
     'TargetLeases',
+    'decode_command',
     'decode_result',
     'encode_command',
     'find_problem',
--- a/fulmarseam/catalog/_items.py
+++ b/fulmarseam/catalog/_items.py
@@ -53,6 +53,21 @@
         problems.extend(_find_duplicate_matches(items))
         return problems
 
+    def find_orphans(
+        self, items: Sequence[wire.Item], pending: Sequence[wire.Item] = ()
+    ) -> list[str]:
+        """Return one line for each pool removed by a call but still named.
+
+        Items that are not newer than those in force count for nothing.
+        `pending` are items of calls that come before this one in the log
+        but have not been applied. Those may still be refused, so a removal
+        has to be valid with and without them.
+        """
+        problems = _find_orphans([*self._items.values()], items)
+        if pending and not problems:
+            problems = _find_orphans([*self._items.values(), *pending], items)
+        return problems
+
     def put(self, items: Sequence[wire.Item]) -> list[ItemKey]:
         """Store the items with newer versions; return their keys."""
         changed = []
@@ -69,6 +84,30 @@
         return self._items[key]
 
 
+def _find_orphans(
+    before: Sequence[wire.Item], items: Sequence[wire.Item]
+) -> list[str]:
+    after = ItemTable()
+    after.put(before)
+    changed = set(after.put(items))
+    removed = {
+        name
+        for kind, name in changed
+        if kind is wire.ItemKind.POOL and after.get((kind, name)).row is None
+    }
+    problems: list[str] = []
+    for item in after.list_live():
+        if not isinstance(item.row, wire.RouteItem):
+            continue
+        pools = {part.pool for part in item.row.split}
+        problems.extend(
+            f'pool {name}: found a removal, expected one after route '
+            f'{item.name} names another pool or is removed'
+            for name in sorted(pools & removed)
+        )
+    return problems
+
+
 def _check_route(route: wire.RouteItem, pools: set[str]) -> list[str]:
     problems = []
     for part in route.split:
--- a/fulmarseam/catalog/_machine.py
+++ b/fulmarseam/catalog/_machine.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Sequence
 
 import msgspec
 
@@ -98,6 +99,24 @@
                 self._evacuate(decoded)
         return self._encode_result(problems)
 
+    def find_orphans(
+        self,
+        command: _commands.PutItems,
+        pending: Sequence[_commands.PutItems],
+    ) -> list[str]:
+        """Return one line for each pool that a call must not remove.
+
+        The leader refuses such a call before it enters the log: earlier
+        releases apply it, and all members have to apply the same. `pending`
+        are the calls before it that have not been applied. A call that was
+        accepted before is acknowledged again.
+        """
+        if command.digest in self._digests:
+            return []
+        return self.items.find_orphans(
+            command.items, [item for put in pending for item in put.items]
+        )
+
     def _encode_result(self, problems: list[str]) -> bytes:
         return _encoder.encode(
             wire.CatalogResult(revision=self.revision, problems=problems)
--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -80,6 +80,8 @@
         self._clients = transport.RpcClients()
         self._member: consensus.Member | None = None
         self._exit_stack = contextlib.AsyncExitStack()
+        # Calls of operators that are in the log but not yet applied.
+        self._pending_puts: list[catalog.PutItems] = []
         self._arrivals = _pending_calls.ArrivalClock()
         self._tasks: list[asyncio.Task[None]] = []
         # Gets the exception of a background task, which must never end.
@@ -472,7 +474,20 @@
     async def _propose(self, data: bytes) -> wire.CatalogResult:
         if self._member is None:
             raise errors.NotLeaderError()
-        return catalog.decode_result(await self._member.propose(data))
+        command = catalog.decode_command(data)
+        if not isinstance(command, catalog.PutItems):
+            return catalog.decode_result(await self._member.propose(data))
+        if self.is_leader():
+            problems = self.catalog.find_orphans(command, self._pending_puts)
+            if problems:
+                return wire.CatalogResult(
+                    revision=self.catalog.revision, problems=problems
+                )
+        self._pending_puts.append(command)
+        try:
+            return catalog.decode_result(await self._member.propose(data))
+        finally:
+            self._pending_puts.remove(command)
 
     def is_leader(self) -> bool:
         """Return whether this member leads, as confirmed by a majority."""
--- a/tests/catalog_fixtures.py
+++ b/tests/catalog_fixtures.py
@@ -70,6 +70,11 @@
     return wire.Item(kind=wire.ItemKind.ROUTE, name=name, version=version)
 
 
+def make_pool_removal(name: str, version: int) -> wire.Item:
+    """Return a version that removes a pool."""
+    return wire.Item(kind=wire.ItemKind.POOL, name=name, version=version)
+
+
 def make_record(name: str, **fields: Any) -> wire.TargetRecord:
     """Return the record of a target."""
     values: dict[str, Any] = {
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -1,5 +1,6 @@
 """Tests of the catalog: items, targets, incremental changes and entries."""
 
+from typing import Any
 import unittest
 
 import msgspec
@@ -76,6 +77,79 @@
         self.assertNotEqual(other.problems, [])
 
 
+class PoolRemovalTest(unittest.TestCase):
+    """Guards against the removal of a pool that a live route names."""
+
+    def setUp(self) -> None:
+        self.machine = catalog.Catalog()
+        self.route = fixtures.make_route('r', 1)
+        fixtures.put(
+            self.machine,
+            fixtures.make_pool('katalog', 1),
+            fixtures.make_pool('other', 1),
+            self.route,
+        )
+        self.removal = fixtures.make_pool_removal('katalog', 2)
+
+    def find(
+        self, *items: wire.Item, digest: bytes = b'x', pending: Any = ()
+    ) -> list[str]:
+        """Return the problems of a call."""
+        return self.machine.find_orphans(
+            catalog.PutItems(items=list(items), digest=digest),
+            [catalog.PutItems(items=[item], digest=b'p') for item in pending],
+        )
+
+    def test_the_problem_names_the_pool_and_the_route(self) -> None:
+        (problem,) = self.find(self.removal)
+        self.assertIn('pool katalog', problem)
+        self.assertIn('route r', problem)
+
+    def test_a_call_may_remove_the_route_too_in_any_order(self) -> None:
+        drop = fixtures.make_route_removal('r', 2)
+        self.assertEqual([], self.find(drop, self.removal))
+        self.assertEqual([], self.find(self.removal, drop))
+
+    def test_a_call_may_move_the_route_in_any_order(self) -> None:
+        moved = fixtures.make_route('r', 2, pool='other')
+        self.assertEqual([], self.find(moved, self.removal))
+        self.assertEqual([], self.find(self.removal, moved))
+
+    def test_an_old_version_of_the_route_does_not_free_the_pool(self) -> None:
+        self.assertTrue(
+            self.find(fixtures.make_route_removal('r', 1), self.removal)
+        )
+
+    def test_a_removal_that_is_not_newer_changes_nothing(self) -> None:
+        self.assertEqual(
+            [], self.find(fixtures.make_pool_removal('katalog', 1))
+        )
+
+    def test_a_resent_call_is_acknowledged_again(self) -> None:
+        drop = fixtures.make_route_removal('r', 2)
+        fixtures.put(self.machine, drop, self.removal, digest=b'd')
+        fixtures.put(
+            self.machine,
+            fixtures.make_pool('katalog', 3),
+            fixtures.make_route('r', 3),
+        )
+        self.assertEqual([], self.find(drop, self.removal, digest=b'd'))
+        # Also after its digest has been dropped.
+        self.assertEqual([], self.find(drop, self.removal))
+
+    def test_a_route_put_together_with_the_removal(self) -> None:
+        added = fixtures.make_route('s', 1)
+        drop = fixtures.make_route_removal('r', 2)
+        self.assertTrue(self.find(drop, added, self.removal))
+
+    def test_calls_that_are_not_yet_applied_count(self) -> None:
+        drop = fixtures.make_route_removal('r', 2)
+        added = fixtures.make_route('s', 1)
+        self.assertTrue(self.find(drop, self.removal, pending=[added]))
+        # It may still be refused, so it does not free the pool.
+        self.assertTrue(self.find(self.removal, pending=[drop]))
+
+
 class TargetTest(unittest.TestCase):
     """Guards against late announcements that revive an ended incarnation."""
 
--- a/tests/test_catalog_member.py
+++ b/tests/test_catalog_member.py
@@ -162,6 +162,19 @@
         )
         self.assertIn('nowhere', result.problems[0])
 
+    async def test_a_pool_that_a_route_names_cannot_be_removed(self) -> None:
+        first, second, third = self.members()
+        pool = fixtures.make_pool('katalog', 1)
+        await self.put(first, pool, fixtures.make_route('r', 1))
+        removal = fixtures.make_pool_removal('katalog', 2)
+        for member in (first, second, third):
+            result = await self.put(member, removal)
+            self.assertIn('katalog', ''.join(result.problems))
+        drop = fixtures.make_route_removal('r', 2)
+        for member in (first, second, third):
+            result = await self.put(member, drop, removal)
+            self.assertEqual([], result.problems)
+
     async def test_reading_waits_for_accepted_commands(self) -> None:
         first, second, third = self.members()
         await self.put(first, fixtures.make_pool('katalog', 1))
