Submit test items with a call that waits for a leader

Cause: submit takes a call with an end in place of a time-out, and the fixture still passed seconds; eight tests of tests.test_cut_off ended with an error. After: they pass.

--- a/tests/rate_limit_case.py
+++ b/tests/rate_limit_case.py
@@ -11,6 +11,7 @@
 from fulmarseam import control
 from fulmarseam import gateway
 from fulmarseam import ids
+from fulmarseam import pauses
 from fulmarseam import settings
 from tests import catalog_fixtures as fixtures
 from tests import fakes
@@ -199,7 +200,8 @@
             fixtures.make_route('r', 1, **route),
         ]
         await self.member.submit(
-            catalog.PutItems(items=items, digest=b'first'), START_TIMEOUT_S
+            catalog.PutItems(items=items, digest=b'first'),
+            control.PendingCall(pauses.read_clock() + START_TIMEOUT_S),
         )
 
     async def add_target(self, name: str, target: LimitedTarget) -> None:
