Decide on quotas of organisations

Requests of an organisation are to stay within a rate and a burst over all entries. The leader issues permits from a bucket for what entries expect or have waiting, and each entry has a small free part for which it needs none. The rate of issue leaves room in the window for the lifetime of permits, the full bucket, the free parts and the delay of reports. This change has the decisions and the messages; nothing uses them yet.

--- a/fulmarseam/steering/__init__.py
+++ b/fulmarseam/steering/__init__.py
@@ -58,6 +58,12 @@
 from fulmarseam.steering._queue import Admission
 from fulmarseam.steering._queue import RequestQueue
 from fulmarseam.steering._queue import Ticket
+from fulmarseam.steering._quotas import compute_free_part
+from fulmarseam.steering._quotas import compute_issue_rate
+from fulmarseam.steering._quotas import QuotaBounds
+from fulmarseam.steering._quotas import QuotaIssuer
+from fulmarseam.steering._quotas import QuotaStocks
+from fulmarseam.steering._quotas import QuotaToken
 from fulmarseam.steering._reachability import PathState
 from fulmarseam.steering._reachability import Reachability
 from fulmarseam.steering._retry_budget import RetryBudget
@@ -80,6 +86,12 @@
 from fulmarseam.steering._windowed_retry_budget import WindowedRetryBudget
 
 __all__ = [
+    'QuotaBounds',
+    'QuotaIssuer',
+    'QuotaStocks',
+    'QuotaToken',
+    'compute_free_part',
+    'compute_issue_rate',
     'MAX_SUSPECTS',
     'DOUBTFUL_FAILURE_RATE',
     'Admission',
--- a/fulmarseam/wire/__init__.py
+++ b/fulmarseam/wire/__init__.py
@@ -40,6 +40,7 @@
 from fulmarseam.wire._catalog import PermitRequest
 from fulmarseam.wire._catalog import PermitResponse
 from fulmarseam.wire._catalog import PoolItem
+from fulmarseam.wire._catalog import QuotaAsk
 from fulmarseam.wire._catalog import RouteItem
 from fulmarseam.wire._catalog import SplitPart
 from fulmarseam.wire._catalog import TargetObservation
@@ -190,6 +191,7 @@
     'PermitRequest',
     'PermitResponse',
     'PoolItem',
+    'QuotaAsk',
     'QuarantineRequest',
     'QuarantineResponse',
     'QuarantineRow',
--- a/fulmarseam/wire/_catalog.py
+++ b/fulmarseam/wire/_catalog.py
@@ -242,6 +242,19 @@
     count: int
 
 
+class QuotaAsk(msgspec.Struct, frozen=True, array_like=True):
+    """The number of permits that an entry wants for an organisation.
+
+    Since its last report the entry has sent `used` requests without permits,
+    and `returned` permits have expired without use.
+    """
+
+    organisation: ids.OrganisationName
+    count: int
+    used: int = 0
+    returned: int = 0
+
+
 class PermitRequest(
     msgspec.Struct,
     tag='permit_request',
@@ -249,25 +262,33 @@
     kw_only=True,
     omit_defaults=True,
 ):
-    """An entry's request for permits to send requests to limited targets.
+    """An entry's request for permits to send requests.
 
-    `rate_limits` are those that the leader does not know yet.
+    `asks` are for targets that limit their rate, and `quota_asks` for
+    organisations. `rate_limits` are those that the leader does not know yet.
     """
 
     entry: ids.EntryId
     asks: list[PermitAsk]
     rate_limits: list[TargetRateLimit] = []
+    quota_asks: list[QuotaAsk] = []
 
 
 class PermitResponse(
-    msgspec.Struct, tag='permit_response', frozen=True, kw_only=True
+    msgspec.Struct,
+    tag='permit_response',
+    frozen=True,
+    kw_only=True,
+    omit_defaults=True,
 ):
     """The number of permits issued for each ask of a `PermitRequest`.
 
-    A permit expires `steering.PERMIT_LIFETIME_S` after the request was sent.
+    A permit for a target expires `steering.PERMIT_LIFETIME_S` after the
+    request was sent, one for an organisation `QUOTA_PERMIT_LIFETIME_S`.
     """
 
     counts: list[int]
+    quota_counts: list[int] = []
 
 
 class EntryPoll(
@@ -294,6 +315,7 @@
     it knows; the response lists them if it is another one. It knows the
     suspected requests as of `suspects_version`. `is_cut_off` is set while
     it reaches few targets and relays its requests through other entries.
+    `quota_reports` tell the leader what was used of quotas without permits.
     `reads_organisations` is set by an entry that can read items of this kind;
     others do not get them.
     """
@@ -318,6 +340,7 @@
     suspects_version: int = 0
     is_cut_off: bool = False
     reads_organisations: bool = False
+    quota_reports: list[QuotaAsk] = []
 
 
 class CatalogChanges(msgspec.Struct, frozen=True, kw_only=True):
