Enforce the quotas of organisations

Each attempt of an organisation with a quota needs a token, which is given back if no target ran the request. The permits for targets and for organisations have one client; their subjects differ. Requests over the quota get 429 with Retry-After from the permits lately received, and a line a second for each organisation. The entry that sends a request to a target counts it, so that a relayed one is counted once. The bucket may run over by a fifth of the slack: without that, use that was reported late cost what had flowed in, and a test at 0.9 of a rate saw refusals.

--- a/fulmarseam/catalog/_organisations.py
+++ b/fulmarseam/catalog/_organisations.py
@@ -30,9 +30,9 @@
             tuple[wire.RouteItem, wire.RouteItem | None],
         ] = {}
 
-    def __bool__(self) -> bool:
-        """Return whether callers need keys."""
-        return bool(self._organisations)
+    def __len__(self) -> int:
+        """Return the number of organisations; without any, none is checked."""
+        return len(self._organisations)
 
     def update(self, organisations: Iterable[wire.OrganisationItem]) -> None:
         """Replace all organisations, and forget what came from routes."""
--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -18,9 +18,11 @@
 from fulmarseam import ids
 from fulmarseam import quarantine
 from fulmarseam import settings
+from fulmarseam import steering
 from fulmarseam import telemetry
 from fulmarseam import transport
 from fulmarseam import wire
+from fulmarseam.control import _quotas
 from fulmarseam.control import _rate_limits
 
 # A member that hears no leader for a random time within these bounds starts
@@ -67,6 +69,15 @@
         self._rate_limits = _rate_limits.RateLimits(
             self.catalog, self.entry_registry
         )
+        self._quotas = _quotas.Quotas(
+            self.catalog,
+            self.entry_registry,
+            steering.QuotaBounds(
+                options.quota_window,
+                options.quota_overage,
+                options.quota_slack,
+            ),
+        )
         self._suspect_registry = quarantine.SuspectRegistry()
         self.metrics = telemetry.Metrics()
         self._heartbeat_tracker = catalog.HeartbeatTracker()
@@ -269,6 +280,7 @@
         limits_version = 0
         rate_limits: list[wire.TargetRateLimit] = []
         if poll.wants_loads and status is not None and self.is_leader():
+            self._quotas.record(now, status.term, poll.quota_reports)
             self._rate_limits.update(now, status.term, poll.rate_limits)
             limits_version = self._rate_limits.version
             if poll.limits_version != limits_version:
@@ -303,7 +315,10 @@
         term = self._require_term()
         now = self._now()
         self._rate_limits.update(now, term, request.rate_limits)
-        return self._rate_limits.issue(now, request)
+        return wire.PermitResponse(
+            counts=self._rate_limits.issue(now, request),
+            quota_counts=self._quotas.issue(now, term, request.quota_asks),
+        )
 
     def _require_term(self) -> int:
         """Return the term of this leader.
--- a/fulmarseam/control/_rate_limits.py
+++ b/fulmarseam/control/_rate_limits.py
@@ -55,18 +55,16 @@
         record = self._machine.targets.get(target)
         return record is not None and record.born_ms == born_ms
 
-    def issue(
-        self, now: float, request: wire.PermitRequest
-    ) -> wire.PermitResponse:
-        """Issue permits for the asks of an entry."""
-        return wire.PermitResponse(
-            counts=self._issuer.issue(
-                now,
-                request.entry,
-                request.asks,
-                self._entry_registry.count_senders(now),
-                self._entry_registry.count_offline(now),
-            )
+    def issue(self, now: float, request: wire.PermitRequest) -> list[int]:
+        """Return the number of permits issued for each ask of an entry."""
+        if not request.asks:
+            return []
+        return self._issuer.issue(
+            now,
+            request.entry,
+            request.asks,
+            self._entry_registry.count_senders(now),
+            self._entry_registry.count_offline(now),
         )
 
 
--- a/fulmarseam/errors/_kinds.py
+++ b/fulmarseam/errors/_kinds.py
@@ -29,6 +29,7 @@
     REQUEST_TIMEOUT = 'request_timeout'
     NO_ROUTE = 'no_route'
     UNAUTHENTICATED = 'unauthenticated'
+    QUOTA_EXCEEDED = 'quota_exceeded'
     METHOD_NOT_ALLOWED = 'method_not_allowed'
     ROUTE_RETIRED = 'route_retired'
     REQUEST_ID_REQUIRED = 'request_id_required'
@@ -88,6 +89,7 @@
     ErrorKind.REQUEST_TIMEOUT: Answer(408, _NOT_RUN, _NEVER, 10),
     ErrorKind.NO_ROUTE: Answer(404, _NOT_RUN, _NEVER, 11),
     ErrorKind.UNAUTHENTICATED: Answer(401, _NOT_RUN, _NEVER, 16),
+    ErrorKind.QUOTA_EXCEEDED: Answer(429, _NOT_RUN, _OTHER, 14),
     ErrorKind.METHOD_NOT_ALLOWED: Answer(405, _NOT_RUN, _NEVER, 11),
     ErrorKind.ROUTE_RETIRED: Answer(410, _NOT_RUN, _NEVER, 11),
     ErrorKind.REQUEST_ID_REQUIRED: Answer(400, _NOT_RUN, _NEVER, 10),
--- a/fulmarseam/gateway/_daemon.py
+++ b/fulmarseam/gateway/_daemon.py
@@ -12,6 +12,7 @@
 from fulmarseam import quarantine
 from fulmarseam import relay
 from fulmarseam import settings
+from fulmarseam import steering
 from fulmarseam import telemetry
 from fulmarseam import wire
 from fulmarseam.gateway import _answers
@@ -22,6 +23,7 @@
 from fulmarseam.gateway import _organisations
 from fulmarseam.gateway import _permits
 from fulmarseam.gateway import _poller
+from fulmarseam.gateway import _quotas
 from fulmarseam.gateway import _rate_limits
 from fulmarseam.gateway import _relaying
 from fulmarseam.gateway import _routes
@@ -62,6 +64,13 @@
         self.routes = _routes.RouteTable()
         self.organisations = catalog.OrganisationTable()
         self.crash_guard = quarantine.CrashGuard(self._report_suspects)
+        self.quota_stocks = steering.QuotaStocks(
+            steering.QuotaBounds(
+                options.quota_window,
+                options.quota_overage,
+                options.quota_slack,
+            )
+        )
         self.poller = _poller.Poller(
             options,
             self.mirror,
@@ -69,14 +78,27 @@
             _poller.LoadExchange(self._list_observations, self._apply_loads),
             self.load_balancer.limited_targets,
             self.crash_guard,
+            self.quota_stocks,
         )
         self.rate_limits = _rate_limits.RateLimits(
             self.load_balancer.limited_targets
         )
+        entry_id = ids.EntryId(options.host)
         self._permits = _permits.PermitClient(
-            ids.EntryId(options.host),
-            self.load_balancer.limited_targets,
-            self.poller.request_permits,
+            _permits.TargetExchange(
+                entry_id,
+                self.load_balancer.limited_targets,
+                self.poller.request_permits,
+            )
+        )
+        self._quota_gate = _quotas.QuotaGate(
+            self.quota_stocks,
+            _permits.PermitClient(
+                _permits.QuotaExchange(
+                    entry_id, self.quota_stocks, self.poller.request_permits
+                )
+            ),
+            self.metrics,
         )
         organisation_guard = _organisations.OrganisationGuard(
             self.organisations,
@@ -105,6 +127,7 @@
                 load_balancer=self.load_balancer,
                 rate_limits=self.rate_limits,
                 permits=self._permits,
+                quotas=self._quota_gate,
                 target_pools=self._target_pools,
                 http_names=http_names,
                 metrics=self.metrics,
@@ -143,6 +166,8 @@
         )
         register_gauge('revision', lambda: self.mirror.revision)
         register_gauge('targets_ready', self.load_balancer.count_ready)
+        register_gauge('organisations', lambda: len(self.organisations))
+        register_gauge('organisations_limited', self.quota_stocks.count)
         register_gauge(
             'targets_limited', self.load_balancer.limited_targets.count
         )
@@ -176,8 +201,10 @@
     def _apply_catalog(self) -> None:
         """Apply a changed catalog to routes, targets and limits."""
         self.routes.update(self.mirror.routes.values())
-        self.organisations.update(self.mirror.organisations.values())
-        self.load_balancer.set_senders(self.poller.senders)
+        organisations = self.mirror.organisations.values()
+        self.organisations.update(organisations)
+        self.quota_stocks.update(self._loop.time(), organisations)
+        self._set_senders()
         self.load_balancer.update(self._loop.time())
         self.rate_limits.retain(self.mirror.targets.keys())
         limits = self.mirror.limits
@@ -194,6 +221,10 @@
                 )
             )
 
+    def _set_senders(self) -> None:
+        self.load_balancer.set_senders(self.poller.senders)
+        self.quota_stocks.senders = self.poller.senders
+
     def _list_observations(self) -> list[wire.TargetObservation]:
         return self.load_balancer.list_observations(self._loop.time())
 
@@ -234,6 +265,7 @@
             await stack.enter_async_context(self.relays)
             await stack.enter_async_context(self.prober)
             stack.callback(self._permits.close)
+            stack.callback(self._quota_gate.close)
             stack.callback(self.crash_guard.close)
             tick_task = asyncio.create_task(self._tick())
             stack.callback(tick_task.cancel)
@@ -252,7 +284,7 @@
         while True:
             await asyncio.sleep(TICK_S)
             self.poller.pause_guard.check()
-            self.load_balancer.set_senders(self.poller.senders)
+            self._set_senders()
             self._request_log.tick()
             self.crash_guard.expire()
 
--- a/fulmarseam/gateway/_dependencies.py
+++ b/fulmarseam/gateway/_dependencies.py
@@ -5,6 +5,7 @@
 
 from fulmarseam import catalog
 from fulmarseam import http
+from fulmarseam import ids
 from fulmarseam import quarantine
 from fulmarseam import telemetry
 from fulmarseam.gateway import _http_names
@@ -12,6 +13,7 @@
 from fulmarseam.gateway import _organisations
 from fulmarseam.gateway import _pauses
 from fulmarseam.gateway import _permits
+from fulmarseam.gateway import _quotas
 from fulmarseam.gateway import _rate_limits
 from fulmarseam.gateway import _relaying
 from fulmarseam.gateway import _routes
@@ -25,7 +27,8 @@
     organisations: _organisations.OrganisationGuard
     load_balancer: _load_balancer.LoadBalancer
     rate_limits: _rate_limits.RateLimits
-    permits: _permits.PermitClient
+    permits: _permits.PermitClient[ids.TargetId, bool]
+    quotas: _quotas.QuotaGate
     target_pools: http.TargetPools
     http_names: _http_names.HttpNames
     metrics: telemetry.Metrics
--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Set
+import functools
 
 import logbook
 
@@ -12,6 +13,7 @@
 from fulmarseam import steering
 from fulmarseam.gateway import _admission
 from fulmarseam.gateway import _dependencies
+from fulmarseam.gateway import _quotas
 from fulmarseam.gateway import _refusals
 from fulmarseam.gateway import _relaying
 from fulmarseam.gateway import _requests
@@ -206,8 +208,25 @@
         """
         try:
             self._identify(context, summary)
+            claim = await self._dependencies.quotas.claim(
+                context.organisation,
+                functools.partial(self._may_relay, context, retries.pool_name),
+            )
         except errors.FulmarseamError as error:
             raise retries.possible_run_error or error from None
+        with claim:
+            if context.caller.gone:
+                raise http.CallerGoneError('the caller has left')
+            return await self._place_and_try(context, retries, summary, claim)
+
+    async def _place_and_try(
+        self,
+        context: _requests.RequestContext,
+        retries: _retries.Retries,
+        summary: _summaries.RequestSummary,
+        claim: _quotas.Claim,
+    ) -> bool:
+        """Place a request and try it, like `_attempt_once`."""
         now = self._loop.time()
         avoided: Set[ids.TargetId] = retries.avoided
         if context.is_trial:
@@ -224,7 +243,12 @@
             retries.may_ask,
         )
         if placement.target is None:
+            # The entry that sends the request to a target counts it.
+            claim.give_back()
             return await self._relay_or_refuse(context, retries, summary)
+        if claim.refusal is not None:
+            self._dependencies.load_balancer.release(placement.target)
+            raise retries.possible_run_error or claim.refusal
         if not await self._acquire_permit(context, placement.target):
             # Other targets are tried without asking the leader again.
             retries.may_ask = False
@@ -236,11 +260,16 @@
             self._dependencies.load_balancer.release(placement.target)
             raise retries.possible_run_error or error from None
         self._note_placement(placement, now, summary)
-        failure = await self._target_attempts.run(context, placement, summary)
+        with claim.use():
+            failure = await self._target_attempts.run(
+                context, placement, summary
+            )
         if failure is None:
             return True
         summary.targets[-1] += f':{failure.error.kind.value}'
-        if failure.error.answer.outcome is not errors.Outcome.NOT_RUN:
+        if failure.error.answer.outcome is errors.Outcome.NOT_RUN:
+            claim.is_used = False
+        else:
             retries.possible_run_error = failure.error
         if not failure.same_target:
             retries.avoided.add(placement.target.target)
@@ -262,14 +291,7 @@
         dependencies = self._dependencies
         now = self._loop.time()
         failure = relay.RelayFailure()
-        if (
-            not context.is_relayed
-            and context.is_replayable
-            and len(context.attempted) < context.max_attempts
-            and dependencies.load_balancer.is_out_of_reach(
-                now, context.route, retries.pool_name
-            )
-        ):
+        if self._may_relay(context, retries.pool_name):
             if context.is_trial:
                 # The other entry asks for a trial by itself.
                 context.is_trial = False
@@ -288,6 +310,19 @@
             )
         )
 
+    def _may_relay(
+        self, context: _requests.RequestContext, pool_name: ids.PoolName
+    ) -> bool:
+        """Return whether another entry may serve a request."""
+        return (
+            not context.is_relayed
+            and context.is_replayable
+            and len(context.attempted) < context.max_attempts
+            and self._dependencies.load_balancer.is_out_of_reach(
+                self._loop.time(), context.route, pool_name
+            )
+        )
+
     async def _acquire_permit(
         self,
         context: _requests.RequestContext,
--- a/fulmarseam/gateway/_poller.py
+++ b/fulmarseam/gateway/_poller.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Sequence
 import contextlib
 import time
 from typing import Any
@@ -73,8 +74,10 @@
         load_exchange: LoadExchange,
         limited_targets: steering.LimitedTargets,
         crash_guard: quarantine.CrashGuard,
+        quota_stocks: steering.QuotaStocks,
     ) -> None:
         self._options = options
+        self._quota_stocks = quota_stocks
         self._crash_guard = crash_guard
         self._limited_targets = limited_targets
         self._load_exchange = load_exchange
@@ -132,6 +135,7 @@
     def _handle_pause(self) -> None:
         """Forget what may have run out during a pause."""
         self._limited_targets.drop_permits()
+        self._quota_stocks.drop_permits()
         self.poll_now()
 
     def _update_members(self, addresses: list[str]) -> None:
@@ -231,24 +235,36 @@
         is_leader = address == self._leader and self._mirror.is_complete
         sent_at = self._loop.time()
         rows, changes = self._limited_targets.list_unreported(sent_at)
-        response = await self._clients.call(
-            address,
-            self._make_poll(
-                wants_changes,
-                is_leader,
-                rows if is_leader else [],
-                self._crash_guard.version if address == self._leader else 0,
-            ),
-            timeout_s,
-        )
-        answer = transport.expect(response, wire.EntryPollResponse)
+        reports = self._quota_stocks.list_reports(sent_at) if is_leader else []
+        try:
+            response = await self._clients.call(
+                address,
+                self._make_poll(
+                    wants_changes,
+                    is_leader,
+                    rows if is_leader else [],
+                    self._crash_guard.version
+                    if address == self._leader
+                    else 0,
+                    reports,
+                ),
+                timeout_s,
+            )
+            answer = transport.expect(response, wire.EntryPollResponse)
+        except errors.FulmarseamError:
+            self._quota_stocks.note_lost(reports)
+            raise
         self._record_reachability(address, None)
         self.senders = max(1, answer.entry_count)
         if answer.leader:
             self._leader = answer.leader
         if answer.leader == address:
             self._leader_heard_at = time.monotonic()
+        if is_leader and answer.leader != address:
+            # A member that does not lead any more has ignored them.
+            self._quota_stocks.note_lost(reports)
         if is_leader and answer.leader == address:
+            self._quota_stocks.note_leader(sent_at)
             self._limited_targets.mark_reported(changes)
             self._apply_limits(sent_at, answer)
         self._crash_guard.apply_news(answer.suspects_version, answer.suspects)
@@ -267,6 +283,7 @@
         wants_loads: bool,
         rate_limits: list[wire.TargetRateLimit],
         suspects_version: int = 0,
+        quota_reports: Sequence[wire.QuotaAsk] = (),
     ) -> wire.EntryPoll:
         """Return a poll; it leaves out what its response does not need."""
         options = self._options
@@ -297,7 +314,12 @@
             is_offline=(
                 limited_targets.count() > 0
                 and limited_targets.is_offline(self._loop.time())
+            )
+            or (
+                self._quota_stocks.count() > 0
+                and self._quota_stocks.is_offline(self._loop.time())
             ),
+            quota_reports=list(quota_reports),
             group=wire.compute_group_checksum(self._group),
             suspects_version=suspects_version,
             is_cut_off=self.is_cut_off,
--- a/fulmarseam/settings/_catalog.py
+++ b/fulmarseam/settings/_catalog.py
@@ -27,7 +27,7 @@
     addresses of some members; other processes connect to the port
     `peer_port` of these members. `first_start`
     is set when the whole system starts for the first time. `domains` maps
-    failure domains to regions.
+    failure domains to regions. The quota settings are those of the entries.
     """
 
     host: ids.HostId = _option(_options.identifier())
@@ -51,6 +51,9 @@
     lookup_lifetime_limit: float = _option(
         _options.duration(0.1, 3_600.0), 5.0
     )
+    quota_window: float = _option(_options.duration(0.1, 600.0), 5.0)
+    quota_overage: float = _option(_options.number(0.0, 10.0), 0.1)
+    quota_slack: float = _option(_options.number(0.0, 1e6), 20.0)
     log_level: str = _option(_levels(), 'info')
 
     @property
@@ -72,7 +75,9 @@
     bounds hold for the sum of all entries: in any `retry_window` a pool
     gets at most `retry_ratio` x its requests + `retry_slack` repeats. A
     cold target gets at most its rate x `cold_factor` + `cold_slack`
-    requests a second. Removed keys of organisations are refused within
+    requests a second. In any `quota_window` an organisation gets at
+    most (rate x window + burst) x (1 + `quota_overage`) + `quota_slack`
+    requests over all entries. Removed keys of organisations are refused within
     `revoke`; with `revoke_strict` an entry that has heard from no member for
     that long refuses all requests.
     """
@@ -94,6 +99,9 @@
     cold_factor: float = _option(_options.number(0.0, 100.0), 1.5)
     cold_slack: float = _option(_options.number(0.0, 1e6), 5.0)
     max_connections: int = _option(_options.integer(1, 1_000_000), 4_000)
+    quota_window: float = _option(_options.duration(0.1, 600.0), 5.0)
+    quota_overage: float = _option(_options.number(0.0, 10.0), 0.1)
+    quota_slack: float = _option(_options.number(0.0, 1e6), 20.0)
     revoke: float = _option(_options.duration(0.1, 600.0), 5.0)
     revoke_strict: bool = _option(_options.boolean(), False)
     log_level: str = _option(_levels(), 'info')
--- a/fulmarseam/steering/_quotas.py
+++ b/fulmarseam/steering/_quotas.py
@@ -43,6 +43,9 @@
 # use. The rest is for the rounding of counts.
 BUCKET_SHARE = 0.4
 FREE_SHARE = 0.3
+# Part of the slack by which a full bucket may run over, so that the use that
+# is reported late does not cost what has flowed in since.
+LATE_SHARE = 0.2
 # Part of the burst that is divided evenly among the entries. It serves the
 # first requests at an entry without a round trip to the leader.
 FREE_BURST_SHARE = 0.3
@@ -112,6 +115,7 @@
     at_once = (
         compute_bucket(organisation, bounds)
         + _compute_free_parts(organisation, bounds)
+        + LATE_SHARE * bounds.slack
         + rate_per_s * ONLINE_FREE_SHARE * REPORT_DELAY_S
     )
     window_s = bounds.window_s + QUOTA_PERMIT_LIFETIME_S + TRANSIT_S
@@ -186,7 +190,10 @@
             tokens = bucket.tokens - max(0, ask.used) + max(0, ask.returned)
             # A debt of more than a second would stop an organisation for
             # long after an entry was out of contact.
-            bucket.tokens = max(-row.rate_per_s - limit, min(tokens, limit))
+            bucket.tokens = max(tokens, -row.rate_per_s - limit)
+            bucket.tokens = min(
+                bucket.tokens, limit + LATE_SHARE * self._bounds.slack
+            )
 
     def issue(
         self,
@@ -208,7 +215,9 @@
             bucket = self._buckets.get(ask.organisation)
             issued = 0
             if bucket is not None and bucket.tokens >= 1.0:
-                issued = max(0, min(ask.count, int(bucket.tokens)))
+                limit = compute_bucket(bucket.organisation, self._bounds)
+                available = int(min(bucket.tokens, limit))
+                issued = max(0, min(ask.count, available))
                 bucket.tokens -= issued
             counts.append(issued)
         return counts
@@ -221,7 +230,8 @@
         if compute_free_part(row, self._bounds, senders):
             rate_per_s *= max(0.0, 1.0 - offline / max(1, senders))
         bucket.tokens = min(
-            compute_bucket(row, self._bounds),
+            compute_bucket(row, self._bounds)
+            + LATE_SHARE * self._bounds.slack,
             bucket.tokens + (now - bucket.refilled_at) * rate_per_s,
         )
         bucket.refilled_at = now
@@ -313,6 +323,10 @@
         """Return whether requests of an organisation are counted."""
         return name in self._stocks
 
+    def count(self) -> int:
+        """Return the number of organisations with a quota."""
+        return len(self._stocks)
+
     # Requests
 
     def note_wanted(self, now: float, name: ids.OrganisationName) -> None:
--- a/tests/rate_limit_case.py
+++ b/tests/rate_limit_case.py
@@ -67,6 +67,8 @@
         self.retry_after_s: list[float] = []
         # How long each refusal took.
         self.refusal_s: list[float] = []
+        # Further header lines of the requests.
+        self.headers = ''
         self._calls: set[asyncio.Task[None]] = set()
 
     async def run(self, rate_per_s: float, duration_s: float) -> None:
@@ -88,7 +90,8 @@
         reader, writer = await asyncio.open_connection(host, int(port))
         writer.write(
             f'GET /r/x HTTP/1.1\r\nhost: shop.example\r\n'
-            f'fulmarseam-request-id: {self.name}.q{number}\r\n\r\n'.encode()
+            f'fulmarseam-request-id: {self.name}.q{number}\r\n'
+            f'{self.headers}\r\n'.encode()
         )
         async with asyncio.timeout(10.0):
             found = await gateway_case.read_head(reader)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -263,13 +263,22 @@
     'bounds.retryWindow': '10s',
     'bounds.warmupFactor': '1.5',
     'bounds.warmupSlack': '5',
+    'bounds.quotaWindow': '5s',
+    'bounds.quotaOverage': '0.1',
+    'bounds.quotaSlack': '20',
     'bounds.revoke': '5s',
     'bounds.revokeStrict': 'true',
 }
 
 
 # Fields that earlier deployments do not have.
-NEWER_FIELDS = {'bounds.revoke', 'bounds.revokeStrict'}
+NEWER_FIELDS = {
+    'bounds.quotaWindow',
+    'bounds.quotaOverage',
+    'bounds.quotaSlack',
+    'bounds.revoke',
+    'bounds.revokeStrict',
+}
 
 
 class TemplateTest(unittest.TestCase):
