--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 from collections.abc import Set
 import contextlib
+import functools
 
 import logbook
 
@@ -14,6 +15,7 @@
 from fulmarseam import steering
 from fulmarseam.gateway import _admission
 from fulmarseam.gateway import _dependencies
+from fulmarseam.gateway import _quotas
 from fulmarseam.gateway import _refusals
 from fulmarseam.gateway import _relaying
 from fulmarseam.gateway import _requests
@@ -208,8 +210,25 @@
         """
         try:
             self._identify(context, summary)
+            claim = await self._dependencies.quotas.claim(
+                context.organisation,
+                functools.partial(self._may_relay, context, retries.pool_name),
+            )
         except errors.FulmarseamError as error:
             raise retries.possible_run_error or error from None
+        with claim:
+            if context.caller.gone:
+                raise http.CallerGoneError('the caller has left')
+            return await self._place_and_try(context, retries, summary, claim)
+
+    async def _place_and_try(
+        self,
+        context: _requests.RequestContext,
+        retries: _retries.Retries,
+        summary: _summaries.RequestSummary,
+        claim: _quotas.Claim,
+    ) -> bool:
+        """Place a request and try it, like `_attempt_once`."""
         now = self._loop.time()
         avoided: Set[ids.TargetId] = retries.avoided
         if context.is_trial:
@@ -226,8 +245,12 @@
             retries.may_ask,
         )
         if placement.target is None:
+            # The entry that sends the request to a target counts it.
+            claim.give_back()
             return await self._relay_or_refuse(context, retries, summary)
         with self._hold(placement.target):
+            if claim.refusal is not None:
+                raise retries.possible_run_error or claim.refusal
             if not await self._acquire_permit(context, placement.target):
                 # Other targets are tried without asking the leader again.
                 retries.may_ask = False
@@ -238,13 +261,16 @@
             except errors.FulmarseamError as error:
                 raise retries.possible_run_error or error from None
             self._note_placement(placement, now, summary)
-            failure = await self._target_attempts.run(
-                context, placement, summary
-            )
+            with claim.use():
+                failure = await self._target_attempts.run(
+                    context, placement, summary
+                )
         if failure is None:
             return True
         summary.targets[-1] += f':{failure.error.kind.value}'
-        if failure.error.answer.outcome is not errors.Outcome.NOT_RUN:
+        if failure.error.answer.outcome is errors.Outcome.NOT_RUN:
+            claim.is_used = False
+        else:
             retries.possible_run_error = failure.error
         if not failure.same_target:
             retries.avoided.add(placement.target.target)
@@ -274,14 +300,7 @@
         dependencies = self._dependencies
         now = self._loop.time()
         failure = relay.RelayFailure()
-        if (
-            not context.is_relayed
-            and context.body.can_start()
-            and len(context.attempted) < context.max_attempts
-            and dependencies.load_balancer.is_out_of_reach(
-                now, context.route, retries.pool_name
-            )
-        ):
+        if self._may_relay(context, retries.pool_name):
             if context.is_trial:
                 # The other entry asks for a trial by itself.
                 context.is_trial = False
@@ -300,6 +319,19 @@
             )
         )
 
+    def _may_relay(
+        self, context: _requests.RequestContext, pool_name: ids.PoolName
+    ) -> bool:
+        """Return whether another entry may serve a request."""
+        return (
+            not context.is_relayed
+            and context.body.can_start()
+            and len(context.attempted) < context.max_attempts
+            and self._dependencies.load_balancer.is_out_of_reach(
+                self._loop.time(), context.route, pool_name
+            )
+        )
+
     async def _acquire_permit(
         self,
         context: _requests.RequestContext,
