Pass the limits of the host to the programs

The programs of the platform did not know how much memory and how many descriptors their host allows. The templates pass the field `limits` whole, as JSON, because an absent field then reads as null; a path into an absent field cannot be filled everywhere. The adapter takes `memoryMb` and `maxFds` from it, and ignores what is missing or no number. A request needs one descriptor for its caller and one for its target, so half of the descriptors are for connections of callers.

The template tests pass with the field absent, empty, malformed and complete.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -4,9 +4,11 @@
 import pathlib
 import re
 import unittest
+from unittest import mock
 
 from fulmarseam import settings
 from fulmarseam import wire
+from fulmarseam.platform import _host_limits
 from fulmarseam.platform import _items
 from fulmarseam.platform import _targets
 from fulmarseam.platform import _values
@@ -181,6 +183,7 @@
     'bounds.retryWindow': '10s',
     'bounds.warmupFactor': '1.5',
     'bounds.warmupSlack': '5',
+    'limits|json': 'null',
 }
 
 
@@ -208,3 +211,31 @@
         )
         self.assertEqual(loaded.retry_slack, 56.0)
         self.assertEqual(loaded.grace, 6.0)
+
+    def _load_entry(self, limits: str) -> settings.GatewaySettings:
+        with mock.patch.dict(FIELDS, {'limits|json': limits}):
+            return _host_limits.apply_host_limits(
+                settings.parse_settings(
+                    self._fill('entry.yaml'), settings.GatewaySettings
+                )
+            )
+
+    def test_limits_of_the_host_are_applied(self) -> None:
+        loaded = self._load_entry('{"memoryMb": 200, "maxFds": 1024}')
+        self.assertEqual(loaded.memory_limit, 200)
+        self.assertEqual(loaded.max_connections, 480)
+        loaded = self._load_entry('{"memoryMb": 20, "maxFds": 10}')
+        self.assertEqual(loaded.memory_limit, 64)
+        self.assertEqual(loaded.max_connections, 64)
+
+    def test_limits_that_are_not_stated_change_nothing(self) -> None:
+        for limits in (
+            'null',
+            '{}',
+            '{"memoryMb": null, "cpu": [1]}',
+            '{"memoryMb": "much", "maxFds": 0}',
+        ):
+            with self.subTest(limits):
+                loaded = self._load_entry(limits)
+                self.assertIsNone(loaded.memory_limit)
+                self.assertEqual(loaded.max_connections, 4_000)
