--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,9 +5,11 @@
 import re
 from typing import ClassVar
 import unittest
+from unittest import mock
 
 from fulmarseam import settings
 from fulmarseam import wire
+from fulmarseam.platform import _host_limits
 from fulmarseam.platform import _items
 from fulmarseam.platform import _targets
 from fulmarseam.platform import _values
@@ -268,6 +270,7 @@
     'bounds.quotaSlack': '20',
     'bounds.revoke': '5s',
     'bounds.revokeStrict': 'true',
+    'limits|json': 'null',
 }
 
 
@@ -317,3 +320,31 @@
         loaded = settings.parse_settings(filled, settings.GatewaySettings)
         self.assertEqual(loaded.revoke, 5.0)
         self.assertFalse(loaded.revoke_strict)
+
+    def _load_entry(self, limits: str) -> settings.GatewaySettings:
+        with mock.patch.dict(FIELDS, {'limits|json': limits}):
+            return _host_limits.apply_host_limits(
+                settings.parse_settings(
+                    self._fill('entry.yaml'), settings.GatewaySettings
+                )
+            )
+
+    def test_limits_of_the_host_are_applied(self) -> None:
+        loaded = self._load_entry('{"memoryMb": 200, "maxFds": 1024}')
+        self.assertEqual(loaded.memory_limit, 200)
+        self.assertEqual(loaded.max_connections, 480)
+        loaded = self._load_entry('{"memoryMb": 20, "maxFds": 10}')
+        self.assertEqual(loaded.memory_limit, 64)
+        self.assertEqual(loaded.max_connections, 64)
+
+    def test_limits_that_are_not_stated_change_nothing(self) -> None:
+        for limits in (
+            'null',
+            '{}',
+            '{"memoryMb": null, "cpu": [1]}',
+            '{"memoryMb": "much", "maxFds": 0}',
+        ):
+            with self.subTest(limits):
+                loaded = self._load_entry(limits)
+                self.assertIsNone(loaded.memory_limit)
+                self.assertEqual(loaded.max_connections, 4_000)
