Choose targets of objects by demand and expected time

Entries of each region ranked the targets of an object by weights of their own, so each region taught other targets, and an object had two of them whatever its demand. Where slots suffice only for runs at targets that know the object, most answers were late.

All entries now agree on the order of the targets of an object. Its number of targets follows the demand that an entry estimates, and a request goes to the cheapest of them and of one target more, in seconds: wait, run as measured, pace of the host, way to another region. The setting `object_placement` keeps the former rule (`fixed`), and `regional` combines the new rule with weights by region. Metrics count runs by kind and targets per object.

--- a/fulmarseam/gateway/_daemon.py
+++ b/fulmarseam/gateway/_daemon.py
@@ -146,6 +146,7 @@
             'requests_of_entries', self._forwarder.relayed_requests.count
         )
         register_gauge('senders', lambda: self.poller.senders)
+        self.load_balancer.register_metrics(self.metrics)
 
     def _set_cut_off(self, is_cut_off: bool) -> None:
         """Tell the members at once, as look-ups then leave this entry out."""
--- a/fulmarseam/gateway/_load_balancer.py
+++ b/fulmarseam/gateway/_load_balancer.py
@@ -1,11 +1,13 @@
 """Load balancing of requests over the targets that an entry observes."""
 
 from collections.abc import Callable
+import functools
 
 from fulmarseam import catalog
 from fulmarseam import ids
 from fulmarseam import settings
 from fulmarseam import steering
+from fulmarseam import telemetry
 from fulmarseam import wire
 from fulmarseam.gateway import _outcomes
 from fulmarseam.gateway import _paths
@@ -54,9 +56,8 @@
         )
         self.list_observations = observations.list_observations
         self.apply_shared_loads = observations.apply_loads
-        self.place = _placement.Placer(
-            options, mirror, table, self.paths
-        ).place
+        self._placer = _placement.Placer(options, mirror, table, self.paths)
+        self.place = self._placer.place
         recorder = _outcomes.OutcomeRecorder(table, self.paths)
         self.record_load_report = recorder.record_load_report
         self.record_answer = recorder.record_answer
@@ -70,6 +71,20 @@
         """Return the number of entries that share the bounds."""
         return self._table.senders
 
+    def register_metrics(self, metrics: telemetry.Metrics) -> None:
+        """Register the figures on placement on the metrics page."""
+        placer = self._placer
+        for kind in steering.RunKind:
+            metrics.register_gauge(
+                'runs_placed',
+                functools.partial(placer.run_counts.__getitem__, kind),
+                kind=kind.value,
+            )
+        metrics.register_gauge(
+            'object_requests', lambda: placer.object_requests
+        )
+        metrics.register_gauge('object_targets', lambda: placer.object_targets)
+
     def is_out_of_reach(
         self, now: float, route: wire.RouteItem, pool_name: ids.PoolName
     ) -> bool:
--- a/fulmarseam/gateway/_placement.py
+++ b/fulmarseam/gateway/_placement.py
@@ -1,5 +1,6 @@
 """Choice of the target for each request."""
 
+import collections
 from collections.abc import Collection
 from collections.abc import Sequence
 
@@ -9,6 +10,7 @@
 from fulmarseam import steering
 from fulmarseam import wire
 from fulmarseam.gateway import _paths
+from fulmarseam.gateway import _pools
 from fulmarseam.gateway import _target_table
 
 # Targets that share the requests for one object. With more, an overload would
@@ -40,6 +42,14 @@
         self._cold_rate_limit = steering.ColdRateLimit(
             options.cold_factor, options.cold_slack
         )
+        self._policy = settings.ObjectPlacement(options.object_placement)
+        # Runs placed, by what their target probably knows of the object.
+        self.run_counts: collections.Counter[steering.RunKind] = (
+            collections.Counter()
+        )
+        # Requests for objects, and the sum of their numbers of targets.
+        self.object_requests = 0
+        self.object_targets = 0
         self._rankings: dict[
             tuple[str, str, str], list[steering.ObservedTarget]
         ] = {}
@@ -73,24 +83,40 @@
                 )
             )
 
-        placement = steering.place_request(
-            now,
-            (
-                observed
-                for observed in self._rank_targets(
-                    now, route, pool_name, affinity_key
-                )
-                if observed.target not in avoided
-            ),
-            may_send,
-            route.priority,
-            time_left_s,
-            TARGETS_PER_OBJECT
-            if route.sticky and affinity_key is not None
-            else None,
-            self._table.get_or_create_pool(pool_name).get_failure_rate(now),
+        pool = self._table.get_or_create_pool(pool_name)
+        ranking = (
+            observed
+            for observed in self._rank_targets(
+                now, route, pool_name, affinity_key
+            )
+            if observed.target not in avoided
         )
+        object_key = affinity_key if route.sticky else None
+        if (
+            object_key is not None
+            and self._policy is not settings.ObjectPlacement.FIXED
+        ):
+            placement = steering.place_object(
+                now,
+                ranking,
+                may_send,
+                route.priority,
+                time_left_s,
+                self._count_homes(now, pool, object_key, not avoided),
+                pool.get_failure_rate(now),
+            )
+        else:
+            placement = steering.place_request(
+                now,
+                ranking,
+                may_send,
+                route.priority,
+                time_left_s,
+                TARGETS_PER_OBJECT if object_key is not None else None,
+                pool.get_failure_rate(now),
+            )
         if placement.target is not None:
+            self.run_counts[placement.run_kind] += 1
             steering.note_start(placement.target, now)
             if self._table.notices:
                 self._table.notices.note_sent(now, placement.target.process)
@@ -98,6 +124,28 @@
                 placement.target.tokens -= 1.0
         return placement
 
+    def _count_homes(
+        self,
+        now: float,
+        pool: _pools.Pool,
+        affinity_key: str,
+        is_first_attempt: bool,
+    ) -> int:
+        """Return the number of targets that should know an object."""
+        if is_first_attempt:
+            pool.object_demand.note(now, affinity_key)
+        if not pool.targets:
+            return 1
+        home_count = steering.count_homes(
+            pool.object_demand.estimate_rate(now, affinity_key)
+            * self._table.senders,
+            pool.statistics.estimate_run(steering.RunKind.FIRST_CHOICE),
+            pool.targets[0].record.slots,
+        )
+        self.object_requests += 1
+        self.object_targets += home_count
+        return home_count
+
     def _is_wanted(
         self, now: float, observed: steering.ObservedTarget
     ) -> bool:
@@ -129,7 +177,8 @@
     ) -> list[steering.ObservedTarget]:
         """Return the targets for a request in the order of preference.
 
-        All entries of a region prefer the same targets for an object.
+        All entries of a region, or all with adaptive placement, prefer the
+        same targets for an object.
         """
         targets = self._table.get_allowed_targets(route, pool_name)
         if affinity_key is None or not route.sticky:
@@ -168,6 +217,11 @@
         for observed in targets:
             region = observed.record.region
             slots[region] = slots.get(region, 0) + observed.record.slots
+        if self._policy is settings.ObjectPlacement.ADAPTIVE:
+            return {
+                observed.target: float(observed.record.slots)
+                for observed in targets
+            }
         options = self._options
         shares = steering.compute_region_shares(
             options.region, slots, len(set(options.domains.values()))
--- a/fulmarseam/gateway/_pools.py
+++ b/fulmarseam/gateway/_pools.py
@@ -13,6 +13,7 @@
         self.retry_budget = retry_budget
         self.targets: list[steering.ObservedTarget] = []
         self.statistics = steering.PoolStatistics()
+        self.object_demand = steering.ObjectDemand()
         self.reachability = steering.Reachability()
         self._failure_rate = 0.0
         self._failure_rate_at = float('-inf')
--- a/fulmarseam/settings/__init__.py
+++ b/fulmarseam/settings/__init__.py
@@ -8,6 +8,7 @@
 
 from fulmarseam.settings._catalog import CatalogSettings
 from fulmarseam.settings._catalog import GatewaySettings
+from fulmarseam.settings._catalog import ObjectPlacement
 from fulmarseam.settings._control import ControlSettings
 from fulmarseam.settings._control import MemberAddress
 from fulmarseam.settings._ctl import CtlSettings
@@ -46,6 +47,7 @@
     'FaultProxySettings',
     'Forward',
     'GatewaySettings',
+    'ObjectPlacement',
     'InvalidValueError',
     'LoadPhase',
     'LoadRoute',
--- a/fulmarseam/settings/_catalog.py
+++ b/fulmarseam/settings/_catalog.py
@@ -1,6 +1,7 @@
 """Settings of the programs of a catalog group."""
 
 import dataclasses
+import enum
 
 from fulmarseam import ids
 from fulmarseam.settings import _options
@@ -63,6 +64,20 @@
         return _list_peers(self.seeds, self.peer_port)
 
 
+class ObjectPlacement(enum.Enum):
+    """How the targets of an object are chosen.
+
+    With `ADAPTIVE` all entries agree on the targets of an object, whose number
+    follows its demand. `REGIONAL` differs in that each region prefers its own
+    targets, which saves bytes between regions if the callers of each region
+    have objects of their own. `FIXED` uses two targets for each region.
+    """
+
+    ADAPTIVE = 'adaptive'
+    REGIONAL = 'regional'
+    FIXED = 'fixed'
+
+
 @dataclasses.dataclass(frozen=True)
 class GatewaySettings:
     """Settings of an entry that serves from a catalog.
@@ -72,7 +87,7 @@
     bounds hold for the sum of all entries: in any `retry_window` a pool
     gets at most `retry_ratio` x its requests + `retry_slack` repeats. A
     cold target gets at most its rate x `cold_factor` + `cold_slack`
-    requests a second.
+    requests a second. `object_placement` is a value of `ObjectPlacement`.
     """
 
     host: ids.HostId = _option(_options.identifier())
@@ -92,6 +107,10 @@
     cold_factor: float = _option(_options.number(0.0, 100.0), 1.5)
     cold_slack: float = _option(_options.number(0.0, 1e6), 5.0)
     max_connections: int = _option(_options.integer(1, 1_000_000), 4_000)
+    object_placement: str = _option(
+        _options.choice(*(policy.value for policy in ObjectPlacement)),
+        ObjectPlacement.ADAPTIVE.value,
+    )
     log_level: str = _option(_levels(), 'info')
 
     def list_peers(self) -> tuple[str, ...]:
--- a/fulmarseam/steering/__init__.py
+++ b/fulmarseam/steering/__init__.py
@@ -25,6 +25,9 @@
 from fulmarseam.steering._notices import NoticeState
 from fulmarseam.steering._notices import NoticeTable
 from fulmarseam.steering._notices import TargetProcess
+from fulmarseam.steering._objects import count_homes
+from fulmarseam.steering._objects import ObjectDemand
+from fulmarseam.steering._objects import place_object
 from fulmarseam.steering._observed import ColdRateLimit
 from fulmarseam.steering._observed import compute_attempt_timeout
 from fulmarseam.steering._observed import compute_mean_failure_rate
@@ -98,6 +101,7 @@
     'MAX_PAUSE_S',
     'NoticeState',
     'NoticeTable',
+    'ObjectDemand',
     'ObservedTarget',
     'OutcomeTable',
     'Locality',
@@ -149,6 +153,8 @@
     'note_start',
     'order_entries',
     'parse_load_report',
+    'count_homes',
+    'place_object',
     'place_request',
     'rank_targets',
     'compute_region_shares',
--- a/fulmarseam/steering/_placement.py
+++ b/fulmarseam/steering/_placement.py
@@ -84,7 +84,7 @@
             target.statistics.estimate_run(run_kind) * factor > usable_s
         ):
             continue
-        wait = _estimate_wait(target, now)
+        wait = estimate_wait(target, now)
         if _observed.is_doubtful(target, pool_failure_rate):
             if not wait and doubtful is None:
                 doubtful = target
@@ -112,12 +112,12 @@
             SlotAvailability.FREE,
             work_factor=doubtful.work_factor.get(now),
         )
-    if best is not None and _may_queue(best, priority, usable_s):
+    if best is not None and may_queue(best, priority, usable_s):
         return best
     return Placement(None, SlotAvailability.NONE)
 
 
-def _may_queue(placement: Placement, priority: int, usable_s: float) -> bool:
+def may_queue(placement: Placement, priority: int, usable_s: float) -> bool:
     """Return whether a request may wait for its turn at the target."""
     if not placement.wait_rounds:
         return True
@@ -154,7 +154,7 @@
     return (placement.wait_rounds * round_s + run_s) * placement.work_factor
 
 
-def _estimate_wait(target: _observed.ObservedTarget, now: float) -> float:
+def estimate_wait(target: _observed.ObservedTarget, now: float) -> float:
     """Return the queue ahead of a new request, in rounds of all slots."""
     slots = target.record.slots
     load = _observed.estimate_load(target, now)
--- a/tests/load_simulation.py
+++ b/tests/load_simulation.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 import dataclasses
 import heapq
+import itertools
 import math
 import random
 from typing import Any
@@ -31,6 +32,9 @@
 # TCP gives up a connection whose bytes a dark host does not acknowledge.
 TCP_USER_TIMEOUT_S = 1.5
 
+# A long run takes this multiple of another one.
+LONG_FACTOR = 7.0
+
 Rate = Callable[[str, float], float]
 
 
@@ -39,7 +43,10 @@
     """Sizes, in requests/s and seconds.
 
     `targets` counts the targets of each region, `objects` those of each
-    region's callers. `rate` returns the requests/s of a region at a time.
+    region's callers, or of all callers with `are_objects_shared`. `rate`
+    returns the requests/s of a region at a time. Demand of the objects falls
+    with their rank to the power of `skew`. A response is in time within
+    `objective_s`. `long_share` of the runs take `LONG_FACTOR` as long.
     """
 
     targets: tuple[int, int, int]
@@ -58,6 +65,11 @@
     cold_per_s: float = 2.8
     cold_factor: float = 2.0
     is_sharing: bool = True
+    are_objects_shared: bool = False
+    skew: float = 0.0
+    objective_s: float = math.inf
+    long_share: float = 0.0
+    object_placement: str = 'adaptive'
     seed: int = 1
 
 
@@ -69,12 +81,45 @@
     counts: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
+    durations: list[float] = dataclasses.field(default_factory=list)
+    runs: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    targets: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    crossing: int = 0
 
     def add(self, arrived_at: float, outcome: str) -> None:
         """Count the outcome of a request."""
         if arrived_at >= self.since:
             self.counts[outcome] += 1
 
+    def note_run(self, entry: '_Entry', target: '_Target', key: str) -> None:
+        """Count a run that starts."""
+        self.runs['known' if key in target.cache else 'unknown'] += 1
+        self.targets[str(target.record.target)] += 1
+        self.crossing += target.record.region != entry.region
+
+    def share_known(self) -> float:
+        """Return the share of the runs at targets that know the object."""
+        return self.runs['known'] / max(1, self.runs.total())
+
+    def share_in_time(self, objective_s: float) -> float:
+        """Return the share of all requests answered within the objective."""
+        in_time = sum(value <= objective_s for value in self.durations)
+        return in_time / max(1, self.counts.total())
+
+    def find_quantile(self, part: float) -> float:
+        """Return a quantile of the durations of answered requests."""
+        values = sorted(self.durations)
+        return values[int(part * (len(values) - 1))] if values else 0.0
+
+    def compare_busiest(self) -> float:
+        """Return the runs of the busiest target, where 1 is the mean."""
+        counts = self.targets.values()
+        return max(counts) * len(counts) / sum(counts)
+
     def share(self, outcome: str) -> float:
         """Return the share of all requests with an outcome."""
         return self.counts[outcome] / max(1, self.counts.total())
@@ -114,7 +159,11 @@
 
 class _Entry:
     def __init__(
-        self, number: int, region: str, machine: catalog.Catalog
+        self,
+        number: int,
+        region: str,
+        machine: catalog.Catalog,
+        object_placement: str,
     ) -> None:
         self.region = region
         self.entry_id = ids.EntryId(f'e{number}')
@@ -131,6 +180,7 @@
             seeds=[],
             peer_port=3,
             cold_slack=10.0,
+            object_placement=object_placement,
         )
         self.load_balancer = _load_balancer.LoadBalancer(options, self.mirror)
         self.sync(0.0, machine)
@@ -159,6 +209,14 @@
         self._event_count = 0
         self._requests: dict[int, _Request] = {}
         self.now = 0.0
+        # An object that callers prefer for now, and its share of requests.
+        self.popular: tuple[str, float] = ('', 0.0)
+        self._weights = list(
+            itertools.accumulate(
+                (rank + 1.0) ** -scenario.skew
+                for rank in range(scenario.objects)
+            )
+        )
         self.shared_loads = catalog.SharedLoads()
         fixtures.put(
             self.machine,
@@ -182,7 +240,12 @@
             for number in range(count):
                 self.add_target(f'{region}-{number}', region, -60.0)
         self.entries = [
-            _Entry(number, REGIONS[number % 3], self.machine)
+            _Entry(
+                number,
+                REGIONS[number % 3],
+                self.machine,
+                scenario.object_placement,
+            )
             for number in range(scenario.entries)
         ]
         for entry in self.entries:
@@ -225,6 +288,10 @@
         """Let a target answer nothing any more."""
         self.targets[name].is_dark = True
 
+    def make_popular(self, name: str, share: float) -> None:
+        """Let an object get a share of all requests."""
+        self.popular = (name, share)
+
     def chill_target(self, name: str) -> None:
         """Let a target lose its cache and be cold again."""
         self.targets[name].cache.clear()
@@ -301,8 +368,23 @@
         entry = self.rng.choice(
             [entry for entry in self.entries if entry.region == region]
         )
-        key = f'{region}-{self.rng.randrange(scenario.objects)}'
-        self._place(entry, key, outcomes)
+        self._place(entry, self._choose_key(region), outcomes)
+
+    def _choose_key(self, region: str) -> str:
+        scenario = self.scenario
+        name, share = self.popular
+        if share and self.rng.random() < share:
+            return name
+        number = self.rng.randrange(scenario.objects)
+        if scenario.skew:
+            number = self.rng.choices(
+                range(scenario.objects), cum_weights=self._weights
+            )[0]
+        return (
+            str(number)
+            if scenario.are_objects_shared
+            else (f'{region}-{number}')
+        )
 
     def _place(self, entry: _Entry, key: str, outcomes: Outcomes) -> None:
         placement = entry.load_balancer.place(
@@ -356,11 +438,15 @@
         scenario = self.scenario
         request = self._requests[number]
         target.running.add(number)
+        if request.arrived_at >= outcomes.since:
+            outcomes.note_run(request.entry, target, request.key)
         run_s = scenario.uncached_s * math.exp(
             self.rng.gauss(0.0, scenario.spread)
         )
         if request.key in target.cache:
             run_s *= scenario.cached_share
+        if scenario.long_share and self.rng.random() < scenario.long_share:
+            run_s *= LONG_FACTOR
         if self.now - target.born_at < scenario.cold_s:
             run_s *= scenario.cold_factor
         run_s *= target.slow_factor
@@ -408,6 +494,11 @@
         while target.waiting and len(target.running) < self.scenario.slots:
             self._start(target.waiting.popleft(), target, outcomes)
         entry, observed = request.entry, request.observed
+        if outcome == 'served' and request.arrived_at >= outcomes.since:
+            name = str(target.record.target)
+            outcomes.durations.append(
+                self.now - request.arrived_at + self._one_way_s(entry, name)
+            )
         load_balancer = entry.load_balancer
         if outcome != 'late':
             report = (
