--- a/fulmarseam/settings/_catalog.py
+++ b/fulmarseam/settings/_catalog.py
@@ -1,6 +1,7 @@
 """Settings of the programs of a catalog group."""
 
 import dataclasses
+import enum
 from typing import Any
 
 from fulmarseam import ids
@@ -82,6 +83,20 @@
         return _list_peers(self.seeds, self.peer_port)
 
 
+class ObjectPlacement(enum.Enum):
+    """How the targets of an object are chosen.
+
+    With `ADAPTIVE` all entries agree on the targets of an object, whose number
+    follows its demand. `REGIONAL` differs in that each region prefers its own
+    targets, which saves bytes between regions if the callers of each region
+    have objects of their own. `FIXED` uses two targets for each region.
+    """
+
+    ADAPTIVE = 'adaptive'
+    REGIONAL = 'regional'
+    FIXED = 'fixed'
+
+
 @dataclasses.dataclass(frozen=True)
 class GatewaySettings:
     """Settings of an entry that serves from a catalog.
@@ -95,7 +110,8 @@
     most (rate x window + burst) x (1 + `quota_overage`) + `quota_slack`
     requests over all entries. Removed keys of organisations are refused within
     `revoke`; with `revoke_strict` an entry that has heard from no member for
-    that long refuses all requests.
+    that long refuses all requests. `object_placement` is a value of
+    `ObjectPlacement`.
     """
 
     host: ids.HostId = _option(_options.identifier())
@@ -131,6 +147,9 @@
             _options.mapping_of(_options.text(), _options.anything())
         ),
         None,
+    object_placement: str = _option(
+        _options.choice(*(policy.value for policy in ObjectPlacement)),
+        ObjectPlacement.ADAPTIVE.value,
     )
     log_level: str = _option(_levels(), 'info')
 
