Reject message heads that contradict themselves

Cause: a target may write a part of an earlier answer late, on a kept connection. Cut off within its head, it runs into the head of the next answer: the status of one, the id of the other, or two ids of which the last counted. So an answer 409 reached its caller as 200.

Change, in http/ and so for both kinds of entry: a head with a second status line, also within a line, is malformed, and so is a second content-length (as before) or content-encoding. Attempts and contexts of requests name the fields of their own that occur once: request id, deadline, expected target, not-run, load, leaving, stamp and relayed of a catalog group (HttpNames, the stamp is X-Server-Stamp there); attempt, outcome, kind, leaving, deadline and relayed with grants. Callers get 400; an answer of a target or of another entry ends its connection and leaves the outcome "may have run". Several rate limits are still allowed, as the lowest one counts.

Looked for elsewhere: bare line feeds, folded lines and other bytes before a status line were refused before (tests). A copy that is cut off within its body can't be told from that body; docs/design/elsewhere.md says so, and that targets which don't return the id of an attempt to an entry with grants are believed.

--- a/fulmarseam/entry/_attempts.py
+++ b/fulmarseam/entry/_attempts.py
@@ -36,12 +36,16 @@
     _requests.RELAYED_HEADER,
     TRACEPARENT_HEADER,
 }
-_OWN_RESPONSE_HEADERS = {_answers.OUTCOME_HEADER, _answers.KIND_HEADER}
+_OWN_RESPONSE_HEADERS = frozenset(
+    (_answers.OUTCOME_HEADER, _answers.KIND_HEADER)
+)
 _DROPPED_IN_RESPONSE = (
     http.HOP_BY_HOP | _OWN_RESPONSE_HEADERS | {ATTEMPT_HEADER}
 )
 _DROPPED_WITHOUT_BODY = _DROPPED_IN_RESPONSE | {b'content-length'}
 
+# Headers that a response has once.
+_SINGLE_FIELDS = _OWN_RESPONSE_HEADERS | {ATTEMPT_HEADER, LEAVING_HEADER}
 
 _NOT_SENT = http.Progress.NOT_SENT
 
@@ -233,6 +237,7 @@
         while True:
             response = connection.poll_response()
             if response is not None:
+                connection.check_single(response, _SINGLE_FIELDS)
                 return response
             self._upload(connection)
             await self._wait()
--- a/fulmarseam/entry/_requests.py
+++ b/fulmarseam/entry/_requests.py
@@ -11,6 +11,8 @@
 REQUEST_ID_HEADER = b'idempotency-key'
 # Marks a request that another entry relays, which is relayed no further.
 RELAYED_HEADER = b'fulmarseam-relayed'
+# Headers that a request has once, beside the request id.
+_SINGLE_FIELDS = frozenset((DEADLINE_HEADER, RELAYED_HEADER))
 MAX_DEADLINE_DIGITS = 9
 # Length of the body prefix that fingerprints cover; it is read before the
 # request is sent to a target.
@@ -53,6 +55,9 @@
         self.arrived_at = now
         self.deadline = now
         self.method = request.method.decode('ascii')
+        http.check_single_fields(
+            request.headers, request.fields, _SINGLE_FIELDS
+        )
         self.host, self.path = http.find_host_and_path(request)
         self.route: wire.Route
         self.request_id: str | None = None
--- a/fulmarseam/gateway/_attempts.py
+++ b/fulmarseam/gateway/_attempts.py
@@ -72,6 +72,7 @@
         self._recipient = recipient
         self._pool = pool
         self._http_names = http_names
+        self._single_fields = http_names.list_single_fields()
         self._first_byte_deadline = first_byte_deadline
         self._may_reuse = may_reuse
         self._may_open = may_open
@@ -277,7 +278,9 @@
             if response is None:
                 self._upload(connection)
                 await self._wait_for_event(self._first_byte_deadline)
-            elif self._is_reused and self._answers_other_request(response):
+                continue
+            connection.check_single(response, self._single_fields)
+            if self._is_reused and self._answers_other_request(response):
                 await self._skip_body(connection)
                 connection.expect_next_response()
             else:
--- a/fulmarseam/gateway/_http_names.py
+++ b/fulmarseam/gateway/_http_names.py
@@ -13,7 +13,8 @@
     `load` reports running requests, waiting requests and slots.
     `leaving` is `1` in the answers of a target that leaves.
     `rate_limit` is the number of requests a second that the target takes
-    from all entries together. `relayed` marks a request that another entry
+    from all entries together. `stamp` is a target's mark on its answers.
+    `relayed` marks a request that another entry
     relays, and is the number of targets that may still run it. `affinity` is
     the cookie that names the object of a request, and `readiness_path` the
     path of the platform's readiness checks.
@@ -26,6 +27,25 @@
     load: bytes = b'fulmarseam-load'
     leaving: bytes = b'fulmarseam-leaving'
     rate_limit: bytes = b'fulmarseam-rate-limit'
+    stamp: bytes = b'fulmarseam-stamp'
     affinity: bytes = b'fulmarseam-object'
     relayed: bytes = b'fulmarseam-relayed'
     readiness_path: str = '/v1/ready'
+
+    def list_single_fields(self) -> frozenset[bytes]:
+        """Return the headers that a message has once.
+
+        Of several rate limits the lowest counts.
+        """
+        return frozenset(
+            (
+                self.request_id,
+                self.deadline,
+                self.expected_target,
+                self.not_run,
+                self.load,
+                self.leaving,
+                self.stamp,
+                self.relayed,
+            )
+        )
--- a/fulmarseam/gateway/_requests.py
+++ b/fulmarseam/gateway/_requests.py
@@ -52,6 +52,9 @@
         self.caller = caller
         self.arrived_at = now
         self.deadline = now
+        http.check_single_fields(
+            request.headers, request.fields, http_names.list_single_fields()
+        )
         self.host, self.path = http.find_host_and_path(request)
         self.request_path = self.path.encode('latin-1')
         self.request_id = request.fields.get(http_names.request_id)
--- a/fulmarseam/http/__init__.py
+++ b/fulmarseam/http/__init__.py
@@ -33,6 +33,7 @@
 from fulmarseam.http._failures import Progress
 from fulmarseam.http._failures import Reason
 from fulmarseam.http._failures import TargetError
+from fulmarseam.http._framing import check_single_fields
 from fulmarseam.http._framing import drop_headers
 from fulmarseam.http._framing import Headers
 from fulmarseam.http._framing import HOP_BY_HOP
@@ -67,6 +68,7 @@
     'TargetError',
     'TargetPool',
     'TargetPools',
+    'check_single_fields',
     'drop_headers',
     'find_host_and_path',
     'identify_caller',
--- a/fulmarseam/http/_caller.py
+++ b/fulmarseam/http/_caller.py
@@ -181,6 +181,7 @@
             (name.lower(), value) for name, value in event.headers.raw_items()
         ]
         fields = dict(headers)
+        _framing.check_single_fields(headers, fields)
         length = _framing.find_length(fields) or 0
         is_chunked = b'transfer-encoding' in fields
         is_http_1_1 = event.http_version >= b'1.1'
--- a/fulmarseam/http/_framing.py
+++ b/fulmarseam/http/_framing.py
@@ -4,12 +4,24 @@
 repeated equal Content-Length headers, and Content-Length together with
 Transfer-Encoding. Another HTTP implementation on the path may parse these
 differently, so they are refused before h11 parses them.
+
+A target may write a part of an earlier response late. On a kept connection
+it then runs into the next head, which has two status lines or two values of
+a field that a response has once.
 """
 
+from collections.abc import Collection
+import re
+
 from fulmarseam import errors
 
 HEAD_END = b'\r\n\r\n'
 
+# Fields that a message has once, apart from those that h11 checks.
+SINGLE_FIELDS = frozenset((b'content-encoding', b'content-length'))
+
+_STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d\d\d')
+
 Headers = list[tuple[bytes, bytes]]
 # The last value of each header, by name in lower case.
 Fields = dict[bytes, bytes]
@@ -64,6 +76,35 @@
         raise make_malformed_error('Content-Length is a list')
 
 
+def check_status_line(head: bytes | bytearray) -> None:
+    """Refuse a second status line, also within a line of the head."""
+    if len(_STATUS_LINE.findall(head)) > 1:
+        raise make_malformed_error('several status lines')
+
+
+def find_repeated(
+    headers: Headers, fields: Fields, names: Collection[bytes]
+) -> bytes | None:
+    """Return one of the names that occurs more than once, if any."""
+    if len(fields) == len(headers):
+        return None
+    seen = set()
+    for name, _ in headers:
+        if name in seen and name in names:
+            return name
+        seen.add(name)
+    return None
+
+
+def check_single_fields(
+    headers: Headers, fields: Fields, names: Collection[bytes] = SINGLE_FIELDS
+) -> None:
+    """Refuse a repeated field that a message has once."""
+    repeated = find_repeated(headers, fields, names)
+    if repeated is not None:
+        raise make_malformed_error(f'several {repeated.decode()} headers')
+
+
 def check_version(version: bytes) -> None:
     """Refuse other major versions, as their framing differs."""
     if not version.startswith(b'1.'):
--- a/fulmarseam/http/_target.py
+++ b/fulmarseam/http/_target.py
@@ -197,7 +197,9 @@
             ):
                 # The end of the connection delimits the body.
                 self._keep_alive = False
-        return Response(status, bytes(event.reason), headers, fields)
+        response = Response(status, bytes(event.reason), headers, fields)
+        self.check_single(response, _framing.SINGLE_FIELDS)
+        return response
 
     def _read_head(self) -> bool:
         """Pass a complete head to h11 after checks, or return False."""
@@ -238,10 +240,27 @@
         self._h11.receive_data(head)
         self._head_done = True
 
+    def check_single(
+        self, response: Response, names: frozenset[bytes]
+    ) -> None:
+        """Check that fields occur once in a response.
+
+        Raises `TargetError` otherwise.
+        """
+        repeated = _framing.find_repeated(
+            response.headers, response.fields, names
+        )
+        if repeated is not None:
+            raise self._make_error(
+                _failures.Reason.MALFORMED,
+                f'several {repeated.decode()} headers',
+            )
+
     def _check_framing(self, head: bytes | bytearray, complete: bool) -> None:
         try:
             _framing.check_lines(head)
             if complete:
+                _framing.check_status_line(head)
                 _framing.check_length_headers(head)
         except errors.FulmarseamError as error:
             raise self._make_error(
--- a/fulmarseam/platform/_headers.py
+++ b/fulmarseam/platform/_headers.py
@@ -13,6 +13,7 @@
     load=b'x-server-load',
     leaving=b'server-leaving',
     rate_limit=b'server-limit',
+    stamp=b'x-server-stamp',
     affinity=b'x-affinity-key',
     relayed=b'fulmarseam-relayed',
     readiness_path='/api/ready',
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -262,6 +262,8 @@
             'equal lengths': b'Content-Length: 2\r\nContent-Length: 2',
             'line feed': b'X: a\nContent-Length: 2',
             'folded': b'X: a\r\n b',
+            'two encodings': b'Content-Encoding: a\r\nContent-Encoding: a',
+            'status line in a value': b'X: aHTTP/1.1 409 X',
             'unknown coding': b'Transfer-Encoding: gzip',
             'huge head': b'X: ' + b'a' * 70_000,
         }
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -115,6 +115,7 @@
             'bare line feed': b'X: a\nContent-Length: 4',
             'bare carriage return': b'X: a\rContent-Length: 4',
             'second host': b'Host: b',
+            'two encodings': b'Content-Encoding: a\r\nContent-Encoding: a',
         }
         for name, headers in heads.items():
             with self.subTest(name):
