Read the limits in force at each request

Cause: CallerConnection got the limits of the server when it was opened and kept them for as long as it lived, so proper bodies got 413 on kept connections after their limit had been raised, and a lowered limit bound new connections only. Connections to targets above a lowered maxConns, or to targets that had left, stayed open in an entry of a catalog group until their next use or for 30 s.

Change: a connection asks the server for the limits in force. The sizes are those at the end of the head of each request, so a request is judged by one version; the parser is replaced before it gets bytes if they changed. The time-outs are computed from when they started, so a change also holds for one that runs.

Looked for elsewhere: routes, timeouts, regions and splits are read once for each request, readiness at each check, the address of a target and the share of connections before each attempt, entries before each relay. The limits of the addresses of control members, of the readiness address and of entries with grants come from no configuration that changes while they run.

Before: the 13 checks of ChangedLimitTest (tests.test_http_server; those of the time-outs were in three tests of one kind each then) and ChangedLimitsTest.test_a_kept_connection_has_the_limits_in_force (tests.test_gateway) failed; without the call in _apply_catalog test_a_lowered_limit_closes_idle_connections fails (10 idle).

--- a/fulmarseam/gateway/_daemon.py
+++ b/fulmarseam/gateway/_daemon.py
@@ -24,6 +24,7 @@
 from fulmarseam.gateway import _rate_limits
 from fulmarseam.gateway import _relaying
 from fulmarseam.gateway import _routes
+from fulmarseam.gateway import _target_attempts
 
 TICK_S = 1.0
 # Fraction of the grace period for which a stopping gateway keeps listening,
@@ -169,6 +170,7 @@
         self.load_balancer.set_senders(self.poller.senders)
         self.load_balancer.update(self._loop.time())
         self.rate_limits.retain(self.mirror.targets.keys())
+        self._limit_connections()
         limits = self.mirror.limits
         if limits is not None:
             self.caller_server.set_limits(
@@ -183,6 +185,19 @@
                 )
             )
 
+    def _limit_connections(self) -> None:
+        """Close idle connections to targets that left or take fewer now."""
+        limits = {
+            record.address: _target_attempts.compute_connection_limits(
+                self.mirror, record.pool, self.load_balancer.senders
+            )
+            for record in self.mirror.targets.values()
+        }
+        self._target_pools.set_limits(
+            {address: limit for address, (limit, _) in limits.items()},
+            {address: idle for address, (_, idle) in limits.items()},
+        )
+
     def _list_observations(self) -> list[wire.TargetObservation]:
         return self.load_balancer.list_observations(self._loop.time())
 
--- a/fulmarseam/gateway/_target_attempts.py
+++ b/fulmarseam/gateway/_target_attempts.py
@@ -3,6 +3,7 @@
 import asyncio
 import re
 
+from fulmarseam import catalog
 from fulmarseam import errors
 from fulmarseam import http
 from fulmarseam import ids
@@ -23,6 +24,20 @@
 _HEADER_VALUE = re.compile(rb'[!-~\x80-\xff]([ -~\x80-\xff]*[!-~\x80-\xff])?')
 
 
+def compute_connection_limits(
+    mirror: catalog.CatalogMirror, pool: ids.PoolName, senders: int
+) -> tuple[int, int]:
+    """Return the limits of an entry's connections to a target of a pool.
+
+    These are the limit of all connections and that of idle ones. `senders`
+    is the number of entries that share the connections of a target.
+    """
+    pool_item = mirror.pools.get(pool)
+    limit = pool_item.max_connections if pool_item else 1
+    max_idle = int(limit * IDLE_CONNECTION_SHARE)
+    return limit, max(1, max_idle // senders)
+
+
 def encode_target_id(target: ids.TargetId) -> bytes | None:
     """Return the header value that names a target, or None if none can.
 
@@ -67,9 +82,11 @@
                 ),
                 context.body.can_start(),
             )
-        pool_item = dependencies.mirror.pools.get(target.record.pool)
-        max_connections = pool_item.max_connections if pool_item else 1
-        max_idle = int(max_connections * IDLE_CONNECTION_SHARE)
+        limit, idle_limit = compute_connection_limits(
+            dependencies.mirror,
+            target.record.pool,
+            dependencies.load_balancer.senders,
+        )
         attempt = _attempts.Attempt(
             context,
             _attempts.Recipient(
@@ -78,8 +95,8 @@
             ),
             dependencies.target_pools.get(
                 target.record.address,
-                max_connections,
-                max(1, max_idle // dependencies.load_balancer.senders),
+                limit,
+                idle_limit,
             ),
             dependencies.http_names,
             self._compute_first_byte_deadline(context, target, started_at),
--- a/fulmarseam/http/_caller.py
+++ b/fulmarseam/http/_caller.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
+import enum
 import http
 import math
 from typing import Any
@@ -25,6 +26,15 @@
 }
 
 
+class _Timer(enum.Enum):
+    """The time-out that runs on a connection."""
+
+    NONE = 'none'
+    HEAD = 'head'
+    IDLE = 'idle'
+    LINGER = 'linger'
+
+
 class Request(NamedTuple):
     """The head of a request; header names are in lower case.
 
@@ -42,15 +52,20 @@
 class CallerConnection(_connection.BufferedConnection):
     """Reads requests from a caller and writes the responses.
 
+    `get_limits` returns the limits in force. The sizes are those at the end
+    of the head of a request; the time-outs change at any time.
+
     Only one task at a time may use a connection, and checks `gone` after
     each wait. A caller that closes its sending side counts as gone, because
     a closed connection cannot be told from a half-closed one until the
     response is written.
     """
 
-    def __init__(self, limits: _limits.Limits) -> None:
+    def __init__(self, get_limits: Callable[[], _limits.Limits]) -> None:
         super().__init__(_signal.Signal())
-        self._limits = limits
+        self._get_limits = get_limits
+        # The limits of the current request.
+        self._limits = get_limits()
         self._clock = asyncio.get_running_loop().time
         self._h11 = self._make_parser()
         self._head = bytearray()
@@ -70,7 +85,8 @@
         self.response_done = False
         self.closing = False
         self.expired = False
-        self.expires_at = self._clock() + limits.header_timeout_s
+        self._timer = _Timer.HEAD
+        self._timer_started_at = self._clock()
         self.on_connection_made: Callable[[CallerConnection], None] | None = (
             None
         )
@@ -100,10 +116,32 @@
         name = self.transport.get_extra_info('peername')
         return str(name[0]) if name else ''
 
+    @property
+    def expires_at(self) -> float:
+        """Return when the time-out passes that runs now."""
+        limits = self._get_limits()
+        match self._timer:
+            case _Timer.HEAD:
+                return self._timer_started_at + limits.header_timeout_s
+            case _Timer.IDLE:
+                return self._timer_started_at + limits.idle_timeout_s
+            case _Timer.LINGER:
+                return self._timer_started_at
+        return NEVER
+
+    def _start_timer(self, timer: '_Timer') -> None:
+        self._timer = timer
+        self._timer_started_at = self._clock()
+
+    def expire_at(self, time: float) -> None:
+        """Let a time-out pass at a time that no limit sets."""
+        self._timer = _Timer.LINGER
+        self._timer_started_at = time
+
     def expire(self) -> None:
         """Mark the time-out as passed and wake the task."""
         self.expired = True
-        self.expires_at = NEVER
+        self._timer = _Timer.NONE
         self._notify()
 
     # Requests
@@ -135,15 +173,23 @@
             if not self._head:
                 # One empty line before a request is allowed.
                 piece = piece.removeprefix(b'\r\n')
-                self.expires_at = self._clock() + self._limits.header_timeout_s
+                self._start_timer(_Timer.HEAD)
             start = max(0, len(self._head) - 3)
             self._head += piece
+            self._refresh_limits()
             end = self._head.find(_framing.HEAD_END, start)
             if end >= 0:
                 return self._parse_head(end + len(_framing.HEAD_END))
             self._check_partial_head()
         return None
 
+    def _refresh_limits(self) -> None:
+        """Apply the limits in force, while the parser has no bytes yet."""
+        limits = self._get_limits()
+        if limits is not self._limits:
+            self._limits = limits
+            self._h11 = self._make_parser()
+
     def _check_partial_head(self) -> None:
         _framing.check_lines(self._head)
         if len(self._head) > self._limits.max_header_bytes:
@@ -203,7 +249,7 @@
         self.response_done = False
         self.expired = False
         self._idle = False
-        self.expires_at = NEVER
+        self._timer = _Timer.NONE
         return Request(
             event.method,
             event.target,
@@ -308,11 +354,11 @@
 
     def start_body_timeout(self) -> None:
         """Restart the time-out for the next piece of the body."""
-        self.expires_at = self._clock() + self._limits.idle_timeout_s
+        self._start_timer(_Timer.IDLE)
 
     def stop_body_timeout(self) -> None:
         """Stop the time-out, as the connection waits for no bytes."""
-        self.expires_at = NEVER
+        self._timer = _Timer.NONE
 
     # Responses
 
@@ -416,5 +462,5 @@
             self.put_back(bytes(left))
         self._h11 = self._make_parser()
         self._idle = True
-        self.expires_at = self._clock() + self._limits.idle_timeout_s
+        self._start_timer(_Timer.IDLE)
         return True
--- a/fulmarseam/http/_pool.py
+++ b/fulmarseam/http/_pool.py
@@ -1,6 +1,7 @@
 """Pools of connections to targets."""
 
 import asyncio
+from collections.abc import Mapping
 import contextlib
 import re
 import socket
@@ -234,15 +235,22 @@
         """Return whether a target accepts a new connection."""
         return await is_listening(address, timeout_s)
 
-    def set_limits(self, limits: dict[str, int]) -> None:
+    def set_limits(
+        self,
+        limits: Mapping[str, int],
+        idle_limits: Mapping[str, int] | None = None,
+    ) -> None:
         """Set the limits of all targets.
 
         Targets that are not listed lose their idle connections.
         """
+        if idle_limits is None:
+            idle_limits = limits
         for address, pool in self._pools.items():
             limit = limits.get(address, pool.in_use)
-            if pool.limit != limit:
-                pool.set_limit(limit)
+            idle_limit = idle_limits.get(address, 0)
+            if (pool.limit, pool.idle_limit) != (limit, idle_limit):
+                pool.set_limit(limit, idle_limit)
 
     async def _sweep(self) -> None:
         loop = asyncio.get_running_loop()
--- a/fulmarseam/http/_server.py
+++ b/fulmarseam/http/_server.py
@@ -104,7 +104,11 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     def set_limits(self, limits: _limits.Limits) -> None:
-        """Change the limits of new connections."""
+        """Change the limits of all connections.
+
+        The sizes apply to requests whose head ends later, the time-outs at
+        once.
+        """
         self._limits = limits
 
     def close_listener(self) -> None:
@@ -135,7 +139,7 @@
             await asyncio.wait(list(self._tasks))
 
     def _accept(self) -> _caller.CallerConnection:
-        connection = _caller.CallerConnection(self._limits)
+        connection = _caller.CallerConnection(lambda: self._limits)
         connection.closing = self._draining
         connection.on_connection_made = self._start
         return connection
@@ -239,9 +243,7 @@
     if connection.transport.is_closing():
         return
     connection.expired = False
-    connection.expires_at = (
-        asyncio.get_running_loop().time() + LINGER_TIMEOUT_S
-    )
+    connection.expire_at(asyncio.get_running_loop().time() + LINGER_TIMEOUT_S)
     if connection.transport.can_write_eof():
         connection.transport.write_eof()
     assert connection.signal is not None
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -5,6 +5,8 @@
 import time
 from unittest import mock
 
+import msgspec
+
 from fulmarseam import settings
 from fulmarseam import transport
 from fulmarseam import wire
@@ -684,6 +686,75 @@
         self.assertLessEqual(entries * kept, 100)
 
 
+class ChangedLimitsTest(gateway_case.GatewayCase):
+    """Guards against kept connections with limits that no longer apply."""
+
+    async def put_limits(self, version: int, max_body_bytes: int) -> None:
+        row = wire.LimitsItem(
+            version=version,
+            max_header_bytes=16_384,
+            max_body_bytes=max_body_bytes,
+            header_timeout_ms=5_000.0,
+            idle_timeout_ms=5_000.0,
+        )
+        item = wire.Item(
+            kind=wire.ItemKind.LIMITS,
+            name='limits',
+            version=version,
+            row=row,
+            source=b'{}',
+        )
+        fixtures.put(self.machine, item)
+        await self.wait_for_catalog()
+
+    async def test_a_kept_connection_has_the_limits_in_force(self) -> None:
+        await self.add_target('t1', serve)
+        await self.put_route()
+        await self.put_limits(1, 100)
+        reader, writer = await self.open_call()
+        self.assertEqual(200, (await self.read_reply(reader)).status)
+        for version, max_body_bytes, status in (
+            (2, 10_000, 200),
+            (3, 100, 413),
+        ):
+            await self.put_limits(version, max_body_bytes)
+            writer.write(
+                b'POST /a/b HTTP/1.1\r\nhost: shop.example\r\n'
+                b'fulmarseam-request-id: q%d\r\ncontent-length: 5000\r\n\r\n'
+                % version
+                + b'a' * 5_000
+            )
+            async with asyncio.timeout(5.0):
+                reply = await self.read_reply(reader)
+            self.assertEqual(status, reply.status)
+        writer.close()
+
+    async def test_a_lowered_limit_closes_idle_connections(self) -> None:
+        async def serve_slowly(reader, writer, headers):
+            await asyncio.sleep(0.1)
+            await write_response(writer, headers)
+
+        target = await self.add_target('t1', serve_slowly, slots=100)
+        await self.put_route()
+        await asyncio.gather(
+            *(
+                self.call(fulmarseam_request_id=f'q{number}')
+                for number in range(10)
+            )
+        )
+        pool = self.gateway._target_pools.get(target.address, 100, 100)
+        self.assertEqual(10, pool.idle)
+        item = fixtures.make_pool('katalog', 2)
+        assert item.row is not None
+        row = msgspec.structs.replace(item.row, max_connections=4)
+        fixtures.put(self.machine, msgspec.structs.replace(item, row=row))
+        await self.wait_for_catalog()
+        self.assertLessEqual(pool.idle, 2)
+        fixtures.leave(self.machine, 't1')
+        await self.wait_for_catalog()
+        self.assertEqual(0, pool.idle)
+
+
 class StopTest(gateway_case.GatewayCase):
     """Guards against a stop that breaks requests of callers."""
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -321,6 +321,120 @@
         self.assertEqual(3, self.server.connections)
 
 
+class ChangedLimitTest(ServerCase):
+    """Guards against kept connections with the limits of their start."""
+
+    LOW = http.Limits(
+        max_header_bytes=2_048,
+        max_body_bytes=1_000,
+        header_timeout_s=0.6,
+        idle_timeout_s=0.6,
+    )
+    HIGH = http.Limits(
+        max_header_bytes=40_000,
+        max_body_bytes=100_000,
+        header_timeout_s=5.0,
+        idle_timeout_s=5.0,
+    )
+    limits = HIGH
+
+    async def open_kept(
+        self, limits: http.Limits
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Return a connection that has served a request with these limits."""
+        self.server.set_limits(limits)
+        reader, writer = await self.connect()
+        self.assertEqual(200, await self.send(reader, writer, GET))
+        return reader, writer
+
+    async def send(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        data: bytes,
+    ) -> int:
+        """Send a request; return the status, or 0 if there is none."""
+        writer.write(data)
+        async with asyncio.timeout(TIMEOUT_S):
+            try:
+                head = await reader.readuntil(b'\r\n\r\n')
+            except asyncio.IncompleteReadError:
+                return 0
+            _, _, rest = head.lower().partition(b'content-length: ')
+            await reader.readexactly(int(rest.partition(b'\r\n')[0]))
+        return int(head.split()[1])
+
+    async def check(self, data: bytes, refused: int) -> None:
+        """Send a request that only the high limits allow, after changes."""
+        for before, after, status in (
+            (self.LOW, self.HIGH, 200),
+            (self.HIGH, self.LOW, refused),
+        ):
+            with self.subTest(status):
+                reader, writer = await self.open_kept(before)
+                self.server.set_limits(after)
+                self.assertEqual(status, await self.send(reader, writer, data))
+
+    async def test_size_of_a_body(self) -> None:
+        body = b'a' * 50_000
+        head = b'POST / HTTP/1.1\r\nHost: a\r\n'
+        await self.check(
+            head + b'Content-Length: 50000\r\n\r\n' + body, refused=413
+        )
+        await self.check(
+            head
+            + b'Transfer-Encoding: chunked\r\n\r\nc350\r\n'
+            + body
+            + b'\r\n0\r\n\r\n',
+            refused=413,
+        )
+
+    async def test_size_of_a_head(self) -> None:
+        header = b'X: ' + b'a' * 30_000
+        await self.check(
+            b'GET / HTTP/1.1\r\nHost: a\r\n' + header + b'\r\n\r\n',
+            refused=431,
+        )
+
+    async def test_size_of_trailers(self) -> None:
+        trailer = b'X: ' + b'a' * 30_000
+        reader, writer = await self.open_kept(self.LOW)
+        self.server.set_limits(self.HIGH)
+        data = b'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked'
+        writer.write(data + b'\r\n\r\n0\r\n' + trailer[:20_000])
+        await asyncio.sleep(0.05)
+        self.assertEqual(
+            200,
+            await self.send(reader, writer, trailer[20_000:] + b'\r\n\r\n'),
+        )
+
+    async def test_time_outs(self) -> None:
+        """Start requests, then wait longer than the low limits allow."""
+        post = b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n'
+        requests = {
+            'between requests': (b'', GET, 0),
+            'within a head': (GET[:9], GET[9:], 408),
+            'within a body': (post + b'a', b'a', 408),
+        }
+        for before, after in ((self.LOW, self.HIGH), (self.HIGH, self.LOW)):
+            kept = {name: await self.open_kept(before) for name in requests}
+            for name, (start, _, _) in requests.items():
+                kept[name][1].write(start)
+            await asyncio.sleep(0.05)
+            self.server.set_limits(after)
+            # The sweeper sees a lowered time-out within 1 s.
+            await asyncio.sleep(2.0)
+            for name, (_, rest, refused) in requests.items():
+                status = 200 if after is self.HIGH else refused
+                with (
+                    self.subTest(name, status=status),
+                    contextlib.suppress(ConnectionError),
+                ):
+                    self.assertEqual(
+                        status, await self.send(*kept[name], rest)
+                    )
+
+
 class FlowTest(ServerCase):
     """Guards against unbounded buffers when a peer is slow or gone."""
 
