--- a/fulmarseam/http/_caller.py
+++ b/fulmarseam/http/_caller.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
+import enum
 import http
 import math
 from typing import Any
@@ -26,6 +27,15 @@
 }
 
 
+class _Timer(enum.Enum):
+    """The time-out that runs on a connection."""
+
+    NONE = 'none'
+    HEAD = 'head'
+    IDLE = 'idle'
+    LINGER = 'linger'
+
+
 class Request(NamedTuple):
     """The head of a request; header names are in lower case.
 
@@ -43,15 +53,20 @@
 class CallerConnection(_accounted.AccountedConnection):
     """Reads requests from a caller and writes the responses.
 
+    `get_limits` returns the limits in force. The sizes are those at the end
+    of the head of a request; the time-outs change at any time.
+
     Only one task at a time may use a connection, and checks `gone` after
     each wait. A caller that closes its sending side counts as gone, because
     a closed connection cannot be told from a half-closed one until the
     response is written.
     """
 
-    def __init__(self, limits: _limits.Limits) -> None:
+    def __init__(self, get_limits: Callable[[], _limits.Limits]) -> None:
         super().__init__(_signal.Signal())
-        self._limits = limits
+        self._get_limits = get_limits
+        # The limits of the current request.
+        self._limits = get_limits()
         self._clock = asyncio.get_running_loop().time
         self._h11 = self._make_parser()
         self._head = bytearray()
@@ -71,7 +86,8 @@
         self.response_done = False
         self.closing = False
         self.expired = False
-        self.expires_at = self._clock() + limits.header_timeout_s
+        self._timer = _Timer.HEAD
+        self._timer_started_at = self._clock()
         self.on_connection_made: Callable[[CallerConnection], None] | None = (
             None
         )
@@ -101,10 +117,40 @@
         name = self.transport.get_extra_info('peername')
         return str(name[0]) if name else ''
 
+    @property
+    def expires_at(self) -> float:
+        """Return when the time-out passes that runs now."""
+        limits = self._get_limits()
+        match self._timer:
+            case _Timer.HEAD:
+                return self._timer_started_at + limits.header_timeout_s
+            case _Timer.IDLE:
+                return self._timer_started_at + limits.idle_timeout_s
+            case _Timer.LINGER:
+                return self._timer_started_at
+        return NEVER
+
+    def _start_timer(self, timer: '_Timer') -> None:
+        self._timer = timer
+        self._timer_started_at = self._clock()
+
+    def start_idle_timeout(self) -> None:
+        """Restart the time-out of an idle connection."""
+        self._start_timer(_Timer.IDLE)
+
+    def stop_timeout(self) -> None:
+        """Stop the time-out that runs now."""
+        self._timer = _Timer.NONE
+
+    def expire_at(self, time: float) -> None:
+        """Let a time-out pass at a time that no limit sets."""
+        self._timer = _Timer.LINGER
+        self._timer_started_at = time
+
     def expire(self) -> None:
         """Mark the time-out as passed and wake the task."""
         self.expired = True
-        self.expires_at = NEVER
+        self._timer = _Timer.NONE
         self._notify()
 
     # Requests
@@ -137,15 +183,23 @@
             if not self._head:
                 # One empty line before a request is allowed.
                 piece = piece.removeprefix(b'\r\n')
-                self.expires_at = self._clock() + self._limits.header_timeout_s
+                self._start_timer(_Timer.HEAD)
             start = max(0, len(self._head) - 3)
             self._head += piece
+            self._refresh_limits()
             end = self._head.find(_framing.HEAD_END, start)
             if end >= 0:
                 return self._parse_head(end + len(_framing.HEAD_END))
             self._check_partial_head()
         return None
 
+    def _refresh_limits(self) -> None:
+        """Apply the limits in force, while the parser has no bytes yet."""
+        limits = self._get_limits()
+        if limits is not self._limits:
+            self._limits = limits
+            self._h11 = self._make_parser()
+
     def _check_partial_head(self) -> None:
         _framing.check_lines(self._head)
         if len(self._head) > self._limits.max_header_bytes:
@@ -188,6 +242,7 @@
             (name.lower(), value) for name, value in event.headers.raw_items()
         ]
         fields = dict(headers)
+        _framing.check_single_fields(headers, fields)
         length = _framing.find_length(fields) or 0
         is_chunked = b'transfer-encoding' in fields
         is_http_1_1 = event.http_version >= b'1.1'
@@ -209,7 +264,7 @@
         self.response_done = False
         self.expired = False
         self._idle = False
-        self.expires_at = NEVER
+        self._timer = _Timer.NONE
         return Request(
             event.method,
             event.target,
@@ -322,14 +377,14 @@
 
     def start_body_timeout(self) -> None:
         """Restart the time-out for the next piece of the body."""
-        self.expires_at = self._clock() + self._limits.idle_timeout_s
+        self.start_idle_timeout()
 
     def stop_body_timeout(self) -> None:
         """Stop the time-out, as the connection waits for no bytes.
 
         From now on the request may be sent to a target.
         """
-        self.expires_at = NEVER
+        self.stop_timeout()
         self.is_collecting = False
 
     # Responses
@@ -450,5 +505,5 @@
         self._h11 = self._make_parser()
         self._idle = True
         self.is_collecting = True
-        self.expires_at = self._clock() + self._limits.idle_timeout_s
+        self.start_idle_timeout()
         return True
--- a/fulmarseam/http/_server.py
+++ b/fulmarseam/http/_server.py
@@ -111,7 +111,11 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     def set_limits(self, limits: _limits.Limits) -> None:
-        """Change the limits of new connections."""
+        """Change the limits of all connections.
+
+        The sizes apply to requests whose head ends later, the time-outs at
+        once.
+        """
         self._limits = limits
 
     def close_listener(self) -> None:
@@ -142,7 +146,7 @@
             await asyncio.wait(list(self._tasks))
 
     def _accept(self) -> _caller.CallerConnection:
-        connection = _caller.CallerConnection(self._limits)
+        connection = _caller.CallerConnection(lambda: self._limits)
         connection.closing = self._draining
         connection.on_connection_made = self._start
         return connection
@@ -207,13 +211,11 @@
         """
         assert connection.signal is not None
         if connection.write_paused:
-            expires_at, connection.expires_at = (
-                connection.expires_at,
-                _caller.NEVER,
-            )
+            # The caller is idle only once it has read the response.
+            connection.stop_timeout()
             while connection.write_paused and not connection.ended:
                 await connection.signal.wait()
-            connection.expires_at = expires_at
+            connection.start_idle_timeout()
         if connection.has_pieces():
             await self._intake.turns.wait()
 
@@ -273,9 +275,7 @@
     if connection.transport.is_closing():
         return
     connection.expired = False
-    connection.expires_at = (
-        asyncio.get_running_loop().time() + LINGER_TIMEOUT_S
-    )
+    connection.expire_at(asyncio.get_running_loop().time() + LINGER_TIMEOUT_S)
     if connection.transport.can_write_eof():
         connection.transport.write_eof()
     assert connection.signal is not None
--- a/fulmarseam/settings/_catalog.py
+++ b/fulmarseam/settings/_catalog.py
@@ -147,6 +147,7 @@
             _options.mapping_of(_options.text(), _options.anything())
         ),
         None,
+    )
     object_placement: str = _option(
         _options.choice(*(policy.value for policy in ObjectPlacement)),
         ObjectPlacement.ADAPTIVE.value,
