Let a command of the member itself keep its own time-out

`CatalogMember.submit` lost its `timeout_s` when it got the call that it carries out, and took a time-out for the call: 7 tests of tests.test_rate_limits ended with AttributeError. Both are parameters now.

tests.test_rate_limits, tests.test_stale_commands and tests.test_catalog_member: 45 passed.

--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -344,14 +344,16 @@
     # Commands
 
     def make_call(
-        self, is_wanted: Callable[[], bool] = _pending_calls.is_wanted_always
+        self,
+        is_wanted: Callable[[], bool] = _pending_calls.is_wanted_always,
+        timeout_s: float = COMMAND_TIMEOUT_S,
     ) -> _pending_calls.PendingCall:
         """Return the call whose bytes have just been read.
 
         `is_wanted` tells whether its sender still waits for the answer.
         """
         return _pending_calls.PendingCall(
-            self._arrivals.get_earliest() + COMMAND_TIMEOUT_S, is_wanted
+            self._arrivals.get_earliest() + timeout_s, is_wanted
         )
 
     async def wait_until_current(
@@ -362,7 +364,7 @@
         Raises `errors.FulmarseamError` with `UNAVAILABLE` when that takes
         too long, and like `submit`.
         """
-        result = await self.submit(catalog.ReadRevision(), call)
+        result = await self.submit(catalog.ReadRevision(), call=call)
         call = call or self.make_call()
         while self.catalog.revision < result.revision:
             if call.get_left_s() <= 0.0:
@@ -376,18 +378,20 @@
     async def submit(
         self,
         command: catalog.Command,
+        timeout_s: float = COMMAND_TIMEOUT_S,
         call: _pending_calls.PendingCall | None = None,
     ) -> wire.CatalogResult:
         """Replicate a command and return its result.
 
-        Commands are idempotent, so one with an unknown outcome is retried,
+        Without `call`, it is a command of this member, which may be carried
+        out for `timeout_s`. Commands are idempotent, so one with an unknown outcome is retried,
         until `call` is stale. Raises `errors.FulmarseamError` with
         `UNAVAILABLE` when there is no result in time; the command may still
         be applied later, but before any that is accepted after `call` has
         ended. Raises it with `CALLER_GONE` when the sender has gone.
         """
         data = catalog.encode_command(command)
-        call = call or self.make_call()
+        call = call or self.make_call(timeout_s=timeout_s)
         call.check()
         reason = 'no leader is known'
         while (left_s := call.get_left_s()) > 0.0:
@@ -547,7 +551,7 @@
         )
         if not is_change or not self.catalog.targets.is_newer(record):
             return
-        await self.submit(catalog.AnnounceTargets(records=[record]), call)
+        await self.submit(catalog.AnnounceTargets(records=[record]), call=call)
         _log.info(
             telemetry.format_event(
                 'target_state',
@@ -581,7 +585,7 @@
             if current is None:
                 return
         await self.submit(
-            catalog.LeaveTarget(target=target, born_ms=born_ms), call
+            catalog.LeaveTarget(target=target, born_ms=born_ms), call=call
         )
         _log.info(
             telemetry.format_event(
@@ -602,7 +606,8 @@
         call = call or self.make_call()
         await call.confirm()
         return await self.submit(
-            catalog.EvacuateDomain(failure_domain=domain, active=active), call
+            catalog.EvacuateDomain(failure_domain=domain, active=active),
+            call=call,
         )
 
     async def _forward_renewals(self) -> None:
--- a/fulmarseam/platform/_control_api.py
+++ b/fulmarseam/platform/_control_api.py
@@ -99,7 +99,7 @@
         items = _items.read_call(body)
         digest = hashlib.blake2b(body, digest_size=DIGEST_BYTES).digest()
         result = await self._member.submit(
-            catalog.PutItems(items=items, digest=digest), call
+            catalog.PutItems(items=items, digest=digest), call=call
         )
         _log.info(
             telemetry.format_event(
