Keep the number of senders when a member restarts

Entries took the number of senders from the member that answered last. A restarted member counts from one, and a member that is cut off from some entries counts too few, so entries for a moment took more than their share of a bound. Members now say that their count is partial for 2.5 s after their start, a pause or a time without polls. A partial count may raise the number of an entry but not lower it, and the largest count of any member within 10 s decides. After a first start of all hosts, entries count at once, as before.

tests.test_catalog.SenderCountTest is new (the class did not exist before); tests.test_catalog, tests.test_gateway and tests.test_control_traffic pass.

--- a/fulmarseam/catalog/__init__.py
+++ b/fulmarseam/catalog/__init__.py
@@ -22,6 +22,7 @@
 from fulmarseam.catalog._machine import Catalog
 from fulmarseam.catalog._mirror import CatalogMirror
 from fulmarseam.catalog._packed_changes import PackedChanges
+from fulmarseam.catalog._sender_count import SenderCount
 from fulmarseam.catalog._shared_loads import SharedLoads
 from fulmarseam.catalog._target_checks import find_problem
 from fulmarseam.catalog._target_checks import is_port
@@ -39,6 +40,7 @@
     'PackedChanges',
     'PutItems',
     'ReadRevision',
+    'SenderCount',
     'SharedLoads',
     'TargetLeases',
     'decode_command',
--- a/fulmarseam/catalog/_entry_registry.py
+++ b/fulmarseam/catalog/_entry_registry.py
@@ -12,6 +12,9 @@
 # A dead entry may still have requests in flight, so it counts for this long
 # when the entries share bounds.
 SENDER_RETENTION_S = 60.0
+# Entries poll every member at least each 0.8 s. A member that has been heard
+# for this long knows all entries that can reach it.
+LISTEN_S = 2.5
 # Entries poll the leader each 0.2 s. One that gets no answers for 1 s no
 # longer waits for the leader's permits.
 SILENCE_S = 0.8
@@ -36,12 +39,18 @@
 
     def __init__(self) -> None:
         self._rows: dict[ids.EntryId, _Row] = {}
+        # Start of the time in which polls arrived without a long gap.
+        self._listening_since = float('-inf')
+        self._polled_at = float('-inf')
 
     def record_poll(self, now: float, poll: wire.EntryPoll) -> bool:
         """Record a poll; return whether the entry's state changed.
 
         A late poll of a process that has ended is ignored; see `_is_late`.
         """
+        if now - self._polled_at > LISTEN_S:
+            self._listening_since = now
+        self._polled_at = now
         current = self._rows.get(poll.entry)
         if current is not None and _is_late(current, poll, now):
             return False
@@ -62,6 +71,13 @@
                 del self._rows[entry]
         return len(self._rows)
 
+    def is_count_partial(self, now: float) -> bool:
+        """Return whether some senders may not have polled yet.
+
+        So it is after a start, and after a pause or a time without polls.
+        """
+        return now - self._listening_since < LISTEN_S
+
     def count_offline(self, now: float) -> int:
         """Return how many senders may act without the leader's consent."""
         return sum(
--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -301,6 +301,7 @@
             packed_changes=packed_changes,
             members=members,
             entry_count=self.entry_registry.count_senders(now),
+            is_count_partial=self.entry_registry.is_count_partial(now),
             leader=self._find_polled_leader(),
             target_loads=target_loads,
             limits_version=limits_version,
--- a/fulmarseam/gateway/_poller.py
+++ b/fulmarseam/gateway/_poller.py
@@ -98,7 +98,12 @@
         self._leader_heard_at = float('-inf')
         # The members as an answer listed them last.
         self._group: list[str] = []
-        self.senders = 1
+        self._sender_count = catalog.SenderCount()
+
+    @property
+    def senders(self) -> int:
+        """Return the number of entries that share bounds."""
+        return self._sender_count.senders
 
     async def __aenter__(self) -> Self:
         await self._clients.__aenter__()
@@ -243,7 +248,12 @@
         )
         answer = transport.expect(response, wire.EntryPollResponse)
         self._record_reachability(address, None)
-        self.senders = max(1, answer.entry_count)
+        self._sender_count.record(
+            time.monotonic(),
+            address,
+            answer.entry_count,
+            answer.is_count_partial,
+        )
         if answer.leader:
             self._leader = answer.leader
         if answer.leader == address:
--- a/fulmarseam/wire/_catalog.py
+++ b/fulmarseam/wire/_catalog.py
@@ -321,7 +321,8 @@
     """The response to an `EntryPoll`.
 
     `members` lists the addresses of the control members. `entry_count` is
-    the number of entries that may send requests. `packed_changes` replaces
+    the number of entries that may send requests; it is partial while the
+    member has not heard all of them since its start. `packed_changes` replaces
     `changes` for an entry that accepts it; see `pack_changes`. `leader` is
     the address of the leader, or empty. `target_loads` are the loads of the
     targets at `revision`; see `pack_loads`. `rate_limits` lists all limits
@@ -341,6 +342,7 @@
     rate_limits: list[TargetRateLimit] = []
     suspects_version: int = 0
     suspects: list[_suspects.SuspectRow] = []
+    is_count_partial: bool = False
 
 
 CatalogMessage = (
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -444,6 +444,66 @@
         self.assertEqual(leases.find_expired(6.0, known), [])
 
 
+class SenderCountTest(unittest.TestCase):
+    """Guards against a count that a restarted or cut off member lowers.
+
+    With too few senders each entry takes more than its share of a bound.
+    """
+
+    def setUp(self) -> None:
+        self.count = catalog.SenderCount()
+        self.registry = catalog.EntryRegistry()
+
+    def poll(self, now: float, *entries: str) -> None:
+        for entry in entries:
+            self.registry.record_poll(
+                now, fixtures.make_poll(entry, 'ost', 'ost-wien')
+            )
+
+    def record(self, now: float, member: str) -> int:
+        self.count.record(
+            now,
+            member,
+            self.registry.count_senders(now),
+            self.registry.is_count_partial(now),
+        )
+        return self.count.senders
+
+    def test_the_member_polled_last_does_not_decide(self) -> None:
+        self.count.record(0.0, 'm1', 7, False)
+        self.count.record(0.1, 'm2', 3, False)
+        self.assertEqual(7, self.count.senders)
+
+    def test_a_restarted_member_does_not_count_from_one(self) -> None:
+        self.count.record(0.0, 'm1', 7, False)
+        for step in range(30):
+            self.poll(0.1 + step * 0.8, 'e1')
+            if step < 3:
+                self.assertEqual(7, self.record(0.1 + step * 0.8, 'm1'))
+        # By then the other six have really gone.
+        self.assertEqual(1, self.record(30.0, 'm1'))
+
+    def test_a_first_start_counts_at_once(self) -> None:
+        # All entries start with the members and know no count.
+        self.poll(0.0, 'e1')
+        self.assertEqual(1, self.record(0.0, 'm1'))
+        self.poll(0.2, 'e2', 'e3')
+        self.assertEqual(3, self.record(0.2, 'm1'))
+
+    def test_a_member_that_was_paused_does_not_lower_the_count(self) -> None:
+        for step in range(5):
+            self.poll(float(step), 'e1', 'e2', 'e3')
+        self.assertEqual(3, self.record(4.0, 'm1'))
+        self.poll(104.0, 'e1')
+        self.assertEqual(3, self.record(104.0, 'm1'))
+
+    def test_a_member_that_is_gone_is_forgotten(self) -> None:
+        self.count.record(0.0, 'm1', 7, False)
+        self.count.record(5.0, 'm2', 3, False)
+        self.count.record(11.0, 'm2', 3, False)
+        self.assertEqual(3, self.count.senders)
+
+
 class EntryRegistryTest(unittest.TestCase):
     """Guards against look-ups that name dead or draining entries."""
 
