Relay requests with allowed regions through the region of the caller

An entry that is cut off relayed such requests through entries of the allowed regions only; the caller is in the region of the entry, so that region is allowed as well. tests.test_cut_off.RelayRegionsTest passes, and fails without the change.

--- a/fulmarseam/relay/_relays.py
+++ b/fulmarseam/relay/_relays.py
@@ -122,8 +122,9 @@
 
         An entry that did not run it is followed by the next one, a few at
         most. Returns
-        None once the caller has its answer. `deadline` is in seconds of the
-        event loop's clock.
+        None once the caller has its answer. With `allowed_regions` only
+        entries there or in the region of the caller are used. `deadline` is
+        in seconds of the event loop's clock.
         """
         tried: set[str] = set()
         failure = RelayFailure()
@@ -200,7 +201,10 @@
             entry
             for entry in self._entries
             if entry.address not in tried
-            and (not allowed_regions or entry.region in allowed_regions)
+            and (
+                not allowed_regions
+                or entry.region in (*allowed_regions, self._region)
+            )
             and self._in_flight.get(entry.address, 0) < MAX_IN_FLIGHT
             and not self._is_paused(now, entry, pool)
         ]
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -323,6 +323,37 @@
         self.assertEqual(1, len(self.sent))
 
 
+class RelayRegionsTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against requests that pass regions which they must avoid."""
+
+    async def test_entries_are_in_allowed_regions_or_that_of_the_caller(
+        self,
+    ) -> None:
+        regions = ('ost', 'west', 'sued')
+        sent = []
+
+        async def list_entries() -> list[wire.EntryAddress]:
+            return [
+                wire.EntryAddress(name, ids.RegionName(name))
+                for name in regions
+            ]
+
+        async def send(entry: wire.EntryAddress) -> errors.FulmarseamError:
+            sent.append(entry.region)
+            return errors.FulmarseamError(
+                errors.ErrorKind.TARGET_SHED, 'no room'
+            )
+
+        relays = await self.enterAsyncContext(
+            relay.Relays(ids.RegionName('ost'), list_entries)
+        )
+        await asyncio.sleep(0.05)
+        deadline = asyncio.get_running_loop().time() + 60.0
+        allowed = [ids.RegionName('sued')]
+        await relays.relay(ids.PoolName('p'), allowed, deadline, send)
+        self.assertEqual(set(sent), {'ost', 'sued'})
+
+
 class LookUpTest(unittest.TestCase):
     """Guards against look-ups that send callers to cut-off entries."""
 
