Serve no organisation much less than others in an overload

Requests of a low priority are refused first, and a lasting overload left an organisation of the lowest one with hardly any answer. An entry counts how the requests of each organisation end, and gives the highest priority to one that is served less than half as often as the mean until it has caught up.

--- a/fulmarseam/gateway/_daemon.py
+++ b/fulmarseam/gateway/_daemon.py
@@ -100,7 +100,7 @@
             ),
             self.metrics,
         )
-        organisation_guard = _organisations.OrganisationGuard(
+        self._organisation_guard = _organisations.OrganisationGuard(
             self.organisations,
             http_names,
             self.poller.pause_guard,
@@ -123,7 +123,7 @@
             _dependencies.Dependencies(
                 mirror=self.mirror,
                 routes=self.routes,
-                organisations=organisation_guard,
+                organisations=self._organisation_guard,
                 load_balancer=self.load_balancer,
                 rate_limits=self.rate_limits,
                 permits=self._permits,
@@ -139,7 +139,7 @@
                     http_names,
                     self._entry_pools,
                     self.load_balancer,
-                    organisation_guard,
+                    self._organisation_guard,
                 ),
                 count_active=lambda: self.caller_server.active_requests,
             )
@@ -203,6 +203,7 @@
         self.routes.update(self.mirror.routes.values())
         organisations = self.mirror.organisations.values()
         self.organisations.update(organisations)
+        self._organisation_guard.update()
         self.quota_stocks.update(self._loop.time(), organisations)
         self._set_senders()
         self.load_balancer.update(self._loop.time())
--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -74,6 +74,7 @@
         """Update the metrics and write the log line of a request."""
         now = self._loop.time()
         dependencies = self._dependencies
+        dependencies.organisations.note_end(context, summary.outcome)
         dependencies.metrics.add(
             'requests_total', route=summary.route, outcome=summary.outcome
         )
--- a/fulmarseam/gateway/_organisations.py
+++ b/fulmarseam/gateway/_organisations.py
@@ -1,13 +1,27 @@
 """The check of callers' keys, and the identity that targets get."""
 
+import asyncio
+
+import msgspec
+
 from fulmarseam import catalog
 from fulmarseam import errors
 from fulmarseam import http
+from fulmarseam import ids
+from fulmarseam import steering
+from fulmarseam import wire
 from fulmarseam.gateway import _http_names
 from fulmarseam.gateway import _pauses
 from fulmarseam.gateway import _requests
 
 _AUTHORIZATION = b'authorization'
+# Ends of requests that tell whether there was capacity for them.
+_CAPACITY_OUTCOMES = {
+    errors.Outcome.ANSWERED.value,
+    errors.ErrorKind.NO_CAPACITY.value,
+    errors.ErrorKind.TARGET_SHED.value,
+    errors.ErrorKind.TARGET_TIMEOUT.value,
+}
 
 
 class OrganisationGuard:
@@ -25,6 +39,8 @@
         pause_guard: _pauses.PauseGuard,
         strict_after_s: float | None = None,
     ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._fair_priorities = steering.FairPriorities()
         self._table = table
         self._http_names = http_names
         self._pause_guard = pause_guard
@@ -67,7 +83,36 @@
                 f'{organisation.name} have no allowed region in common',
             )
         context.organisation = organisation
-        context.route = route
+        context.route = self._prefer_if_starved(organisation.name, route)
+
+    def _prefer_if_starved(
+        self, name: ids.OrganisationName, route: wire.RouteItem
+    ) -> wire.RouteItem:
+        """Return a route with the priority that fairness asks for."""
+        priority = self._fair_priorities.choose(
+            self._loop.time(), name, route.priority
+        )
+        if priority == route.priority:
+            return route
+        return msgspec.structs.replace(route, priority=priority)
+
+    def note_end(
+        self, context: _requests.RequestContext, outcome: str
+    ) -> None:
+        """Record how a request ended, for the fairness between callers."""
+        organisation = context.organisation
+        if organisation is not None and outcome in _CAPACITY_OUTCOMES:
+            self._fair_priorities.note_end(
+                self._loop.time(),
+                organisation.name,
+                outcome == errors.Outcome.ANSWERED.value,
+            )
+
+    def update(self) -> None:
+        """Follow a changed catalog."""
+        self._fair_priorities.retain(
+            frozenset(row.name for row in self._table.list())
+        )
 
     def _check_relayed(self, context: _requests.RequestContext) -> None:
         """Refuse a request whose organisation this entry cannot check.
--- a/fulmarseam/steering/__init__.py
+++ b/fulmarseam/steering/__init__.py
@@ -15,6 +15,7 @@
 from fulmarseam.steering._choice import choose_target
 from fulmarseam.steering._choice import Locality
 from fulmarseam.steering._choice import PoolView
+from fulmarseam.steering._fairness import FairPriorities
 from fulmarseam.steering._limited_targets import LimitedTargets
 from fulmarseam.steering._links import LinkTokens
 from fulmarseam.steering._lookups import order_entries
@@ -86,6 +87,7 @@
 from fulmarseam.steering._windowed_retry_budget import WindowedRetryBudget
 
 __all__ = [
+    'FairPriorities',
     'QuotaBounds',
     'QuotaIssuer',
     'QuotaStocks',
--- a/tests/test_organisations.py
+++ b/tests/test_organisations.py
@@ -330,6 +330,32 @@
         heads = self.target.heads + self.targets['t2'].heads
         self.assertEqual(len(heads), 1)
 
+    async def test_refusals_count_for_the_fairness(self) -> None:
+        """An organisation that is refused much more is preferred."""
+
+        async def serve_others(reader, writer, headers):
+            if headers['fulmarseam-organisation'] == 'low':
+                await gateway_case.write_response(
+                    writer, headers, 503, b'', fulmarseam_not_run='1'
+                )
+            else:
+                await serve(reader, writer, headers)
+
+        self.target.script = serve_others
+        await self.put(
+            fixtures.make_organisation('low', 1, 'k1', priority=2),
+            fixtures.make_organisation('high', 1, 'k2', priority=1),
+        )
+        for _ in range(6):
+            reply = await self.call(authorization='Bearer k1')
+            self.assertEqual(reply.status, 503)
+            reply = await self.call(authorization='Bearer k2')
+            self.assertEqual(reply.status, 200)
+        fair = self.gateway._organisation_guard._fair_priorities
+        now = asyncio.get_running_loop().time()
+        self.assertEqual(fair.choose(now, 'low', 2), 0)
+        self.assertEqual(fair.choose(now, 'high', 1), 1)
+
     async def test_a_relayed_request_with_an_unknown_organisation(
         self,
     ) -> None:
