Tell callers over a quota when a token is expected

Retry-After came from the rate of the permits alone, so that the first caller refused was told 0.1 s also where a token comes each 10 s. The leader now says when it expects permits for what it cut short, and further callers return one after another at the rate at which tokens lately came. An unused import of tests.test_organisations_api is removed as well.

--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -315,9 +315,13 @@
         term = self._require_term()
         now = self._now()
         self._rate_limits.update(now, term, request.rate_limits)
+        quota_counts, waits_ms = self._quotas.issue(
+            now, term, request.quota_asks
+        )
         return wire.PermitResponse(
             counts=self._rate_limits.issue(now, request),
-            quota_counts=self._quotas.issue(now, term, request.quota_asks),
+            quota_counts=quota_counts,
+            quota_waits_ms=waits_ms,
         )
 
     def _require_term(self) -> int:
--- a/fulmarseam/control/_quotas.py
+++ b/fulmarseam/control/_quotas.py
@@ -35,12 +35,16 @@
 
     def issue(
         self, now: float, term: int, asks: Sequence[wire.QuotaAsk]
-    ) -> list[int]:
-        """Return the number of permits issued for each ask of an entry."""
+    ) -> tuple[list[int], list[int]]:
+        """Return the number of permits issued for each ask of an entry.
+
+        The second list tells when more are expected, in milliseconds.
+        """
         if not asks:
-            return []
+            return [], []
         self._update(now, term)
-        return self._issuer.issue(now, asks, *self._count_entries(now))
+        counts = self._issuer.issue(now, asks, *self._count_entries(now))
+        return counts, self._issuer.list_waits_ms(asks, counts)
 
     def _count_entries(self, now: float) -> tuple[int, int]:
         """Return the number of all entries, and of those without a leader."""
--- a/fulmarseam/gateway/_permits.py
+++ b/fulmarseam/gateway/_permits.py
@@ -209,7 +209,13 @@
             return
         now = self._loop.time()
         stocks.note_leader(sent_at)
-        stocks.add_permits(now, sent_at, asks, response.quota_counts)
+        stocks.add_permits(
+            now,
+            sent_at,
+            asks,
+            response.quota_counts,
+            response.quota_waits_ms,
+        )
 
 
 def _log_failure(error: errors.FulmarseamError) -> None:
--- a/fulmarseam/gateway/_quotas.py
+++ b/fulmarseam/gateway/_quotas.py
@@ -91,9 +91,6 @@
         self._permits = permits
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
-        self._return_times: dict[
-            ids.OrganisationName, steering.ReturnTimes
-        ] = {}
         self._labels: set[str] = set()
         self._refusals: dict[ids.OrganisationName, _Refusals] = {}
         self._lines_from = float('-inf')
@@ -136,14 +133,11 @@
         )
         supply = self._stocks.compute_supply(now, name)
         self._log_refusal(now, organisation, supply)
-        return_times = self._return_times.setdefault(
-            name, steering.ReturnTimes()
-        )
         return errors.FulmarseamError(
             errors.ErrorKind.QUOTA_EXCEEDED,
             f'the quota is {organisation.rate_per_s:g} requests/s over all '
             f'entries, of which {supply:.1f} are for this one',
-            return_times.schedule(now, 0, supply),
+            self._stocks.schedule_return(now, name),
         )
 
     def _choose_label(self, name: str) -> str:
--- a/fulmarseam/steering/_quotas.py
+++ b/fulmarseam/steering/_quotas.py
@@ -59,6 +59,10 @@
 # leader counts it among these after 0.8 s of silence.
 OFFLINE_AFTER_S = 1.0
 FAILED_ASK_PAUSE_S = 0.3
+# The longest wait that a refused caller is told, and the longest queue of
+# returns, after which they are spread over the same time again.
+MAX_WAIT_S = 60.0
+MAX_RETURN_QUEUE_S = 2.0
 MAX_ASK = 1_000
 
 
@@ -222,6 +226,30 @@
             counts.append(issued)
         return counts
 
+    def list_waits_ms(
+        self, asks: Sequence[wire.QuotaAsk], counts: Sequence[int]
+    ) -> list[int]:
+        """Return when permits for each ask are expected, in milliseconds.
+
+        The list is empty if all that was asked for has been issued.
+        """
+        if all(
+            count >= ask.count for ask, count in zip(asks, counts, strict=True)
+        ):
+            return []
+        waits = []
+        for ask in asks:
+            bucket = self._buckets.get(ask.organisation)
+            wait_s = 0.0
+            if bucket is not None:
+                rate_per_s = compute_issue_rate(
+                    bucket.organisation, self._bounds
+                )
+                missing = max(0.0, 1.0 - bucket.tokens)
+                wait_s = min(missing / max(rate_per_s, 1e-9), MAX_WAIT_S)
+            waits.append(math.ceil(wait_s * 1_000))
+        return waits
+
     def _refill(
         self, bucket: _Bucket, now: float, senders: int, offline: int
     ) -> None:
@@ -261,6 +289,10 @@
     used: int = 0
     returned: int = 0
     denied_until: float = 0.0
+    # When the leader expects further permits, and the last return that a
+    # refused caller was told.
+    expected_at: float = 0.0
+    last_return_at: float = 0.0
     permits: collections.deque[list[float]] = dataclasses.field(
         default_factory=collections.deque
     )
@@ -373,14 +405,18 @@
     def _refill(self, now: float, stock: _Stock) -> None:
         row = stock.organisation
         capacity = compute_free_part(row, self._bounds, self.senders)
-        rate_per_s = compute_issue_rate(row, self._bounds) / self.senders
-        if not self.is_offline(now):
-            rate_per_s *= ONLINE_FREE_SHARE
+        rate_per_s = self._compute_free_rate(now, stock)
         stock.free_tokens = min(
             capacity, stock.free_tokens + (now - stock.free_at) * rate_per_s
         )
         stock.free_at = now
 
+    def _compute_free_rate(self, now: float, stock: _Stock) -> float:
+        rate_per_s = compute_issue_rate(stock.organisation, self._bounds)
+        if not self.is_offline(now):
+            rate_per_s *= ONLINE_FREE_SHARE
+        return rate_per_s / self.senders
+
     # Contact to the leader
 
     def note_leader(self, sent_at: float) -> None:
@@ -472,9 +508,14 @@
         sent_at: float,
         asks: Sequence[wire.QuotaAsk],
         counts: Sequence[int],
+        waits_ms: Sequence[int] = (),
     ) -> None:
         """Add the permits that the leader issued for asks at `sent_at`."""
         expires_at = sent_at + QUOTA_PERMIT_LIFETIME_S
+        for ask, wait_ms in zip(asks, waits_ms, strict=False):
+            stock = self._stocks.get(ask.organisation)
+            if stock is not None:
+                stock.expected_at = now + wait_ms / 1_000
         for ask, count in zip(asks, counts, strict=False):
             stock = self._stocks.get(ask.organisation)
             if stock is None:
@@ -506,3 +547,32 @@
             stock.count_received(now) / RECEIPT_WINDOW_S,
             rate_per_s / self.senders,
         )
+
+    def schedule_return(self, now: float, name: ids.OrganisationName) -> float:
+        """Return the seconds after which a refused caller gets a token.
+
+        The first one returns when the next token is expected, and the others
+        one after another at the rate at which tokens lately came.
+        """
+        stock = self._stocks[name]
+        self._refill(now, stock)
+        free_wait_s = math.inf
+        if compute_free_part(stock.organisation, self._bounds, self.senders):
+            rate_per_s = self._compute_free_rate(now, stock)
+            missing = max(0.0, 1.0 - stock.free_tokens)
+            free_wait_s = missing / max(rate_per_s, 1e-9)
+        wait_s = free_wait_s
+        if not self.is_offline(now):
+            # The next ask follows the pause and takes a round trip.
+            asked_at = max(stock.denied_until, self._ask_pause_until, now)
+            expected_at = max(stock.expected_at, asked_at)
+            wait_s = min(wait_s, expected_at - now)
+        first_at = now + min(wait_s, MAX_WAIT_S)
+        return_at = max(
+            first_at,
+            stock.last_return_at + 1.0 / self.compute_supply(now, name),
+        )
+        if return_at - first_at > MAX_RETURN_QUEUE_S:
+            return_at = first_at
+        stock.last_return_at = return_at
+        return return_at - now
--- a/fulmarseam/wire/_catalog.py
+++ b/fulmarseam/wire/_catalog.py
@@ -285,10 +285,13 @@
 
     A permit for a target expires `steering.PERMIT_LIFETIME_S` after the
     request was sent, one for an organisation `QUOTA_PERMIT_LIFETIME_S`.
+    `quota_waits_ms` tells when further permits for these are expected; it is
+    empty if no ask was cut short.
     """
 
     counts: list[int]
     quota_counts: list[int] = []
+    quota_waits_ms: list[int] = []
 
 
 class EntryPoll(
--- a/tests/test_organisations_api.py
+++ b/tests/test_organisations_api.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import json
-import unittest
 
 import logbook
 
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -269,3 +269,42 @@
     def test_organisations_without_a_rate_are_not_counted(self) -> None:
         self.stocks.update(0.0, [make_row(0.0)])
         self.assertFalse(self.stocks.has_quota(NAME))
+
+    def test_refused_callers_return_when_tokens_come(self) -> None:
+        self.stocks.senders = 100
+        self.ask(0.0, 100)
+        while self.stocks.take(0.0, NAME):
+            pass
+        asks = self.stocks.list_asks(0.05, {NAME: 1})
+        counts = self.issuer.issue(0.05, asks, 100, 0)
+        waits_ms = self.issuer.list_waits_ms(asks, counts)
+        # The bucket has half a token.
+        self.assertTrue(40 < waits_ms[0] < 70, waits_ms)
+        self.stocks.add_permits(0.05, 0.05, asks, counts, waits_ms)
+        first = self.stocks.schedule_return(0.05, NAME)
+        second = self.stocks.schedule_return(0.05, NAME)
+        self.assertGreaterEqual(first, waits_ms[0] / 1_000 - 1e-6)
+        self.assertLess(first, 0.3)
+        self.assertGreater(second, first)
+        # The token is there when the caller returns.
+        (ask,) = self.stocks.list_asks(0.05 + first, {NAME: 1})
+        self.assertEqual(self.issuer.issue(0.05 + first, [ask], 100, 0), [1])
+
+    def test_a_caller_of_a_slow_quota_is_told_the_whole_wait(self) -> None:
+        issuer = steering.QuotaIssuer(BOUNDS)
+        row = make_row(0.1)
+        issuer.update(-10.0, 1, [])
+        issuer.update(0.0, 1, [row])
+        stocks = steering.QuotaStocks(BOUNDS)
+        stocks.senders = 100
+        stocks.update(0.0, [row])
+        stocks.note_leader(0.0)
+        for _ in range(2):
+            asks = stocks.list_asks(0.2, {NAME: 20})
+            counts = issuer.issue(0.2, asks, 100, 0)
+            waits_ms = issuer.list_waits_ms(asks, counts)
+            stocks.add_permits(0.2, 0.2, asks, counts, waits_ms)
+            stocks.note_leader(0.2)
+            while stocks.take(0.2, NAME):
+                pass
+        self.assertGreater(stocks.schedule_return(0.4, NAME), 5.0)
