--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -76,6 +76,7 @@
         """Update the metrics and write the log line of a request."""
         now = self._loop.time()
         dependencies = self._dependencies
+        dependencies.organisations.note_end(context, summary.outcome)
         dependencies.metrics.add(
             'requests_total', route=summary.route, outcome=summary.outcome
         )
