--- a/tests/rate_limit_case.py
+++ b/tests/rate_limit_case.py
@@ -11,7 +11,6 @@
 from fulmarseam import control
 from fulmarseam import gateway
 from fulmarseam import ids
-from fulmarseam import pauses
 from fulmarseam import settings
 from tests import catalog_fixtures as fixtures
 from tests import fakes
@@ -204,7 +203,7 @@
         ]
         await self.member.submit(
             catalog.PutItems(items=items, digest=b'first'),
-            control.PendingCall(pauses.read_clock() + START_TIMEOUT_S),
+            START_TIMEOUT_S,
         )
 
     async def add_target(self, name: str, target: LimitedTarget) -> None:
