--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -409,10 +409,11 @@
 
         Without `call`, it is a command of this member, which may be carried
         out for `timeout_s`. Commands are idempotent, so one with an unknown
-        outcome is retried, until `call` is stale. Raises `errors.FulmarseamError` with
-        `UNAVAILABLE` when there is no result in time; the command may still
-        be applied later, but before any that is accepted after `call` has
-        ended. Raises it with `CALLER_GONE` when the sender has gone.
+        outcome is retried, until `call` is stale. Raises
+        `errors.FulmarseamError` with `UNAVAILABLE` when there is no result
+        in time; the command may still be applied later, but before any that
+        is accepted after `call` has ended. Raises it with `CALLER_GONE` when
+        the sender has gone.
         """
         data = catalog.encode_command(command)
         call = call or self.make_call(timeout_s=timeout_s)
