Count the requests of organisations in the metrics

Operators see which organisations are served and refused. Ten of them have labels of their own at an entry, so that the metrics stay bounded.

--- a/fulmarseam/gateway/_daemon.py
+++ b/fulmarseam/gateway/_daemon.py
@@ -91,6 +91,7 @@
                 self.poller.request_permits,
             )
         )
+        labels = _organisations.Labels()
         self._quota_gate = _quotas.QuotaGate(
             self.quota_stocks,
             _permits.PermitClient(
@@ -99,12 +100,15 @@
                 )
             ),
             self.metrics,
+            labels,
         )
         self._organisation_guard = _organisations.OrganisationGuard(
             self.organisations,
             http_names,
             self.poller.pause_guard,
             options.revoke if options.revoke_strict else None,
+            self.metrics,
+            labels,
         )
         self._request_log = telemetry.RequestLog()
         self._entry_pools = http.TargetPools()
--- a/fulmarseam/gateway/_organisations.py
+++ b/fulmarseam/gateway/_organisations.py
@@ -9,12 +9,16 @@
 from fulmarseam import http
 from fulmarseam import ids
 from fulmarseam import steering
+from fulmarseam import telemetry
 from fulmarseam import wire
 from fulmarseam.gateway import _http_names
 from fulmarseam.gateway import _pauses
 from fulmarseam.gateway import _requests
 
 _AUTHORIZATION = b'authorization'
+# Organisations that have metrics of their own.
+MAX_LABELS = 10
+OTHERS = 'others'
 # Ends of requests that tell whether there was capacity for them.
 _CAPACITY_OUTCOMES = {
     errors.Outcome.ANSWERED.value,
@@ -24,6 +28,24 @@
 }
 
 
+class Labels:
+    """Names of organisations as labels of metrics, of a bounded number.
+
+    The first ones that send requests have labels of their own, and the
+    others share one.
+    """
+
+    def __init__(self) -> None:
+        self._names: set[str] = set()
+
+    def choose(self, name: str) -> str:
+        """Return the label of an organisation."""
+        if name in self._names or len(self._names) < MAX_LABELS:
+            self._names.add(name)
+            return name
+        return OTHERS
+
+
 class OrganisationGuard:
     """Checks that the callers of requests have a key in force.
 
@@ -37,8 +59,12 @@
         table: catalog.OrganisationTable,
         http_names: _http_names.HttpNames,
         pause_guard: _pauses.PauseGuard,
-        strict_after_s: float | None = None,
+        strict_after_s: float | None,
+        metrics: telemetry.Metrics,
+        labels: Labels,
     ) -> None:
+        self._metrics = metrics
+        self._labels = labels
         self._loop = asyncio.get_running_loop()
         self._fair_priorities = steering.FairPriorities()
         self._table = table
@@ -101,7 +127,14 @@
     ) -> None:
         """Record how a request ended, for the fairness between callers."""
         organisation = context.organisation
-        if organisation is not None and outcome in _CAPACITY_OUTCOMES:
+        if organisation is None:
+            return
+        self._metrics.add(
+            'organisation_requests_total',
+            organisation=self._labels.choose(organisation.name),
+            outcome=outcome,
+        )
+        if outcome in _CAPACITY_OUTCOMES:
             self._fair_priorities.note_end(
                 self._loop.time(),
                 organisation.name,
--- a/fulmarseam/gateway/_quotas.py
+++ b/fulmarseam/gateway/_quotas.py
@@ -14,11 +14,9 @@
 from fulmarseam import steering
 from fulmarseam import telemetry
 from fulmarseam import wire
+from fulmarseam.gateway import _organisations
 from fulmarseam.gateway import _permits
 
-# Organisations that have metrics of their own; the others share one label.
-MAX_LABELS = 10
-OTHERS = 'others'
 # Least time between two log lines about refusals of an organisation, and the
 # number of lines about all of them in that time.
 LOG_INTERVAL_S = 1.0
@@ -86,12 +84,13 @@
             ids.OrganisationName, steering.QuotaToken | None
         ],
         metrics: telemetry.Metrics,
+        labels: _organisations.Labels,
     ) -> None:
+        self._labels = labels
         self._stocks = stocks
         self._permits = permits
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
-        self._labels: set[str] = set()
         self._refusals: dict[ids.OrganisationName, _Refusals] = {}
         self._lines_from = float('-inf')
         self._lines = 0
@@ -129,7 +128,7 @@
         now = self._loop.time()
         name = organisation.name
         self._metrics.add(
-            'quota_refused_total', organisation=self._choose_label(name)
+            'quota_refused_total', organisation=self._labels.choose(name)
         )
         supply = self._stocks.compute_supply(now, name)
         self._log_refusal(now, organisation, supply)
@@ -140,12 +139,6 @@
             self._stocks.schedule_return(now, name),
         )
 
-    def _choose_label(self, name: str) -> str:
-        if name in self._labels or len(self._labels) < MAX_LABELS:
-            self._labels.add(name)
-            return name
-        return OTHERS
-
     def _log_refusal(
         self,
         now: float,
--- a/tests/test_organisations.py
+++ b/tests/test_organisations.py
@@ -10,6 +10,7 @@
 from fulmarseam import gateway
 from fulmarseam import settings
 from fulmarseam import wire
+from fulmarseam.gateway import _organisations
 from tests import catalog_fixtures as fixtures
 from tests import gateway_case
 
@@ -391,6 +392,17 @@
         self.assertIn(b'config_stale', reply.body)
 
 
+class LabelsTest(unittest.TestCase):
+    """Guards against metrics that grow with the organisations."""
+
+    def test_the_number_of_labels_is_bounded(self) -> None:
+        labels = _organisations.Labels()
+        seen = {labels.choose(f'o{number % 30}') for number in range(90)}
+        self.assertEqual(len(seen), _organisations.MAX_LABELS + 1)
+        self.assertEqual(labels.choose('o3'), 'o3')
+        self.assertEqual(labels.choose('o29'), _organisations.OTHERS)
+
+
 class HeaderNameTest(unittest.TestCase):
     """Guards against a header name that never matches."""
 
