Follow measured demand with the shares of regions

The shares of a region's objects assumed that each region sends the same load. A region that sends most of it kept its own targets overloaded.

With `object_placement: regional` the shares follow the requests in flight by region, which the leader adds up from the observations that it has. An entry asks for them each 2 s (`wants_region_loads`, `region_loads`; both optional). They are smoothed with a half-life of 20 s; shares off by less than 0.08 stay, others move by 0.05 at most in 2 s. `adaptive`, the default, ranks targets alike in all regions and needs no shares; `fixed` keeps equal loads.

--- a/fulmarseam/catalog/_shared_loads.py
+++ b/fulmarseam/catalog/_shared_loads.py
@@ -39,6 +39,8 @@
     def __init__(self) -> None:
         self._reports: dict[ids.EntryId, _Report] = {}
         self._merged: dict[ids.RegionName, _Merged] = {}
+        self._region_loads: dict[ids.RegionName, int] = {}
+        self._summed_at = float('-inf')
 
     def record(self, now: float, poll: wire.EntryPoll) -> None:
         """Replace the observations of an entry."""
@@ -69,6 +71,21 @@
             )
         return merged.loads
 
+    def sum_by_region(self, now: float) -> dict[ids.RegionName, int]:
+        """Return the requests in flight of the entries of each region."""
+        if now - self._summed_at >= MERGE_INTERVAL_S:
+            self._summed_at = now
+            loads: dict[ids.RegionName, int] = {}
+            for report in self._reports.values():
+                if now - report.received_at > REPORT_LIFETIME_S:
+                    continue
+                loads[report.region] = loads.get(report.region, 0) + sum(
+                    min(wire.MAX_PACKED_LOAD, max(0, observation.in_flight))
+                    for observation in report.observations
+                )
+            self._region_loads = loads
+        return self._region_loads
+
     def _merge(
         self,
         now: float,
--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -253,6 +253,7 @@
             else:
                 changes = self.catalog.list_changes(*known)
         target_loads = b''
+        region_loads: dict[ids.RegionName, int] = {}
         if poll.wants_loads:
             self._shared_loads.record(now, poll)
             target_loads = self._shared_loads.get_packed(
@@ -261,6 +262,8 @@
                 self.catalog.revision,
                 self.catalog.targets.list_ids(),
             )
+            if poll.wants_region_loads:
+                region_loads = self._shared_loads.sum_by_region(now)
         status = self._member.status() if self._member else None
         limits_version = 0
         rate_limits: list[wire.TargetRateLimit] = []
@@ -290,6 +293,7 @@
             rate_limits=rate_limits,
             suspects_version=suspects_version,
             suspects=suspects,
+            region_loads=region_loads,
         )
 
     def _issue_permits(
--- a/fulmarseam/gateway/_daemon.py
+++ b/fulmarseam/gateway/_daemon.py
@@ -64,7 +64,16 @@
             options,
             self.mirror,
             self._apply_catalog,
-            _poller.LoadExchange(self._list_observations, self._apply_loads),
+            _poller.LoadExchange(
+                self._list_observations,
+                self._apply_loads,
+                lambda loads: self.load_balancer.apply_region_loads(
+                    self._loop.time(), loads
+                ),
+                lambda: self.load_balancer.wants_region_loads(
+                    self._loop.time()
+                ),
+            ),
             self.load_balancer.limited_targets,
             self.crash_guard,
         )
--- a/fulmarseam/gateway/_load_balancer.py
+++ b/fulmarseam/gateway/_load_balancer.py
@@ -58,6 +58,8 @@
         self.apply_shared_loads = observations.apply_loads
         self._placer = _placement.Placer(options, mirror, table, self.paths)
         self.place = self._placer.place
+        self.apply_region_loads = self._placer.apply_region_loads
+        self.wants_region_loads = self._placer.wants_region_loads
         recorder = _outcomes.OutcomeRecorder(table, self.paths)
         self.record_load_report = recorder.record_load_report
         self.record_answer = recorder.record_answer
--- a/fulmarseam/gateway/_placement.py
+++ b/fulmarseam/gateway/_placement.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Collection
+from collections.abc import Mapping
 from collections.abc import Sequence
 
 from fulmarseam import catalog
@@ -20,6 +21,9 @@
 # Load per slot that is added for targets in other regions when targets are
 # ranked for a request without affinity.
 REMOTE_LOAD_PENALTY = 0.4
+# Loads of regions are asked for this often; they would take 170 bytes/s of the
+# 6,000 that an entry may use if each poll of the leader returned them.
+REGION_LOADS_INTERVAL_S = 2.0
 # Cached rankings of targets, one per object. The busiest deployments have at
 # least some hundred objects per route.
 MAX_RANKINGS = 20_000
@@ -43,6 +47,9 @@
             options.cold_factor, options.cold_slack
         )
         self._policy = settings.ObjectPlacement(options.object_placement)
+        self._region_demand = steering.RegionDemand()
+        self._region_loads_at = float('-inf')
+        self._demand_shares: dict[tuple[str, str], steering.DemandShares] = {}
         # Runs placed, by what their target probably knows of the object.
         self.run_counts: collections.Counter[steering.RunKind] = (
             collections.Counter()
@@ -124,6 +131,26 @@
                 placement.target.tokens -= 1.0
         return placement
 
+    def wants_region_loads(self, now: float) -> bool:
+        """Return whether the loads of regions are used and due."""
+        return (
+            self._policy is settings.ObjectPlacement.REGIONAL
+            and now - self._region_loads_at >= REGION_LOADS_INTERVAL_S
+        )
+
+    def apply_region_loads(
+        self, now: float, loads: Mapping[ids.RegionName, int]
+    ) -> None:
+        """Use the requests in flight of the entries of each region."""
+        self._region_loads_at = now
+        self._region_demand.note(now, loads)
+        demand = self._region_demand.compute_shares()
+        has_changed = [
+            shares.step(now, demand) for shares in self._demand_shares.values()
+        ]
+        if any(has_changed):
+            self._rankings.clear()
+
     def _count_homes(
         self,
         now: float,
@@ -204,15 +231,22 @@
             ranking = self._rankings[ranking_key] = [
                 self._table.targets[target]
                 for target in steering.rank_targets(
-                    affinity_key, self._compute_weights(targets)
+                    affinity_key,
+                    self._compute_weights(now, ranking_key[:2], targets),
                 )
             ]
         return ranking
 
     def _compute_weights(
-        self, targets: Sequence[steering.ObservedTarget]
+        self,
+        now: float,
+        shares_key: tuple[str, str],
+        targets: Sequence[steering.ObservedTarget],
     ) -> dict[ids.TargetId, float]:
-        """Return the share of the objects that each target should serve."""
+        """Return the share of the objects that each target should serve.
+
+        `shares_key` names the pool and the regions that the route allows.
+        """
         slots: dict[ids.RegionName, int] = {}
         for observed in targets:
             region = observed.record.region
@@ -222,10 +256,7 @@
                 observed.target: float(observed.record.slots)
                 for observed in targets
             }
-        options = self._options
-        shares = steering.compute_region_shares(
-            options.region, slots, len(set(options.domains.values()))
-        )
+        shares = self._compute_region_shares(now, shares_key, slots)
         return {
             observed.target: shares[observed.record.region]
             * observed.record.slots
@@ -233,6 +264,27 @@
             for observed in targets
         }
 
+    def _compute_region_shares(
+        self,
+        now: float,
+        shares_key: tuple[str, str],
+        slots: Mapping[ids.RegionName, int],
+    ) -> Mapping[ids.RegionName, float]:
+        """Return the share of this region's objects that each serves."""
+        options = self._options
+        region_count = len(set(options.domains.values()))
+        if self._policy is settings.ObjectPlacement.FIXED:
+            return steering.compute_region_shares(
+                options.region, slots, region_count
+            )
+        shares = self._demand_shares.get(shares_key)
+        if shares is None:
+            shares = self._demand_shares[shares_key] = steering.DemandShares(
+                options.region, region_count
+            )
+        shares.set_slots(now, slots, self._region_demand.compute_shares())
+        return {region: shares.get(region) for region in slots}
+
 
 def _compute_load_cost(now: float, observed: steering.ObservedTarget) -> float:
     """Return the load of a target per slot, with any remote penalty.
--- a/fulmarseam/gateway/_poller.py
+++ b/fulmarseam/gateway/_poller.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Mapping
 import contextlib
 import time
 from typing import Any
@@ -49,11 +50,15 @@
     """What polls of the leader tell about targets, and who gets the answer.
 
     `apply_loads` is called with the loads that all entries observe together
-    and the revision that lists the targets.
+    and the revision that lists the targets, and `apply_region_loads` with the
+    requests in flight of the entries of each region, which is asked for while
+    `wants_region_loads` returns true.
     """
 
     list_observations: Callable[[], list[wire.TargetObservation]]
     apply_loads: Callable[[bytes, int], None]
+    apply_region_loads: Callable[[Mapping[ids.RegionName, int]], None]
+    wants_region_loads: Callable[[], bool]
 
 
 class Poller:
@@ -256,6 +261,8 @@
             self._load_exchange.apply_loads(
                 wire.unpack_loads(answer.target_loads), answer.revision
             )
+        if answer.region_loads:
+            self._load_exchange.apply_region_loads(answer.region_loads)
         self._group = answer.members or self._group
         if self._group:
             self._update_members(self._group)
@@ -300,6 +307,9 @@
             group=wire.compute_group_checksum(self._group),
             suspects_version=suspects_version,
             is_cut_off=self.is_cut_off,
+            wants_region_loads=(
+                wants_loads and self._load_exchange.wants_region_loads()
+            ),
             **changes_fields,
         )
 
--- a/fulmarseam/steering/__init__.py
+++ b/fulmarseam/steering/__init__.py
@@ -6,6 +6,7 @@
 leads; an entry owns the other objects.
 """
 
+from fulmarseam.steering._affinity import compute_demand_shares
 from fulmarseam.steering._affinity import compute_region_shares
 from fulmarseam.steering._affinity import rank_targets
 from fulmarseam.steering._allocator import Allocator
@@ -15,6 +16,8 @@
 from fulmarseam.steering._choice import choose_target
 from fulmarseam.steering._choice import Locality
 from fulmarseam.steering._choice import PoolView
+from fulmarseam.steering._demand_shares import DemandShares
+from fulmarseam.steering._demand_shares import RegionDemand
 from fulmarseam.steering._limited_targets import LimitedTargets
 from fulmarseam.steering._links import LinkTokens
 from fulmarseam.steering._load_reports import LoadReport
@@ -93,6 +96,7 @@
     'AllocatorOptions',
     'Choice',
     'ColdRateLimit',
+    'DemandShares',
     'Fingerprint',
     'Grants',
     'Outliers',
@@ -112,6 +116,7 @@
     'RunKind',
     'WindowedRetryBudget',
     'WorkFactor',
+    'RegionDemand',
     'RequestQueue',
     'Reachability',
     'RetryBudget',
@@ -157,6 +162,7 @@
     'place_object',
     'place_request',
     'rank_targets',
+    'compute_demand_shares',
     'compute_region_shares',
     'mark_cold',
     'LimitedTargets',
--- a/fulmarseam/steering/_affinity.py
+++ b/fulmarseam/steering/_affinity.py
@@ -52,21 +52,39 @@
 
     `slots` holds the slots of a pool by region. `caller_region_count` is
     the number of regions that callers come from; each is assumed to send
-    the same load. A region serves its own callers up to its share of all
-    slots. The other regions serve the rest, in proportion to the slots that
-    their own callers leave free. This loads all targets evenly and sends
-    little traffic across the links.
+    the same load.
+    """
+    demand = dict.fromkeys([own_region, *slots], 1.0 / caller_region_count)
+    return compute_demand_shares(own_region, slots, demand)
+
+
+def compute_demand_shares(
+    own_region: ids.RegionName,
+    slots: Mapping[ids.RegionName, int],
+    demand: Mapping[ids.RegionName, float],
+) -> dict[ids.RegionName, float]:
+    """Return the share of an entry's objects that each region serves.
+
+    `slots` holds the slots of a pool by region, and `demand` the share of the
+    load that the callers of each region send. A region serves its own callers
+    up to its share of all slots. The other regions serve the rest, in
+    proportion to the slots that their own callers leave free. This loads all
+    targets evenly and sends little traffic across the links.
     """
     total = sum(slots.values())
     if not total:
         return {}
-    local_shares = {
-        region: min(MAX_LOCAL_SHARE, caller_region_count * count / total)
-        for region, count in slots.items()
-    }
+    local_shares = {}
+    for region, count in slots.items():
+        region_demand = demand.get(region, 0.0)
+        local_shares[region] = (
+            min(MAX_LOCAL_SHARE, count / total / region_demand)
+            if region_demand > 0.0
+            else MAX_LOCAL_SHARE
+        )
     free_shares = {
         region: max(
-            0.0, count / total - local_shares[region] / caller_region_count
+            0.0, count / total - local_shares[region] * demand.get(region, 0.0)
         )
         for region, count in slots.items()
         if region != own_region
--- a/fulmarseam/wire/_catalog.py
+++ b/fulmarseam/wire/_catalog.py
@@ -258,7 +258,8 @@
     its offline part of the limits. `group` is the checksum of the members that
     it knows; the response lists them if it is another one. It knows the
     suspected requests as of `suspects_version`. `is_cut_off` is set while
-    it reaches few targets and relays its requests through other entries.
+    it reaches few targets and relays its requests through other entries. With
+    `wants_region_loads` the leader's response has `region_loads`.
     """
 
     entry: ids.EntryId
@@ -280,6 +281,7 @@
     group: int = 0
     suspects_version: int = 0
     is_cut_off: bool = False
+    wants_region_loads: bool = False
 
 
 class CatalogChanges(msgspec.Struct, frozen=True, kw_only=True):
@@ -316,7 +318,8 @@
     targets at `revision`; see `pack_loads`. `rate_limits` lists all limits
     of targets if the entry knows them as of another `limits_version`.
     `suspects` are the suspected requests that bring it to
-    `suspects_version`, which is 0 if there is nothing new.
+    `suspects_version`, which is 0 if there is nothing new. `region_loads`
+    are the requests in flight of the entries of each region.
     """
 
     revision: int
@@ -330,6 +333,7 @@
     rate_limits: list[TargetRateLimit] = []
     suspects_version: int = 0
     suspects: list[_suspects.SuspectRow] = []
+    region_loads: dict[ids.RegionName, int] = {}
 
 
 CatalogMessage = (
--- a/tests/load_simulation.py
+++ b/tests/load_simulation.py
@@ -65,6 +65,7 @@
     cold_per_s: float = 2.8
     cold_factor: float = 2.0
     is_sharing: bool = True
+    has_region_loads: bool = True
     are_objects_shared: bool = False
     skew: float = 0.0
     objective_s: float = math.inf
@@ -89,17 +90,25 @@
         default_factory=collections.Counter
     )
     crossing: int = 0
+    # Requests by the region of the entry, the window of 2 s and the region
+    # in which they run.
+    regions: collections.Counter[tuple[str, int, str]] = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
     def add(self, arrived_at: float, outcome: str) -> None:
         """Count the outcome of a request."""
         if arrived_at >= self.since:
             self.counts[outcome] += 1
 
-    def note_run(self, entry: '_Entry', target: '_Target', key: str) -> None:
+    def note_run(
+        self, now: float, entry: '_Entry', target: '_Target', key: str
+    ) -> None:
         """Count a run that starts."""
         self.runs['known' if key in target.cache else 'unknown'] += 1
         self.targets[str(target.record.target)] += 1
         self.crossing += target.record.region != entry.region
+        self.regions[entry.region, int(now / 2.0), target.record.region] += 1
 
     def share_known(self) -> float:
         """Return the share of the runs at targets that know the object."""
@@ -120,6 +129,30 @@
         counts = self.targets.values()
         return max(counts) * len(counts) / sum(counts)
 
+    def find_largest_shift(self) -> float:
+        """Return the largest share that changed its region of run.
+
+        That is between two windows in a row, among requests of one region.
+        """
+        largest = 0.0
+        for region in REGIONS:
+            windows = sorted(
+                {key[1] for key in self.regions if key[0] == region}
+            )
+            parts = []
+            for window in windows:
+                counts = [
+                    self.regions[region, window, other] for other in REGIONS
+                ]
+                parts.append([count / sum(counts) for count in counts])
+            for before, after in itertools.pairwise(parts[:-1]):
+                change = sum(
+                    abs(new - old)
+                    for old, new in zip(before, after, strict=True)
+                )
+                largest = max(largest, change / 2)
+        return largest
+
     def share(self, outcome: str) -> float:
         """Return the share of all requests with an outcome."""
         return self.counts[outcome] / max(1, self.counts.total())
@@ -348,14 +381,24 @@
             entry,
             packed,
             self.machine.revision,
+            self.shared_loads.sum_by_region(self.now),
         )
 
     def _apply_loads(
-        self, entry: _Entry, packed: bytes, revision: int
+        self,
+        entry: _Entry,
+        packed: bytes,
+        revision: int,
+        region_loads: dict[ids.RegionName, int],
     ) -> None:
         entry.load_balancer.apply_shared_loads(
             self.now, wire.unpack_loads(packed), revision
         )
+        load_balancer = entry.load_balancer
+        if self.scenario.has_region_loads and load_balancer.wants_region_loads(
+            self.now
+        ):
+            load_balancer.apply_region_loads(self.now, region_loads)
 
     # Requests
 
@@ -439,7 +482,7 @@
         request = self._requests[number]
         target.running.add(number)
         if request.arrived_at >= outcomes.since:
-            outcomes.note_run(request.entry, target, request.key)
+            outcomes.note_run(self.now, request.entry, target, request.key)
         run_s = scenario.uncached_s * math.exp(
             self.rng.gauss(0.0, scenario.spread)
         )
--- a/tests/test_control_traffic.py
+++ b/tests/test_control_traffic.py
@@ -10,6 +10,7 @@
 from fulmarseam import quarantine
 from fulmarseam import settings
 from fulmarseam import wire
+from fulmarseam.gateway import _placement
 from fulmarseam.gateway import _poller
 from fulmarseam.steering import _limited_targets
 from fulmarseam.transport import _rpc
@@ -83,7 +84,21 @@
             poll = self.poller._make_poll(False, is_leader, [])
             answer = self.answer(is_leader, version)
             total += members * (size(poll) + size(answer)) / interval_s
-        return total
+        return total + self.count_region_loads(poll, answer)
+
+    def count_region_loads(
+        self, poll: wire.EntryPoll, answer: wire.EntryPollResponse
+    ) -> float:
+        """Return the bytes/s of the loads of regions."""
+        loads = {
+            fixtures.region(name): 200 for name in ('ost', 'west', 'sued')
+        }
+        extended = (
+            msgspec.structs.replace(poll, wants_region_loads=True),
+            msgspec.structs.replace(answer, region_loads=loads),
+        )
+        extra = sum(map(size, extended)) - size(poll) - size(answer)
+        return extra / _placement.REGION_LOADS_INTERVAL_S
 
     def test_polls_stay_within_their_bytes(self) -> None:
         self.assertLess(self.count_polls(), MAX_BYTES_PER_S)
