--- a/fulmarseam/wire/_catalog.py
+++ b/fulmarseam/wire/_catalog.py
@@ -331,7 +331,8 @@
     it reaches few targets and relays its requests through other entries.
     `quota_reports` tell the leader what was used of quotas without permits.
     `reads_organisations` is set by an entry that can read items of this kind;
-    others do not get them.
+    others do not get them. With `wants_region_loads` the leader's response
+    has `region_loads`.
     """
 
     entry: ids.EntryId
@@ -355,6 +356,7 @@
     is_cut_off: bool = False
     reads_organisations: bool = False
     quota_reports: list[QuotaAsk] = []
+    wants_region_loads: bool = False
 
 
 class CatalogChanges(msgspec.Struct, frozen=True, kw_only=True):
@@ -392,7 +394,8 @@
     targets at `revision`; see `pack_loads`. `rate_limits` lists all limits
     of targets if the entry knows them as of another `limits_version`.
     `suspects` are the suspected requests that bring it to
-    `suspects_version`, which is 0 if there is nothing new.
+    `suspects_version`, which is 0 if there is nothing new. `region_loads`
+    are the requests in flight of the entries of each region.
     """
 
     revision: int
@@ -407,6 +410,7 @@
     suspects_version: int = 0
     suspects: list[_suspects.SuspectRow] = []
     is_count_partial: bool = False
+    region_loads: dict[ids.RegionName, int] = {}
 
 
 CatalogMessage = (
