Report held bytes in steps of 4 KiB

Each received and each taken piece updated the account of its connection, which a request with a small body pays for although it holds next to nothing. Changes below 4 KiB are no longer reported; the fixed 8 KiB of each account cover them. Progress is handed over when the account is read.

--- a/fulmarseam/http/_accounted.py
+++ b/fulmarseam/http/_accounted.py
@@ -18,6 +18,9 @@
 MAX_KEPT_BYTES = 256 * 1024 + _limits.BUFFER_BYTES
 # Overhead of a received piece that is kept: the object and its place.
 PIECE_BYTES = 64
+# Changes below this are not reported, which keeps requests without a large
+# body cheap. The fixed part of each account covers them.
+REPORT_STEP = 4 * 1024
 # Largest read of a connection while the budget is used up.
 PRESSED_READ_BYTES = 8 * 1024
 
@@ -38,6 +41,10 @@
     keeps_whole_body = False
     _kept = 0
     _kept_pieces = 0
+    # Bytes of all kinds but the unsent ones, as last reported.
+    _reported = 0
+    # Bytes that the caller has moved since the last update of its account.
+    _progress = 0
     _unsent = 0
     _events_granted = 0
     _is_queued = False
@@ -68,9 +75,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Buffer a piece and report it."""
-        if self.account is not None:
-            now = asyncio.get_running_loop().time()
-            self.account.add_progress(now, len(data))
+        self._progress += len(data)
         super().data_received(data)
         self._report()
 
@@ -99,17 +104,21 @@
         self._report()
 
     def _report(self) -> None:
-        if self.caller_intake is None or self.account is None:
-            return
         kept = self._kept
-        if not self.keeps_whole_body:
-            kept = min(kept, MAX_KEPT_BYTES)
+        if not self.keeps_whole_body and kept > MAX_KEPT_BYTES:
+            kept = MAX_KEPT_BYTES
         kept += self._kept_pieces * PIECE_BYTES
-        kinds = intake.Kind
-        self.caller_intake.set_held(self.account, kinds.BODY, max(kept, 0))
-        self.caller_intake.set_held(
-            self.account, kinds.RECEIVED, self.buffered_bytes
-        )
+        change = kept + self._buffered - self._reported
+        if -REPORT_STEP < change < REPORT_STEP and (
+            kept or self._buffered or not self._reported
+        ):
+            return
+        if self.caller_intake is None or self.account is None:
+            return
+        self._reported = kept + self._buffered
+        set_held = self.caller_intake.set_held
+        set_held(self.account, intake.Kind.BODY, max(kept, 0))
+        set_held(self.account, intake.Kind.RECEIVED, self._buffered)
         if self.caller_intake.budget.is_pressed or self.account.is_waiting:
             self.apply_budget()
 
@@ -141,10 +150,12 @@
             return
         self.account.phase = self.find_phase()
         unsent = self._count_unsent()
-        if unsent < self._unsent:
-            now = asyncio.get_running_loop().time()
-            self.account.add_progress(now, self._unsent - unsent)
+        self._progress += max(0, self._unsent - unsent)
         self._unsent = unsent
+        if self._progress:
+            now = asyncio.get_running_loop().time()
+            self.account.add_progress(now, self._progress)
+            self._progress = 0
         self.caller_intake.set_held(
             self.account,
             intake.Kind.UNSENT,
