--- a/tests/integration/_crowds.py
+++ b/tests/integration/_crowds.py
@@ -34,7 +34,6 @@
 HANG_S = 60.0
 START_S = 30.0
 BEAT_S = 1.0
-RETRY_S = 0.05
 # How long a crowd sends before the checks; a caller whose stream is not
 # taken stays blocked.
 SEND_S = 4.0
@@ -238,7 +237,7 @@
                         return content
                 except (OSError, EOFError) as error:
                     found = error
-                await asyncio.sleep(RETRY_S)
+                await asyncio.sleep(0.2)
     except TimeoutError:
         raise TimeoutError(f'{place}: last found {found!r}') from None
 
@@ -415,12 +414,10 @@
                     'warmupLeft': '0ms',
                 },
             }
-            pause_s = RETRY_S
             with contextlib.suppress(OSError, EOFError):
                 async with asyncio.timeout(BEAT_S):
                     await call(place, 'PUT', json.dumps(beat).encode())
-                pause_s = BEAT_S / 2
-            await asyncio.sleep(pause_s)
+            await asyncio.sleep(BEAT_S / 2)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
