--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -385,7 +385,9 @@
         """Replicate a command and return its result.
 
         Without `call`, it is a command of this member, which may be carried
-        out for `timeout_s`. Commands are idempotent, so one with an unknown outcome is retried,
+        out for `timeout_s`.
+
+        Commands are idempotent, so one with an unknown outcome is retried,
         until `call` is stale. Raises `errors.FulmarseamError` with
         `UNAVAILABLE` when there is no result in time; the command may still
         be applied later, but before any that is accepted after `call` has
