Reserve a block of ports for each process that starts others

`find_free_address` drew a random port, and another run on the machine could take it before the process listened ("Address in use").

--- a/fulmarseam/bench/_processes.py
+++ b/fulmarseam/bench/_processes.py
@@ -1,37 +1,20 @@
 """Starts and ends the programs as child processes."""
 
 from collections.abc import Iterable
-import contextlib
 import os
 import pathlib
-import random
 import signal
-import socket
 import subprocess
 import sys
 
 import yaml
 
+from fulmarseam.bench import _ports
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-# Ports below the usual ephemeral range, from which outgoing connections get
-# theirs, so that a restarted process finds its port free.
-LOWEST_PORT = 12_000
-HIGHEST_PORT = 32_000
 STOP_TIMEOUT_S = 15.0
 
-_used_ports: set[int] = set()
-
-
-def find_free_address() -> str:
-    """Return a free loopback address that was not returned before."""
-    while True:
-        port = random.SystemRandom().randrange(LOWEST_PORT, HIGHEST_PORT)
-        if port in _used_ports:
-            continue
-        _used_ports.add(port)
-        with socket.socket() as listener, contextlib.suppress(OSError):
-            listener.bind(('127.0.0.1', port))
-            return f'127.0.0.1:{port}'
+find_free_address = _ports.find_free_address
 
 
 class Process:
