Keep idle connections out of the memory budget

Each account counted 8 KiB for its connection, so that the 4,000 connections that are allowed by default would have kept a process with 200 MiB above the half of its budget at which pressure ends, and 10,000 one without a memory limit above three quarters: large requests would have waited, and idle connections would have been closed, in calm. The fixed part is bounded by `max_connections` and is now only reported.

--- a/fulmarseam/intake/_budget.py
+++ b/fulmarseam/intake/_budget.py
@@ -198,6 +198,10 @@
         account.parts[kind] = count
         account.held += change
         self.parts[kind] += change
+        if kind is Kind.CONNECTION:
+            # Bounded by the number of connections. Thousands of idle ones
+            # must not make large requests wait.
+            return
         self.held += change
         limit = self.rules.memory_bytes
         if self.held > limit * PRESSED_SHARE:
@@ -273,7 +277,7 @@
             if excess <= 0:
                 break
             chosen.append(account)
-            excess -= account.held
+            excess -= account.held - account.parts[Kind.CONNECTION]
         return chosen
 
     def list_evictable(self, now: float) -> list[Account]:
