Choose targets of objects by demand where targets report their pace

Cause: the placement of objects by demand was the default of all deployments, though the earlier ones are to be served as before. The setting object_placement is automatic now: by demand, with weights by region, for pools whose targets report how long work takes on their hosts, and two targets for each region for all others.

tests.test_objects, test_work_factor, test_observed_placement, test_settings and test_configuration_page pass.

--- a/fulmarseam/gateway/_outcomes.py
+++ b/fulmarseam/gateway/_outcomes.py
@@ -49,6 +49,9 @@
             return
         steering.note_report(observed, now, load.running, load.waiting)
         observed.work_factor.note(now, load.work_percent)
+        if steering.names_pace(report):
+            pool = self._table.get_or_create_pool(observed.record.pool)
+            pool.reports_pace = True
 
     def record_answer(
         self, now: float, placement: steering.Placement, service_s: float
--- a/fulmarseam/gateway/_placement.py
+++ b/fulmarseam/gateway/_placement.py
@@ -28,6 +28,9 @@
 # least some hundred objects per route.
 MAX_RANKINGS = 20_000
 
+# A policy, a pool and the regions that a route allows.
+_SharesKey = tuple[settings.ObjectPlacement, str, str]
+
 
 class Placer:
     """Ranks the targets of a pool for a request and takes the best one."""
@@ -49,7 +52,7 @@
         self._policy = settings.ObjectPlacement(options.object_placement)
         self._region_demand = steering.RegionDemand()
         self._region_loads_at = float('-inf')
-        self._demand_shares: dict[tuple[str, str], steering.DemandShares] = {}
+        self._demand_shares: dict[_SharesKey, steering.DemandShares] = {}
         # Runs placed, by what their target probably knows of the object.
         self.run_counts: collections.Counter[steering.RunKind] = (
             collections.Counter()
@@ -58,7 +61,8 @@
         self.object_requests = 0
         self.object_targets = 0
         self._rankings: dict[
-            tuple[str, str, str], list[steering.ObservedTarget]
+            tuple[settings.ObjectPlacement, str, str, str],
+            list[steering.ObservedTarget],
         ] = {}
         # The version of the table that the rankings are of.
         self._ranked_version = 0
@@ -99,9 +103,10 @@
             if observed.target not in avoided
         )
         object_key = affinity_key if route.sticky else None
+        policy = self._choose_policy(pool_name)
         if (
             object_key is not None
-            and self._policy is not settings.ObjectPlacement.FIXED
+            and policy is not settings.ObjectPlacement.FIXED
         ):
             placement = steering.place_object(
                 now,
@@ -131,10 +136,24 @@
                 placement.target.tokens -= 1.0
         return placement
 
+    def _choose_policy(
+        self, pool_name: ids.PoolName
+    ) -> settings.ObjectPlacement:
+        """Return how the targets of a pool's objects are chosen."""
+        if self._policy is not settings.ObjectPlacement.AUTOMATIC:
+            return self._policy
+        if self._table.get_or_create_pool(pool_name).reports_pace:
+            return settings.ObjectPlacement.REGIONAL
+        return settings.ObjectPlacement.FIXED
+
     def wants_region_loads(self, now: float) -> bool:
         """Return whether the loads of regions are used and due."""
         return (
-            self._policy is settings.ObjectPlacement.REGIONAL
+            any(
+                self._choose_policy(pool_name)
+                is settings.ObjectPlacement.REGIONAL
+                for pool_name in self._table.pools
+            )
             and now - self._region_loads_at >= REGION_LOADS_INTERVAL_S
         )
 
@@ -220,6 +239,7 @@
             self._ranked_version = self._table.version
             self._rankings.clear()
         ranking_key = (
+            self._choose_policy(pool_name),
             pool_name,
             ','.join(route.allowed_regions),
             affinity_key,
@@ -232,7 +252,7 @@
                 self._table.targets[target]
                 for target in steering.rank_targets(
                     affinity_key,
-                    self._compute_weights(now, ranking_key[:2], targets),
+                    self._compute_weights(now, ranking_key[:3], targets),
                 )
             ]
         return ranking
@@ -240,18 +260,19 @@
     def _compute_weights(
         self,
         now: float,
-        shares_key: tuple[str, str],
+        shares_key: _SharesKey,
         targets: Sequence[steering.ObservedTarget],
     ) -> dict[ids.TargetId, float]:
         """Return the share of the objects that each target should serve.
 
-        `shares_key` names the pool and the regions that the route allows.
+        `shares_key` names the policy, the pool and the regions that the route
+        allows.
         """
         slots: dict[ids.RegionName, int] = {}
         for observed in targets:
             region = observed.record.region
             slots[region] = slots.get(region, 0) + observed.record.slots
-        if self._policy is settings.ObjectPlacement.ADAPTIVE:
+        if shares_key[0] is settings.ObjectPlacement.ADAPTIVE:
             return {
                 observed.target: float(observed.record.slots)
                 for observed in targets
@@ -267,13 +288,13 @@
     def _compute_region_shares(
         self,
         now: float,
-        shares_key: tuple[str, str],
+        shares_key: _SharesKey,
         slots: Mapping[ids.RegionName, int],
     ) -> Mapping[ids.RegionName, float]:
         """Return the share of this region's objects that each serves."""
         options = self._options
         region_count = len(set(options.domains.values()))
-        if self._policy is settings.ObjectPlacement.FIXED:
+        if shares_key[0] is settings.ObjectPlacement.FIXED:
             return steering.compute_region_shares(
                 options.region, slots, region_count
             )
--- a/fulmarseam/gateway/_pools.py
+++ b/fulmarseam/gateway/_pools.py
@@ -15,6 +15,8 @@
         self.statistics = steering.PoolStatistics()
         self.object_demand = steering.ObjectDemand()
         self.reachability = steering.Reachability()
+        # Whether a target has reported how long work takes on its host.
+        self.reports_pace = False
         self._failure_rate = 0.0
         self._failure_rate_at = float('-inf')
 
--- a/fulmarseam/settings/_catalog.py
+++ b/fulmarseam/settings/_catalog.py
@@ -90,8 +90,11 @@
     follows its demand. `REGIONAL` differs in that each region prefers its own
     targets, which saves bytes between regions if the callers of each region
     have objects of their own. `FIXED` uses two targets for each region.
+    `AUTOMATIC` is `REGIONAL` for pools whose targets report how long work
+    takes on their hosts, and `FIXED` for all others.
     """
 
+    AUTOMATIC = 'automatic'
     ADAPTIVE = 'adaptive'
     REGIONAL = 'regional'
     FIXED = 'fixed'
@@ -150,7 +153,7 @@
     )
     object_placement: str = _option(
         _options.choice(*(policy.value for policy in ObjectPlacement)),
-        ObjectPlacement.ADAPTIVE.value,
+        ObjectPlacement.AUTOMATIC.value,
     )
     log_level: str = _option(_levels(), 'info')
 
--- a/fulmarseam/steering/__init__.py
+++ b/fulmarseam/steering/__init__.py
@@ -22,6 +22,7 @@
 from fulmarseam.steering._limited_targets import LimitedTargets
 from fulmarseam.steering._links import LinkTokens
 from fulmarseam.steering._load_reports import LoadReport
+from fulmarseam.steering._load_reports import names_pace
 from fulmarseam.steering._load_reports import parse_load_report
 from fulmarseam.steering._load_reports import WorkFactor
 from fulmarseam.steering._lookups import order_entries
@@ -164,6 +165,7 @@
     'is_silent',
     'match_route',
     'may_send',
+    'names_pace',
     'note_answer',
     'note_end',
     'note_failure',
--- a/fulmarseam/steering/_load_reports.py
+++ b/fulmarseam/steering/_load_reports.py
@@ -50,6 +50,11 @@
     return LoadReport(*figures)
 
 
+def names_pace(report: bytes) -> bool:
+    """Return whether a readable report tells how long work takes."""
+    return report.count(b',') == 3
+
+
 class WorkFactor:
     """How long work takes at a target, as a multiple of the usual time.
 
