Check a configuration before it is sent

fulmarseam-ctl check FILE reports what members would refuse, settings without effect, contradicting limits and differences from the version in force. Members and the check call the same functions for errors.

--- a/fulmarseam/commands/_ctl_tables.py
+++ b/fulmarseam/commands/_ctl_tables.py
@@ -7,6 +7,7 @@
 import hashlib
 import pathlib
 from typing import Any
+from typing import NamedTuple
 
 import msgspec
 import yaml
@@ -19,11 +20,36 @@
 TableRows = dict[wire.TableName, dict[str, wire.Row]]
 
 
+class Content(NamedTuple):
+    """The content of a file of tables.
+
+    `unread` holds the rows that `tables` lacks because of a problem.
+    """
+
+    tables: TableRows
+    problems: list[str]
+    unread: set[tuple[wire.TableName, str]]
+
+
 def read_tables(path: str) -> TableRows:
     """Return the rows of a YAML file of tables.
 
     Raises `errors.FulmarseamError` with a line for each problem.
     """
+    content = read_content(path)
+    if content.problems:
+        raise errors.FulmarseamError(
+            errors.ErrorKind.INVALID_EDIT,
+            '\n'.join(f'{path}: {problem}' for problem in content.problems),
+        )
+    return content.tables
+
+
+def read_content(path: str) -> Content:
+    """Return the rows and problems of a YAML file of tables.
+
+    Raises `errors.UsageError` if the file is no readable YAML file.
+    """
     try:
         content = pathlib.Path(path).read_text(encoding='utf-8')
         document = yaml.load(content, Loader=_UniqueKeyLoader)
@@ -36,26 +62,20 @@
         raise errors.UsageError(
             f'{path}: is not valid YAML: {summary}'
         ) from error
-    problems: list[str] = []
-    tables = _convert_tables(document, problems)
-    if problems:
-        raise errors.FulmarseamError(
-            errors.ErrorKind.INVALID_EDIT,
-            '\n'.join(f'{path}: {problem}' for problem in problems),
-        )
-    return tables
+    return _convert_tables(document)
 
 
-def _convert_tables(document: Any, problems: list[str]) -> TableRows:
+def _convert_tables(document: Any) -> Content:
     known_tables = ', '.join(
         sorted(table.value for table in store.EDITABLE_TABLES)
     )
+    content = Content({}, [], set())
+    problems = content.problems
     if not isinstance(document, Mapping):
         problems.append(
             f'found no mapping, expected a mapping of tables: {known_tables}'
         )
-        return {}
-    tables: TableRows = {}
+        return content
     for name, rows in document.items():
         table = next(
             (
@@ -74,19 +94,20 @@
                 f'{name}: found {rows!r}, expected a mapping of names to rows'
             )
         else:
-            tables[table] = dict(_convert_rows(table, rows, problems))
-    return tables
+            content.tables[table] = dict(_convert_rows(table, rows, content))
+    return content
 
 
 def _convert_rows(
-    table: wire.TableName, rows: Mapping[Any, Any], problems: list[str]
+    table: wire.TableName, rows: Mapping[Any, Any], content: Content
 ) -> Iterator[tuple[str, wire.Row]]:
     for key, fields in rows.items():
         name = str(key)
         try:
             yield name, convert_row(table, name, fields)
         except (ValueError, msgspec.ValidationError) as error:
-            problems.append(f'{table.value}.{name}: {error}')
+            content.problems.append(f'{table.value}.{name}: {error}')
+            content.unread.add((table, name))
 
 
 def convert_row(table: wire.TableName, name: str, fields: Any) -> wire.Row:
--- a/fulmarseam/commands/ctl.py
+++ b/fulmarseam/commands/ctl.py
@@ -4,6 +4,9 @@
 
     show TABLE                 rows of a table
     diff FILE                  show what applying FILE would change
+    check FILE                 report errors in FILE, settings without effect,
+                               contradictions and differences from the version
+                               in force, or from the file --against
     apply FILE                 replace the rows of all tables in FILE
     drain announce SCOPE NAME  drain a target, domain, region or entry
     drain cancel|list [DRAIN]
@@ -28,7 +31,9 @@
 from fulmarseam import errors
 from fulmarseam import ids
 from fulmarseam import settings
+from fulmarseam import store
 from fulmarseam import wire
+from fulmarseam.commands import _ctl_check
 from fulmarseam.commands import _ctl_client
 from fulmarseam.commands import _ctl_edits
 from fulmarseam.commands import _ctl_explain
@@ -45,6 +50,10 @@
 _FORMAT = flags.DEFINE_enum(
     'format', 'table', ['table', 'json', 'yaml'], 'The output format.'
 )
+flags.DEFINE_alias('output', 'format')
+_AGAINST = flags.DEFINE_string(
+    'against', None, 'A file of tables to check against.'
+)
 _EDIT_ID = flags.DEFINE_string(
     'edit_id', None, 'The id of an earlier edit, to send it again.'
 )
@@ -70,6 +79,7 @@
 )
 
 _EXPLAIN = 'explain'
+_CHECK = 'check'
 
 Arguments = list[str]
 Action = Callable[[_ctl_client.AdminClient, Arguments], Awaitable[None]]
@@ -86,6 +96,8 @@
     if arguments[:1] == [_EXPLAIN]:
         _explain(arguments[1:])
         return 0
+    if arguments[:1] == [_CHECK]:
+        return _check(arguments[1:])
     action, command_arguments = _find_action(arguments)
     asyncio.run(_run_action(action, command_arguments, _load_settings()))
     return 0
@@ -101,6 +113,27 @@
     print(_ctl_explain.explain(arguments[0], arguments[1:]))
 
 
+def _check(arguments: Arguments) -> int:
+    """Check a file; the control group is called without --against only."""
+    if len(arguments) != 1:
+        raise errors.UsageError(
+            f'found {len(arguments)} arguments, expected: {_CHECK} FILE'
+        )
+    if _AGAINST.value is None:
+        findings = asyncio.run(_check_in_force(arguments[0], _load_settings()))
+    else:
+        findings = _ctl_check.check_against(arguments[0], _AGAINST.value)
+    print(_ctl_check.render(findings, _FORMAT.value))
+    return _ctl_check.choose_exit_code(findings)
+
+
+async def _check_in_force(
+    path: str, options: settings.CtlSettings
+) -> list[store.Finding]:
+    async with _ctl_client.AdminClient(options) as client:
+        return await _ctl_check.check_file(client, path)
+
+
 async def _run_action(
     action: Action, arguments: Arguments, options: settings.CtlSettings
 ) -> None:
@@ -122,7 +155,7 @@
                 )
             return action, command_arguments
     found = ' '.join(arguments[:2]) or 'nothing'
-    known_commands = ', '.join((*_COMMANDS, _EXPLAIN))
+    known_commands = ', '.join((*_COMMANDS, _CHECK, _EXPLAIN))
     raise errors.UsageError(
         f'found {found}, expected a command: {known_commands}'
     )
--- a/fulmarseam/store/__init__.py
+++ b/fulmarseam/store/__init__.py
@@ -13,10 +13,16 @@
 from fulmarseam.store._commands import encode_command
 from fulmarseam.store._commands import RowStep
 from fulmarseam.store._commands import Step
+from fulmarseam.store._configuration_check import check_configuration
+from fulmarseam.store._configuration_check import find_block_problems
+from fulmarseam.store._configuration_check import Finding
+from fulmarseam.store._configuration_check import FindingKind
+from fulmarseam.store._configuration_check import KnownTarget
+from fulmarseam.store._configuration_check import MAX_CHANGES
+from fulmarseam.store._configuration_check import read_problem
 from fulmarseam.store._journal import ChangeJournal
 from fulmarseam.store._journal import JournalEntry
 from fulmarseam.store._machine import Machine
-from fulmarseam.store._machine import MAX_CHANGES
 from fulmarseam.store._machine import TableVersion
 from fulmarseam.store._results import EditResults
 from fulmarseam.store._rows import DictRows
@@ -38,6 +44,9 @@
     'TablesUpdate',
     'DictRows',
     'EditResults',
+    'Finding',
+    'FindingKind',
+    'KnownTarget',
     'ChangeJournal',
     'JournalEntry',
     'MAX_CHANGES',
@@ -47,7 +56,10 @@
     'Step',
     'TableVersion',
     'Tables',
+    'check_configuration',
     'decode_command',
     'encode_command',
+    'find_block_problems',
     'make_change',
+    'read_problem',
 ]
--- a/fulmarseam/store/_machine.py
+++ b/fulmarseam/store/_machine.py
@@ -2,15 +2,14 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-from collections.abc import Iterator
 
 import msgspec
 
 from fulmarseam import errors
 from fulmarseam import ids
 from fulmarseam import wire
-from fulmarseam.store import _checks
 from fulmarseam.store import _commands
+from fulmarseam.store import _configuration_check
 from fulmarseam.store import _journal
 from fulmarseam.store import _restoring
 from fulmarseam.store import _results
@@ -20,9 +19,6 @@
 from fulmarseam.store import _validation
 
 MAX_EDIT_ID_LENGTH = 128
-# Applying a change takes about 50 us on the event loop of every member, and a
-# leader whose event loop is blocked for 600 ms loses its leadership.
-MAX_CHANGES = 2_000
 _NO_EDIT_ID = ids.EditId('')
 
 
@@ -126,22 +122,15 @@
         return result
 
     def _apply_edit(self, edit: wire.Edit) -> wire.EditResult:
-        problems = list(_check_edit(edit))
+        problems = list(_configuration_check.check_edit(edit))
         if problems:
             return self._refuse_invalid(edit.edit_id, problems)
         conflict = self._find_conflict(edit)
         if conflict is not None:
             return conflict
-        changes: list[wire.Change] = []
-        for change in edit.changes:
-            current = self.tables.get_row(change.table, change.key)
-            merged = change
-            if change.row is not None:
-                row = _transitions.merge_edit(current, change.row)
-                merged = wire.Change(change.table, change.key, row)
-            problems.extend(_transitions.check_edit(merged, current))
-            if merged.row != current:
-                changes.append(merged)
+        changes, problems = _configuration_check.merge_changes(
+            self.tables, edit.changes
+        )
         return self._apply_if_valid(
             edit.edit_id, changes, problems, blocks=edit.blocks
         )
@@ -152,7 +141,7 @@
             base=dict.fromkeys(wire.TableName, 0),
             changes=restore.export.changes,
         )
-        problems = list(_check_rows(restored_edit))
+        problems = list(_configuration_check.check_rows(restored_edit))
         changes = _restoring.plan_restore(self.tables, restore.export)
         # Entries ignore lower revisions than their own, so rows restored
         # into an empty group need a revision above the exported one.
@@ -195,7 +184,7 @@
         `blocks` is an image that replaces the blocks table first. The new
         revision is above `floor`.
         """
-        block_problems = _find_block_problems(changes)
+        block_problems = _configuration_check.find_block_problems(changes)
         if block_problems:
             return self._refuse_invalid(edit_id, problems + block_problems)
         former_blocks = self.tables.dump_blocks() if blocks else b''
@@ -319,56 +308,3 @@
         self._versions = dict(state.versions)
         self.results.load(state.results)
         self._notify()
-
-
-def _find_block_problems(changes: Iterable[wire.Change]) -> list[str]:
-    """Return the problems of single blocks.
-
-    The blocks table can store valid blocks only, so these problems are
-    found before the edit is applied.
-    """
-    return [
-        line
-        for change in changes
-        if isinstance(change.row, wire.Block)
-        for line in _checks.check_row(change.row)
-    ]
-
-
-def _check_edit(edit: wire.Edit) -> Iterator[str]:
-    """Report changes that an operator's edit may not contain."""
-    if len(edit.changes) > MAX_CHANGES:
-        yield (
-            f'changes: found {len(edit.changes)}, expected at most '
-            f'{MAX_CHANGES}'
-        )
-        return
-    tables = {change.table.value for change in edit.changes}
-    if edit.blocks:
-        tables.add(wire.TableName.BLOCKS.value)
-    for table in sorted(tables):
-        name = wire.TableName(table)
-        if name not in _schema.EDITABLE_TABLES:
-            yield f'{table}: is maintained by the control leader'
-        elif name not in edit.base:
-            yield f'{table}: found no base version, expected the current one'
-    yield from _check_rows(edit)
-
-
-def _check_rows(edit: wire.Edit) -> Iterator[str]:
-    seen: set[tuple[wire.TableName, str]] = set()
-    for change in edit.changes:
-        name = f'{change.table.value}.{change.key}'
-        if (change.table, change.key) in seen:
-            yield f'{name}: found twice in the edit, expected once'
-        seen.add((change.table, change.key))
-        if change.row is None:
-            continue
-        expected = _schema.ROW_TYPES[change.table]
-        if type(change.row) is not expected:
-            yield (
-                f'{name}: found a row of another type, expected that of '
-                f'the table'
-            )
-        elif change.row.name != change.key:
-            yield f'{name}: found name {change.row.name!r}, expected its key'
--- a/fulmarseam/store/_validation.py
+++ b/fulmarseam/store/_validation.py
@@ -13,7 +13,7 @@
 from fulmarseam.store import _checks
 from fulmarseam.store import _tables
 
-_FINAL_SHIFT_STATES = frozenset(
+FINAL_SHIFT_STATES = frozenset(
     {wire.ShiftState.DONE, wire.ShiftState.CANCELLED}
 )
 _RUNNING_SHIFT_STATES = frozenset(
@@ -140,7 +140,7 @@
     tables: _tables.Tables, regions: frozenset[str]
 ) -> Iterator[str]:
     for shift in tables.rows(wire.Shift):
-        if shift.state in _FINAL_SHIFT_STATES:
+        if shift.state in FINAL_SHIFT_STATES:
             continue
         yield from _check_pool(tables, shift)
         yield from _check_region(shift, 'from_region', regions)
@@ -151,7 +151,7 @@
     """Report shifts of the same traffic that may be active together."""
     shifts_by_traffic: dict[tuple[str, str], list[wire.Shift]] = {}
     for shift in tables.rows(wire.Shift):
-        if shift.state not in _FINAL_SHIFT_STATES:
+        if shift.state not in FINAL_SHIFT_STATES:
             key = (shift.pool, shift.from_region)
             shifts_by_traffic.setdefault(key, []).append(shift)
     for shifts in shifts_by_traffic.values():
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -92,6 +92,51 @@
         )
         self.assertEqual('no changes\n', self.apply(TABLES)[:11])
 
+    def test_file_is_checked_before_it_is_applied(self) -> None:
+        self.apply(TABLES)
+        same = self.group.write('same.yaml', TABLES)
+        done = self.group.ctl('check', same)
+        self.assertEqual((0, '(none)\n'), (done.returncode, done.stdout))
+        changed = self.group.write(
+            'changed.yaml', 'pools: {katalog: {}, idle: {}}\n'
+        )
+        for arguments in ((), (f'--against={same}',)):
+            done = self.group.ctl(
+                'check', changed, '--output=json', *arguments
+            )
+            self.assertEqual(1, done.returncode, done.stderr)
+            findings = [
+                (record['finding'], record['item'])
+                for record in json.loads(done.stdout)
+            ]
+            self.assertEqual(
+                [
+                    ('unused', 'pools.idle'),
+                    ('difference', 'pools.katalog.latency_weight'),
+                    ('difference', 'pools.idle'),
+                ],
+                findings,
+            )
+        wrong = self.group.write(
+            'wrong.yaml', 'pools: {a: {queue: 1}}\nroutes: 3\n'
+        )
+        done = self.group.ctl('check', wrong, '--output=json')
+        self.assertEqual(2, done.returncode, done.stderr)
+        self.assertLessEqual(
+            {
+                ('pools.a.queue', 'no such field'),
+                ('routes', '3'),
+                ('routes.katalog.pool', "'katalog'"),
+            },
+            {
+                (record['item'], record['found'])
+                for record in json.loads(done.stdout)
+                if record['finding'] == 'error'
+            },
+        )
+        [pool] = self.group.read('show', 'pools')
+        self.assertEqual('katalog', pool['name'])
+
     def test_many_blocks_are_applied_and_compared(self) -> None:
         rows = ''.join(
             f'  10.{number >> 8}.{number & 255}.0/24: ost\n'
