--- a/fulmarseam/commands/_ctl_edits.py
+++ b/fulmarseam/commands/_ctl_edits.py
@@ -187,7 +187,15 @@
 def _send_blocks_as_image(
     edit: wire.Edit, current: list[wire.Change]
 ) -> wire.Edit:
-    """Return the edit with its changes of blocks replaced by an image."""
+    """Return the edit with its changes of blocks replaced by an image.
+
+    Raises `errors.FulmarseamError` if the image cannot hold a block.
+    """
+    problems = store.find_block_problems(edit.changes)
+    if problems:
+        raise errors.FulmarseamError(
+            errors.ErrorKind.INVALID_EDIT, '\n'.join(problems)
+        )
     table = wire.TableName.BLOCKS
     rows = store.Tables()
     rows.change_rows(change for change in current if change.table is table)
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -148,6 +148,19 @@
         self.apply('blocks: {10.0.0.0/8: ost}\n')
         self.assertEqual(1, len(self.group.read('show', 'blocks')))
 
+    def test_invalid_block_among_many_is_reported(self) -> None:
+        rows = ''.join(
+            f'  10.{number >> 8}.{number & 255}.0/24: ost\n'
+            for number in range(2_100)
+        )
+        path = self.group.write('bad.yaml', f'blocks:\n{rows}  zz: ost\n')
+        self.check_error(
+            self.group.ctl('apply', path), 22, "blocks.zz.name: found 'zz'"
+        )
+        done = self.group.ctl('check', path)
+        self.assertEqual(2, done.returncode, done.stderr)
+        self.assertIn('blocks.zz.name', done.stdout)
+
     def test_resent_edit_gives_the_first_result(self) -> None:
         self.apply(TABLES)
         first = self.apply(TABLES + '  11.0.0.0/8: west\n')
