Bound only unread answers by a minimum progress by default

A body that comes a byte at a time within each idle time-out is inside the documented limits, but the default of 64 bytes per second over 30 s gave it up. The minimum of a body is now 0 by default, and unread answers, for which no limit is documented, keep theirs as min_answer_progress (entries with grants: min_answer_progress_bytes). The window of an answer starts with the answer, so that a slow body before it does not count.

--- a/fulmarseam/entry/_daemon.py
+++ b/fulmarseam/entry/_daemon.py
@@ -120,6 +120,7 @@
                 options.memory_limit,
                 options.max_caller_connections,
                 options.min_progress_bytes,
+                options.min_answer_progress_bytes,
                 options.progress_timeout_ms / 1_000,
             ),
             lambda reason: self.metrics.add(
--- a/fulmarseam/gateway/_daemon.py
+++ b/fulmarseam/gateway/_daemon.py
@@ -125,6 +125,7 @@
                 options.memory_limit,
                 options.max_connections,
                 options.min_progress,
+                options.min_answer_progress,
                 options.progress_timeout,
             ),
             lambda reason: self.metrics.add(
--- a/fulmarseam/http/_intake.py
+++ b/fulmarseam/http/_intake.py
@@ -228,6 +228,7 @@
     memory_limit: int | None,
     max_connections: int,
     min_progress: float,
+    min_answer_progress: float,
     progress_timeout_s: float,
 ) -> intake.Rules:
     """Return the rules of this process, before it has its first caller.
@@ -237,6 +238,7 @@
     rules = intake.Rules(
         max_connections=max_connections,
         min_progress=min_progress,
+        min_answer_progress=min_answer_progress,
         progress_timeout_s=progress_timeout_s,
     )
     if memory_limit is None:
--- a/fulmarseam/intake/_budget.py
+++ b/fulmarseam/intake/_budget.py
@@ -53,13 +53,16 @@
 class Rules:
     """Limits of a process for all its callers together.
 
-    A body or an unread answer that moves by less than `min_progress` bytes
-    per second during `progress_timeout_s` is given up.
+    A body that moves by less than `min_progress` bytes per second during
+    `progress_timeout_s` is given up, and an unread answer by less than
+    `min_answer_progress`. Bodies have no minimum by default, as a caller may
+    send them as slowly as the idle time-out allows.
     """
 
     memory_bytes: int = 96 * MIB
     max_connections: int = 10_000
-    min_progress: float = 64.0
+    min_progress: float = 0.0
+    min_answer_progress: float = 64.0
     progress_timeout_s: float = 30.0
 
 
@@ -77,6 +80,7 @@
 
     __slots__ = (
         '_current',
+        '_measures_answer',
         '_previous',
         '_turned_at',
         '_window_bytes',
@@ -110,6 +114,8 @@
         self._turned_at = now
         self._window_bytes = 0
         self._window_started_at = now
+        # Whether the window is one of an unread answer.
+        self._measures_answer = False
 
     @property
     def is_waiting(self) -> bool:
@@ -148,10 +154,17 @@
 
     def is_too_slow(self, now: float, rules: Rules) -> bool:
         """Return whether less than the minimum moved, at the window's end."""
+        is_answer = self.phase is Phase.SENDING
+        if is_answer != self._measures_answer:
+            self._measures_answer = is_answer
+            self.restart_window(now)
         elapsed = now - self._window_started_at
         if elapsed < rules.progress_timeout_s:
             return False
-        is_too_slow = self._window_bytes < rules.min_progress * elapsed
+        minimum = (
+            rules.min_answer_progress if is_answer else rules.min_progress
+        )
+        is_too_slow = self._window_bytes < minimum * elapsed
         self.restart_window(now)
         return is_too_slow
 
--- a/fulmarseam/platform/_programs.py
+++ b/fulmarseam/platform/_programs.py
@@ -70,6 +70,7 @@
             options.memory_limit,
             options.max_connections,
             options.min_progress,
+            options.min_answer_progress,
             options.progress_timeout,
         )
     )
--- a/fulmarseam/settings/_catalog.py
+++ b/fulmarseam/settings/_catalog.py
@@ -63,7 +63,8 @@
     )
     max_connections: int = _option(_options.integer(1, 1_000_000), 4_000)
     max_header_fields: int = _option(_options.integer(16, 100_000), 256)
-    min_progress: float = _option(_options.number(0.0, 1e9), 64.0)
+    min_progress: float = _option(_options.number(0.0, 1e9), 0.0)
+    min_answer_progress: float = _option(_options.number(0.0, 1e9), 64.0)
     progress_timeout: float = _option(_options.duration(0.1, 3_600.0), 30.0)
     host_limits: dict[str, Any] | None = _option(
         _options.optional(
@@ -140,7 +141,8 @@
     revoke: float = _option(_options.duration(0.1, 600.0), 5.0)
     revoke_strict: bool = _option(_options.boolean(), False)
     max_header_fields: int = _option(_options.integer(16, 100_000), 256)
-    min_progress: float = _option(_options.number(0.0, 1e9), 64.0)
+    min_progress: float = _option(_options.number(0.0, 1e9), 0.0)
+    min_answer_progress: float = _option(_options.number(0.0, 1e9), 64.0)
     progress_timeout: float = _option(_options.duration(0.1, 3_600.0), 30.0)
     host_limits: dict[str, Any] | None = _option(
         _options.optional(
--- a/fulmarseam/settings/_entry.py
+++ b/fulmarseam/settings/_entry.py
@@ -55,7 +55,8 @@
         _options.optional(_options.integer(64, 1_048_576)), None
     )
     max_header_fields: int = _option(_options.integer(16, 100_000), 256)
-    min_progress_bytes: int = _option(_options.integer(0, 1 << 30), 64)
+    min_progress_bytes: int = _option(_options.integer(0, 1 << 30), 0)
+    min_answer_progress_bytes: int = _option(_options.integer(0, 1 << 30), 64)
     progress_timeout_ms: int = _option(
         _options.integer(100, 3_600_000), 30_000
     )
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -163,6 +163,40 @@
     def test_bodies_with_the_minimum_are_kept(self) -> None:
         self.check(101, False)
 
+    def find_with_defaults(self, phase: intake.Phase) -> bool:
+        """Return whether a byte every 14 s is too slow for the defaults."""
+        self.budget = intake.Budget(intake.Rules())
+        account = self.open(phase, 0)
+        found = []
+        for second in range(300):
+            self.now += 1.0
+            if second % 14 == 0:
+                account.add_progress(self.now, 1)
+            found += self.budget.list_too_slow(self.now)
+        return account in found
+
+    def test_bodies_have_no_minimum_by_default(self) -> None:
+        for phase in (intake.Phase.COLLECTING, intake.Phase.STREAMING):
+            self.assertFalse(self.find_with_defaults(phase))
+
+    def test_unread_answers_have_a_minimum_by_default(self) -> None:
+        self.assertTrue(self.find_with_defaults(intake.Phase.SENDING))
+
+    def test_an_answer_is_measured_from_its_start(self) -> None:
+        self.budget = intake.Budget(intake.Rules())
+        account = self.open(intake.Phase.STREAMING, 0)
+        found = []
+        for second in range(59):
+            self.now += 1.0
+            if second == 29:
+                account.phase = intake.Phase.SENDING
+            found += self.budget.list_too_slow(self.now)
+        self.assertEqual([], found)
+        for _ in range(2):
+            self.now += 1.0
+            found += self.budget.list_too_slow(self.now)
+        self.assertEqual([account], found)
+
     def test_idle_and_running_ones_are_not_measured(self) -> None:
         self.open(intake.Phase.IDLE, 0)
         self.open(intake.Phase.RUNNING, 0)
