--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -353,7 +353,9 @@
         await asyncio.sleep(0.05)
         deadline = asyncio.get_running_loop().time() + 60.0
         allowed = [ids.RegionName('sued')]
-        await relays.relay(ids.PoolName('p'), allowed, deadline, send)
+        body = mock.Mock(spec=http.CallerBody)
+        body.can_start.return_value = True
+        await relays.relay(ids.PoolName('p'), allowed, deadline, body, send)
         self.assertEqual(set(sent), {'ost', 'sued'})
 
 
