Test uploads whose callers leave between two attempts

Looked at the related paths: an attempt that would follow a refusal after the caller has left. It was not made before either; two tests keep it so.

--- a/tests/test_caller_bodies.py
+++ b/tests/test_caller_bodies.py
@@ -270,6 +270,25 @@
                 await asyncio.sleep(0.1)
                 self.assertEqual([], peer.bodies)
 
+    async def test_no_attempt_follows_a_caller_that_left(self) -> None:
+        await self.put_route()
+        for name, (framing, data) in frame_bodies(LARGE_BODY).items():
+            with self.subTest(name):
+                peers = (Peer(), Peer(), Peer())
+                peers[0]._behaviour = refuse_late
+                await self.start_peers(*peers)
+                host, _, port = self.options.listen.rpartition(':')
+                _, writer = await asyncio.open_connection(host, int(port))
+                writer.write(
+                    b'PUT /a/b HTTP/1.1\r\nhost: shop.example\r\n'
+                    b'fulmarseam-request-id: q1\r\n%b\r\n\r\n%b'
+                    % (framing, data[:CHUNK_BYTES])
+                )
+                await asyncio.sleep(0.1)
+                writer.close()
+                await asyncio.sleep(0.3)
+                self.assertEqual(0, peers[1].started + peers[2].started)
+
     # The caller was told that the request had not run.
     async def test_a_relayed_upload_that_is_refused_may_have_run(self) -> None:
         await self.put_route()
@@ -302,6 +321,18 @@
                 self.assertEqual([LARGE_BODY], peer.bodies)
 
 
+async def refuse_late(
+    target: fakes.FakeTarget,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Refuse a request some time after its head has come."""
+    headers = await read_head(reader)
+    await asyncio.sleep(0.2)
+    not_run = b'fulmarseam-not-run: 1\r\nfulmarseam-outcome: not-run\r\n'
+    writer.write(make_answer(headers, 503, not_run))
+
+
 async def refuse_at_once(
     target: fakes.FakeTarget,
     reader: asyncio.StreamReader,
@@ -375,6 +406,22 @@
         answer = await self.upload(*BROKEN_CHUNKS)
         self.assertEqual((502, 'unknown'), (answer.status, answer.outcome))
 
+    async def test_no_attempt_follows_a_caller_that_left(self) -> None:
+        for name, (framing, data) in frame_bodies(LARGE_BODY).items():
+            with self.subTest(name):
+                peers = (Peer(), Peer(), Peer())
+                peers[0]._behaviour = refuse_late
+                await self.start_peers(*peers)
+                _, writer = await self.connect(self.options.listen)
+                writer.write(
+                    b'PUT / HTTP/1.1\r\nhost: a\r\n%b\r\n\r\n%b'
+                    % (framing, data[:CHUNK_BYTES])
+                )
+                await asyncio.sleep(0.1)
+                writer.close()
+                await asyncio.sleep(0.3)
+                self.assertEqual(0, peers[1].started + peers[2].started)
+
     async def test_an_upload_that_breaks_off_is_not_terminated(self) -> None:
         peer = Peer()
         await self.start_peers(peer)
