Drop requests whose callers left before they were read

Cause: after a stall, a request and the close behind it wait in the kernel. The loop reads the close one turn after the request, and the handler ran in between. With an idle connection to a target it never waited, so no check saw the close. Also, nothing looked for the caller once a new connection to a target had opened, which takes up to 0.4 s.

Change: the HTTP server lets the loop turn once before it handles a request, and drops it if the caller has left. Attempts of both kinds of entry look for the caller after a connection has opened.

Before: 40 of 40 requests of callers that had left were handled, on new and on kept connections (StallTest), and one of one was sent to a target in each kind of entry.

--- a/fulmarseam/entry/_attempts.py
+++ b/fulmarseam/entry/_attempts.py
@@ -117,6 +117,8 @@
                 connection = await self._open(signal)
                 self.has_opened = True
             try:
+                # The caller may have left while the connection opened.
+                self._caller.require_present()
                 return await self._run_on_connection(connection)
             except http.TargetError as error:
                 # The target closed the reused idle connection before any
@@ -336,8 +338,7 @@
     async def _wait(self) -> None:
         assert self._caller.signal is not None
         await self._caller.signal.wait()
-        if self._caller.gone:
-            raise http.CallerGoneError('the caller has left')
+        self._caller.require_present()
         if self._loop.time() >= self._context.deadline:
             raise self._make_timeout_error()
 
--- a/fulmarseam/entry/_claims.py
+++ b/fulmarseam/entry/_claims.py
@@ -8,7 +8,6 @@
 import logbook
 
 from fulmarseam import errors
-from fulmarseam import http
 from fulmarseam import records
 from fulmarseam import telemetry
 from fulmarseam import wire
@@ -65,8 +64,7 @@
             raise
         if response.verdict is wire.Verdict.FRESH:
             self._phase = _Phase.HELD
-            if self._context.caller.gone:
-                raise http.CallerGoneError('the caller has left')
+            self._context.caller.require_present()
             return True
         self._phase = _Phase.ENDED
         self._answer_duplicate(response)
--- a/fulmarseam/entry/_requests.py
+++ b/fulmarseam/entry/_requests.py
@@ -112,8 +112,7 @@
         """
         assert self.caller.signal is not None
         await self.caller.signal.wait()
-        if self.caller.gone:
-            raise http.CallerGoneError('the caller has left')
+        self.caller.require_present()
         if asyncio.get_running_loop().time() >= self.deadline:
             raise errors.FulmarseamError(
                 errors.ErrorKind.DEADLINE_UNREACHABLE,
--- a/fulmarseam/gateway/_admission.py
+++ b/fulmarseam/gateway/_admission.py
@@ -6,7 +6,6 @@
 import logbook
 
 from fulmarseam import errors
-from fulmarseam import http
 from fulmarseam import quarantine
 from fulmarseam import steering
 from fulmarseam import telemetry
@@ -48,8 +47,7 @@
             await context.signal.wait()
         finally:
             timer.cancel()
-        if context.caller.gone:
-            raise http.CallerGoneError('the caller has left')
+        context.caller.require_present()
 
 
 async def note_broken(
--- a/fulmarseam/gateway/_attempts.py
+++ b/fulmarseam/gateway/_attempts.py
@@ -116,6 +116,8 @@
                 self.has_opened = True
             self._connection = connection
             try:
+                # The caller may have left while the connection opened.
+                self._context.caller.require_present()
                 return await self._run_on(connection)
             except http.TargetError as error:
                 # Replace an idle connection that the target had closed
@@ -398,8 +400,7 @@
             await self._context.signal.wait()
         finally:
             timer.cancel()
-        if self._context.caller.gone:
-            raise http.CallerGoneError('the caller has left')
+        self._context.caller.require_present()
         if self._loop.time() >= deadline:
             raise self._make_timeout_error('no answer in time')
 
--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -218,8 +218,7 @@
         except errors.FulmarseamError as error:
             raise retries.possible_run_error or error from None
         with claim:
-            if context.caller.gone:
-                raise http.CallerGoneError('the caller has left')
+            context.caller.require_present()
             return await self._place_and_try(context, retries, summary, claim)
 
     async def _place_and_try(
@@ -344,8 +343,7 @@
         request waited for the leader.
         """
         is_permitted = await self._dependencies.permits.acquire(target.target)
-        if context.caller.gone:
-            raise http.CallerGoneError('the caller has left')
+        context.caller.require_present()
         return is_permitted
 
     def _note_placement(
--- a/fulmarseam/gateway/_requests.py
+++ b/fulmarseam/gateway/_requests.py
@@ -111,8 +111,7 @@
 
     async def _wait(self) -> None:
         await self.signal.wait()
-        if self.caller.gone:
-            raise http.CallerGoneError('the caller has left')
+        self.caller.require_present()
 
 
 def read_deadline_ms(
--- a/fulmarseam/http/_caller.py
+++ b/fulmarseam/http/_caller.py
@@ -111,6 +111,11 @@
         """Return whether the caller has closed its side or is disconnected."""
         return self.ended
 
+    def require_present(self) -> None:
+        """Raise `CallerGoneError` if the caller has left."""
+        if self.gone:
+            raise _failures.CallerGoneError('the caller has left')
+
     @property
     def remote_address(self) -> str:
         """Return the IP address of the caller."""
--- a/fulmarseam/http/_server.py
+++ b/fulmarseam/http/_server.py
@@ -194,6 +194,7 @@
                 else _limits.BUFFER_BYTES
             )
             try:
+                await self._require_present(connection)
                 await self._handle(request, connection)
             finally:
                 # Its header fields are free before the account says so.
@@ -203,6 +204,19 @@
                 return
             await self._wait_for_turn(connection)
 
+    async def _require_present(
+        self, connection: _caller.CallerConnection
+    ) -> None:
+        """Raise `CallerGoneError` if a close followed the request.
+
+        After a stall of the process, both wait in the kernel. The event loop
+        reads the close one turn after the request.
+        """
+        await asyncio.sleep(0)
+        if connection.gone:
+            self._intake.note('caller_left')
+        connection.require_present()
+
     async def _wait_for_turn(
         self, connection: _caller.CallerConnection
     ) -> None:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -3,8 +3,13 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+from typing import Any
 from typing import Self
+from unittest import mock
 
+from fulmarseam import http
 from fulmarseam import ids
 from fulmarseam import membership
 from fulmarseam import quarantine
@@ -20,6 +25,19 @@
 find_free_address = _loopback.find_free_address
 
 
+@contextlib.contextmanager
+def delay_connections(delay_s: float) -> Iterator[None]:
+    """Let each new connection to a target open after a delay."""
+    connect = http.TargetPool._connect
+
+    async def connect_late(pool: http.TargetPool, *args: Any) -> Any:
+        await asyncio.sleep(delay_s)
+        return await connect(pool, *args)
+
+    with mock.patch.object(http.TargetPool, '_connect', connect_late):
+        yield
+
+
 class FakeLeader:
     """A control leader that grants one entry all slots of its targets."""
 
--- a/tests/test_entry_proxy.py
+++ b/tests/test_entry_proxy.py
@@ -408,6 +408,16 @@
             lambda: self.entry.state.slots.total_in_flight() == 0
         )
 
+    async def test_caller_that_leaves_while_a_connection_opens(self) -> None:
+        target = await self.start_target(stay_silent)
+        with fakes.delay_connections(0.2):
+            _, writer = await self.connect(self.options.listen)
+            writer.write(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+            await asyncio.sleep(0.1)
+            writer.close()
+            await asyncio.sleep(0.3)
+        self.assertEqual(b'', target.received_bytes.replace(b'<closed>', b''))
+
     async def test_timed_out_connection_is_not_reused(self) -> None:
         release = asyncio.Event()
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -506,6 +506,16 @@
         async with asyncio.timeout(0.5):
             await target.connection_closed.wait()
 
+    async def test_a_caller_that_leaves_while_a_connection_opens(self) -> None:
+        target = await self.add_target('t1', gateway_case.write_response)
+        await self.put_route()
+        with fakes.delay_connections(0.2):
+            _, writer = await self.open_call()
+            await asyncio.sleep(0.1)
+            writer.close()
+            await asyncio.sleep(0.3)
+        self.assertEqual([], target.heads)
+
 
 class MembershipTest(gateway_case.GatewayCase):
     """Guards against requests to targets that must not get them."""
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -4,6 +4,8 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
+import socket
+import time
 import unittest
 
 from fulmarseam import errors
@@ -556,6 +558,58 @@
                     )
 
 
+class StallTest(ServerCase):
+    """Guards against requests that run although their callers have left.
+
+    Both the request and the close wait in the kernel while the process
+    stands still.
+    """
+
+    CALLERS = 40
+
+    def stall_beside(self, callers: list[socket.socket], leave: bool) -> None:
+        """Let the loop stand still while callers send, and maybe leave."""
+        for caller in callers:
+            caller.sendall(GET)
+            if leave:
+                caller.close()
+        time.sleep(0.3)
+
+    def open_callers(self) -> list[socket.socket]:
+        """Connect without a turn of the loop."""
+        host, port = self.address.split(':')
+        callers = []
+        for _ in range(self.CALLERS):
+            caller = socket.create_connection((host, int(port)), TIMEOUT_S)
+            self.addCleanup(caller.close)
+            callers.append(caller)
+        return callers
+
+    async def test_callers_of_new_connections_that_left(self) -> None:
+        self.stall_beside(self.open_callers(), leave=True)
+        await asyncio.sleep(0.2)
+        self.assertEqual([], self.handled)
+
+    async def test_callers_of_kept_connections_that_left(self) -> None:
+        callers = self.open_callers()
+        self.stall_beside(callers, leave=False)
+        await asyncio.sleep(0.2)
+        for caller in callers:
+            caller.recv(1024)
+        self.handled.clear()
+        self.stall_beside(callers, leave=True)
+        await asyncio.sleep(0.2)
+        self.assertEqual([], self.handled)
+
+    async def test_callers_that_wait_are_served(self) -> None:
+        callers = self.open_callers()
+        self.stall_beside(callers, leave=False)
+        await asyncio.sleep(0.2)
+        self.assertEqual(self.CALLERS, len(self.handled))
+        for caller in callers:
+            self.assertIn(b' 200 ', caller.recv(1024))
+
+
 class FlowTest(ServerCase):
     """Guards against unbounded buffers when a peer is slow or gone."""
 
