Bound the memory that answers of all targets take together

Reported by other operators: a faulty target sent bytes without end, the machine that had called it kept them and ran out of memory, and the requests of its other callers ended with it.

Cause here: each answer is bounded (256 KiB of a body, 64 KiB of a head), but nothing bounds all of them. Only what callers send and do not read counted in the budget of the process.

Change: connections to targets and other entries count what they hold in one intake.AnswerBudget, which has a quarter of the budget for callers and is apart from it, so that faulty targets make no caller wait. Beyond it, an answer above 16 KiB may not grow: a body is passed on as it comes, a head ends its connection. For both kinds of entry, and for relays.

--- a/fulmarseam/entry/_daemon.py
+++ b/fulmarseam/entry/_daemon.py
@@ -53,10 +53,22 @@
         self._exit_stack = contextlib.AsyncExitStack()
         self.stop_requested = asyncio.Event()
         self.metrics = telemetry.Metrics()
+        self.caller_intake = http.Intake(
+            http.make_rules(
+                options.memory_limit,
+                options.max_caller_connections,
+                options.min_progress_bytes,
+                options.min_answer_progress_bytes,
+                options.progress_timeout_ms / 1_000,
+            ),
+            lambda reason: self.metrics.add(
+                'callers_closed_total', reason=reason
+            ),
+        )
         self.state = _state.SharedState(options)
         self.announcements = _announcements.PendingAnnouncements()
         self.crash_guard = quarantine.CrashGuard(self._report_suspects)
-        self.target_pools = http.TargetPools()
+        self.target_pools = http.TargetPools(self.caller_intake.answer_budget)
         self.pools = _pools.Pools(
             self.state,
             steering.Locality(options.region, options.failure_domain),
@@ -102,7 +114,7 @@
             f'{options.entry_id}.{self.reporter.incarnation}',
         )
         self.lookups = _lookups.Lookups(options, self.state)
-        self._entry_pools = http.TargetPools()
+        self._entry_pools = http.TargetPools(self.caller_intake.answer_budget)
         self._relayer = _relaying.Relayer(
             options, self.state, self._entry_pools
         )
@@ -115,18 +127,6 @@
             self.target_pools.is_listening,
         )
         self.state.on_change = self._apply_change
-        self.caller_intake = http.Intake(
-            http.make_rules(
-                options.memory_limit,
-                options.max_caller_connections,
-                options.min_progress_bytes,
-                options.min_answer_progress_bytes,
-                options.progress_timeout_ms / 1_000,
-            ),
-            lambda reason: self.metrics.add(
-                'callers_closed_total', reason=reason
-            ),
-        )
         self._register_gauges()
         self.caller_server = self._make_caller_server(tracer)
         self.api_server = self._make_api_server()
--- a/fulmarseam/gateway/_attempts.py
+++ b/fulmarseam/gateway/_attempts.py
@@ -352,7 +352,10 @@
     async def _buffer_body(
         self, connection: http.TargetConnection
     ) -> bytes | None:
-        """Return the whole body, or None if it is too large to buffer."""
+        """Return the whole body, or None if it must be streamed.
+
+        That is a large one, or one for which there is no memory now.
+        """
         while True:
             chunk: bytes | None = connection.poll_body()
             if chunk == b'':
@@ -361,7 +364,8 @@
                 await self._wait_for_event(self._context.deadline)
                 continue
             self._buffered += chunk
-            if len(self._buffered) > MAX_BUFFERED_ANSWER_BYTES:
+            size = len(self._buffered)
+            if not connection.keep(size) or size > MAX_BUFFERED_ANSWER_BYTES:
                 return None
 
     async def stream_body(self) -> None:
@@ -376,6 +380,7 @@
         caller = self._context.caller
         caller.send_data(bytes(self._buffered))
         self._buffered.clear()
+        connection.keep(0)
         while True:
             chunk: bytes | None = None
             if not caller.write_paused:
--- a/fulmarseam/gateway/_daemon.py
+++ b/fulmarseam/gateway/_daemon.py
@@ -57,8 +57,20 @@
         self._loop = asyncio.get_running_loop()
         self.stopping = asyncio.Event()
         self.metrics = telemetry.Metrics()
+        self.caller_intake = http.Intake(
+            http.make_rules(
+                options.memory_limit,
+                options.max_connections,
+                options.min_progress,
+                options.min_answer_progress,
+                options.progress_timeout,
+            ),
+            lambda reason: self.metrics.add(
+                'callers_closed_total', reason=reason
+            ),
+        )
         self.mirror = catalog.CatalogMirror()
-        self._target_pools = http.TargetPools()
+        self._target_pools = http.TargetPools(self.caller_intake.answer_budget)
         self.load_balancer = _load_balancer.LoadBalancer(
             options, self.mirror, self._target_pools.has_idle
         )
@@ -120,20 +132,8 @@
             self.metrics,
             labels,
         )
-        self.caller_intake = http.Intake(
-            http.make_rules(
-                options.memory_limit,
-                options.max_connections,
-                options.min_progress,
-                options.min_answer_progress,
-                options.progress_timeout,
-            ),
-            lambda reason: self.metrics.add(
-                'callers_closed_total', reason=reason
-            ),
-        )
         self._request_log = telemetry.RequestLog()
-        self._entry_pools = http.TargetPools()
+        self._entry_pools = http.TargetPools(self.caller_intake.answer_budget)
         self.relays = relay.Relays(
             ids.RegionName(options.region), self.poller.fetch_relays
         )
--- a/fulmarseam/http/_accounted.py
+++ b/fulmarseam/http/_accounted.py
@@ -18,17 +18,9 @@
 MAX_KEPT_BYTES = 256 * 1024 + _limits.BUFFER_BYTES
 # Overhead of a received piece that is kept: the object and its place.
 PIECE_BYTES = 64
-# Memory of a parsed header field until its request ends: 296 bytes by
-# tracemalloc for the h11 event, the list and the dictionary (heads of 250 to
-# 2,000 short fields, CPython 3.11); its characters count as received.
-FIELD_BYTES = 300
-# Fields of an ordinary head, which the fixed part of an account covers.
-ORDINARY_FIELDS = 32
 # Changes below this are not reported, which keeps requests without a large
 # body cheap. The fixed part of each account covers them.
 REPORT_STEP = 4 * 1024
-# Largest read of a connection while the budget is used up.
-PRESSED_READ_BYTES = 8 * 1024
 
 
 class AccountedConnection(_connection.BufferedConnection):
@@ -107,11 +99,11 @@
 
         Raises `errors.FulmarseamError` if there is no memory for them now.
         """
-        if count <= ORDINARY_FIELDS:
+        if count <= _limits.ORDINARY_FIELDS:
             return
         if self.caller_intake is None or self.account is None:
             return
-        size = count * FIELD_BYTES
+        size = count * _limits.FIELD_BYTES
         if not self.caller_intake.budget.may_hold(self.account, size):
             self.caller_intake.note('memory')
             raise errors.FulmarseamError(
@@ -207,7 +199,7 @@
         elif self.account.waiting_since is None:
             self.account.waiting_since = asyncio.get_running_loop().time()
         self.set_read_size(
-            min(PRESSED_READ_BYTES, self.read_limit)
+            min(_limits.PRESSED_READ_BYTES, self.read_limit)
             if budget.is_pressed
             else self.read_limit
         )
--- a/fulmarseam/http/_intake.py
+++ b/fulmarseam/http/_intake.py
@@ -1,4 +1,4 @@
-"""What the callers of a process occupy, over all its listeners."""
+"""What callers and answers occupy in a process."""
 
 import asyncio
 import collections
@@ -59,6 +59,9 @@
         count_closed: Callable[[str], None] | None = None,
     ) -> None:
         self.budget = intake.Budget(rules or intake.Rules())
+        self.answer_budget = intake.AnswerBudget(
+            self.budget.rules.memory_bytes
+        )
         self.turns = _turns.Turns()
         self._loop = asyncio.get_running_loop()
         self._count_closed = count_closed
@@ -188,7 +191,8 @@
     def register_gauges(
         self, register: Callable[[str, Callable[[], float]], None]
     ) -> None:
-        """Register a gauge of the held bytes of each kind."""
+        """Register gauges of the held bytes of callers and answers."""
+        register('held_bytes_answers', lambda: self.answer_budget.held)
         for kind in intake.Kind:
             register(
                 f'held_bytes_{kind.value}',
--- a/fulmarseam/http/_limits.py
+++ b/fulmarseam/http/_limits.py
@@ -7,6 +7,8 @@
 # The same between requests and while one without a body runs, which holds
 # the following requests unread.
 PIPELINED_BYTES = 16 * 1024
+# Largest read of a connection while the budget of its kind is used up.
+PRESSED_READ_BYTES = 8 * 1024
 # A received piece below this size is joined with the next one.
 SMALL_PIECE_BYTES = 1024
 # Reading resumes when the buffer holds no more than this.
@@ -20,6 +22,12 @@
 # A head with more fields waits for its turn before it is parsed; each field
 # takes about 3 us.
 FIELDS_PER_TURN = 256
+# Memory of a parsed header field until its message ends: 296 bytes by
+# tracemalloc for the h11 event, the list and the dictionary (heads of 250 to
+# 2,000 short fields, CPython 3.11); its characters count as received.
+FIELD_BYTES = 300
+# Fields of an ordinary head, which are not accounted for.
+ORDINARY_FIELDS = 32
 # Interim responses before the final one; servers send a few.
 MAX_INTERIM_RESPONSES = 32
 
--- a/fulmarseam/http/_pool.py
+++ b/fulmarseam/http/_pool.py
@@ -7,6 +7,7 @@
 import socket
 from typing import Self
 
+from fulmarseam import intake
 from fulmarseam.http import _failures
 from fulmarseam.http import _server
 from fulmarseam.http import _signal
@@ -32,13 +33,19 @@
 class TargetPool:
     """A limited number of connections to one target, in use and idle.
 
-    `idle_limit` bounds those that are kept while they are idle.
+    `idle_limit` bounds those that are kept while they are idle. What they
+    hold of answers counts in `answer_budget`.
     """
 
     def __init__(
-        self, address: str, limit: int, idle_limit: int | None = None
+        self,
+        address: str,
+        limit: int,
+        idle_limit: int | None = None,
+        answer_budget: intake.AnswerBudget | None = None,
     ) -> None:
         self.address = address
+        self._answer_budget = answer_budget or intake.AnswerBudget()
         self.limit = limit
         self.idle_limit = limit if idle_limit is None else idle_limit
         self.in_use = 0
@@ -131,7 +138,11 @@
             host, port = _server.split_address(self.address)
             async with asyncio.timeout(min(timeout_s, CONNECT_TIMEOUT_S)):
                 _, connection = await loop.create_connection(
-                    lambda: _target.TargetConnection(signal), host, port
+                    lambda: _target.TargetConnection(
+                        signal, self._answer_budget
+                    ),
+                    host,
+                    port,
                 )
         except TimeoutError:
             raise self._make_error(
@@ -194,9 +205,15 @@
 
 
 class TargetPools:
-    """Connection pools by target address; a context manager."""
+    """Connection pools by target address; a context manager.
+
+    All pools of a process share one `answer_budget`.
+    """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, answer_budget: intake.AnswerBudget | None = None
+    ) -> None:
+        self._answer_budget = answer_budget or intake.AnswerBudget()
         self._pools: dict[str, TargetPool] = {}
         self._sweeper: asyncio.Task[None] | None = None
 
@@ -220,7 +237,7 @@
         pool = self._pools.get(address)
         if pool is None:
             pool = self._pools[address] = TargetPool(
-                address, limit, idle_limit
+                address, limit, idle_limit, self._answer_budget
             )
         else:
             pool.set_limit(limit, idle_limit)
--- a/fulmarseam/http/_target.py
+++ b/fulmarseam/http/_target.py
@@ -7,6 +7,7 @@
 import h11
 
 from fulmarseam import errors
+from fulmarseam import intake
 from fulmarseam.http import _connection
 from fulmarseam.http import _failures
 from fulmarseam.http import _framing
@@ -39,10 +40,21 @@
         connection.end_request()
         while (response := connection.poll_response()) is None:
             await signal.wait()
+
+    What it holds of an answer counts in `answer_budget`.
     """
 
-    def __init__(self, signal: _signal.Signal | None) -> None:
+    def __init__(
+        self,
+        signal: _signal.Signal | None,
+        answer_budget: intake.AnswerBudget | None = None,
+    ) -> None:
         super().__init__(signal)
+        self._answer_budget = answer_budget or intake.AnswerBudget()
+        # Bytes that are counted there, and the parts that are not buffered.
+        self._held = 0
+        self._kept_bytes = 0
+        self._field_bytes = 0
         self._h11 = _make_parser()
         self._head = bytearray()
         self._head_done = False
@@ -66,6 +78,61 @@
         if self.on_idle_event is not None:
             self.on_idle_event(self)
 
+    # Memory
+
+    def data_received(self, data: bytes) -> None:
+        """Buffer a piece and count it."""
+        super().data_received(data)
+        self._count_held()
+        self.set_read_limit(
+            _limits.PRESSED_READ_BYTES
+            if self._answer_budget.is_exceeded
+            else _limits.BUFFER_BYTES
+        )
+
+    def take_piece(self) -> bytes | None:
+        """Return the next received piece, which no longer counts."""
+        piece = super().take_piece()
+        if piece is not None:
+            self._count_held()
+        return piece
+
+    def put_back(self, piece: bytes) -> None:
+        """Put the unused rest of a piece at the front of the buffer."""
+        super().put_back(piece)
+        self._count_held()
+
+    def keep(self, count: int) -> bool:
+        """Count the bytes of the body that the owner keeps.
+
+        Returns whether it may keep more.
+        """
+        self._kept_bytes = count
+        self._count_held()
+        return self._answer_budget.may_grow(self._held)
+
+    def _count_held(self) -> None:
+        held = (
+            self._buffered
+            + len(self._head)
+            + self._kept_bytes
+            + self._field_bytes
+        )
+        self._answer_budget.change(held - self._held)
+        self._held = held
+
+    def _drop_held(self) -> None:
+        self._pieces.clear()
+        self._buffered = 0
+        self._head.clear()
+        self._kept_bytes = self._field_bytes = 0
+        self._count_held()
+
+    def abort(self) -> None:
+        """Close the connection immediately and drop what it holds."""
+        super().abort()
+        self._drop_held()
+
     # Request
 
     def send_head(
@@ -219,7 +286,9 @@
         return False
 
     def _check_partial_head(self) -> None:
+        self._count_held()
         self._check_head_size(len(self._head))
+        self._check_budget()
         self._check_framing(self._head, complete=False)
 
     def _check_head_size(self, size: int) -> None:
@@ -229,6 +298,25 @@
                 'the response headers are too large',
             )
 
+    def _check_budget(self) -> None:
+        """Refuse a large head while answers take too much memory."""
+        if not self._answer_budget.may_grow(self._held):
+            raise self._make_error(
+                _failures.Reason.MALFORMED,
+                f'response headers of {self._held} bytes are too large to '
+                'be held now',
+            )
+
+    def _hold_fields(self, head: bytes) -> None:
+        """Count the memory that the fields of a head take when parsed."""
+        count = head.count(b'\n') - 2
+        self._field_bytes = 0
+        if count > _limits.ORDINARY_FIELDS:
+            self._field_bytes = count * _limits.FIELD_BYTES
+        self._count_held()
+        if self._field_bytes:
+            self._check_budget()
+
     def _pass_head_to_parser(self, length: int) -> None:
         head = bytes(self._head[:length])
         rest = bytes(self._head[length:])
@@ -237,6 +325,7 @@
             self.put_back(rest)
         self._check_head_size(length)
         self._check_framing(head, complete=True)
+        self._hold_fields(head)
         self._h11.receive_data(head)
         self._head_done = True
 
@@ -377,6 +466,7 @@
     def park(self) -> None:
         """Reset the parser and mark the connection as idle."""
         self._h11 = _make_parser()
+        self._drop_held()
         self.signal = None
         self.idle_since = asyncio.get_running_loop().time()
 
--- a/fulmarseam/intake/__init__.py
+++ b/fulmarseam/intake/__init__.py
@@ -1,4 +1,4 @@
-"""Decisions about the memory and connections that callers may occupy.
+"""Decisions about the memory that callers and answers may occupy.
 
 An account holds what one connection occupies, a budget the sum of a process.
 Nothing here uses a socket or a clock::
@@ -10,6 +10,8 @@
         ...
 """
 
+from fulmarseam.intake._answers import AnswerBudget
+from fulmarseam.intake._answers import SMALL_ANSWER_BYTES
 from fulmarseam.intake._budget import Account
 from fulmarseam.intake._budget import Budget
 from fulmarseam.intake._budget import compute_memory_bytes
@@ -22,12 +24,14 @@
 
 __all__ = [
     'Account',
+    'AnswerBudget',
     'Budget',
     'CONNECTION_BYTES',
     'Kind',
     'MIB',
     'Phase',
     'Rules',
+    'SMALL_ANSWER_BYTES',
     'STOPPED_S',
     'compute_memory_bytes',
 ]
--- a/tests/integration/_crowds.py
+++ b/tests/integration/_crowds.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
 import contextlib
@@ -45,6 +46,12 @@
 OTHER_DESCRIPTORS = 64
 
 Stream = Iterable[bytes | float]
+# Returns what a faulty target sends for a request with this id.
+Flood = Callable[[bytes], Stream]
+
+SOUND_POOL = 'pool'
+FAULTY_POOL = 'faulty'
+FAULTY_TARGETS = 12
 
 
 class Place(NamedTuple):
@@ -304,17 +311,21 @@
 
 
 class System:
-    """A control member, an entry and a target; an async context manager."""
+    """A control member, an entry and a target; an async context manager.
+
+    With `flood` a second pool has targets that send it for each request.
+    """
 
     def __init__(
         self,
         memory_limit: int = MEMORY_LIMIT_MIB,
         max_body_bytes: int = MAX_BODY_BYTES,
+        flood: Flood | None = None,
     ) -> None:
         self._memory_limit = memory_limit
+        self._flood = flood
         self._max_body_bytes = max_body_bytes
         self._stack = contextlib.AsyncExitStack()
-        self._target_address = ''
         self._peer = fakes.find_free_address()
         self._beats = itertools.count(1)
         self._born = int(time.time() * 1_000)
@@ -324,6 +335,7 @@
         )
         listen = fakes.find_free_address()
         self.route = Place(listen, '/a/')
+        self.faulty_route = Place(listen, f'/{FAULTY_POOL}/')
         self.no_route = Place(listen, '/none/')
         self.readiness = Place(fakes.find_free_address(), '/api/ready')
 
@@ -373,7 +385,12 @@
         for program in (self.member, self.entry):
             self._stack.push_async_callback(program.kill)
             await program.start()
-        await self._start_target()
+        await self._start_target('t1', SOUND_POOL, self._serve)
+        if self._flood is not None:
+            for number in range(FAULTY_TARGETS):
+                await self._start_target(
+                    f'f{number}', FAULTY_POOL, self._send_flood
+                )
         async with asyncio.timeout(START_S):
             await call_until_served(
                 self.api, 'PATCH', make_config(self._max_body_bytes)
@@ -386,24 +403,29 @@
     async def __aexit__(self, *exc_info: object) -> None:
         await self._stack.aclose()
 
-    async def _start_target(self) -> None:
+    async def _start_target(
+        self, name: str, pool: str, serve: Callable[..., Awaitable[None]]
+    ) -> None:
         server = await asyncio.start_server(
-            self._serve, '127.0.0.1', 0, limit=2 * MAX_BODY_BYTES
+            serve, '127.0.0.1', 0, limit=2 * MAX_BODY_BYTES
         )
         self._stack.callback(server.close)
         host, port = server.sockets[0].getsockname()
-        self._target_address = f'{host}:{port}'
-        beats = asyncio.create_task(self._announce_periodically())
+        beats = asyncio.create_task(
+            self._announce_periodically(name, pool, f'{host}:{port}')
+        )
         self._stack.callback(beats.cancel)
 
-    async def _announce_periodically(self) -> None:
-        place = self.api._replace(path='/api/instances/t1')
+    async def _announce_periodically(
+        self, name: str, pool: str, address: str
+    ) -> None:
+        place = self.api._replace(path=f'/api/instances/{name}')
         while True:
             beat = {
-                'address': self._target_address,
+                'address': address,
                 'born': self._born,
                 'info': {
-                    'service': 'pool',
+                    'service': pool,
                     'version': 'v1',
                     'zone': 'z1',
                     'slots': 50,
@@ -419,6 +441,25 @@
                     await call(place, 'PUT', json.dumps(beat).encode())
             await asyncio.sleep(BEAT_S / 2)
 
+    async def _send_flood(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Send the flood for each request until the entry closes."""
+        assert self._flood is not None
+        with (
+            contextlib.closing(writer),
+            contextlib.suppress(OSError, EOFError),
+        ):
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                request_id = find_request_id(head)
+                for step in self._flood(request_id):
+                    if isinstance(step, float):
+                        await asyncio.sleep(step)
+                    else:
+                        writer.write(step)
+                        await writer.drain()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -452,23 +493,60 @@
         await writer.drain()
 
 
+def find_request_id(head: bytes) -> bytes:
+    """Return the id of a request, or empty bytes."""
+    for line in head.split(b'\r\n')[1:]:
+        name, _, value = line.partition(b':')
+        if name.lower() == b'x-request-id':
+            return value.strip()
+    return b''
+
+
 def make_config(max_body_bytes: int) -> bytes:
-    """Return a first configuration with one pool and one route."""
-    route = {
-        'name': 'r',
-        'pathPrefix': '/a/',
+    """Return a first configuration with two pools and a route to each."""
+    limits = {
+        'maxHeaderBytes': 16_384,
+        'maxBodyBytes': max_body_bytes,
+        'headerTimeout': '3s',
+        'idleTimeout': '15s',
+        'version': 1,
+    }
+    routes = [
+        make_route('r', '/a/', SOUND_POOL),
+        make_route('f', f'/{FAULTY_POOL}/', FAULTY_POOL),
+    ]
+    config = {
+        'upsert': {
+            'services': [make_pool(SOUND_POOL), make_pool(FAULTY_POOL)],
+            'limits': limits,
+            'hosts': [{'host': HOST, 'paths': routes}],
+        },
+        'remove': {'routes': []},
+    }
+    return json.dumps(config).encode()
+
+
+def make_route(name: str, prefix: str, pool: str) -> dict[str, Any]:
+    """Return a route of the configuration."""
+    return {
+        'name': name,
+        'pathPrefix': prefix,
         'type': 'idempotent',
         'timeout': '10s',
         'targetLatency': '1s',
         'priority': 1,
-        'service': 'pool',
+        'service': pool,
         'maxAttempts': 1,
         'sessionAffinity': False,
         'allowedRegions': [],
         'version': 1,
     }
-    service = {
-        'name': 'pool',
+
+
+def make_pool(name: str) -> dict[str, Any]:
+    """Return a pool of the configuration."""
+    return {
+        'name': name,
         'healthPath': '/health',
         'maxConns': 100,
         'protocol': 'h1',
@@ -477,19 +555,3 @@
         'warmupPerS': 100.0,
         'version': 1,
     }
-    limits = {
-        'maxHeaderBytes': 16_384,
-        'maxBodyBytes': max_body_bytes,
-        'headerTimeout': '3s',
-        'idleTimeout': '15s',
-        'version': 1,
-    }
-    config = {
-        'upsert': {
-            'services': [service],
-            'limits': limits,
-            'hosts': [{'host': HOST, 'paths': [route]}],
-        },
-        'remove': {'routes': []},
-    }
-    return json.dumps(config).encode()
