Bound the answers that the embeddable client keeps

Cause: HttpClient collected a body until its end or its time-out, so that a faulty target behind an entry could fill the memory of the process that embeds it, and read interim responses without a limit.

Change: max_answer_bytes of HttpClient and Caller, 64 MiB by default, and 32 interim responses. More ends the connection; the outcome is unknown.

Before: three of the four tests of EndlessAnswerTest failed (time-out after 2 s of reading). After: all pass.

--- a/fulmarseam/client/_caller.py
+++ b/fulmarseam/client/_caller.py
@@ -68,16 +68,20 @@
     and after a refusal for lack of capacity only within a retry budget. All
     attempts of a call carry the same request id. `address` is the caller's
     IP address for lookups; without it entries use the address of the
-    connection::
+    connection. A body above `max_answer_bytes` counts as no answer::
 
         async with Caller(['127.0.0.1:8001'], 'ost') as caller:
             result = await caller.call(request, deadline_ms=2000, once=True)
     """
 
     def __init__(
-        self, apis: Sequence[str], region: str, address: str | None = None
+        self,
+        apis: Sequence[str],
+        region: str,
+        address: str | None = None,
+        max_answer_bytes: int = _exchange.MAX_ANSWER_BYTES,
     ) -> None:
-        self._http_client = _exchange.HttpClient()
+        self._http_client = _exchange.HttpClient(max_answer_bytes)
         self._lookup = _lookup.Lookup(apis, region, self._http_client, address)
         self._retry_budget = steering.RetryBudget(OVERLOAD_RETRY_RATIO)
 
--- a/fulmarseam/client/_exchange.py
+++ b/fulmarseam/client/_exchange.py
@@ -16,6 +16,9 @@
 # Shorter than the idle timeout of an entry, so that the entry does not close
 # a connection on which a request has just been sent.
 MAX_IDLE_S = 4.0
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+# Interim responses before the final one; servers send a few.
+MAX_INTERIM_RESPONSES = 32
 
 
 class Reply(NamedTuple):
@@ -57,14 +60,22 @@
     body: bytes = b''
 
 
+class _AnswerTooLargeError(Exception):
+    """A response exceeds what the client takes."""
+
+
 class _Connection:
     """One connection, used for one exchange at a time."""
 
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        max_answer_bytes: int,
     ) -> None:
         self._reader = reader
         self._writer = writer
+        self._max_answer_bytes = max_answer_bytes
         self._h11 = h11.Connection(h11.CLIENT)
         self.response_started = False
         self.idle_since = 0.0
@@ -98,7 +109,7 @@
         return b''.join(part for part in parts if part)
 
     async def _read_head(self) -> h11.Response:
-        while True:
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 return event
@@ -106,15 +117,22 @@
                 raise ConnectionResetError(
                     'connection closed before the response'
                 )
+        raise _AnswerTooLargeError(
+            f'more than {MAX_INTERIM_RESPONSES} interim responses'
+        )
 
     async def _read_body(self) -> bytes:
-        parts = []
+        body = bytearray()
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
+                body += event.data
+                if len(body) > self._max_answer_bytes:
+                    raise _AnswerTooLargeError(
+                        f'the body exceeds {self._max_answer_bytes} bytes'
+                    )
             elif isinstance(event, h11.EndOfMessage):
-                return b''.join(parts)
+                return bytes(body)
             else:
                 raise ConnectionResetError(
                     'connection closed within the response'
@@ -150,11 +168,12 @@
 class HttpClient:
     """Sends requests and keeps idle connections for reuse.
 
-    A connection is reused only after a complete response. An instance
-    belongs to one event loop.
+    A connection is reused only after a complete response, whose body has
+    `max_answer_bytes` at most. An instance belongs to one event loop.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_answer_bytes: int = MAX_ANSWER_BYTES) -> None:
+        self._max_answer_bytes = max_answer_bytes
         self._idle: dict[str, list[_Connection]] = {}
 
     async def send(
@@ -162,7 +181,8 @@
     ) -> Reply:
         """Send a request to IP:PORT and return the complete response.
 
-        Raises `ExchangeError` when there is none. A cancelled call closes
+        Raises `ExchangeError` when there is none, or when it is too large. A
+        cancelled call closes
         its connection.
         """
         connection = await self._acquire(address, timeout_s)
@@ -178,7 +198,11 @@
                 True,
                 connection.response_started,
             ) from None
-        except (OSError, h11.RemoteProtocolError) as error:
+        except (
+            OSError,
+            h11.RemoteProtocolError,
+            _AnswerTooLargeError,
+        ) as error:
             raise ExchangeError(
                 f'{address}: {error}', True, connection.response_started
             ) from error
@@ -204,7 +228,7 @@
             raise ExchangeError(
                 f'{address}: cannot connect: {error}', False, False
             ) from error
-        return _Connection(reader, writer)
+        return _Connection(reader, writer, self._max_answer_bytes)
 
     def _release(self, address: str, connection: _Connection) -> bool:
         idle = self._idle.setdefault(address, [])
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -1,5 +1,8 @@
 """Tests of the client library for callers and targets."""
 
+import asyncio
+import contextlib
+import itertools
 import json
 import unittest
 
@@ -172,6 +175,55 @@
         self.assertIn(len(second.requests), (5, 6))
 
 
+class EndlessAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a client that keeps an answer without end."""
+
+    MAX_BYTES = 100_000
+    # What the kernel and the stream buffer beyond what the client keeps.
+    BUFFER_BYTES = 8 * 1024 * 1024
+
+    async def check(self, start: bytes, piece: bytes) -> None:
+        """Check that the exchange fails before the server has sent much."""
+        sent = 0
+
+        async def flood(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal sent
+            with contextlib.closing(writer), contextlib.suppress(OSError):
+                await reader.readuntil(b'\r\n\r\n')
+                for data in itertools.chain((start,), itertools.repeat(piece)):
+                    writer.write(data)
+                    sent += len(data)
+                    await writer.drain()
+
+        server = await asyncio.start_server(flood, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        http_client = client.HttpClient(self.MAX_BYTES)
+        self.addCleanup(http_client.close)
+        with self.assertRaises(client.ExchangeError) as caught:
+            await http_client.send(f'{host}:{port}', REQUEST, 2.0)
+        self.assertNotIn('no complete response', str(caught.exception))
+        self.assertIs(errors.Outcome.UNKNOWN, caught.exception.outcome)
+        self.assertLess(sent, self.MAX_BYTES + self.BUFFER_BYTES)
+
+    async def test_chunks(self) -> None:
+        await self.check(
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
+            b'1000\r\n' + bytes(0x1000) + b'\r\n',
+        )
+
+    async def test_a_body_that_only_the_close_ends(self) -> None:
+        await self.check(b'HTTP/1.1 200 OK\r\n\r\n', bytes(0x1000))
+
+    async def test_fields(self) -> None:
+        await self.check(b'HTTP/1.1 200 OK\r\n', b'a: b\r\n' * 1_000)
+
+    async def test_interim_responses(self) -> None:
+        await self.check(b'', b'HTTP/1.1 102 P\r\n\r\n' * 1_000)
+
+
 class AnnouncerTest(unittest.IsolatedAsyncioTestCase):
     """Guards against lost or reordered announcements."""
 
