Keep a cancellation that meets a failed call

Cause: pynng drops a cancellation that comes after nng completed the operation. raise_if_cancelled was called after a success only. After an error RpcClient.call raised TransportError, for which the poll of a member goes on, so that the gateway waited for a task that had lost its cancellation; a server went on to receive.

Change: the same check after an error, in both.

Before: both new tests failed; a first form of them, which cancelled again at its end, ran for over 10 minutes. After: ten tests of tests.test_transport pass.

--- a/fulmarseam/transport/_rpc.py
+++ b/fulmarseam/transport/_rpc.py
@@ -120,6 +120,7 @@
                 if isinstance(error, pynng.Closed):
                     return
                 _log.debug('event=receive_failed error={!r}', str(error))
+                raise_if_cancelled()
                 continue
             except asyncio.CancelledError:
                 context.close()
@@ -240,6 +241,7 @@
                     f'{self.address}: no answer within {timeout_s:.3f} s'
                 ) from None
             except pynng.NNGException as error:
+                raise_if_cancelled()
                 raise errors.TransportError(
                     f'{self.address}: {error}'
                 ) from error
@@ -285,8 +287,8 @@
     """Raise `asyncio.CancelledError` if the task has been cancelled.
 
     pynng loses a cancellation (of a time-out, too) that arrives after nng
-    completed the operation and before the task resumed. Without this check
-    the task would continue for ever.
+    completed the operation, also with an error, and before the task resumed.
+    Without this check the task would continue for ever.
     """
     task = asyncio.current_task()
     if task is not None and task.cancelling():
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -4,6 +4,7 @@
 import contextlib
 import subprocess
 import sys
+from typing import Any
 import unittest
 from unittest import mock
 
@@ -65,6 +66,32 @@
         self.assertEqual(0, result.returncode)
 
 
+class FailingContext:
+    """A context whose first receive fails when its task is cancelled.
+
+    As pynng does, if nng has completed the operation with an error before it
+    is told of the cancellation.
+    """
+
+    def __init__(self) -> None:
+        self._has_failed = False
+
+    async def asend(self, data: bytes) -> None:
+        """Send at once."""
+
+    async def arecv(self) -> bytes:
+        """Fail when cancelled, the first time."""
+        if self._has_failed:
+            return await asyncio.sleep(60, b'')
+        self._has_failed = True
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.sleep(60)
+        raise pynng.ConnectionReset('the other side has gone', 19)
+
+    def close(self) -> None:
+        """Close nothing."""
+
+
 class RpcTest(unittest.IsolatedAsyncioTestCase):
     """Guards against calls that are lost, hang or get another response."""
 
@@ -113,6 +140,30 @@
         self.assertEqual({call}, done)
         self.assertIsInstance(call.exception(), errors.TransportError)
 
+    async def check_cancelled(self, task: asyncio.Task[Any]) -> None:
+        """Cancel a task and check that it ends so."""
+        await asyncio.sleep(0.05)
+        task.cancel()
+        done, _ = await asyncio.wait([task], timeout=1.0)
+        self.assertEqual({task}, done)
+        self.assertTrue(task.cancelled())
+
+    # A task that treats failed calls as usual, such as a poll, went on for
+    # ever, and its owner waited for it.
+    async def test_cancellation_beside_a_failed_call_is_kept(self) -> None:
+        client = transport.RpcClient(find_free_address())
+        client._socket = mock.Mock()
+        client._socket.new_context.return_value = FailingContext()
+        await self.check_cancelled(
+            asyncio.create_task(client.call(wire.Ok(), 5.0))
+        )
+
+    async def test_cancellation_beside_a_failed_receive_is_kept(self) -> None:
+        server = transport.RpcServer(find_free_address(), mock.Mock())
+        server._socket = mock.Mock()
+        server._socket.new_context.return_value = FailingContext()
+        await self.check_cancelled(asyncio.create_task(server._accept_calls()))
+
     async def test_malformed_message_does_not_stop_the_server(self) -> None:
         async def handle(message: wire.Message) -> wire.Message:
             return wire.Ok()
