Keep commands in flight at paused members in the fault soak

The soak paused members, but its operator evacuated once and picked members at random, and targets never started again under their ids.

Change: the operator evacuates again and again with short gaps, targets leave without a drain and start again under their ids (drawn apart, so that older seeds keep their faults), and half of the commands go to paused members first. A new check: such a target gets requests in the end.

--- a/tests/soak/_checks.py
+++ b/tests/soak/_checks.py
@@ -20,6 +20,8 @@
 REGRESS_SLACK_S = 0.25
 EVACUATE_S = 5.0
 RECOVERY_S = 15.0
+# A sound target gets requests again after this time.
+REJOIN_S = 5.0
 # Lowest share of requests served once all faults have recovered.
 SERVED_SHARE = 0.9
 # After SIGTERM a process has its grace period and 1 s to finish requests.
@@ -85,6 +87,7 @@
         *_check_at_most_once(record, runs),
         *_check_attempts(record, runs),
         *_check_leaves(record, runs, timeline),
+        *_check_restarts(record),
         *_check_evacuations(record, runs, timeline),
         *_check_moves(record, runs, timeline),
         *_check_stops(record, runs, timeline),
@@ -158,6 +161,21 @@
     ]
 
 
+def _check_restarts(record: _record.Record) -> list[str]:
+    """Check that a target that started again gets requests in the end."""
+    found = []
+    for target, restart in record.restarted.items():
+        if restart.failure_domain == _operator.EVACUATED:
+            continue
+        start = max(restart.at, record.faults_ended_at) + REJOIN_S
+        if not any(
+            arrival.target == target and arrival.at > start
+            for arrival in record.arrivals
+        ):
+            found.append(f'{target} got no request after its {restart}')
+    return found
+
+
 def _check_evacuations(
     record: _record.Record, runs: Runs, timeline: FaultTimeline
 ) -> list[str]:
--- a/tests/soak/_operator.py
+++ b/tests/soak/_operator.py
@@ -18,9 +18,13 @@
 # A command is retried on other members until it is acknowledged.
 ACKNOWLEDGE_TIMEOUT_S = 30.0
 EVACUATED = 'z2'
-# Lasts longer than the 5 s in which an evacuation must take effect.
 EVACUATE_AT_S = 4.0
-EVACUATE_FOR_S = 8.0
+# Lasts longer than the 5 s in which an evacuation must take effect, and than
+# a member is paused.
+EVACUATE_FOR_S = 9.0
+# Range of the time between two evacuations: shorter than a pause, so that a
+# withdrawal that waited in a paused member meets the next evacuation.
+EVACUATE_GAP_S = (0.1, 0.6)
 
 
 def make_route(name: str, path: str, pool: str, version: int) -> Any:
@@ -113,16 +117,20 @@
         ):
             self._record.acknowledged[version] = time.monotonic()
 
-    async def evacuate(self) -> None:
-        """Evacuate a failure domain, then end the evacuation."""
+    async def evacuate_repeatedly(self) -> None:
+        """Evacuate a failure domain again and again."""
         await asyncio.sleep(EVACUATE_AT_S)
         path = f'/api/evacuate/{EVACUATED}'
-        if not await self._send_until_acknowledged('POST', path):
-            return
-        started = time.monotonic()
-        await asyncio.sleep(EVACUATE_FOR_S)
-        self._record.evacuations.append((EVACUATED, started, time.monotonic()))
-        await self._send_until_acknowledged('DELETE', path)
+        while await self._send_until_acknowledged('POST', path):
+            started = time.monotonic()
+            try:
+                await asyncio.sleep(EVACUATE_FOR_S)
+            finally:
+                self._record.evacuations.append(
+                    (EVACUATED, started, time.monotonic())
+                )
+            await self._send_until_acknowledged('DELETE', path)
+            await asyncio.sleep(random.uniform(*EVACUATE_GAP_S))
 
     async def _send_until_acknowledged(
         self, method: str, path: str, body: Any = None
@@ -131,7 +139,7 @@
         data = b'' if body is None else json.dumps(body).encode()
         deadline = time.monotonic() + ACKNOWLEDGE_TIMEOUT_S
         while time.monotonic() < deadline:
-            api = random.choice(self._system.list_apis())
+            api = self._system.choose_apis()[0]
             reply = await _calls.call(api, method, path, data)
             if reply is not None and reply.status == 200:
                 return True
--- a/tests/soak/_plan.py
+++ b/tests/soak/_plan.py
@@ -22,6 +22,8 @@
 # Time between two notices of targets, which they give for some seconds.
 MEAN_NOTICE_GAP_S = 4.0
 NOTICE_S = (2.0, 4.0)
+# Time between two targets that start again under their ids.
+MEAN_RESTART_GAP_S = 4.0
 # By then callers have made their first lookups and connections.
 FIRST_AT_S = 1.0
 
@@ -42,6 +44,7 @@
     DELAY = 'delay'
     LEAVE = 'leave'
     REPLACE = 'replace'
+    RESTART = 'restart'
     SLOW = 'slow'
     SHED = 'shed'
     LIMIT = 'limit'
@@ -103,6 +106,7 @@
         faults.append(fault)
     faults.extend(_draw_limits(seed, length_s))
     faults.extend(_draw_notices(seed, length_s))
+    faults.extend(_draw_restarts(seed, length_s))
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
@@ -131,6 +135,18 @@
     return notices
 
 
+def _draw_restarts(seed: int, length_s: float) -> list[Fault]:
+    """Return the restarts of targets, drawn apart from other faults."""
+    rng = random.Random(f'restarts-{seed}')
+    restarts = []
+    at_s = FIRST_AT_S
+    while at_s < length_s:
+        name = f'target-{rng.randint(1, TARGETS)}'
+        restarts.append(Fault(at_s, FaultKind.RESTART, name, 0.0))
+        at_s += rng.expovariate(1.0 / MEAN_RESTART_GAP_S)
+    return restarts
+
+
 def _draw_fault(rng: random.Random, at_s: float) -> Fault:
     for_s = rng.choice((0.2, 0.8, 2.0, 4.0))
     group = rng.random()
--- a/tests/soak/_record.py
+++ b/tests/soak/_record.py
@@ -64,6 +64,13 @@
     ended_at: float
 
 
+class Restart(NamedTuple):
+    """A target that has started again under its id."""
+
+    failure_domain: str
+    at: float
+
+
 class Move(NamedTuple):
     """A version of the route that moves between pools."""
 
@@ -99,6 +106,8 @@
     # When each version, leave and evacuation was acknowledged.
     acknowledged: dict[int, float] = dataclasses.field(default_factory=dict)
     left: dict[str, float] = dataclasses.field(default_factory=dict)
+    # Targets that run under the id of an earlier incarnation.
+    restarted: dict[str, Restart] = dataclasses.field(default_factory=dict)
     evacuations: list[tuple[str, float, float]] = dataclasses.field(
         default_factory=list
     )
--- a/tests/soak/_soak.py
+++ b/tests/soak/_soak.py
@@ -65,7 +65,7 @@
             asyncio.create_task(work)
             for work in (
                 operator.move_repeatedly(),
-                operator.evacuate(),
+                operator.evacuate_repeatedly(),
                 system.watch(),
             )
         ]
--- a/tests/soak/_system.py
+++ b/tests/soak/_system.py
@@ -4,6 +4,7 @@
 import contextlib
 import os
 import pathlib
+import random
 import re
 import shutil
 import signal
@@ -87,6 +88,7 @@
         self._log = directory / f'{name}.log'
         self._log_start = 0
         self._process: asyncio.subprocess.Process | None = None
+        self.is_paused = False
         # Held while a fault keeps the process down.
         self.control = asyncio.Lock()
 
@@ -253,6 +255,23 @@
             for number in range(1, _plan.MEMBERS + 1)
         ]
 
+    def choose_apis(self) -> list[str]:
+        """Return the addresses for operators and targets in random order.
+
+        Half of the time those of paused members come first, so that commands
+        wait there until the members go on.
+        """
+        apis = self.list_apis()
+        random.shuffle(apis)
+        if random.random() < 0.5:
+            paused = {
+                api
+                for number, api in enumerate(self.list_apis(), 1)
+                if self.processes[f'core-{number}'].is_paused
+            }
+            apis.sort(key=lambda api: api not in paused)
+        return apis
+
     def list_lookups(self) -> list[str]:
         """Return the addresses for callers."""
         return [
@@ -362,8 +381,10 @@
         match fault.kind:
             case _plan.FaultKind.PAUSE:
                 process.send(signal.SIGSTOP)
+                process.is_paused = True
                 await asyncio.sleep(fault.for_s)
                 process.send(signal.SIGCONT)
+                process.is_paused = False
             case _plan.FaultKind.STOP:
                 # A starting program is ended by the signal itself.
                 expected = 0 if process.has_started() else -signal.SIGTERM
--- a/tests/soak/_targets.py
+++ b/tests/soak/_targets.py
@@ -31,6 +31,8 @@
 RATE_LIMITS_PER_S = (1.0, 3.0)
 # A target keeps serving this long after its leave was acknowledged.
 LEAVE_SERVE_S = 4.0
+# A target that announces no drain serves this long after its leave.
+SERVE_ON_S = 2.6
 # A target of another pool may reuse an address after this time.
 ADDRESS_REUSE_S = 2.0
 
@@ -166,13 +168,20 @@
         self.control = asyncio.Lock()
         system.add_link(self.name, self._proxy_address, self._listen_address)
 
-    async def start(self) -> None:
-        """Start a new incarnation with a new id."""
-        self._starts += 1
+    async def start(self, keeps_id: bool = False) -> None:
+        """Start a new incarnation, with a new id unless it keeps its own."""
+        domain = _system.find_domain(self._number)
+        if keeps_id:
+            self._record.restarted[f'{self.name}-{self._starts}'] = (
+                _record.Restart(domain, time.monotonic())
+            )
+        else:
+            self._record.restarted.pop(f'{self.name}-{self._starts}', None)
+            self._starts += 1
         self._current = _Incarnation(
             f'{self.name}-{self._starts}',
             self._pool,
-            _system.find_domain(self._number),
+            domain,
             self._record,
             self._end_soon,
         )
@@ -239,8 +248,7 @@
         current = self._current
         assert current is not None
         path = f'/api/instances/{current.target}'
-        apis = self._system.list_apis()
-        for api in random.sample(apis, len(apis)):
+        for api in self._system.choose_apis():
             reply = await _calls.call(api, method, path, body)
             if reply is not None and reply.status < 300:
                 return True
@@ -304,6 +312,13 @@
             case _plan.FaultKind.LEAVE:
                 await self._leave(current)
                 await self.start()
+            case _plan.FaultKind.RESTART:
+                if self._announcing is not None:
+                    self._announcing.cancel()
+                await self._send('DELETE', b'')
+                await asyncio.sleep(SERVE_ON_S)
+                await self.crash()
+                await self.start(keeps_id=True)
             case _plan.FaultKind.SLOW:
                 current.slowdown = SLOW_FACTOR
                 await asyncio.sleep(fault.for_s)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -158,6 +158,15 @@
         self.record.evacuations.append(('z1', started, 110.0))
         self.assert_found('during the evacuation')
 
+    def test_a_target_that_is_shut_out_after_a_restart(self) -> None:
+        self.record.restarted['beta-9'] = _record.Restart('z1', 90.0)
+        self.assert_found('beta-9 got no request')
+
+    def test_a_target_that_is_used_after_a_restart(self) -> None:
+        self.record.restarted['beta-9'] = _record.Restart('z1', 90.0)
+        self.record.arrivals.append(_record.Arrival('beta-9', 96.0))
+        self.assertEqual([], _checks.check_record(self.record))
+
     def test_a_version_that_is_not_in_force_in_time(self) -> None:
         add_call(
             self.record, 'm2', _callers.MOVE_PATH, 90.0, _operator.find_pool(7)
