Refuse restores and member changes that reach the leader late

Edits name the versions that they change, but restores and changes of members name nothing that orders them.

Change: for these, fulmarseam-ctl asks the leader for its clock and term and sends the request with the time at which it ends; the leader refuses it after that, or in another term. A leader of an earlier release states no clock and gets the request as before.

Before: test_a_restore_that_comes_late_is_refused failed (accepted, revision 3).

--- a/fulmarseam/commands/_ctl_client.py
+++ b/fulmarseam/commands/_ctl_client.py
@@ -12,6 +12,9 @@
 from fulmarseam import wire
 
 RETRY_PAUSE_S = 0.2
+# Requests that name no state on which they depend. One that is carried out
+# late, after a pause of the leader or of the network, would undo later ones.
+_UNORDERED_REQUESTS = (wire.Restore, wire.MemberAdd, wire.MemberRemove)
 _RETRIED_KINDS = frozenset(
     {
         errors.ErrorKind.NOT_LEADER,
@@ -124,10 +127,32 @@
     async def _call_member(
         self, member: str, message: wire.Message, remaining_s: float
     ) -> wire.Message:
-        return await self.call_address(
-            self._addresses[member],
-            message,
-            min(remaining_s, self._attempt_timeout_s),
+        timeout_s = min(remaining_s, self._attempt_timeout_s)
+        address = self._addresses[member]
+        if isinstance(message, _UNORDERED_REQUESTS):
+            message = await self._limit_time(address, message, timeout_s)
+        return await self.call_address(address, message, timeout_s)
+
+    async def _limit_time(
+        self, address: str, message: wire.Message, timeout_s: float
+    ) -> wire.Message:
+        """Return a request that the leader refuses once `timeout_s` is over.
+
+        The leader reads its clock before the answer travels, so the request
+        expires too early by that time, never too late. Raises
+        `errors.NotLeaderError` if the member does not lead.
+        """
+        status = await self.call_address(
+            address, wire.StatusRequest(), timeout_s
+        )
+        if not isinstance(status, wire.StatusResponse) or not status.clock_ms:
+            return message
+        if status.leadership_age_ms is None:
+            raise errors.NotLeaderError(status.leader)
+        return wire.TimedRequest(
+            term=status.term,
+            expires_ms=status.clock_ms + int(timeout_s * 1_000),
+            request=wire.encode(message),
         )
 
     async def _find_leader(self) -> None:
--- a/fulmarseam/control/_admin.py
+++ b/fulmarseam/control/_admin.py
@@ -8,6 +8,7 @@
 from fulmarseam import store
 from fulmarseam import wire
 from fulmarseam.control import _leadership
+from fulmarseam.control import _pending_calls
 from fulmarseam.control import _sync
 
 ADMIN_REQUESTS = (
@@ -18,6 +19,7 @@
     wire.FleetRequest,
     wire.MemberAdd,
     wire.MemberRemove,
+    wire.TimedRequest,
 )
 
 
@@ -59,10 +61,26 @@
             case wire.MemberRemove():
                 await self._member.remove_member(message.member)
                 return wire.Ok()
+            case wire.TimedRequest():
+                return await self._answer_in_time(message)
         raise errors.WireError(
             f'{type(message).__name__}: expected an admin request'
         )
 
+    async def _answer_in_time(
+        self, message: wire.TimedRequest
+    ) -> wire.Message:
+        """Answer the request in a message, unless it is late."""
+        if self._member.leadership_age() is None:
+            raise errors.NotLeaderError(self._member.leader())
+        _pending_calls.check_forwarded(
+            message.term, message.expires_ms, self._member.status().term
+        )
+        request = wire.decode(message.request)
+        if isinstance(request, wire.TimedRequest):
+            raise errors.WireError('found a timed request within another')
+        return await self.answer(request)
+
     async def _propose(self, edit: wire.Edit | wire.Restore) -> wire.Message:
         started = time.monotonic()
         data = await self._member.propose(store.encode_command(edit))
@@ -114,6 +132,7 @@
             ],
             applied_index=status.commit_index,
             last_index=status.last_index,
+            clock_ms=_pending_calls.read_clock_ms(),
         )
 
     def _make_fleet(self) -> wire.FleetResponse:
--- a/fulmarseam/wire/__init__.py
+++ b/fulmarseam/wire/__init__.py
@@ -24,6 +24,7 @@
 from fulmarseam.wire._admin import TablesRequest
 from fulmarseam.wire._admin import TablesResponse
 from fulmarseam.wire._admin import TargetProgress
+from fulmarseam.wire._admin import TimedRequest
 from fulmarseam.wire._catalog import CatalogChanges
 from fulmarseam.wire._catalog import CatalogCommand
 from fulmarseam.wire._catalog import CatalogResult
@@ -247,6 +248,7 @@
     'TargetReport',
     'TargetRow',
     'TargetState',
+    'TimedRequest',
     'TrialRequest',
     'TrialResponse',
     'Verdict',
--- a/fulmarseam/wire/_admin.py
+++ b/fulmarseam/wire/_admin.py
@@ -108,7 +108,8 @@
     """A control member's view of the group.
 
     `leadership_age_ms` is None unless the member is the leader and its
-    leadership age is valid.
+    leadership age is valid. `clock_ms` is the clock by which the member
+    judges a `TimedRequest`; members of earlier releases state none.
     """
 
     member: ids.MemberId
@@ -119,6 +120,7 @@
     members: list[MemberRow]
     applied_index: int = 0
     last_index: int = 0
+    clock_ms: int = 0
 
 
 class FleetRequest(
@@ -200,6 +202,19 @@
     member: ids.MemberId
 
 
+class TimedRequest(
+    msgspec.Struct, tag='timed_request', frozen=True, kw_only=True
+):
+    """A request that the leader of `term` carries out in time or not at all.
+
+    `expires_ms` is a time of its clock. `request` is the encoded request.
+    """
+
+    term: int
+    expires_ms: int
+    request: bytes
+
+
 AdminMessage = (
     Edit
     | Export
@@ -215,4 +230,5 @@
     | QuarantineResponse
     | MemberAdd
     | MemberRemove
+    | TimedRequest
 )
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,10 +1,12 @@
 """Tests of control daemons in one process, over loopback."""
 
 import asyncio
+from collections.abc import AsyncIterator
 import contextlib
 import tempfile
 import time
 import unittest
+from unittest import mock
 
 import msgspec
 
@@ -14,6 +16,7 @@
 from fulmarseam import settings
 from fulmarseam import transport
 from fulmarseam import wire
+from fulmarseam.commands import _ctl_client
 from tests import control_fixtures as fixtures
 
 START_TIMEOUT_S = 10.0
@@ -250,6 +253,100 @@
         )
 
 
+class LateRequestTest(GroupCase):
+    """Guards against requests of operators that undo later ones.
+
+    A restore that reached the leader only after its operator had given up
+    replaced the edits that had been accepted meanwhile.
+    """
+
+    async def read_queue_limit(self) -> int:
+        """Return the queue limit in force."""
+        found = await self.call(
+            wire.TablesRequest(tables=[wire.TableName.POOLS])
+        )
+        assert isinstance(found, wire.TablesResponse), found
+        (change,) = found.changes
+        assert isinstance(change.row, wire.Pool)
+        return change.row.queue_limit
+
+    async def make_restore(self) -> wire.Restore:
+        """Return a restore of the tables in force."""
+        found = await self.call(wire.TablesRequest())
+        assert isinstance(found, wire.TablesResponse), found
+        export = wire.Export(
+            revision=found.revision,
+            changes=found.changes,
+            blocks=found.blocks,
+        )
+        return wire.Restore(edit_id=ids.EditId('restore'), export=export)
+
+    @contextlib.asynccontextmanager
+    async def open_client(self) -> AsyncIterator[_ctl_client.AdminClient]:
+        """Open a client of the operator's tool that gives up early."""
+        options = settings.CtlSettings(
+            control={self.leader: self.options[self.leader].listen},
+            timeout_ms=400,
+            call_timeout_ms=300,
+        )
+        async with _ctl_client.AdminClient(options) as admin:
+            yield admin
+
+    async def test_a_restore_that_comes_late_is_refused(self) -> None:
+        await self.edit('first', queue_limit=1)
+        restore = await self.make_restore()
+        held: list[wire.Message] = []
+        real_call = transport.RpcClient.call
+
+        async def hold(
+            rpc_client: transport.RpcClient,
+            message: wire.Message,
+            timeout_s: float,
+        ) -> wire.Message:
+            if isinstance(message, wire.StatusRequest):
+                return await real_call(rpc_client, message, timeout_s)
+            held.append(message)
+            await asyncio.sleep(timeout_s)
+            raise errors.TransportError('no answer')
+
+        async with self.open_client() as admin:
+            with (
+                mock.patch.object(transport.RpcClient, 'call', hold),
+                self.assertRaises(errors.FulmarseamError),
+            ):
+                await admin.call(restore)
+        await self.edit('second', queue_limit=2)
+        self.assertTrue(held)
+        for message in held:
+            answer = await self.call(message)
+            assert isinstance(answer, wire.Failure), answer
+            self.assertEqual(errors.ErrorKind.UNAVAILABLE.value, answer.kind)
+        self.assertEqual(2, await self.read_queue_limit())
+
+    async def test_a_restore_in_time_is_carried_out(self) -> None:
+        await self.edit('first', queue_limit=1)
+        restore = await self.make_restore()
+        await self.edit('second', queue_limit=2)
+        async with self.open_client() as admin:
+            answer = await admin.call(restore)
+        assert isinstance(answer, wire.EditResult), answer
+        self.assertIsNone(answer.kind)
+        self.assertEqual(1, await self.read_queue_limit())
+
+    async def test_a_request_of_an_earlier_term_is_refused(self) -> None:
+        status = await self.call(wire.StatusRequest())
+        assert isinstance(status, wire.StatusResponse), status
+        answer = await self.call(
+            wire.TimedRequest(
+                term=status.term - 1,
+                expires_ms=status.clock_ms + 60_000,
+                request=wire.encode(wire.MemberRemove(member=self.leader)),
+            )
+        )
+        assert isinstance(answer, wire.Failure), answer
+        self.assertEqual(errors.ErrorKind.UNAVAILABLE.value, answer.kind)
+
+
 class ThreeMembersTest(GroupCase):
     """Guards against answers of members that do not lead.
 
