Shorten what errors quote of a refused line

Seen: a faulty target's line of 9,000 bytes came back in the answer to the caller and in the log line of each request, with up to 36,000 characters.

Cause: h11 quotes the whole line that it refuses.

Change: the detail of such an error has 200 characters of it at most, for answers of targets and for requests of callers.

--- a/fulmarseam/client/_exchange.py
+++ b/fulmarseam/client/_exchange.py
@@ -182,8 +182,7 @@
         """Send a request to IP:PORT and return the complete response.
 
         Raises `ExchangeError` when there is none, or when it is too large. A
-        cancelled call closes
-        its connection.
+        cancelled call closes its connection.
         """
         connection = await self._acquire(address, timeout_s)
         kept = False
--- a/fulmarseam/http/_caller.py
+++ b/fulmarseam/http/_caller.py
@@ -303,7 +303,9 @@
         try:
             return self._h11.next_event()
         except h11.RemoteProtocolError as error:
-            raise _framing.make_malformed_error(str(error)) from error
+            raise _framing.make_malformed_error(
+                _framing.describe(error)
+            ) from error
 
     def poll_body(self) -> bytes | None:
         """Return the next piece of the body, or None when none has arrived.
--- a/fulmarseam/http/_framing.py
+++ b/fulmarseam/http/_framing.py
@@ -17,6 +17,9 @@
 
 HEAD_END = b'\r\n\r\n'
 
+# Characters of an error of h11, which quotes the whole line that it refuses.
+MAX_DETAIL_CHARS = 200
+
 # Fields that a message has once, apart from those that h11 checks.
 SINGLE_FIELDS = frozenset((b'content-encoding', b'content-length'))
 
@@ -47,6 +50,14 @@
     return errors.FulmarseamError(errors.ErrorKind.MALFORMED_REQUEST, detail)
 
 
+def describe(error: Exception) -> str:
+    """Return the beginning of the text of an error of h11."""
+    text = str(error)
+    if len(text) <= MAX_DETAIL_CHARS:
+        return text
+    return f'{text[:MAX_DETAIL_CHARS]}...'
+
+
 def check_lines(head: bytes | bytearray) -> None:
     """Refuse bare line feeds, bare carriage returns, NUL and folding."""
     pairs = head.count(b'\r\n')
--- a/fulmarseam/http/_target.py
+++ b/fulmarseam/http/_target.py
@@ -363,7 +363,7 @@
             reason = _failures.Reason.MALFORMED
             if self.ended:
                 reason = _failures.Reason.BROKEN
-            raise self._make_error(reason, str(error)) from error
+            raise self._make_error(reason, _framing.describe(error)) from error
 
     def poll_body(self) -> bytes | None:
         """Return the next piece of the body, or None when none has arrived.
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -205,6 +205,28 @@
         )
 
 
+class QuotedBytesTest(EndlessBytesCase):
+    """Guards against answers and log lines that hold what a target sent."""
+
+    MAX_ANSWER_BYTES = 1_000
+
+    async def check_short(self, start: bytes) -> None:
+        target = await self.start_target(start, b'x', pause_s=0.05)
+        answer = await self.check(target)
+        self.assertIn(answer[9:12], (b'502', b'504'))
+        body = answer.partition(b'\r\n\r\n')[2]
+        self.assertLess(len(body), self.MAX_ANSWER_BYTES)
+
+    async def test_a_status_line(self) -> None:
+        await self.check_short(b'?' * 900 + b'\r\n\r\n')
+
+    async def test_a_field(self) -> None:
+        await self.check_short(HEAD + b'\x01' * 900 + b': a\r\n\r\n')
+
+    async def test_the_size_of_a_chunk(self) -> None:
+        await self.check_short(CHUNKED + b'z' * 900 + b'\r\n')
+
+
 class EndlessBodyTest(EndlessBytesCase):
     """Guards against an endless body that looks complete or stalls others."""
 
