--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -14,6 +14,7 @@
 from tests import fakes
 
 TIMEOUT_S = 5.0
+POLL_S = 0.01
 GET = b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
 LAST_GET = b'GET /last HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n'
 
@@ -587,9 +588,11 @@
 
     async def wait_until(self, condition: Callable[[], bool]) -> None:
         """Wait until a condition holds."""
-        async with asyncio.timeout(TIMEOUT_S):
-            while not condition():
-                await asyncio.sleep(0.01)
+        for _ in range(int(TIMEOUT_S / POLL_S)):
+            if condition():
+                return
+            await asyncio.sleep(POLL_S)
+        self.fail('the condition did not hold in time')
 
     async def check_dropped(self) -> None:
         """Check that all connections end without a handled request."""
