Count header fields and check leadership in one place each

Cause: the budget of answers wrote the count of the fields of a head and their memory again, beside that of callers; the check that a member leads stood twice in AdminService.

Change: _framing.count_fields and _limits.compute_field_bytes serve both kinds of connections, _require_leadership both requests. Behaviour is the same.

Measured: lint, and 72 tests of tests.test_http_server, test_http_client, test_answer_budget and test_control pass.

--- a/fulmarseam/control/_admin.py
+++ b/fulmarseam/control/_admin.py
@@ -67,12 +67,15 @@
             f'{type(message).__name__}: expected an admin request'
         )
 
+    def _require_leadership(self) -> None:
+        if self._member.leadership_age() is None:
+            raise errors.NotLeaderError(self._member.leader())
+
     async def _answer_in_time(
         self, message: wire.TimedRequest
     ) -> wire.Message:
         """Answer the request in a message, unless it is late."""
-        if self._member.leadership_age() is None:
-            raise errors.NotLeaderError(self._member.leader())
+        self._require_leadership()
         _pending_calls.check_forwarded(
             message.term, message.expires_ms, self._member.status().term
         )
@@ -93,8 +96,7 @@
         self, request: wire.TablesRequest
     ) -> wire.TablesResponse:
         await self._member.confirm_leadership()
-        if self._member.leadership_age() is None:
-            raise errors.NotLeaderError(self._member.leader())
+        self._require_leadership()
         tables = self._machine.tables
         names = request.tables or list(wire.TableName)
         row_encoded = [
--- a/fulmarseam/http/_accounted.py
+++ b/fulmarseam/http/_accounted.py
@@ -99,11 +99,9 @@
 
         Raises `errors.FulmarseamError` if there is no memory for them now.
         """
-        if count <= _limits.ORDINARY_FIELDS:
+        size = _limits.compute_field_bytes(count)
+        if not size or self.caller_intake is None or self.account is None:
             return
-        if self.caller_intake is None or self.account is None:
-            return
-        size = count * _limits.FIELD_BYTES
         if not self.caller_intake.budget.may_hold(self.account, size):
             self.caller_intake.note('memory')
             raise errors.FulmarseamError(
--- a/fulmarseam/http/_caller.py
+++ b/fulmarseam/http/_caller.py
@@ -170,7 +170,7 @@
         while True:
             length = self._find_head()
             if length:
-                count = self._count_fields(length)
+                count = _framing.count_fields(self._head, length)
                 if count > _limits.FIELDS_PER_TURN:
                     await self._wait_to_parse()
                     self.check_given_up()
@@ -192,10 +192,6 @@
         if self.caller_intake is not None:
             await self.caller_intake.turns.wait()
 
-    def _count_fields(self, length: int) -> int:
-        """Return the number of lines of a head after its first one."""
-        return self._head.count(b'\n', 0, length) - 2
-
     def _find_head(self) -> int:
         """Collect a head; return its length, or 0 while it is incomplete."""
         while (piece := self.take_piece()) is not None:
--- a/fulmarseam/http/_framing.py
+++ b/fulmarseam/http/_framing.py
@@ -87,6 +87,11 @@
         raise make_malformed_error('Content-Length is a list')
 
 
+def count_fields(head: bytes | bytearray, length: int) -> int:
+    """Return the number of lines of a complete head after its first one."""
+    return head.count(b'\n', 0, length) - 2
+
+
 def check_status_line(head: bytes | bytearray) -> None:
     """Refuse a second status line, also within a line of the head."""
     if len(_STATUS_LINE.findall(head)) > 1:
--- a/fulmarseam/http/_limits.py
+++ b/fulmarseam/http/_limits.py
@@ -32,6 +32,11 @@
 MAX_INTERIM_RESPONSES = 32
 
 
+def compute_field_bytes(count: int) -> int:
+    """Return the memory to account for when this many fields are parsed."""
+    return count * FIELD_BYTES if count > ORDINARY_FIELDS else 0
+
+
 @dataclasses.dataclass(frozen=True)
 class Limits:
     """Limits and time-outs of a server.
--- a/fulmarseam/http/_target.py
+++ b/fulmarseam/http/_target.py
@@ -309,10 +309,9 @@
 
     def _hold_fields(self, head: bytes) -> None:
         """Count the memory that the fields of a head take when parsed."""
-        count = head.count(b'\n') - 2
-        self._field_bytes = 0
-        if count > _limits.ORDINARY_FIELDS:
-            self._field_bytes = count * _limits.FIELD_BYTES
+        self._field_bytes = _limits.compute_field_bytes(
+            _framing.count_fields(head, len(head))
+        )
         self._count_held()
         if self._field_bytes:
             self._check_budget()
