Draw times and test floods in one piece of code each

Change: _draw_times serves limits, notices and restarts; FloodTests serves both cases. Assertions, bounds and plans are the same.

--- a/tests/soak/_plan.py
+++ b/tests/soak/_plan.py
@@ -1,5 +1,6 @@
 """The faults of one soak, drawn from a seed."""
 
+from collections.abc import Iterator
 import enum
 import random
 from typing import NamedTuple
@@ -110,15 +111,26 @@
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
+def _draw_times(
+    rng: random.Random, length_s: float, mean_gap_s: float
+) -> Iterator[float]:
+    """Yield the times of one kind of fault; `rng` is shared with its caller.
+
+    Each gap is drawn after what the caller draws for the fault before it.
+    """
+    at_s = FIRST_AT_S
+    while at_s < length_s:
+        yield at_s
+        at_s += rng.expovariate(1.0 / mean_gap_s)
+
+
 def _draw_limits(seed: int, length_s: float) -> list[Fault]:
     """Return the rate limits of targets, drawn apart from other faults."""
     rng = random.Random(f'limits-{seed}')
     limits = []
-    at_s = FIRST_AT_S
-    while at_s < length_s:
+    for at_s in _draw_times(rng, length_s, MEAN_LIMIT_GAP_S):
         name = f'target-{rng.randint(1, TARGETS)}'
         limits.append(Fault(at_s, FaultKind.LIMIT, name, LIMIT_S))
-        at_s += rng.expovariate(1.0 / MEAN_LIMIT_GAP_S)
     return limits
 
 
@@ -126,12 +138,10 @@
     """Return the notices of targets, drawn apart from other faults."""
     rng = random.Random(f'notices-{seed}')
     notices = []
-    at_s = FIRST_AT_S
-    while at_s < length_s:
+    for at_s in _draw_times(rng, length_s, MEAN_NOTICE_GAP_S):
         name = f'target-{rng.randint(1, TARGETS)}'
         kind = rng.choice((FaultKind.SAY_LEAVING, FaultKind.SAY_PAUSE))
         notices.append(Fault(at_s, kind, name, rng.choice(NOTICE_S)))
-        at_s += rng.expovariate(1.0 / MEAN_NOTICE_GAP_S)
     return notices
 
 
@@ -139,11 +149,9 @@
     """Return the restarts of targets, drawn apart from other faults."""
     rng = random.Random(f'restarts-{seed}')
     restarts = []
-    at_s = FIRST_AT_S
-    while at_s < length_s:
+    for at_s in _draw_times(rng, length_s, MEAN_RESTART_GAP_S):
         name = f'target-{rng.randint(1, TARGETS)}'
         restarts.append(Fault(at_s, FaultKind.RESTART, name, 0.0))
-        at_s += rng.expovariate(1.0 / MEAN_RESTART_GAP_S)
     return restarts
 
 
--- a/tests/test_answer_budget.py
+++ b/tests/test_answer_budget.py
@@ -72,7 +72,27 @@
             pass
 
 
-class GatewayTest(gateway_case.GatewayCase):
+class FloodTests:
+    """The tests of both kinds of entry."""
+
+    async def check(self, flood: bytes) -> None:
+        """Check what is held while targets send the flood, and afterwards."""
+        raise NotImplementedError
+
+    async def test_a_large_head(self) -> None:
+        await self.check(LARGE_HEAD)
+
+    async def test_many_fields(self) -> None:
+        await self.check(MANY_FIELDS)
+
+    async def test_chunks(self) -> None:
+        await self.check(CHUNKS)
+
+    async def test_a_length(self) -> None:
+        await self.check(LENGTH)
+
+
+class GatewayTest(FloodTests, gateway_case.GatewayCase):
     """Guards against an entry that keeps what faulty targets send."""
 
     async def check(self, flood: bytes) -> None:
@@ -95,18 +115,6 @@
         self.assertLess(held.most, MAX_HELD_BYTES)
         self.assertEqual(0, budget.held)
 
-    async def test_a_large_head(self) -> None:
-        await self.check(LARGE_HEAD)
-
-    async def test_many_fields(self) -> None:
-        await self.check(MANY_FIELDS)
-
-    async def test_chunks(self) -> None:
-        await self.check(CHUNKS)
-
-    async def test_a_length(self) -> None:
-        await self.check(LENGTH)
-
     async def test_answers_that_are_served_leave_nothing_held(self) -> None:
         async def send(reader, writer, headers):
             await gateway_case.write_response(writer, headers, body=bytes(KIB))
@@ -119,7 +127,7 @@
         self.assertEqual(0, budget.held)
 
 
-class EntryTest(entry_case.EntryCase):
+class EntryTest(FloodTests, entry_case.EntryCase):
     """Guards against the same in an entry with grants."""
 
     async def check(self, flood: bytes) -> None:
@@ -144,15 +152,3 @@
         await held.run(*calls)
         self.assertLess(held.most, MAX_HELD_BYTES)
         self.assertEqual(0, budget.held)
-
-    async def test_a_large_head(self) -> None:
-        await self.check(LARGE_HEAD)
-
-    async def test_many_fields(self) -> None:
-        await self.check(MANY_FIELDS)
-
-    async def test_chunks(self) -> None:
-        await self.check(CHUNKS)
-
-    async def test_a_length(self) -> None:
-        await self.check(LENGTH)
