Log how targets leave and come back

A member's target_state now has the phase known before, also for a leave of a target that is not in the catalog; targets_dropped names the targets that were draining; an announcement that is acknowledged and changes nothing is logged and counted by reason. An entry logs each target that is new, drains or is gone once it has the whole catalog. fulmarseam-ctl explain shows the ignored announcements of the targets of a request.

Test: tests.test_undone_leaves.LogTest.

--- a/fulmarseam/catalog/__init__.py
+++ b/fulmarseam/catalog/__init__.py
@@ -27,9 +27,11 @@
 from fulmarseam.catalog._shared_loads import SharedLoads
 from fulmarseam.catalog._target_checks import find_problem
 from fulmarseam.catalog._target_checks import is_port
+from fulmarseam.catalog._targets import AnnouncementState
 
 __all__ = [
     'AnnounceTargets',
+    'AnnouncementState',
     'Catalog',
     'CatalogMirror',
     'Command',
--- a/fulmarseam/catalog/_targets.py
+++ b/fulmarseam/catalog/_targets.py
@@ -7,6 +7,7 @@
 import collections
 from collections.abc import Iterable
 from collections.abc import Sequence
+import enum
 
 import msgspec
 
@@ -20,6 +21,19 @@
 ChangedTargets = list[ids.TargetId]
 
 
+class AnnouncementState(enum.Enum):
+    """Whether an announcement changes the table, or why it does not.
+
+    `ENDED`: its incarnation has ended. `OLDER`: a newer announcement of the
+    target is known. `ADDRESS_TAKEN`: a younger target has the address.
+    """
+
+    NEWER = 'newer'
+    ENDED = 'ended'
+    OLDER = 'older'
+    ADDRESS_TAKEN = 'address_taken'
+
+
 class TargetTable:
     """The record of each live target."""
 
@@ -51,21 +65,24 @@
         return list(self._ended_incarnations.items())
 
     def is_newer(self, record: wire.TargetRecord) -> bool:
-        """Return whether an announcement would change the table.
+        """Return whether an announcement would change the table."""
+        return self.classify(record) is AnnouncementState.NEWER
 
-        It would not if its incarnation has ended, if a newer announcement
-        of the target is known, or if a new target claims the address of a
-        younger one.
-        """
+    def classify(self, record: wire.TargetRecord) -> AnnouncementState:
+        """Return whether an announcement would change the table."""
         ended_ms = self._ended_incarnations.get(record.target)
         if ended_ms is not None and record.born_ms <= ended_ms:
-            return False
+            return AnnouncementState.ENDED
         current = self._records.get(record.target)
         if current is not None:
             order = (record.born_ms, record.sequence)
-            return order > (current.born_ms, current.sequence)
+            if order > (current.born_ms, current.sequence):
+                return AnnouncementState.NEWER
+            return AnnouncementState.OLDER
         owner = self._find_address_owner(record)
-        return owner is None or owner.born_ms <= record.born_ms
+        if owner is None or owner.born_ms <= record.born_ms:
+            return AnnouncementState.NEWER
+        return AnnouncementState.ADDRESS_TAKEN
 
     def _find_address_owner(
         self, record: wire.TargetRecord
--- a/fulmarseam/commands/_ctl_explain.py
+++ b/fulmarseam/commands/_ctl_explain.py
@@ -31,6 +31,8 @@
 _FIELD_PATTERN = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
 _REQUEST_EVENT = 'request_ended'
 _CATALOG_EVENT = 'catalog_in_force'
+# Lines of the control members on one target.
+_TARGET_EVENTS = ('target_state', 'announcement_ignored')
 # Events of the entry that handled the request.
 _ENTRY_EVENTS = frozenset(
     {
@@ -255,7 +257,7 @@
     if event.name == _REQUEST_EVENT:
         return False
     if event.fields.get('target') in targets:
-        return event.source == entry or event.name == 'target_state'
+        return event.source == entry or event.name in _TARGET_EVENTS
     if targets.intersection(event.fields.get('targets', '').split(',')):
         return True
     if event.source == entry:
--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -578,7 +578,11 @@
         is_change = self._heartbeat_tracker.record(
             self._now(), current, record
         )
-        if not is_change or not self.catalog.targets.is_newer(record):
+        if not is_change:
+            return
+        state = self.catalog.targets.classify(record)
+        if state is not catalog.AnnouncementState.NEWER:
+            self._note_ignored(record, state)
             return
         await self.submit(catalog.AnnounceTargets(records=[record]), call=call)
         _log.info(
@@ -591,6 +595,23 @@
                 born=record.born_ms,
                 sequence=record.sequence,
                 cold_ms=record.cold_ms,
+                previous=_get_phase_name(current),
+            )
+        )
+
+    def _note_ignored(
+        self, record: wire.TargetRecord, state: catalog.AnnouncementState
+    ) -> None:
+        """Record an announcement that is acknowledged and changes nothing."""
+        self.metrics.add('announcements_ignored_total', reason=state.value)
+        _log.info(
+            telemetry.format_event(
+                'announcement_ignored',
+                target=record.target,
+                phase=record.phase.value,
+                born=record.born_ms,
+                sequence=record.sequence,
+                reason=state.value,
             )
         )
 
@@ -606,19 +627,33 @@
         command names it, so that it cannot end a later one.
         """
         call = call or self.make_call()
+        current = self.catalog.targets.get(target)
         if not born_ms:
             await call.confirm()
             await self.wait_until_current(call)
             current = self.catalog.targets.get(target)
             born_ms = current.born_ms if current is not None else 0
             if current is None:
+                self._log_leave(target, born_ms, current)
                 return
         await self.submit(
             catalog.LeaveTarget(target=target, born_ms=born_ms), call=call
         )
+        self._log_leave(target, born_ms, current)
+
+    def _log_leave(
+        self,
+        target: ids.TargetId,
+        born_ms: int,
+        previous: wire.TargetRecord | None,
+    ) -> None:
         _log.info(
             telemetry.format_event(
-                'target_state', target=target, phase='gone', born=born_ms
+                'target_state',
+                target=target,
+                phase='gone',
+                born=born_ms,
+                previous=_get_phase_name(previous),
             )
         )
 
@@ -685,5 +720,15 @@
             telemetry.format_event(
                 'targets_dropped',
                 targets=','.join(target for target, _ in expired),
+                draining=','.join(
+                    target
+                    for target, _ in expired
+                    if records[target].phase is wire.TargetPhase.DRAINING
+                ),
             )
         )
+
+
+def _get_phase_name(record: wire.TargetRecord | None) -> str:
+    """Return the phase of a target for a log line."""
+    return 'none' if record is None else record.phase.value
--- a/fulmarseam/gateway/_target_table.py
+++ b/fulmarseam/gateway/_target_table.py
@@ -45,6 +45,9 @@
         self.limited_targets = steering.LimitedTargets()
         self.notices = steering.NoticeTable()
         self._notice_recorder = notices.NoticeRecorder(self.notices)
+        # Set once the whole catalog has been applied, so that its targets
+        # are not logged one by one at the start.
+        self._logs_phases = False
         self.senders = 1
 
     def update(self, now: float) -> None:
@@ -52,10 +55,11 @@
         records = self._mirror.targets
         self.limited_targets.retain(self._mirror.list_incarnations())
         for target in self.targets.keys() - records.keys():
-            del self.targets[target]
+            self._log_phase(self.targets.pop(target).record, 'gone')
             self._unusable.discard(target)
         for target, record in records.items():
             self._update_target(now, target, record)
+        self._logs_phases = self._mirror.is_complete
         restored_domains = self._evacuated - self._mirror.evacuated
         self._evacuated = self._mirror.evacuated
         for observed in self.targets.values():
@@ -70,6 +74,8 @@
         observed = self.targets.get(target)
         if observed is not None and observed.record == record:
             return
+        if observed is None or observed.record.phase is not record.phase:
+            self._log_phase(record, record.phase.value)
         is_new_instance = observed is None or (
             observed.record.born_ms != record.born_ms
             or observed.record.address != record.address
@@ -90,6 +96,20 @@
         if record.cold_ms > 0.0:
             steering.mark_cold(observed, now, record.cold_ms / 1_000)
 
+    def _log_phase(self, record: wire.TargetRecord, phase: str) -> None:
+        """Log that a target is new, or that its phase has changed."""
+        if not self._logs_phases:
+            return
+        _log.info(
+            telemetry.format_event(
+                'target_phase',
+                target=record.target,
+                phase=phase,
+                born=record.born_ms,
+                sequence=record.sequence,
+            )
+        )
+
     def _check_record(self, record: wire.TargetRecord) -> bool:
         """Return whether requests can be sent to a target; log why not."""
         problem = catalog.find_problem(record)
--- a/tests/rate_limit_case.py
+++ b/tests/rate_limit_case.py
@@ -83,6 +83,10 @@
             task.add_done_callback(self._calls.discard)
         await asyncio.gather(*self._calls)
 
+    async def finish(self) -> None:
+        """Wait for the answers to all requests so far."""
+        await asyncio.gather(*self._calls, return_exceptions=True)
+
     async def _call(self, number: int) -> None:
         loop = asyncio.get_running_loop()
         started_at = loop.time()
@@ -109,6 +113,9 @@
 
     # Regions of entries that are not in "ost".
     entry_regions: ClassVar[dict[str, str]] = {}
+    # Interval of announcements, in seconds. Tests that announce targets only
+    # once need a long one.
+    heartbeat_s = 20.0
 
     async def asyncSetUp(self) -> None:
         asyncio.get_running_loop().set_debug(False)
@@ -157,7 +164,7 @@
             peer_port=self.peer_port,
             first_start=True,
             tolerated_hosts=0,
-            heartbeat=20.0,
+            heartbeat=self.heartbeat_s,
         )
 
     async def start_entries(self, count: int) -> None:
--- a/tests/test_ctl_explain.py
+++ b/tests/test_ctl_explain.py
@@ -38,6 +38,10 @@
         'event=targets_dropped targets=t-1,t-7',
         f'time={TIME}05.100000Z level=INFO logger=control event=target_state '
         'target=t-8 phase=ready',
+        f'time={TIME}05.150000Z level=INFO logger=control '
+        'event=announcement_ignored target=t-2 phase=ready reason=ended',
+        f'time={TIME}05.160000Z level=INFO logger=control '
+        'event=announcement_ignored target=t-8 phase=ready reason=older',
         f'time={TIME}40.000000Z level=INFO logger=control '
         'event=leadership_ended member=core-1 term=2',
     )
@@ -81,6 +85,7 @@
                 ('-5.800', 'started'),
                 ('-1.900', 'target_state'),
                 ('-0.900', 'targets_dropped'),
+                ('-0.750', 'announcement_ignored'),
                 ('-0.700', 'target_ejected'),
             ],
             found,
--- /dev/null
+++ b/tests/test_undone_leaves.py
@@ -0,0 +1,159 @@
+"""Tests of leaves that a member has acknowledged."""
+
+import asyncio
+from collections.abc import Callable
+from typing import ClassVar
+import unittest
+
+import logbook
+
+from fulmarseam import wire
+from tests import catalog_fixtures as fixtures
+from tests import rate_limit_case
+
+# The last request may reach a target this long after its leave.
+DRAIN_S = 2.5
+HEARTBEAT_S = 0.2
+CALLS_PER_S = 40.0
+CALLS_S = 30.0
+WAIT_S = 10.0
+TARGETS = 4
+LEAVING = 't0'
+# When the targets started; announcements need not name it.
+BORN_MS = 5_000
+UNNAMED = 0
+
+
+class UndoneLeaveCase(rate_limit_case.RateLimitCase):
+    """Runs a member, entries, and targets of which the first one leaves."""
+
+    heartbeat_s = HEARTBEAT_S
+    born_ms: ClassVar[int] = BORN_MS
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        await self.put_items(idempotent=True, max_attempts=2)
+        self.servers = [
+            rate_limit_case.LimitedTarget() for _ in range(TARGETS)
+        ]
+        for server in self.servers:
+            await server.server.start()
+            self.targets.append(server.server)
+        self.sequence = 0
+        self.left_at = 0.0
+        # Targets that announce themselves.
+        self.announced = [f't{number}' for number in range(TARGETS)]
+        self._announcing = asyncio.create_task(self._announce_all())
+        await self.start_entries(2)
+        self._callers = self.make_callers()
+        self._calling = [
+            asyncio.create_task(caller.run(CALLS_PER_S, CALLS_S))
+            for caller in self._callers
+        ]
+
+    async def asyncTearDown(self) -> None:
+        tasks = [self._announcing, *self._calling]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for caller in self._callers:
+            await caller.finish()
+        await super().asyncTearDown()
+
+    async def _announce_all(self) -> None:
+        while True:
+            self.sequence += 1
+            for name in list(self.announced):
+                await self.announce(self.sequence, name)
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def announce(
+        self,
+        sequence: int,
+        name: str = LEAVING,
+        phase: wire.TargetPhase = wire.TargetPhase.READY,
+    ) -> None:
+        """Announce a target."""
+        await self.member.announce(
+            fixtures.make_record(
+                name,
+                address=self.servers[int(name[1:])].server.address,
+                slots=20,
+                born_ms=self.born_ms,
+                sequence=sequence,
+                phase=phase,
+            )
+        )
+
+    async def _wait_until(self, is_met: Callable[[], bool]) -> None:
+        async with asyncio.timeout(WAIT_S):
+            while True:
+                if is_met():
+                    return
+                await asyncio.sleep(0.02)
+
+    async def silence(self) -> None:
+        """Let the target be silent after its next announcement."""
+        await self._wait_until(lambda: bool(self.servers[0].arrivals))
+        self.announced.remove(LEAVING)
+        await asyncio.sleep(HEARTBEAT_S)
+
+    async def drain(self) -> None:
+        """Announce the drain of the target, and nothing more."""
+        await self.silence()
+        self.sequence += 1
+        await self.announce(self.sequence, phase=wire.TargetPhase.DRAINING)
+        self.left_at = asyncio.get_running_loop().time()
+
+    async def leave(self, born_ms: int) -> None:
+        """Let the target leave without a drain."""
+        await self.member.leave(fixtures.target_id(LEAVING), born_ms)
+        self.left_at = asyncio.get_running_loop().time()
+
+    async def wait_until_dropped(self) -> None:
+        """Wait until the catalog has no record of the target."""
+        targets = self.member.catalog.targets
+        target = fixtures.target_id(LEAVING)
+        await self._wait_until(lambda: targets.get(target) is None)
+
+    async def check_no_late_request(self) -> None:
+        """Check that no request comes later than the drain time."""
+        due_at = self.left_at + DRAIN_S
+        remaining_s = due_at - asyncio.get_running_loop().time()
+        await asyncio.sleep(max(0.0, remaining_s) + 1.0)
+        late = [at for at in self.servers[0].arrivals if at > due_at]
+        self.assertEqual([], late)
+        others = [at for item in self.servers[1:] for at in item.arrivals]
+        self.assertGreater(max(others), due_at)
+
+
+class LogTest(UndoneLeaveCase):
+    """Guards against logs that do not show how a target came back."""
+
+    async def test_the_way_of_a_leave_is_logged(self) -> None:
+        log = logbook.TestHandler()
+        with log.applicationbound():
+            await self.drain()
+            await self.announce(1)
+            await self.wait_until_dropped()
+            await self.leave(BORN_MS)
+            await self.announce(2)
+            await asyncio.sleep(2 * HEARTBEAT_S)
+        lines = '\n'.join(record.message for record in log.records)
+        for expected in (
+            'event=target_state target=t0 .*phase=draining .*previous=ready',
+            'event=target_phase target=t0 phase=draining',
+            'event=announcement_ignored target=t0 .*sequence=1 reason=older',
+            'event=target_phase target=t0 phase=gone',
+            'event=target_state target=t0 phase=gone .*previous=none',
+            'event=announcement_ignored target=t0 .*sequence=2 reason=ended',
+        ):
+            self.assertRegex(lines, expected)
+        self.assertIn(
+            'announcements_ignored_total{reason="ended"}',
+            self.member.metrics.render(),
+        )
+
+
+if __name__ == '__main__':
+    unittest.main()
