Show that a silent target's drain is undone by a late announcement

A target announces its drain, is silent for its lease, and one announcement of before the drain arrives: the target gets requests again.

--- a/tests/test_undone_leaves.py
+++ b/tests/test_undone_leaves.py
@@ -155,5 +155,22 @@
         )
 
 
+class UndoneDrainTest(UndoneLeaveCase):
+    """Guards against requests to a target whose drain was acknowledged."""
+
+    # The drain was forgotten with the record of a silent target.
+    async def test_a_late_announcement_after_a_silent_drain(self) -> None:
+        await self.drain()
+        await self.wait_until_dropped()
+        await self.announce(1)
+        await self.check_no_late_request()
+
+
+class UnnamedDrainTest(UndoneDrainTest):
+    """The same where announcements do not name the start of a target."""
+
+    born_ms = UNNAMED
+
+
 if __name__ == '__main__':
     unittest.main()
