End silent targets that were draining

What callers saw (DRAIN): requests reached a target that had said it was leaving. A draining target that was not heard for its lease was dropped from the catalog like any silent one, and the promise that it gets no more requests went with its record. One announcement of before the drain, late by a lease, made it a new ready target.

The class: a promise that is kept in state with a lease ends with the lease. Ruled out for this case: entries that learn late (target_phase draining comes within a poll of the acknowledgement) and entries that know and send anyway (no request between the drain and the return).

The leader now ends the incarnation of a silent draining target, with the command that a DELETE uses, so members of the previous release apply the same; ready ones are dropped as before. A drain that is in the log but not applied keeps its target from being dropped on the state of before.

The test of the drain that is not yet applied fails without that check.

--- a/fulmarseam/catalog/__init__.py
+++ b/fulmarseam/catalog/__init__.py
@@ -14,8 +14,10 @@
 from fulmarseam.catalog._commands import encode_command
 from fulmarseam.catalog._commands import EvacuateDomain
 from fulmarseam.catalog._commands import LeaveTarget
+from fulmarseam.catalog._commands import make_removals
 from fulmarseam.catalog._commands import PutItems
 from fulmarseam.catalog._commands import ReadRevision
+from fulmarseam.catalog._commands import UNNAMED_BORN_MS
 from fulmarseam.catalog._entry_registry import EntryRegistry
 from fulmarseam.catalog._heartbeats import HeartbeatTracker
 from fulmarseam.catalog._heartbeats import TargetLeases
@@ -47,9 +49,11 @@
     'SenderCount',
     'SharedLoads',
     'TargetLeases',
+    'UNNAMED_BORN_MS',
     'decode_command',
     'decode_result',
     'encode_command',
     'find_problem',
     'is_port',
+    'make_removals',
 ]
--- a/fulmarseam/catalog/_commands.py
+++ b/fulmarseam/catalog/_commands.py
@@ -1,5 +1,7 @@
 """Commands of the catalog and their encoding."""
 
+from collections.abc import Sequence
+
 import msgspec
 
 from fulmarseam import ids
@@ -25,12 +27,17 @@
     records: list[wire.TargetRecord]
 
 
+# Ends the incarnations of a target whose announcements do not name a start.
+# Unlike 0, it is recorded also if the target is not in the catalog.
+UNNAMED_BORN_MS = 1
+
+
 class LeaveTarget(
     msgspec.Struct, tag='leave_target', frozen=True, kw_only=True
 ):
     """Remove a target and reject further announcements of its incarnation.
 
-    `born_ms` is the incarnation; 0 means the one in the catalog.
+    `born_ms` is the incarnation; 0 means the one in the catalog, if any.
     """
 
     target: ids.TargetId
@@ -72,6 +79,30 @@
 _result_decoder = msgspec.msgpack.Decoder(wire.CatalogResult)
 
 
+def make_removals(records: Sequence[wire.TargetRecord]) -> list[Command]:
+    """Return the commands that remove silent targets.
+
+    Ready ones may come back when they are heard again. Draining ones were
+    promised that they get no more requests, so their incarnations end.
+    """
+    removals: list[Command] = [
+        LeaveTarget(
+            target=record.target,
+            born_ms=max(record.born_ms, UNNAMED_BORN_MS),
+        )
+        for record in records
+        if record.phase is wire.TargetPhase.DRAINING
+    ]
+    dropped = [
+        (record.target, record.born_ms)
+        for record in records
+        if record.phase is not wire.TargetPhase.DRAINING
+    ]
+    if dropped:
+        removals.append(DropTargets(targets=dropped))
+    return removals
+
+
 def encode_command(command: Command) -> bytes:
     """Return a command as it is stored in the log."""
     return _encoder.encode(command)
--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -91,8 +91,9 @@
         self._clients = transport.RpcClients()
         self._member: consensus.Member | None = None
         self._exit_stack = contextlib.AsyncExitStack()
-        # Calls of operators that are in the log but not yet applied.
-        self._pending_puts: list[catalog.PutItems] = []
+        # Commands that this member has put into the log as the leader, and
+        # that are not yet applied.
+        self._pending: list[catalog.Command] = []
         self._arrivals = _pending_calls.ArrivalClock()
         self._tasks: list[asyncio.Task[None]] = []
         # Gets the exception of a background task, which must never end.
@@ -508,19 +509,24 @@
         if self._member is None:
             raise errors.NotLeaderError()
         command = catalog.decode_command(data)
-        if not isinstance(command, catalog.PutItems):
-            return catalog.decode_result(await self._member.propose(data))
-        if self.is_leader():
-            problems = self.catalog.find_orphans(command, self._pending_puts)
+        if isinstance(command, catalog.PutItems) and self.is_leader():
+            problems = self.catalog.find_orphans(
+                command,
+                [
+                    pending
+                    for pending in self._pending
+                    if isinstance(pending, catalog.PutItems)
+                ],
+            )
             if problems:
                 return wire.CatalogResult(
                     revision=self.catalog.revision, problems=problems
                 )
-        self._pending_puts.append(command)
+        self._pending.append(command)
         try:
             return catalog.decode_result(await self._member.propose(data))
         finally:
-            self._pending_puts.remove(command)
+            self._pending.remove(command)
 
     def is_leader(self) -> bool:
         """Return whether this member leads, as confirmed by a majority."""
@@ -701,14 +707,13 @@
                 )
 
     async def _drop_expired_targets(self) -> None:
-        records = {
-            record.target: record for record in self.catalog.targets.all()
-        }
-        expired = self._target_leases.find_expired(self._now(), records)
+        expired = self._find_expired_targets()
         if not expired:
             return
         try:
-            await self.submit(catalog.DropTargets(targets=expired))
+            await asyncio.gather(
+                *map(self.submit, catalog.make_removals(expired))
+            )
         except errors.FulmarseamError as error:
             _log.warning(
                 telemetry.format_event(
@@ -719,15 +724,38 @@
         _log.info(
             telemetry.format_event(
                 'targets_dropped',
-                targets=','.join(target for target, _ in expired),
+                targets=','.join(record.target for record in expired),
                 draining=','.join(
-                    target
-                    for target, _ in expired
-                    if records[target].phase is wire.TargetPhase.DRAINING
+                    record.target
+                    for record in expired
+                    if record.phase is wire.TargetPhase.DRAINING
                 ),
             )
         )
 
+    def _find_expired_targets(self) -> list[wire.TargetRecord]:
+        """Return the records of silent targets.
+
+        A target that has just announced a drain, which is in the log but not
+        applied, still has the record of before and must not be dropped.
+        """
+        records = {
+            record.target: record for record in self.catalog.targets.all()
+        }
+        announced = {
+            record.target
+            for command in self._pending
+            if isinstance(command, catalog.AnnounceTargets)
+            for record in command.records
+        }
+        return [
+            records[target]
+            for target, _ in self._target_leases.find_expired(
+                self._now(), records
+            )
+            if target not in announced
+        ]
+
 
 def _get_phase_name(record: wire.TargetRecord | None) -> str:
     """Return the phase of a target for a log line."""
--- a/tests/test_undone_leaves.py
+++ b/tests/test_undone_leaves.py
@@ -4,9 +4,12 @@
 from collections.abc import Callable
 from typing import ClassVar
 import unittest
+from unittest import mock
 
 import logbook
 
+from fulmarseam import catalog
+from fulmarseam import consensus
 from fulmarseam import wire
 from tests import catalog_fixtures as fixtures
 from tests import rate_limit_case
@@ -14,6 +17,8 @@
 # The last request may reach a target this long after its leave.
 DRAIN_S = 2.5
 HEARTBEAT_S = 0.2
+# Time after which a silent target is dropped.
+LEASE_S = 3 * HEARTBEAT_S + 1.0
 CALLS_PER_S = 40.0
 CALLS_S = 30.0
 WAIT_S = 10.0
@@ -71,20 +76,31 @@
         self,
         sequence: int,
         name: str = LEAVING,
-        phase: wire.TargetPhase = wire.TargetPhase.READY,
     ) -> None:
-        """Announce a target."""
-        await self.member.announce(
-            fixtures.make_record(
-                name,
-                address=self.servers[int(name[1:])].server.address,
-                slots=20,
-                born_ms=self.born_ms,
-                sequence=sequence,
-                phase=phase,
-            )
+        """Announce a target as ready."""
+        await self.member.announce(self.make_record(sequence, name))
+
+    def make_record(
+        self,
+        sequence: int,
+        name: str = LEAVING,
+        phase: wire.TargetPhase = wire.TargetPhase.READY,
+    ) -> wire.TargetRecord:
+        """Return an announcement of a target."""
+        return fixtures.make_record(
+            name,
+            address=self.servers[int(name[1:])].server.address,
+            slots=20,
+            born_ms=self.born_ms,
+            sequence=sequence,
+            phase=phase,
         )
 
+    def make_drain(self) -> wire.TargetRecord:
+        """Return the next announcement of the target, that it drains."""
+        self.sequence += 1
+        return self.make_record(self.sequence, phase=wire.TargetPhase.DRAINING)
+
     async def _wait_until(self, is_met: Callable[[], bool]) -> None:
         async with asyncio.timeout(WAIT_S):
             while True:
@@ -101,8 +117,7 @@
     async def drain(self) -> None:
         """Announce the drain of the target, and nothing more."""
         await self.silence()
-        self.sequence += 1
-        await self.announce(self.sequence, phase=wire.TargetPhase.DRAINING)
+        await self.member.announce(self.make_drain())
         self.left_at = asyncio.get_running_loop().time()
 
     async def leave(self, born_ms: int) -> None:
@@ -165,6 +180,36 @@
         await self.announce(1)
         await self.check_no_late_request()
 
+    # With a slow disk a drain is in the log for a while before it is applied.
+    async def test_a_drain_that_is_not_applied_when_the_lease_ends(
+        self,
+    ) -> None:
+        release = asyncio.Event()
+        propose = consensus.Member.propose
+
+        async def propose_slowly(
+            member: consensus.Member, data: bytes
+        ) -> bytes:
+            command = catalog.decode_command(data)
+            if isinstance(command, catalog.AnnounceTargets):
+                if command.records[0].phase is wire.TargetPhase.DRAINING:
+                    await release.wait()
+            return await propose(member, data)
+
+        await self.silence()
+        with mock.patch.object(consensus.Member, 'propose', propose_slowly):
+            drain = asyncio.create_task(
+                self.member.submit(
+                    catalog.AnnounceTargets(records=[self.make_drain()]),
+                    timeout_s=WAIT_S,
+                )
+            )
+            await asyncio.sleep(2 * LEASE_S)
+            targets = self.member.catalog.targets
+            self.assertIsNotNone(targets.get(fixtures.target_id(LEAVING)))
+            release.set()
+            await drain
+
 
 class UnnamedDrainTest(UndoneDrainTest):
     """The same where announcements do not name the start of a target."""
