Record leaves of targets that are not in the catalog

What callers see (DRAIN): a target that was silent and had been dropped says that it leaves, with a DELETE that names no start, and gets its 2xx. Nothing was recorded, so an announcement of before that arrives afterwards made it a ready target again.

Cause: such a leave was resolved to the incarnation in the catalog, and without one it was acknowledged and ignored.

The catalog now remembers the incarnations that it dropped, and a leave is resolved to the last one known. Without any, it ends the incarnations whose announcements name no start.

Before, three tests failed: the leave of a dropped target, with and without the start in announcements, and the leave of a target never heard, without. A target never heard whose announcements name its start, but whose leave does not, cannot be told from its successor: left open.

--- a/fulmarseam/catalog/_machine.py
+++ b/fulmarseam/catalog/_machine.py
@@ -40,6 +40,8 @@
     removals_from: int
     evacuated: list[ids.DomainName]
     digests: list[bytes]
+    # Incarnations that were dropped; absent in earlier releases.
+    dropped: list[tuple[ids.TargetId, int]] = []
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -253,6 +255,7 @@
                 removals_from=self._removals_trimmed_to,
                 evacuated=sorted(self.evacuated),
                 digests=list(self._digests),
+                dropped=self.targets.list_dropped(),
             )
         )
 
@@ -262,7 +265,9 @@
         self.revision = loaded.revision
         self.items = _items.ItemTable(item for _, item in loaded.items)
         self.targets = _targets.TargetTable(
-            (record for _, record in loaded.targets), loaded.ended
+            (record for _, record in loaded.targets),
+            loaded.ended,
+            loaded.dropped,
         )
         changes: list[tuple[int, _RowKey]] = [
             (changed_at, (item.kind, item.name))
--- a/fulmarseam/catalog/_targets.py
+++ b/fulmarseam/catalog/_targets.py
@@ -15,8 +15,10 @@
 from fulmarseam import wire
 
 # Ended incarnations that are kept, so that an announcement delayed by a
-# partition does not revive one of them.
+# partition does not revive one of them, and incarnations dropped as silent
+# that are kept, so that a leave can still name one of them.
 MAX_ENDED_INCARNATIONS = 4_096
+MAX_DROPPED_INCARNATIONS = 4_096
 
 ChangedTargets = list[ids.TargetId]
 
@@ -41,9 +43,11 @@
         self,
         records: Iterable[wire.TargetRecord] = (),
         ended: Iterable[tuple[ids.TargetId, int]] = (),
+        dropped: Iterable[tuple[ids.TargetId, int]] = (),
     ) -> None:
         self._records = {record.target: record for record in records}
         self._ended_incarnations = collections.OrderedDict(ended)
+        self._dropped_incarnations = collections.OrderedDict(dropped)
         self._addresses = {
             record.address: record.target for record in self._records.values()
         }
@@ -64,6 +68,20 @@
         """Return the incarnations that have ended, oldest first."""
         return list(self._ended_incarnations.items())
 
+    def list_dropped(self) -> list[tuple[ids.TargetId, int]]:
+        """Return the incarnations that were dropped, oldest first."""
+        return list(self._dropped_incarnations.items())
+
+    def find_incarnation(self, target: ids.TargetId) -> int:
+        """Return the last known incarnation of a target, or 0."""
+        current = self._records.get(target)
+        if current is not None:
+            return current.born_ms
+        return max(
+            self._dropped_incarnations.get(target, 0),
+            self._ended_incarnations.get(target, 0),
+        )
+
     def is_newer(self, record: wire.TargetRecord) -> bool:
         """Return whether an announcement would change the table."""
         return self.classify(record) is AnnouncementState.NEWER
@@ -108,6 +126,7 @@
                 record = _keep_draining(current, record)
                 self._free_address(current)
             self._records[record.target] = record
+            self._dropped_incarnations.pop(record.target, None)
             self._addresses[record.address] = record.target
             changed.append(record.target)
         return changed
@@ -133,6 +152,12 @@
             current = self._records.get(target)
             if current is not None and current.born_ms == born_ms:
                 self._remove(current)
+                _keep_newest(
+                    self._dropped_incarnations,
+                    target,
+                    born_ms,
+                    MAX_DROPPED_INCARNATIONS,
+                )
                 changed.append(target)
         return changed
 
@@ -149,10 +174,22 @@
             del self._addresses[record.address]
 
     def _record_ended(self, target: ids.TargetId, born_ms: int) -> None:
-        self._ended_incarnations.pop(target, None)
-        self._ended_incarnations[target] = born_ms
-        while len(self._ended_incarnations) > MAX_ENDED_INCARNATIONS:
-            self._ended_incarnations.popitem(last=False)
+        _keep_newest(
+            self._ended_incarnations, target, born_ms, MAX_ENDED_INCARNATIONS
+        )
+
+
+def _keep_newest(
+    incarnations: collections.OrderedDict[ids.TargetId, int],
+    target: ids.TargetId,
+    born_ms: int,
+    limit: int,
+) -> None:
+    """Add an incarnation as the newest one; forget the oldest ones."""
+    incarnations.pop(target, None)
+    incarnations[target] = born_ms
+    while len(incarnations) > limit:
+        incarnations.popitem(last=False)
 
 
 def _keep_draining(
--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -629,37 +629,28 @@
     ) -> None:
         """Record that a target has left; raises like `announce`.
 
-        `born_ms` 0 means the incarnation in force when the call arrived. The
-        command names it, so that it cannot end a later one.
+        `born_ms` 0 means the incarnation in force when the call arrived, or
+        the last one known. The command names it, so that it cannot end a
+        later one. It is recorded also for a target that is not in the
+        catalog, as its announcements may still be under way.
         """
         call = call or self.make_call()
-        current = self.catalog.targets.get(target)
         if not born_ms:
             await call.confirm()
             await self.wait_until_current(call)
-            current = self.catalog.targets.get(target)
-            born_ms = current.born_ms if current is not None else 0
-            if current is None:
-                self._log_leave(target, born_ms, current)
-                return
+            born_ms = self.catalog.targets.find_incarnation(target)
+        born_ms = max(born_ms, catalog.UNNAMED_BORN_MS)
+        previous = _get_phase_name(self.catalog.targets.get(target))
         await self.submit(
             catalog.LeaveTarget(target=target, born_ms=born_ms), call=call
         )
-        self._log_leave(target, born_ms, current)
-
-    def _log_leave(
-        self,
-        target: ids.TargetId,
-        born_ms: int,
-        previous: wire.TargetRecord | None,
-    ) -> None:
         _log.info(
             telemetry.format_event(
                 'target_state',
                 target=target,
                 phase='gone',
                 born=born_ms,
-                previous=_get_phase_name(previous),
+                previous=previous,
             )
         )
 
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -384,6 +384,18 @@
             mirror.targets[fixtures.target_id('b')].phase,
         )
 
+    def test_a_leave_finds_the_incarnation_that_was_dropped(self) -> None:
+        machine = catalog.Catalog()
+        target = fixtures.target_id('a')
+        fixtures.announce(machine, 'a', born_ms=100)
+        fixtures.leave(machine, 'a')
+        fixtures.announce(machine, 'a', born_ms=200)
+        fixtures.apply(machine, catalog.DropTargets(targets=[(target, 200)]))
+        fixtures.leave(machine, 'a', born_ms=100)
+        restored = catalog.Catalog()
+        restored.restore(machine.snapshot())
+        self.assertEqual(200, restored.targets.find_incarnation(target))
+
 
 class HeartbeatTrackerTest(unittest.TestCase):
     """Guards against a log entry for every announcement."""
--- a/tests/test_undone_leaves.py
+++ b/tests/test_undone_leaves.py
@@ -131,8 +131,15 @@
         target = fixtures.target_id(LEAVING)
         await self._wait_until(lambda: targets.get(target) is None)
 
-    async def check_no_late_request(self) -> None:
-        """Check that no request comes later than the drain time."""
+    async def check_leave(self) -> None:
+        """Check that the leave stands.
+
+        No request comes later than the drain time, and entries are not told
+        that the target is ready, which would send requests sooner or later.
+        """
+        record = self.member.catalog.targets.get(fixtures.target_id(LEAVING))
+        if record is not None:
+            self.assertIs(wire.TargetPhase.DRAINING, record.phase)
         due_at = self.left_at + DRAIN_S
         remaining_s = due_at - asyncio.get_running_loop().time()
         await asyncio.sleep(max(0.0, remaining_s) + 1.0)
@@ -178,7 +185,7 @@
         await self.drain()
         await self.wait_until_dropped()
         await self.announce(1)
-        await self.check_no_late_request()
+        await self.check_leave()
 
     # With a slow disk a drain is in the log for a while before it is applied.
     async def test_a_drain_that_is_not_applied_when_the_lease_ends(
@@ -217,5 +224,30 @@
     born_ms = UNNAMED
 
 
+class IgnoredLeaveTest(UndoneLeaveCase):
+    """Guards against leaves that are acknowledged but not recorded."""
+
+    # A leave that names no start was ignored without a record of the target.
+    async def test_the_leave_of_a_target_that_was_dropped(self) -> None:
+        await self.silence()
+        await self.wait_until_dropped()
+        await self.leave(UNNAMED)
+        await self.announce(1)
+        await self.check_leave()
+
+
+class UnnamedLeaveTest(IgnoredLeaveTest):
+    """The same where announcements do not name the start of a target."""
+
+    born_ms = UNNAMED
+
+    async def test_the_leave_of_a_target_that_was_never_heard(self) -> None:
+        target = fixtures.target_id('t9')
+        await self.member.leave(target, UNNAMED)
+        record = fixtures.make_record('t9', born_ms=UNNAMED)
+        await self.member.announce(record)
+        self.assertIsNone(self.member.catalog.targets.get(target))
+
+
 if __name__ == '__main__':
     unittest.main()
