Keep the newest leave of a target

What callers see (DRAIN): a target leaves, and a leave of an incarnation before that one arrives later, for example one that was sent again. An announcement of the target that is still under way then makes it ready again.

Cause: the catalog keeps one ended incarnation of a target, and a leave of an earlier one replaced it. All members have to apply the same, those of the release before too, so the leader keeps such a leave out of the log, as it does with the removal of a pool that is still in use. Two leaves of one target are applied one after the other, as the first may decide.

Before, IgnoredLeaveTest.test_a_late_leave_of_an_earlier_incarnation failed; after, it passes. The leave of a member of the release before, which names no incarnation, still ends the one in force: its test fails without the check that an incarnation is named.

--- a/fulmarseam/catalog/_targets.py
+++ b/fulmarseam/catalog/_targets.py
@@ -82,14 +82,17 @@
             self._ended_incarnations.get(target, 0),
         )
 
+    def has_ended(self, target: ids.TargetId, born_ms: int) -> bool:
+        """Return whether an incarnation of a target has ended."""
+        return born_ms <= self._ended_incarnations.get(target, -1)
+
     def is_newer(self, record: wire.TargetRecord) -> bool:
         """Return whether an announcement would change the table."""
         return self.classify(record) is AnnouncementState.NEWER
 
     def classify(self, record: wire.TargetRecord) -> AnnouncementState:
         """Return whether an announcement would change the table."""
-        ended_ms = self._ended_incarnations.get(record.target)
-        if ended_ms is not None and record.born_ms <= ended_ms:
+        if self.has_ended(record.target, record.born_ms):
             return AnnouncementState.ENDED
         current = self._records.get(record.target)
         if current is not None:
--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -509,25 +509,61 @@
         if self._member is None:
             raise errors.NotLeaderError()
         command = catalog.decode_command(data)
-        if isinstance(command, catalog.PutItems) and self.is_leader():
-            problems = self.catalog.find_orphans(
-                command,
-                [
-                    pending
-                    for pending in self._pending
-                    if isinstance(pending, catalog.PutItems)
-                ],
-            )
-            if problems:
-                return wire.CatalogResult(
-                    revision=self.catalog.revision, problems=problems
-                )
+        result = self._answer_early(command) if self.is_leader() else None
+        if result is not None:
+            return result
         self._pending.append(command)
         try:
             return catalog.decode_result(await self._member.propose(data))
         finally:
             self._pending.remove(command)
 
+    def _answer_early(
+        self, command: catalog.Command
+    ) -> wire.CatalogResult | None:
+        """Return the result of a command that must not enter the log.
+
+        Earlier releases would apply it, and all members have to apply the
+        same: a call that removes a pool still in use, and the leave of an
+        incarnation that has ended, which would replace the mark of a later
+        one.
+        """
+        problems: list[str] = []
+        match command:
+            case catalog.PutItems():
+                puts = [
+                    pending
+                    for pending in self._pending
+                    if isinstance(pending, catalog.PutItems)
+                ]
+                problems = self.catalog.find_orphans(command, puts)
+                if not problems:
+                    return None
+            case catalog.LeaveTarget(target=target, born_ms=born_ms):
+                if self._is_leave_pending(target):
+                    raise errors.FulmarseamError(
+                        errors.ErrorKind.UNAVAILABLE,
+                        f'another leave of {target} is not applied yet',
+                    )
+                # Members of the release before leave it to the log to find
+                # the incarnation.
+                is_named = born_ms > 0
+                targets = self.catalog.targets
+                if not is_named or not targets.has_ended(target, born_ms):
+                    return None
+            case _:
+                return None
+        return wire.CatalogResult(
+            revision=self.catalog.revision, problems=problems
+        )
+
+    def _is_leave_pending(self, target: ids.TargetId) -> bool:
+        return any(
+            isinstance(pending, catalog.LeaveTarget)
+            and pending.target == target
+            for pending in self._pending
+        )
+
     def is_leader(self) -> bool:
         """Return whether this member leads, as confirmed by a majority."""
         return (
--- a/tests/test_undone_leaves.py
+++ b/tests/test_undone_leaves.py
@@ -27,6 +27,7 @@
 # When the targets started; announcements need not name it.
 BORN_MS = 5_000
 UNNAMED = 0
+EARLIER_BORN_MS = 4_000
 
 
 class UndoneLeaveCase(rate_limit_case.RateLimitCase):
@@ -235,6 +236,23 @@
         await self.announce(1)
         await self.check_leave()
 
+    # It lowered the mark up to which incarnations have ended.
+    async def test_a_late_leave_of_an_earlier_incarnation(self) -> None:
+        await self.silence()
+        await self.leave(self.born_ms)
+        left_at = self.left_at
+        await self.leave(EARLIER_BORN_MS)
+        self.left_at = left_at
+        await self.announce(1)
+        await self.check_leave()
+
+    async def test_a_leave_from_a_member_of_the_release_before(self) -> None:
+        target = fixtures.target_id('t9')
+        await self.member.leave(target, EARLIER_BORN_MS)
+        await self.member.announce(fixtures.make_record('t9', born_ms=BORN_MS))
+        await self.member.submit(catalog.LeaveTarget(target=target))
+        self.assertIsNone(self.member.catalog.targets.get(target))
+
 
 class UnnamedLeaveTest(IgnoredLeaveTest):
     """The same where announcements do not name the start of a target."""
