Confirm the start of a target that has left

What callers see (DRAIN): a target says with a DELETE that it leaves, and an announcement that is under way makes it ready again, if no member had heard of its present start: it crashed and started again while it could reach no member, or it left right after its start.

Order alone cannot tell them apart, and clocks of targets and members differ.

A target that is not in the catalog and has left is now taken back only when it announces itself a second time, at least half an interval later: a running process does, and what was held up arrives once or together. A target that starts again under its id after a DELETE waits one interval more; one that crashed is taken back at once, as before.

Before, both LateStartTest.test_the_leave_of_a_* failed; after, they pass, and so does the test of a target that does start again.

--- a/fulmarseam/catalog/__init__.py
+++ b/fulmarseam/catalog/__init__.py
@@ -20,6 +20,7 @@
 from fulmarseam.catalog._commands import UNNAMED_BORN_MS
 from fulmarseam.catalog._entry_registry import EntryRegistry
 from fulmarseam.catalog._heartbeats import HeartbeatTracker
+from fulmarseam.catalog._heartbeats import RestartConfirmations
 from fulmarseam.catalog._heartbeats import TargetLeases
 from fulmarseam.catalog._machine import Catalog
 from fulmarseam.catalog._mirror import CatalogMirror
@@ -46,6 +47,7 @@
     'PackedChanges',
     'PutItems',
     'ReadRevision',
+    'RestartConfirmations',
     'SenderCount',
     'SharedLoads',
     'TargetLeases',
--- a/fulmarseam/catalog/_heartbeats.py
+++ b/fulmarseam/catalog/_heartbeats.py
@@ -1,6 +1,8 @@
 """Heartbeats that need no log entry, and the leases of targets."""
 
+import collections
 from collections.abc import Mapping
+from typing import NamedTuple
 
 from fulmarseam import ids
 from fulmarseam import wire
@@ -8,6 +10,11 @@
 # A target has become cold again if its announced cold time exceeds the
 # expected one by more than this. Announcements may be a second late.
 COLD_MARGIN_MS = 1_000.0
+# Shortest time between two announcements that confirm a start, as a share of
+# the interval. Announcements may be delayed a little.
+MIN_CONFIRMATION_SHARE = 0.5
+# Limits the memory for starts that have announced themselves once.
+MAX_UNCONFIRMED = 1_024
 
 
 class HeartbeatTracker:
@@ -55,6 +62,47 @@
     return (record.pool, record.address, record.slots, record.phase)
 
 
+class _FirstAnnouncement(NamedTuple):
+    heard_at: float
+    born_ms: int
+    sequence: int
+
+
+class RestartConfirmations:
+    """Tells a target that runs again from one that has left.
+
+    The first announcement of a start that was not known when the target left
+    may be a late one of the process that left. A running process announces
+    itself again one interval later; late announcements arrive together.
+    Times are in seconds.
+    """
+
+    def __init__(self, interval_s: float) -> None:
+        self._min_gap_s = interval_s * MIN_CONFIRMATION_SHARE
+        self._first: collections.OrderedDict[
+            ids.TargetId, _FirstAnnouncement
+        ] = collections.OrderedDict()
+
+    def confirm(self, now: float, record: wire.TargetRecord) -> bool:
+        """Return whether an announcement follows another of its start."""
+        first = self._first.get(record.target)
+        if first is None or first.born_ms != record.born_ms:
+            self._first[record.target] = _FirstAnnouncement(
+                now, record.born_ms, record.sequence
+            )
+            self._first.move_to_end(record.target)
+            if len(self._first) > MAX_UNCONFIRMED:
+                self._first.popitem(last=False)
+            return False
+        if (
+            record.sequence <= first.sequence
+            or now - first.heard_at < self._min_gap_s
+        ):
+            return False
+        del self._first[record.target]
+        return True
+
+
 class TargetLeases:
     """When the leader last heard of each target; times in seconds."""
 
--- a/fulmarseam/catalog/_targets.py
+++ b/fulmarseam/catalog/_targets.py
@@ -28,12 +28,15 @@
 
     `ENDED`: its incarnation has ended. `OLDER`: a newer announcement of the
     target is known. `ADDRESS_TAKEN`: a younger target has the address.
+    `UNCONFIRMED`: its start was not known when the target left, so it may be
+    a late one of the process that left.
     """
 
     NEWER = 'newer'
     ENDED = 'ended'
     OLDER = 'older'
     ADDRESS_TAKEN = 'address_taken'
+    UNCONFIRMED = 'unconfirmed'
 
 
 class TargetTable:
@@ -86,6 +89,12 @@
         """Return whether an incarnation of a target has ended."""
         return born_ms <= self._ended_incarnations.get(target, -1)
 
+    def has_left(self, target: ids.TargetId) -> bool:
+        """Return whether a target is not in the table and has left."""
+        return (
+            target not in self._records and target in self._ended_incarnations
+        )
+
     def is_newer(self, record: wire.TargetRecord) -> bool:
         """Return whether an announcement would change the table."""
         return self.classify(record) is AnnouncementState.NEWER
--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -85,6 +85,7 @@
         self._suspect_registry = quarantine.SuspectRegistry()
         self.metrics = telemetry.Metrics()
         self._heartbeat_tracker = catalog.HeartbeatTracker()
+        self._restarts = catalog.RestartConfirmations(options.heartbeat)
         self._target_leases = catalog.TargetLeases(
             MISSED_HEARTBEATS * options.heartbeat + HEARTBEAT_MARGIN_S
         )
@@ -622,7 +623,13 @@
         )
         if not is_change:
             return
-        state = self.catalog.targets.classify(record)
+        targets = self.catalog.targets
+        state = targets.classify(record)
+        is_return = state is catalog.AnnouncementState.NEWER and (
+            targets.has_left(record.target)
+        )
+        if is_return and not self._restarts.confirm(self._now(), record):
+            state = catalog.AnnouncementState.UNCONFIRMED
         if state is not catalog.AnnouncementState.NEWER:
             self._note_ignored(record, state)
             return
--- a/tests/test_undone_leaves.py
+++ b/tests/test_undone_leaves.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import ClassVar
 import unittest
 from unittest import mock
 
@@ -28,13 +27,14 @@
 BORN_MS = 5_000
 UNNAMED = 0
 EARLIER_BORN_MS = 4_000
+LATER_BORN_MS = 6_000
 
 
 class UndoneLeaveCase(rate_limit_case.RateLimitCase):
     """Runs a member, entries, and targets of which the first one leaves."""
 
     heartbeat_s = HEARTBEAT_S
-    born_ms: ClassVar[int] = BORN_MS
+    born_ms = BORN_MS
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
@@ -254,6 +254,45 @@
         self.assertIsNone(self.member.catalog.targets.get(target))
 
 
+class LateStartTest(UndoneLeaveCase):
+    """Guards against a leave that a start not heard before undoes.
+
+    Leaves need not name the start of a target, so members cannot know which
+    one they end.
+    """
+
+    async def play(self, target: str) -> None:
+        """Let a target leave; then its first announcement arrives."""
+        await self.member.leave(fixtures.target_id(target), UNNAMED)
+        for sequence in (1, 2):
+            await self.member.announce(
+                fixtures.make_record(
+                    target, born_ms=LATER_BORN_MS, sequence=sequence
+                )
+            )
+        self.assertIsNone(
+            self.member.catalog.targets.get(fixtures.target_id(target))
+        )
+
+    async def test_the_leave_of_a_target_that_was_never_heard(self) -> None:
+        await self.play('t9')
+
+    # A target crashed and started again while it could reach no member.
+    async def test_the_leave_of_a_start_that_was_never_heard(self) -> None:
+        await self.silence()
+        await self.play(LEAVING)
+
+    async def test_a_target_that_has_started_again_is_used(self) -> None:
+        target = fixtures.target_id(LEAVING)
+        await self.silence()
+        await self.leave(UNNAMED)
+        self.born_ms = LATER_BORN_MS
+        self.sequence = 0
+        self.announced.append(LEAVING)
+        await asyncio.sleep(3 * HEARTBEAT_S)
+        self.assertIsNotNone(self.member.catalog.targets.get(target))
+
+
 class UnnamedLeaveTest(IgnoredLeaveTest):
     """The same where announcements do not name the start of a target."""
 
