Let targets leave silently or unheard in the fault soak

Two new faults, drawn apart from the others: a target drains, is silent for longer than its lease, and its last announcement of before arrives; and a target of which no member has heard leaves, and its first announcement arrives 2.2 s later.

--- a/tests/soak/_plan.py
+++ b/tests/soak/_plan.py
@@ -25,6 +25,8 @@
 NOTICE_S = (2.0, 4.0)
 # Time between two targets that start again under their ids.
 MEAN_RESTART_GAP_S = 4.0
+# Time between two leaves after which a late announcement arrives.
+MEAN_LATE_GAP_S = 5.0
 # By then callers have made their first lookups and connections.
 FIRST_AT_S = 1.0
 
@@ -51,6 +53,8 @@
     LIMIT = 'limit'
     SAY_LEAVING = 'say-leaving'
     SAY_PAUSE = 'say-pause'
+    LEAVE_SILENTLY = 'leave-silently'
+    LEAVE_UNHEARD = 'leave-unheard'
 
 
 class Fault(NamedTuple):
@@ -108,6 +112,7 @@
     faults.extend(_draw_limits(seed, length_s))
     faults.extend(_draw_notices(seed, length_s))
     faults.extend(_draw_restarts(seed, length_s))
+    faults.extend(_draw_late_announcements(seed, length_s))
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
@@ -155,6 +160,17 @@
     return restarts
 
 
+def _draw_late_announcements(seed: int, length_s: float) -> list[Fault]:
+    """Return leaves with a late announcement, drawn apart from others."""
+    rng = random.Random(f'late-announcements-{seed}')
+    leaves = []
+    for at_s in _draw_times(rng, length_s, MEAN_LATE_GAP_S):
+        name = f'target-{rng.randint(1, TARGETS)}'
+        kind = rng.choice((FaultKind.LEAVE_SILENTLY, FaultKind.LEAVE_UNHEARD))
+        leaves.append(Fault(at_s, kind, name, 0.0))
+    return leaves
+
+
 def _draw_fault(rng: random.Random, at_s: float) -> Fault:
     for_s = rng.choice((0.2, 0.8, 2.0, 4.0))
     group = rng.random()
--- a/tests/soak/_targets.py
+++ b/tests/soak/_targets.py
@@ -34,6 +34,10 @@
 LEAVE_SERVE_S = 4.0
 # A target that announces no drain serves this long after its leave.
 SERVE_ON_S = 2.6
+# A late announcement arrives this long after the leave. Silent targets are
+# dropped after 4 s.
+LATE_AFTER_SILENCE_S = 5.5
+LATE_AFTER_LEAVE_S = 2.2
 # A target of another pool may reuse an address after this time.
 ADDRESS_REUSE_S = 2.0
 
@@ -170,8 +174,13 @@
         self.control = asyncio.Lock()
         system.add_link(self.name, self._proxy_address, self._listen_address)
 
-    async def start(self, keeps_id: bool = False) -> None:
-        """Start a new incarnation, with a new id unless it keeps its own."""
+    async def start(
+        self, keeps_id: bool = False, is_heard: bool = True
+    ) -> None:
+        """Start a new incarnation, with a new id unless it keeps its own.
+
+        No member hears its announcements unless `is_heard` is set.
+        """
         domain = _system.find_domain(self._number)
         if keeps_id:
             self._record.restarted[f'{self.name}-{self._starts}'] = (
@@ -191,7 +200,10 @@
             self._listen_address, self._current.handle
         )
         await self._server.__aenter__()
-        self._announcing = asyncio.create_task(self._announce_periodically())
+        if is_heard:
+            self._announcing = asyncio.create_task(
+                self._announce_periodically()
+            )
 
     def _end_soon(self) -> None:
         """End under a lethal request, unless the target ends already."""
@@ -319,6 +331,20 @@
             case _plan.FaultKind.LEAVE:
                 await self._leave(current)
                 await self.start()
+            case _plan.FaultKind.LEAVE_SILENTLY:
+                await self._drain(current)
+                await asyncio.sleep(LATE_AFTER_SILENCE_S)
+                await self._announce_late(current)
+                await self.start()
+            case _plan.FaultKind.LEAVE_UNHEARD:
+                await self.crash()
+                await self.start(is_heard=False)
+                assert self._current is not None
+                if await self._send('DELETE', b''):
+                    self._note_leave(self._current)
+                await asyncio.sleep(LATE_AFTER_LEAVE_S)
+                await self._announce_late(self._current)
+                await self.start()
             case _plan.FaultKind.RESTART:
                 if self._announcing is not None:
                     self._announcing.cancel()
@@ -349,13 +375,28 @@
 
     async def _leave(self, current: _Incarnation) -> None:
         """Announce the leave, keep serving for a while, then end."""
+        await self._drain(current)
+        await asyncio.sleep(LEAVE_SERVE_S)
+        await self._send('DELETE', b'')
+        await self.crash()
+
+    async def _drain(self, current: _Incarnation) -> None:
+        """Announce the leave, and then nothing more."""
         current.state = 'draining'
         if self._announcing is not None:
             self._announcing.cancel()
         for _ in range(5):
             if await self._announce():
-                self._record.left[current.target] = time.monotonic()
+                self._note_leave(current)
                 break
+
+    def _note_leave(self, current: _Incarnation) -> None:
+        self._record.left[current.target] = time.monotonic()
+
+    async def _announce_late(self, current: _Incarnation) -> None:
+        """Deliver the announcement before the last one; serve on, then end."""
+        current.state = 'ready'
+        current.sequence = max(0, current.sequence - 2)
+        await self._announce()
         await asyncio.sleep(LEAVE_SERVE_S)
-        await self._send('DELETE', b'')
         await self.crash()
