Fetch changes from another member when one takes long

What callers see (DRAIN, CONFIG): a leave or a version that was acknowledged comes into force at an entry up to 3.4 s later, if the member from which the entry fetches changes falls silent during the fetch, as after a loss of power or when a connection goes silent.

Cause: one fetch at a time, because an entry's link is slow, and a time-out of 3 s for it.

A fetch that takes longer than a poll may (0.8 s) no longer keeps another member from being asked; two fetches run at a time at most.

Before, MembersTest.test_a_member_silent_during_a_fetch_delays_no_change failed (over 2 s); after, it passes.

--- a/fulmarseam/gateway/_poller.py
+++ b/fulmarseam/gateway/_poller.py
@@ -40,6 +40,9 @@
 POLL_TIMEOUT_S = 0.8
 # An answer with changes is up to 25 KB long and shares a link of 300 KB/s.
 FETCH_TIMEOUT_S = 3.0
+# Fetches at a time, of which all but one have taken longer than a poll may:
+# their members may have fallen silent.
+MAX_FETCHES = 2
 # A member that no answer has listed for this long is no longer polled, unless
 # it is a seed.
 MEMBER_RETENTION_S = 30.0
@@ -101,7 +104,8 @@
         self.is_draining = False
         # Whether this entry reaches few targets.
         self.is_cut_off = False
-        self._is_fetching = False
+        # When each fetch in progress was started, by the member's address.
+        self._fetches: dict[str, float] = {}
         self._leader = ''
         self._leader_heard_at = float('-inf')
         # The members as an answer listed them last.
@@ -196,22 +200,28 @@
     async def _poll(self, address: str) -> None:
         """Report this entry to a member and fetch its newer changes.
 
-        Only one fetch runs at a time, because an entry's link is slow.
+        Only one fetch runs at a time, because an entry's link is slow, but
+        one that takes long does not keep other members from being asked.
         """
         sent_at = self.pause_guard.get_time()
         answer = await self._send_poll(address, False, POLL_TIMEOUT_S)
-        while (
-            answer.revision > self._mirror.revision and not self._is_fetching
-        ):
-            self._is_fetching = True
+        while answer.revision > self._mirror.revision and self._may_fetch():
+            self._fetches[address] = self._loop.time()
             try:
                 answer = await self._fetch_changes(address)
             finally:
-                self._is_fetching = False
+                del self._fetches[address]
         # A member that knows no leader may itself be behind.
         if answer.leader and answer.revision <= self._mirror.revision:
             self.pause_guard.note_answer(sent_at)
 
+    def _may_fetch(self) -> bool:
+        started_before = self._loop.time() - POLL_TIMEOUT_S
+        return len(self._fetches) < MAX_FETCHES and all(
+            started_at < started_before
+            for started_at in self._fetches.values()
+        )
+
     async def _fetch_changes(self, address: str) -> wire.EntryPollResponse:
         """Fetch and apply the next changes from a member."""
         revision = self._mirror.revision
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -18,6 +18,9 @@
 
 write_response = gateway_case.write_response
 
+# Time in which a change has to be in force at all entries.
+MAX_CHANGE_S = 2.0
+
 
 async def serve(reader, writer, headers):
     """Answer at once."""
@@ -667,6 +670,34 @@
             self.assertGreater(len(self.polls), polled + 6)
             self.assertEqual(self.polls[-1].group, group)
 
+    # An entry waited for the member, up to 3 s, while others had the change.
+    async def test_a_member_silent_during_a_fetch_delays_no_change(
+        self,
+    ) -> None:
+        other = fakes.find_free_address()
+        is_fetching = asyncio.Event()
+
+        async def fall_silent(message: wire.Message) -> wire.Message:
+            assert isinstance(message, wire.EntryPoll)
+            if message.wants_changes:
+                is_fetching.set()
+                await asyncio.Event().wait()
+            return wire.EntryPollResponse(
+                revision=self.machine.revision + 1,
+                members=self.members,
+                changes=None,
+                entry_count=1,
+            )
+
+        await self.put_route()
+        async with transport.RpcServer(other, fall_silent):
+            self.members = [self.member_address, other]
+            async with asyncio.timeout(MAX_CHANGE_S):
+                await is_fetching.wait()
+            fixtures.announce(self.machine, 't1')
+            async with asyncio.timeout(MAX_CHANGE_S):
+                await self.wait_for_catalog()
+
 
 class SharedConnectionsTest(gateway_case.GatewayCase):
     """Guards against more connections than a target accepts from all."""
