Tell a new leader of the leaves that it does not list

What callers see: in a group with grants, a target leaves, the leader changes, and an announcement of before the leave arrives late. The new leader takes the target for a ready one, and an entry that has started since and has no notice of the leave sends requests there.

Cause: the leader's table is not replicated and starts empty; the leaves in it were promises without an end, kept in state that ends.

Entries keep the notices of leaves for 60 s. On the first answer of a new leader they announce those that it does not list as leaving.

Before, AnnouncementTest.test_a_new_leader_is_told_of_leaves failed; after, it passes.

--- a/fulmarseam/entry/_syncing.py
+++ b/fulmarseam/entry/_syncing.py
@@ -209,6 +209,23 @@
         else:
             self._leader_finder.advance(member, response.leader)
 
+    def _announce_leaves(
+        self, now: float, response: wire.SyncResponse
+    ) -> None:
+        """Tell a new leader of the leaves that it does not list.
+
+        Its table starts empty, and a late announcement of before a leave
+        would put the target back.
+        """
+        listed = {
+            row.report.target
+            for row in response.targets
+            if row.report.state is wire.TargetState.LEAVING
+        }
+        for report in self._state.targets.list_leave_notices():
+            if report.target not in listed:
+                self._announcements.add(now, report)
+
     def _apply_response(
         self,
         sent_at: float,
@@ -216,9 +233,12 @@
         response: wire.SyncResponse,
     ) -> bool:
         now = self._loop.time()
+        former_term = self._state.term
         if not self._state.apply(sent_at, now, response):
             return False
         self._announcements.acknowledge(request.announcements)
+        if response.term > former_term:
+            self._announce_leaves(now, response)
         self._crash_guard.apply_news(
             response.suspects_version, response.suspects
         )
--- a/fulmarseam/membership/_mirror.py
+++ b/fulmarseam/membership/_mirror.py
@@ -37,8 +37,9 @@
     def __init__(self) -> None:
         self.version = 0
         self._targets: dict[ids.TargetId, MirroredTarget] = {}
+        # The newest notice of each target, and when it is forgotten.
         self._leave_notices: dict[
-            ids.TargetId, tuple[tuple[int, int], float]
+            ids.TargetId, tuple[wire.TargetReport, float]
         ] = {}
 
     def apply(self, now: float, response: wire.SyncResponse) -> None:
@@ -61,14 +62,17 @@
         The target is not used until it sends a newer report, or until the
         notice is 60 s old.
         """
-        leave_key = _targets.sort_key(report)
-        current, _ = self._leave_notices.get(report.target, (leave_key, 0.0))
+        current, _ = self._leave_notices.get(report.target, (report, 0.0))
         self._leave_notices[report.target] = (
-            max(leave_key, current),
+            max(report, current, key=_targets.sort_key),
             now + _targets.LEAVING_RETENTION_S,
         )
         self.version += 1
 
+    def list_leave_notices(self) -> list[wire.TargetReport]:
+        """Return the newest leave notice of each target."""
+        return [report for report, _ in self._leave_notices.values()]
+
     def expire(self, now: float) -> None:
         """Remove rows that a new leader did not list, and old notices."""
         unlisted = [
@@ -107,7 +111,7 @@
             return False
         # Sequences restart with each incarnation. A "ready" report with a
         # higher sequence of the same incarnation revokes the leave notice.
-        return _targets.sort_key(report) <= leave[0]
+        return _targets.sort_key(report) <= _targets.sort_key(leave[0])
 
     def _schedule_removals(
         self, now: float, listed: Iterable[ids.TargetId]
--- a/tests/test_entry_api.py
+++ b/tests/test_entry_api.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from fulmarseam import ids
+from fulmarseam import membership
 from fulmarseam import transport
 from fulmarseam import wire
 from tests import entry_case
@@ -177,6 +178,23 @@
         self.assertEqual('not-run', refused.outcome)
         self.assertEqual(b'', target.received_bytes)
 
+    # The table of a new leader is empty, so a late announcement of before the
+    # leave would put the target back for entries without the notice.
+    async def test_a_new_leader_is_told_of_leaves(self) -> None:
+        target = await self.start_target(fakes.answer_always(OK))
+        report = target.make_report(state=wire.TargetState.LEAVING, sequence=9)
+        await self.call_api('/v1/announce', report)
+        self.leader.targets = membership.TargetTable()
+        self.leader.term += 1
+        late = target.make_report(sequence=8)
+        self.leader.targets.record(asyncio.get_running_loop().time(), late, 0)
+
+        def has_left() -> bool:
+            row = self.leader.targets.get(report.target)
+            return row is not None and row.report == report
+
+        await self.wait_until(has_left)
+
     async def test_unknown_call_of_a_peer_is_refused(self) -> None:
         async with transport.RpcClient(self.options.rpc) as client:
             answer = await client.call(wire.Ok(), 2.0)
