Decide at the leader whether a target that has left runs again

The member that got an announcement counted the first one of a target that had left. Targets that call another member each time waited for a second call to the same one, and a member that had not applied the leave yet did not count at all. The leader now keeps a first announcement out of the log, as it does with other commands that must have no effect; LogAdmission holds these checks, which takes them out of CatalogMember. No behaviour of the others changes.

Test: TargetTest.test_a_target_that_left_is_confirmed_by_any_two_members.

--- a/fulmarseam/catalog/_heartbeats.py
+++ b/fulmarseam/catalog/_heartbeats.py
@@ -94,13 +94,10 @@
             if len(self._first) > MAX_UNCONFIRMED:
                 self._first.popitem(last=False)
             return False
-        if (
-            record.sequence <= first.sequence
-            or now - first.heard_at < self._min_gap_s
-        ):
-            return False
-        del self._first[record.target]
-        return True
+        return (
+            record.sequence > first.sequence
+            and now - first.heard_at >= self._min_gap_s
+        )
 
 
 class TargetLeases:
--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -23,6 +23,7 @@
 from fulmarseam import telemetry
 from fulmarseam import transport
 from fulmarseam import wire
+from fulmarseam.control import _log_admission
 from fulmarseam.control import _pending_calls
 from fulmarseam.control import _quotas
 from fulmarseam.control import _rate_limits
@@ -85,16 +86,13 @@
         self._suspect_registry = quarantine.SuspectRegistry()
         self.metrics = telemetry.Metrics()
         self._heartbeat_tracker = catalog.HeartbeatTracker()
-        self._restarts = catalog.RestartConfirmations(options.heartbeat)
         self._target_leases = catalog.TargetLeases(
             MISSED_HEARTBEATS * options.heartbeat + HEARTBEAT_MARGIN_S
         )
         self._clients = transport.RpcClients()
         self._member: consensus.Member | None = None
         self._exit_stack = contextlib.AsyncExitStack()
-        # Commands that this member has put into the log as the leader, and
-        # that are not yet applied.
-        self._pending: list[catalog.Command] = []
+        self._admission = _log_admission.LogAdmission(options.heartbeat)
         self._arrivals = _pending_calls.ArrivalClock()
         self._tasks: list[asyncio.Task[None]] = []
         # Gets the exception of a background task, which must never end.
@@ -510,60 +508,16 @@
         if self._member is None:
             raise errors.NotLeaderError()
         command = catalog.decode_command(data)
-        result = self._answer_early(command) if self.is_leader() else None
-        if result is not None:
-            return result
-        self._pending.append(command)
-        try:
+        if self.is_leader():
+            problems = self._admission.find_problems(
+                self._now(), self.catalog, command
+            )
+            if problems is not None:
+                return wire.CatalogResult(
+                    revision=self.catalog.revision, problems=problems
+                )
+        with self._admission.track(command):
             return catalog.decode_result(await self._member.propose(data))
-        finally:
-            self._pending.remove(command)
-
-    def _answer_early(
-        self, command: catalog.Command
-    ) -> wire.CatalogResult | None:
-        """Return the result of a command that must not enter the log.
-
-        Earlier releases would apply it, and all members have to apply the
-        same: a call that removes a pool still in use, and the leave of an
-        incarnation that has ended, which would replace the mark of a later
-        one.
-        """
-        problems: list[str] = []
-        match command:
-            case catalog.PutItems():
-                puts = [
-                    pending
-                    for pending in self._pending
-                    if isinstance(pending, catalog.PutItems)
-                ]
-                problems = self.catalog.find_orphans(command, puts)
-                if not problems:
-                    return None
-            case catalog.LeaveTarget(target=target, born_ms=born_ms):
-                if self._is_leave_pending(target):
-                    raise errors.FulmarseamError(
-                        errors.ErrorKind.UNAVAILABLE,
-                        f'another leave of {target} is not applied yet',
-                    )
-                # Members of the release before leave it to the log to find
-                # the incarnation.
-                is_named = born_ms > 0
-                targets = self.catalog.targets
-                if not is_named or not targets.has_ended(target, born_ms):
-                    return None
-            case _:
-                return None
-        return wire.CatalogResult(
-            revision=self.catalog.revision, problems=problems
-        )
-
-    def _is_leave_pending(self, target: ids.TargetId) -> bool:
-        return any(
-            isinstance(pending, catalog.LeaveTarget)
-            and pending.target == target
-            for pending in self._pending
-        )
 
     def is_leader(self) -> bool:
         """Return whether this member leads, as confirmed by a majority."""
@@ -623,17 +577,16 @@
         )
         if not is_change:
             return
-        targets = self.catalog.targets
-        state = targets.classify(record)
-        is_return = state is catalog.AnnouncementState.NEWER and (
-            targets.has_left(record.target)
-        )
-        if is_return and not self._restarts.confirm(self._now(), record):
-            state = catalog.AnnouncementState.UNCONFIRMED
+        state = self.catalog.targets.classify(record)
+        if state is catalog.AnnouncementState.NEWER:
+            result = await self.submit(
+                catalog.AnnounceTargets(records=[record]), call=call
+            )
+            if result.problems:
+                state = catalog.AnnouncementState.UNCONFIRMED
         if state is not catalog.AnnouncementState.NEWER:
             self._note_ignored(record, state)
             return
-        await self.submit(catalog.AnnounceTargets(records=[record]), call=call)
         _log.info(
             telemetry.format_event(
                 'target_state',
@@ -776,12 +729,7 @@
         records = {
             record.target: record for record in self.catalog.targets.all()
         }
-        announced = {
-            record.target
-            for command in self._pending
-            if isinstance(command, catalog.AnnounceTargets)
-            for record in command.records
-        }
+        announced = self._admission.list_announced()
         return [
             records[target]
             for target, _ in self._target_leases.find_expired(
--- a/fulmarseam/gateway/_poller.py
+++ b/fulmarseam/gateway/_poller.py
@@ -40,8 +40,8 @@
 POLL_TIMEOUT_S = 0.8
 # An answer with changes is up to 25 KB long and shares a link of 300 KB/s.
 FETCH_TIMEOUT_S = 3.0
-# Fetches at a time, of which all but one have taken longer than a poll may:
-# their members may have fallen silent.
+# A second fetch starts once the first has taken longer than a poll may: its
+# member may have fallen silent.
 MAX_FETCHES = 2
 # A member that no answer has listed for this long is no longer polled, unless
 # it is a seed.
--- a/tests/test_catalog_member.py
+++ b/tests/test_catalog_member.py
@@ -317,6 +317,18 @@
                 await asyncio.sleep(0.3)
         await self._wait_for_targets({'b', 'c'})
 
+    async def test_a_target_that_left_is_confirmed_by_any_two_members(
+        self,
+    ) -> None:
+        first, second, third = self.members()
+        await first.announce(fixtures.make_record('a', born_ms=7))
+        await second.leave(fixtures.target_id('a'), 0)
+        await third.announce(fixtures.make_record('a', born_ms=8))
+        await self._wait_for_targets(set())
+        await asyncio.sleep(0.3)
+        await first.announce(fixtures.make_record('a', born_ms=8, sequence=2))
+        await self._wait_for_targets({'a'})
+
     async def test_a_member_without_a_leader_refuses_announcements(
         self,
     ) -> None:
