Let the tests of undone leaves fail without each fix again

Since a single announcement of a target that has left is refused as unconfirmed, three tests of IgnoredLeaveTest passed whatever else was broken: with the check of ended incarnations taken out, with leaves that name no incarnation counted as named, or without the incarnations that were dropped, 3 of 3 passed. Late announcements now come twice, an interval apart, and the target of the release before is checked to be in the catalog before it leaves.

Each of these three changes now fails its test (1, 2 and 1 of 15), and so does an accepted first announcement (2 of 15). On the code as it is all 15 pass. No product code changes.

--- a/tests/test_undone_leaves.py
+++ b/tests/test_undone_leaves.py
@@ -126,6 +126,15 @@
         await self.member.leave(fixtures.target_id(LEAVING), born_ms)
         self.left_at = asyncio.get_running_loop().time()
 
+    async def announce_late(self) -> None:
+        """Let two late announcements arrive, an interval apart.
+
+        A single one would be refused whatever is known of its start.
+        """
+        await self.announce(1)
+        await asyncio.sleep(HEARTBEAT_S)
+        await self.announce(2)
+
     async def wait_until_dropped(self) -> None:
         """Wait until the catalog has no record of the target."""
         targets = self.member.catalog.targets
@@ -185,7 +194,7 @@
     async def test_a_late_announcement_after_a_silent_drain(self) -> None:
         await self.drain()
         await self.wait_until_dropped()
-        await self.announce(1)
+        await self.announce_late()
         await self.check_leave()
 
     # With a slow disk a drain is in the log for a while before it is applied.
@@ -233,7 +242,7 @@
         await self.silence()
         await self.wait_until_dropped()
         await self.leave(UNNAMED)
-        await self.announce(1)
+        await self.announce_late()
         await self.check_leave()
 
     # It lowered the mark up to which incarnations have ended.
@@ -243,13 +252,18 @@
         left_at = self.left_at
         await self.leave(EARLIER_BORN_MS)
         self.left_at = left_at
-        await self.announce(1)
+        await self.announce_late()
         await self.check_leave()
 
     async def test_a_leave_from_a_member_of_the_release_before(self) -> None:
         target = fixtures.target_id('t9')
         await self.member.leave(target, EARLIER_BORN_MS)
-        await self.member.announce(fixtures.make_record('t9', born_ms=BORN_MS))
+        for sequence in (1, 2):
+            await self.member.announce(
+                fixtures.make_record('t9', born_ms=BORN_MS, sequence=sequence)
+            )
+            await asyncio.sleep(HEARTBEAT_S)
+        self.assertIsNotNone(self.member.catalog.targets.get(target))
         await self.member.submit(catalog.LeaveTarget(target=target))
         self.assertIsNone(self.member.catalog.targets.get(target))
 
