Show what members say when a member does not catch up

The message did not tell whether the member had failed to start, had got no changes or had only not answered, so none of these can be ruled out. Waits for members of the control group now end with the status, the exit code and the last lines of each member, as the wait for a leader did.

--- a/fulmarseam/bench/_cluster.py
+++ b/fulmarseam/bench/_cluster.py
@@ -1,5 +1,7 @@
 """A cluster of real processes on loopback, with fault injection."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import contextlib
 import json
 import os
@@ -262,23 +264,39 @@
 
         Raises `ConditionError` with the last lines of each member.
         """
+        await self.wait_for_controls(
+            self.operator.find_leader, timeout_s, 'a control leader'
+        )
+        leader = await self.operator.find_leader()
+        return leader or await self.wait_leader(timeout_s)
+
+    async def wait_for_controls(
+        self,
+        condition: Callable[[], Any | Awaitable[Any]],
+        timeout_s: float,
+        description: str,
+    ) -> float:
+        """Wait until a condition of the control members is true.
+
+        Returns the seconds waited. Raises `ConditionError` with the status
+        and the last lines of each member.
+        """
         try:
-            await _waiting.wait_until(
-                self.operator.find_leader, timeout_s, 'a control leader'
-            )
+            return await _waiting.wait_until(condition, timeout_s, description)
         except _waiting.ConditionError as error:
             raise _waiting.ConditionError(
-                f'{error}\n{self._describe_controls()}'
+                f'{error}\n{await self._describe_controls()}'
             ) from error
-        leader = await self.operator.find_leader()
-        return leader or await self.wait_leader(timeout_s)
 
-    def _describe_controls(self) -> str:
-        """Return the last lines that each control member has written."""
+    async def _describe_controls(self) -> str:
+        """Return the status and the last lines of each control member."""
         parts = []
         for control in self.plan.controls:
-            lines = self.processes[control.name].read_output().splitlines()
+            process = self.processes[control.name]
+            status = await self.operator.read_status(control.name)
             parts.append(f'{control.name}:')
+            parts.append(f'  exit code {process.exit_code}, {status}')
+            lines = process.read_output().splitlines()
             parts.extend(f'  {line}' for line in lines[-SHOWN_LINES:])
         return '\n'.join(parts)
 
--- a/tests/integration/test_control.py
+++ b/tests/integration/test_control.py
@@ -46,7 +46,7 @@
             status = await cluster.operator.read_status(name)
             return status is not None and status.revision >= revision
 
-        return await _waiting.wait_until(
+        return await cluster.wait_for_controls(
             is_applied, 10.0, f'{name} at revision {revision}'
         )
 
