Log each request that is relayed or retried

Whether a request reached its target from the entry of its caller or through a relay could be told only as long as the entry had fewer than 20 answered requests a second: the lines of relayed requests were omitted like all others.

Requests that were relayed, retried or failed now share the bound of 200 lines a second, which was that of failed ones; requests_omitted counts the two kinds as usual and others (before: answered and failed; a test follows the names).

--- a/fulmarseam/gateway/_summaries.py
+++ b/fulmarseam/gateway/_summaries.py
@@ -32,6 +32,7 @@
         'route',
         'status',
         'targets',
+        'was_relayed',
     )
 
     def __init__(self) -> None:
@@ -42,6 +43,7 @@
         self.outcome = ''
         self.detail = ''
         self.status = 0
+        self.was_relayed = False
         self.targets: list[str] = []
         self.inputs: list[str] = []
 
@@ -70,8 +72,18 @@
 
     def add_relay(self, address: str) -> None:
         """Note another entry through which the request is relayed."""
+        self.was_relayed = True
         self.targets.append(f'entry {address}')
 
+    def _took_usual_way(self, context: _requests.RequestContext) -> bool:
+        """Return whether the first attempt was answered, without a relay."""
+        return (
+            self.outcome == ANSWERED
+            and len(self.targets) == 1
+            and not self.was_relayed
+            and not context.is_relayed
+        )
+
     def write(
         self,
         log: telemetry.RequestLog,
@@ -81,7 +93,7 @@
     ) -> None:
         """Write the log line; `revision` is that of the catalog in force."""
         log.add(
-            self.outcome == ANSWERED,
+            self._took_usual_way(context),
             id=(context.request_id or b'').decode('latin-1'),
             outcome=self.outcome,
             route=self.route,
--- a/fulmarseam/telemetry/_request_log.py
+++ b/fulmarseam/telemetry/_request_log.py
@@ -4,10 +4,10 @@
 
 from fulmarseam.telemetry import _logs
 
-# Lines per second for answered requests and for all others. At 25 us per
-# line, both together take less than 1% of a core.
-ANSWERED_LINES_PER_S = 20
-FAILED_LINES_PER_S = 200
+# Lines per second for requests that took the usual way and for all others. At
+# 25 us per line, both together take less than 1% of a core.
+USUAL_LINES_PER_S = 20
+OTHER_LINES_PER_S = 200
 
 _log = logbook.Logger('request')
 
@@ -15,23 +15,26 @@
 class RequestLog:
     """Logs requests up to a rate limit and counts the omitted ones.
 
-    Failed requests have a limit of their own, so that many successful
-    requests do not hide them. Call `tick` once a second.
+    Requests that failed or took another way than the usual one have a limit
+    of their own, so that many usual requests do not hide them. Call `tick`
+    once a second.
     """
 
     def __init__(self) -> None:
-        self._lines_left = {
-            True: ANSWERED_LINES_PER_S,
-            False: FAILED_LINES_PER_S,
-        }
+        self._lines_left: dict[bool, int] = {}
+        self._omitted: dict[bool, int] = {}
+        self._reset()
+
+    def _reset(self) -> None:
+        self._lines_left = {True: USUAL_LINES_PER_S, False: OTHER_LINES_PER_S}
         self._omitted = {True: 0, False: 0}
 
-    def add(self, was_answered: bool, **fields: object) -> None:
+    def add(self, is_usual: bool, **fields: object) -> None:
         """Log one request, or count it as omitted."""
-        if not self._lines_left[was_answered]:
-            self._omitted[was_answered] += 1
+        if not self._lines_left[is_usual]:
+            self._omitted[is_usual] += 1
             return
-        self._lines_left[was_answered] -= 1
+        self._lines_left[is_usual] -= 1
         _log.info(_logs.format_event('request_ended', **fields))
 
     def tick(self) -> None:
@@ -40,12 +43,8 @@
             _log.info(
                 _logs.format_event(
                     'requests_omitted',
-                    answered=self._omitted[True],
-                    failed=self._omitted[False],
+                    usual=self._omitted[True],
+                    others=self._omitted[False],
                 )
             )
-        self._lines_left = {
-            True: ANSWERED_LINES_PER_S,
-            False: FAILED_LINES_PER_S,
-        }
-        self._omitted = {True: 0, False: 0}
+        self._reset()
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -5,6 +5,8 @@
 import unittest
 from unittest import mock
 
+import logbook
+
 from fulmarseam import catalog
 from fulmarseam import errors
 from fulmarseam import http
@@ -98,6 +100,24 @@
         reply = await self.measure_one(RATE_PER_S, 1.0)
         self.assertEqual(reply.served, reply.tries)
 
+    # Beyond 20 a second their lines were omitted, like those of requests that
+    # went to a target directly.
+    async def test_each_relayed_request_has_a_log_line(self) -> None:
+        await self.measure(RATE_PER_S, 0.5)
+        self.cut(0, CutKind.REFUSED)
+        await self.measure(RATE_PER_S, SETTLE_S)
+        log = logbook.TestHandler()
+        with log.applicationbound():
+            shares = await self.measure(6 * RATE_PER_S, MEASURE_S)
+        lines = [
+            record.message
+            for record in log.records
+            if 'event=request_ended' in record.message
+            and 'entry 127.' in record.message
+        ]
+        self.assertGreater(shares[0].served, 2 * RATE_PER_S * MEASURE_S)
+        self.assertGreaterEqual(len(lines), shares[0].served)
+
     async def test_targets_that_end_do_not_look_like_lost_paths(self) -> None:
         await self.measure(RATE_PER_S, 0.5)
         for target in self.targets[:3]:
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -126,5 +126,5 @@
             log.tick()
         records = handler.formatted_records
         self.assertTrue(any('id=failed' in line for line in records))
-        self.assertIn('answered=980', records[-1])
+        self.assertIn('usual=980', records[-1])
         self.assertLess(len(records), 30)
