Take a target that crashed back at once after an earlier leave

It now counts as having left only if no later incarnation was dropped.

Before, LateStartTest.test_a_crash_after_an_earlier_leave_needs_no_wait failed; after, it passes, with the other five of its class.

--- a/fulmarseam/catalog/_targets.py
+++ b/fulmarseam/catalog/_targets.py
@@ -90,10 +90,14 @@
         return born_ms <= self._ended_incarnations.get(target, -1)
 
     def has_left(self, target: ids.TargetId) -> bool:
-        """Return whether a target is not in the table and has left."""
-        return (
-            target not in self._records and target in self._ended_incarnations
-        )
+        """Return whether a target is not in the table since it left.
+
+        One that was dropped as silent after a later start has crashed.
+        """
+        ended = self._ended_incarnations.get(target)
+        if ended is None or target in self._records:
+            return False
+        return ended >= self._dropped_incarnations.get(target, ended)
 
     def is_newer(self, record: wire.TargetRecord) -> bool:
         """Return whether an announcement would change the table."""
--- a/tests/test_undone_leaves.py
+++ b/tests/test_undone_leaves.py
@@ -28,6 +28,7 @@
 UNNAMED = 0
 EARLIER_BORN_MS = 4_000
 LATER_BORN_MS = 6_000
+LATEST_BORN_MS = 7_000
 
 
 class UndoneLeaveCase(rate_limit_case.RateLimitCase):
@@ -311,9 +312,9 @@
             )
         self.assertIsNone(self.member.catalog.targets.get(target))
 
-    async def start_again(self) -> None:
-        """Let the target announce its next start."""
-        self.born_ms = LATER_BORN_MS
+    def start_again(self, born_ms: int) -> None:
+        """Let the target announce another start."""
+        self.born_ms = born_ms
         self.sequence = 0
         self.announced.append(LEAVING)
 
@@ -322,16 +323,30 @@
         target = fixtures.target_id(LEAVING)
         await self.silence()
         await self.leave(UNNAMED)
-        await self.start_again()
+        self.start_again(LATER_BORN_MS)
         await asyncio.sleep(LEASE_S + 2 * HEARTBEAT_S)
         self.assertIsNotNone(self.member.catalog.targets.get(target))
 
+    # A leave long ago held up targets that had only crashed.
+    async def test_a_crash_after_an_earlier_leave_needs_no_wait(self) -> None:
+        target = fixtures.target_id(LEAVING)
+        await self.silence()
+        await self.leave(UNNAMED)
+        await asyncio.sleep(LEASE_S)
+        self.start_again(LATER_BORN_MS)
+        await asyncio.sleep(3 * HEARTBEAT_S)
+        await self.silence()
+        await self.wait_until_dropped()
+        self.born_ms = LATEST_BORN_MS
+        await self.announce(1)
+        self.assertIsNotNone(self.member.catalog.targets.get(target))
+
     async def test_a_target_that_has_started_again_is_used(self) -> None:
         target = fixtures.target_id(LEAVING)
         await self.silence()
         await self.leave(UNNAMED)
         await asyncio.sleep(LEASE_S)
-        await self.start_again()
+        self.start_again(LATER_BORN_MS)
         await asyncio.sleep(3 * HEARTBEAT_S)
         self.assertIsNotNone(self.member.catalog.targets.get(target))
 
