Keep a target outside the evacuated domain in each pool of the soak

A target now stays in its pool if all others of the pool are in that domain. The hosts of both kinds of soak are made in one place, and the evacuated domain stands beside the other domains.

--- a/tests/soak/_builds.py
+++ b/tests/soak/_builds.py
@@ -67,10 +67,7 @@
     system = _system.System(directory, record)
     for process in system.processes.values():
         process.build = old
-    hosts = [
-        _targets.TargetHost(number, system, record)
-        for number in range(1, _plan.TARGETS + 1)
-    ]
+    hosts = _targets.make_hosts(system, record)
     async with system:
         for host in hosts:
             await host.start()
--- a/tests/soak/_checks.py
+++ b/tests/soak/_checks.py
@@ -165,7 +165,7 @@
     """Check that a target that started again gets requests in the end."""
     found = []
     for target, restart in record.restarted.items():
-        if restart.failure_domain == _operator.EVACUATED:
+        if restart.failure_domain == _system.EVACUATED:
             continue
         start = max(restart.at, record.faults_ended_at) + REJOIN_S
         if not any(
--- a/tests/soak/_operator.py
+++ b/tests/soak/_operator.py
@@ -17,7 +17,6 @@
 FIRST_VERSION = 7
 # A command is retried on other members until it is acknowledged.
 ACKNOWLEDGE_TIMEOUT_S = 30.0
-EVACUATED = 'z2'
 EVACUATE_AT_S = 4.0
 # Lasts longer than the 5 s in which an evacuation must take effect, and than
 # a member is paused.
@@ -120,14 +119,14 @@
     async def evacuate_repeatedly(self) -> None:
         """Evacuate a failure domain again and again."""
         await asyncio.sleep(EVACUATE_AT_S)
-        path = f'/api/evacuate/{EVACUATED}'
+        path = f'/api/evacuate/{_system.EVACUATED}'
         while await self._send_until_acknowledged('POST', path):
             started = time.monotonic()
             try:
                 await asyncio.sleep(EVACUATE_FOR_S)
             finally:
                 self._record.evacuations.append(
-                    (EVACUATED, started, time.monotonic())
+                    (_system.EVACUATED, started, time.monotonic())
                 )
             await self._send_until_acknowledged('DELETE', path)
             await asyncio.sleep(random.uniform(*EVACUATE_GAP_S))
--- a/tests/soak/_soak.py
+++ b/tests/soak/_soak.py
@@ -46,10 +46,7 @@
     random.seed(seed)
     record = _record.Record()
     system = _system.System(directory, record)
-    hosts = [
-        _targets.TargetHost(number, system, record)
-        for number in range(1, _plan.TARGETS + 1)
-    ]
+    hosts = _targets.make_hosts(system, record)
     async with system:
         for host in hosts:
             await host.start()
--- a/tests/soak/_system.py
+++ b/tests/soak/_system.py
@@ -26,6 +26,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 DOMAINS = {'z1': 'north', 'z2': 'north', 'z3': 'south'}
+# The domain that the operator evacuates.
+EVACUATED = 'z2'
 # Settings of the deployment that the soak models.
 GRACE_S = 6.0
 HEARTBEAT_S = 1.0
--- a/tests/soak/_targets.py
+++ b/tests/soak/_targets.py
@@ -150,13 +150,17 @@
 
 
 class TargetHost:
-    """Runs the incarnations of one target, one after the other."""
+    """Runs the incarnations of one target, one after the other.
+
+    `pools` holds the pool of each target of the soak, by name.
+    """
 
     def __init__(
         self,
         number: int,
         system: _system.System,
         record: _record.Record,
+        pools: dict[str, str],
     ) -> None:
         self.name = f'target-{number}'
         self._number = number
@@ -165,7 +169,8 @@
         self._listen_address = fakes.find_free_address()
         self._proxy_address = fakes.find_free_address()
         # Each pool has targets in all failure domains.
-        self._pool = POOLS[number // len(POOLS) % len(POOLS)]
+        self._pools = pools
+        self._pools[self.name] = POOLS[number // len(POOLS) % len(POOLS)]
         self._starts = 0
         self._current: _Incarnation | None = None
         self._server: _server.Server | None = None
@@ -191,7 +196,7 @@
             self._starts += 1
         self._current = _Incarnation(
             f'{self.name}-{self._starts}',
-            self._pool,
+            self._pools[self.name],
             domain,
             self._record,
             self._end_soon,
@@ -325,8 +330,7 @@
             case _plan.FaultKind.REPLACE:
                 await self.crash()
                 await asyncio.sleep(max(fault.for_s, ADDRESS_REUSE_S))
-                position = (POOLS.index(self._pool) + 1) % len(POOLS)
-                self._pool = POOLS[position]
+                self._move_to_next_pool()
                 await self.start()
             case _plan.FaultKind.LEAVE:
                 await self._leave(current)
@@ -373,6 +377,25 @@
             case _:
                 await self._system.disturb_link(fault)
 
+    def _move_to_next_pool(self) -> None:
+        """Serve another pool, unless the present one depends on this target.
+
+        A pool whose targets are all in the domain that is evacuated cannot
+        be served.
+        """
+        pool = self._pools[self.name]
+        others = [
+            name
+            for name in self._pools
+            if name != self.name
+            and self._pools[name] == pool
+            and _system.find_domain(int(name.rpartition('-')[2]))
+            != _system.EVACUATED
+        ]
+        if others:
+            position = (POOLS.index(pool) + 1) % len(POOLS)
+            self._pools[self.name] = POOLS[position]
+
     async def _leave(self, current: _Incarnation) -> None:
         """Announce the leave, keep serving for a while, then end."""
         await self._drain(current)
@@ -405,3 +428,14 @@
         await self._announce()
         await asyncio.sleep(LEAVE_SERVE_S)
         await self.crash()
+
+
+def make_hosts(
+    system: _system.System, record: _record.Record
+) -> list[TargetHost]:
+    """Return the hosts of all targets."""
+    pools: dict[str, str] = {}
+    return [
+        TargetHost(number, system, record, pools)
+        for number in range(1, _plan.TARGETS + 1)
+    ]
