Record the drain of a start that is not confirmed yet

What callers see (DRAIN): a target leaves, starts again under its id and drains at once. The drain is acknowledged, and late announcements of before make the target ready 9 s later.

Cause: since the leader keeps announcements of a start that is not confirmed out of the log, the drains as well.

Only ready announcements are kept out now: a drain sends no requests anywhere, and it is a promise once it is acknowledged.

Before, UndoneDrainTest.test_a_drain_right_after_a_start_that_follows_a_leave failed; after, it passes.

--- a/fulmarseam/control/_log_admission.py
+++ b/fulmarseam/control/_log_admission.py
@@ -108,10 +108,14 @@
     def _check_announcement(
         self, now: float, machine: catalog.Catalog, record: wire.TargetRecord
     ) -> list[str] | None:
-        """Keep out what may be a late announcement before a leave."""
+        """Keep out what may be a late announcement before a leave.
+
+        A drain is a promise once it is acknowledged, and is recorded.
+        """
         targets = machine.targets
         if (
-            targets.is_newer(record)
+            record.phase is wire.TargetPhase.READY
+            and targets.is_newer(record)
             and targets.has_left(record.target)
             and not self._restarts.confirm(now, record)
         ):
--- a/tests/test_undone_leaves.py
+++ b/tests/test_undone_leaves.py
@@ -198,6 +198,26 @@
         await self.announce_late()
         await self.check_leave()
 
+    # The drain was kept out of the log, as its start was not confirmed yet.
+    async def test_a_drain_right_after_a_start_that_follows_a_leave(
+        self,
+    ) -> None:
+        target = fixtures.target_id(LEAVING)
+        await self.silence()
+        await self.leave(UNNAMED)
+        self.born_ms = LATER_BORN_MS
+        self.sequence = 0
+        await self.announce(1)
+        self.sequence = 2
+        await self.member.announce(self.make_drain())
+        self.left_at = asyncio.get_running_loop().time()
+        record = self.member.catalog.targets.get(target)
+        assert record is not None
+        self.assertIs(wire.TargetPhase.DRAINING, record.phase)
+        await self.wait_until_dropped()
+        await self.announce_late()
+        await self.check_leave()
+
     # With a slow disk a drain is in the log for a while before it is applied.
     async def test_a_drain_that_is_not_applied_when_the_lease_ends(
         self,
