End a draining target whose address another one has

What callers see (DRAIN): a target drains and gets its acknowledgement while a younger target has its address, as after a replacement whose clock differs. Once that one has left, a late announcement of before the drain makes the target ready.

Cause: announcements of a target whose address is taken are acknowledged and ignored, drains as well.

Before, UndoneDrainTest.test_a_drain_at_an_address_that_another_target_has failed; after, it passes.

--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -495,6 +495,13 @@
         if not is_change:
             return
         state = self.catalog.targets.classify(record)
+        if (
+            state is catalog.AnnouncementState.ADDRESS_TAKEN
+            and record.phase is wire.TargetPhase.DRAINING
+        ):
+            # The drain is a promise that outlasts the claim to the address.
+            await self.leave(record.target, record.born_ms, call)
+            return
         if state is catalog.AnnouncementState.NEWER:
             result = await self.submit(
                 catalog.AnnounceTargets(records=[record]), call=call
--- a/tests/test_undone_leaves.py
+++ b/tests/test_undone_leaves.py
@@ -218,6 +218,29 @@
         await self.announce_late()
         await self.check_leave()
 
+    # The drain was ignored while a younger target had the address.
+    async def test_a_drain_at_an_address_that_another_target_has(self) -> None:
+        await self.member.announce(
+            fixtures.make_record('t9', address='a:1', born_ms=LATER_BORN_MS)
+        )
+        drain = fixtures.make_record(
+            't8',
+            address='a:1',
+            born_ms=BORN_MS,
+            sequence=5,
+            phase=wire.TargetPhase.DRAINING,
+        )
+        await self.member.announce(drain)
+        await self.member.leave(fixtures.target_id('t9'), LATER_BORN_MS)
+        for sequence in (3, 4):
+            await self.member.announce(
+                fixtures.make_record(
+                    't8', address='a:1', born_ms=BORN_MS, sequence=sequence
+                )
+            )
+        record = self.member.catalog.targets.get(drain.target)
+        self.assertIsNone(record)
+
     # With a slow disk a drain is in the log for a while before it is applied.
     async def test_a_drain_that_is_not_applied_when_the_lease_ends(
         self,
