Check commands for the log only at a confirmed leader

What callers see (DRAIN, ROUTE): in the moment in which a new leader has no entry of its term committed yet, or after it has lost its majority, a command that a member of the release before forwards enters the log unchecked: a late announcement of a target that has left, a late leave of an earlier incarnation, or the removal of a pool in use.

Cause: the leader made these checks only while it was confirmed, and appended the command in any case. Members of this release ask for the clock of a confirmed leader first, so only old ones reach that path.

A leader that is not confirmed now refuses with NotLeaderError, which members retry as they do while there is no leader.

--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -420,17 +420,21 @@
         return await self._propose(message.command)
 
     async def _propose(self, data: bytes) -> wire.CatalogResult:
-        if self._member is None:
+        """Append a command to the log, unless it must have no effect.
+
+        Raises `errors.NotLeaderError` if this member does not lead, as
+        confirmed by a majority: it may lack what that depends on.
+        """
+        if self._member is None or not self.is_leader():
             raise errors.NotLeaderError()
         command = catalog.decode_command(data)
-        if self.is_leader():
-            problems = self._admission.find_problems(
-                self._now(), self.catalog, command
+        problems = self._admission.find_problems(
+            self._now(), self.catalog, command
+        )
+        if problems is not None:
+            return wire.CatalogResult(
+                revision=self.catalog.revision, problems=problems
             )
-            if problems is not None:
-                return wire.CatalogResult(
-                    revision=self.catalog.revision, problems=problems
-                )
         with self._admission.track(command):
             result = catalog.decode_result(await self._member.propose(data))
         self._admission.note_applied(self._now(), command)
--- a/tests/test_undone_leaves.py
+++ b/tests/test_undone_leaves.py
@@ -9,6 +9,7 @@
 
 from fulmarseam import catalog
 from fulmarseam import consensus
+from fulmarseam import errors
 from fulmarseam import wire
 from tests import catalog_fixtures as fixtures
 from tests import rate_limit_case
@@ -361,6 +362,27 @@
         self.sequence = 0
         self.announced.append(LEAVING)
 
+    # A leader that no majority has confirmed yet checked nothing that members
+    # of the release before forward.
+    async def test_an_unconfirmed_leader_takes_no_forwarded_command(
+        self,
+    ) -> None:
+        target = fixtures.target_id('t9')
+        await self.member.leave(target, UNNAMED)
+        command = catalog.AnnounceTargets(
+            records=[fixtures.make_record('t9', born_ms=LATER_BORN_MS)]
+        )
+        with mock.patch.object(
+            consensus.Member, 'leadership_age', return_value=None
+        ):
+            with self.assertRaises(errors.NotLeaderError):
+                await self.member.handle(
+                    wire.CatalogCommand(
+                        command=catalog.encode_command(command)
+                    )
+                )
+        self.assertIsNone(self.member.catalog.targets.get(target))
+
     # The wait after a leave must not exceed the time that is needed.
     async def test_a_target_that_starts_again_at_once_is_used(self) -> None:
         target = fixtures.target_id(LEAVING)
