Let targets of the tests start again in one place

Three tests of LateStartTest repeated how a target leaves and starts again. The assertions and waits are the same; the 23 tests of the module pass.

--- a/tests/test_undone_leaves.py
+++ b/tests/test_undone_leaves.py
@@ -358,9 +358,12 @@
             )
         self.assertIsNone(self.member.catalog.targets.get(target))
 
-    def start_again(self, born_ms: int) -> None:
-        """Let the target announce another start."""
-        self.born_ms = born_ms
+    async def start_again(self, pause_s: float) -> None:
+        """Let the target leave, and announce another start after a pause."""
+        await self.silence()
+        await self.leave(UNNAMED)
+        await asyncio.sleep(pause_s)
+        self.born_ms = LATER_BORN_MS
         self.sequence = 0
         self.announced.append(LEAVING)
 
@@ -388,19 +391,14 @@
     # The wait after a leave must not exceed the time that is needed.
     async def test_a_target_that_starts_again_at_once_is_used(self) -> None:
         target = fixtures.target_id(LEAVING)
-        await self.silence()
-        await self.leave(UNNAMED)
-        self.start_again(LATER_BORN_MS)
+        await self.start_again(0.0)
         await asyncio.sleep(MAX_DELAY_S + 2 * HEARTBEAT_S)
         self.assertIsNotNone(self.member.catalog.targets.get(target))
 
     # A leave long ago held up targets that had only crashed.
     async def test_a_crash_after_an_earlier_leave_needs_no_wait(self) -> None:
         target = fixtures.target_id(LEAVING)
-        await self.silence()
-        await self.leave(UNNAMED)
-        await asyncio.sleep(MAX_DELAY_S)
-        self.start_again(LATER_BORN_MS)
+        await self.start_again(MAX_DELAY_S)
         await asyncio.sleep(3 * HEARTBEAT_S)
         await self.silence()
         await self.wait_until_dropped()
@@ -410,10 +408,7 @@
 
     async def test_a_target_that_has_started_again_is_used(self) -> None:
         target = fixtures.target_id(LEAVING)
-        await self.silence()
-        await self.leave(UNNAMED)
-        await asyncio.sleep(MAX_DELAY_S)
-        self.start_again(LATER_BORN_MS)
+        await self.start_again(MAX_DELAY_S)
         await asyncio.sleep(3 * HEARTBEAT_S)
         self.assertIsNotNone(self.member.catalog.targets.get(target))
 
