Keep the newest of ordered values in one function

The table of targets and the confirmations of restarts each had their own function that stores a value as the newest and forgets the oldest ones; both call keep_newest now. classify says what it returns, in place of the line that is_newer has.

--- a/fulmarseam/catalog/_heartbeats.py
+++ b/fulmarseam/catalog/_heartbeats.py
@@ -3,10 +3,10 @@
 import collections
 from collections.abc import Mapping
 from typing import NamedTuple
-from typing import TypeVar
 
 from fulmarseam import ids
 from fulmarseam import wire
+from fulmarseam.catalog import _bounded
 
 # A target has become cold again if its announced cold time exceeds the
 # expected one by more than this. Announcements may be a second late.
@@ -17,8 +17,6 @@
 # Limits the memory for leaves, and for starts that announced themselves once.
 MAX_UNCONFIRMED = 1_024
 
-T = TypeVar('T')
-
 
 class HeartbeatTracker:
     """Tells changed announcements from renewals; times in seconds."""
@@ -92,7 +90,7 @@
 
     def note_leave(self, now: float, target: ids.TargetId) -> None:
         """Record that a target has just left."""
-        _keep_last(self._left_at, target, now)
+        _bounded.keep_newest(self._left_at, target, now, MAX_UNCONFIRMED)
 
     def confirm(self, now: float, record: wire.TargetRecord) -> bool:
         """Return whether an announcement is one of a running process.
@@ -103,7 +101,9 @@
         first = self._first.get(record.target)
         if first is None or first.born_ms != record.born_ms:
             first = _FirstAnnouncement(now, record.born_ms, record.sequence)
-            _keep_last(self._first, record.target, first)
+            _bounded.keep_newest(
+                self._first, record.target, first, MAX_UNCONFIRMED
+            )
             return False
         left_at = self._left_at.get(record.target, first.heard_at)
         return (
@@ -113,18 +113,6 @@
         )
 
 
-def _keep_last(
-    values: collections.OrderedDict[ids.TargetId, T],
-    target: ids.TargetId,
-    value: T,
-) -> None:
-    """Store the value of a target as the newest; forget the oldest ones."""
-    values[target] = value
-    values.move_to_end(target)
-    while len(values) > MAX_UNCONFIRMED:
-        values.popitem(last=False)
-
-
 class TargetLeases:
     """When the leader last heard of each target; times in seconds."""
 
--- a/fulmarseam/catalog/_targets.py
+++ b/fulmarseam/catalog/_targets.py
@@ -13,6 +13,7 @@
 
 from fulmarseam import ids
 from fulmarseam import wire
+from fulmarseam.catalog import _bounded
 
 # Ended incarnations that are kept, so that an announcement delayed by a
 # partition does not revive one of them, and incarnations dropped as silent
@@ -104,7 +105,7 @@
         return self.classify(record) is AnnouncementState.NEWER
 
     def classify(self, record: wire.TargetRecord) -> AnnouncementState:
-        """Return whether an announcement would change the table."""
+        """Return why an announcement changes nothing, or that it is newer."""
         if self.has_ended(record.target, record.born_ms):
             return AnnouncementState.ENDED
         current = self._records.get(record.target)
@@ -168,7 +169,7 @@
             current = self._records.get(target)
             if current is not None and current.born_ms == born_ms:
                 self._remove(current)
-                _keep_newest(
+                _bounded.keep_newest(
                     self._dropped_incarnations,
                     target,
                     born_ms,
@@ -190,24 +191,11 @@
             del self._addresses[record.address]
 
     def _record_ended(self, target: ids.TargetId, born_ms: int) -> None:
-        _keep_newest(
+        _bounded.keep_newest(
             self._ended_incarnations, target, born_ms, MAX_ENDED_INCARNATIONS
         )
 
 
-def _keep_newest(
-    incarnations: collections.OrderedDict[ids.TargetId, int],
-    target: ids.TargetId,
-    born_ms: int,
-    limit: int,
-) -> None:
-    """Add an incarnation as the newest one; forget the oldest ones."""
-    incarnations.pop(target, None)
-    incarnations[target] = born_ms
-    while len(incarnations) > limit:
-        incarnations.popitem(last=False)
-
-
 def _keep_draining(
     current: wire.TargetRecord, record: wire.TargetRecord
 ) -> wire.TargetRecord:
