--- /dev/null
+++ b/review/8/case.py
@@ -0,0 +1,69 @@
+"""A machine without power is voted out when another one is replaced."""
+
+import asyncio
+
+import harness
+
+
+async def main(fleet: harness.Fleet) -> int:
+    """Run the case."""
+    record = fleet.record
+    cores = [fleet.add_core(z) for z in ('a1', 'b1', 'c1', 'a2', 'b2')]
+    first, second, third, fourth, fifth = cores
+    successor = fleet.add_core('b2')
+    successor.settings['first_start'] = False
+    fleet.set_seeds()
+    for core in cores:
+        core.start()
+    service = harness.make_service('shop', 1)
+    route = harness.make_route('r-1', '/one/', 'shop', 1)
+    first_call = harness.make_patch([service], [route], 1)
+    if not await harness.order(
+        fleet, cores, 'PATCH', '/api/config', first_call
+    ):
+        return harness.NOT_RUN
+    for core in cores:
+        core.settings['first_start'] = False
+    await asyncio.sleep(2.0)
+
+    # The fourth machine loses power. The fifth is replaced as planned: its
+    # successor comes first, then it ends for good.
+    if harness.wants_trouble():
+        fourth.kill()
+        await asyncio.sleep(2.0)
+    successor.start()
+    await asyncio.sleep(4.0)
+    fifth.kill()
+    await asyncio.sleep(harness.BOUNDS['catchUp'] + 4.0)
+    running = [first, second, third, successor]
+    route = harness.make_route('r-1', '/one/', 'shop', 2, timeout='1500ms')
+    change = harness.make_patch([], [route])
+    if not await harness.order(fleet, running, 'PATCH', '/api/config', change):
+        return harness.NOT_RUN
+
+    # All lose power, two of them also their disks.
+    for core in running:
+        core.kill()
+    if not harness.wants_trouble():
+        fourth.kill()
+    first.wipe()
+    second.wipe()
+    await asyncio.sleep(1.0)
+    for core in (first, second, third, fourth, successor):
+        core.start()
+    await asyncio.sleep(harness.BOUNDS['recovery'])
+    running.append(fourth)
+    config = await harness.read_back(fleet, running, 20.0)
+    for core in running:
+        rejoined = core.read_log().count('event=member_rejoins')
+        record.write(f'{core.name} deleted its data {rejoined} times')
+    found = harness.find_route(config, 'r-1') if config else None
+    record.write(f'read back: {found}')
+    if found is None or found['version'] != 2:
+        print('LOST: the acknowledged configuration is not read back')
+        return harness.BROKEN
+    print('held')
+    return harness.HELD
+
+
+harness.run_case(main)
