--- a/review/common-2/upstream.py
+++ b/review/common-2/upstream.py
@@ -49,10 +49,10 @@
         if self._server is not None:
             self._server.close()
 
-    async def beat(self) -> bool:
-        """Send one heartbeat; return whether it was acknowledged."""
+    def make_beat(self) -> dict[str, object]:
+        """Return the body of the next heartbeat."""
         self._sequence += 1
-        body = {
+        return {
             'address': f'{self._ip}:{self._port}',
             'info': self._info,
             'status': {
@@ -62,6 +62,10 @@
             },
             'born': self._born,
         }
+
+    async def beat(self) -> bool:
+        """Send one heartbeat; return whether it was acknowledged."""
+        body = self.make_beat()
         for core in self._fleet.cores:
             answer = await harness.call(
                 self._fleet.api(core),
