--- a/review/10/case.py
+++ b/review/10/case.py
@@ -84,6 +84,8 @@
                 )
         counts = await send_requests(fleet, PLAY_S)
     fleet.record.write(f'sent and served: {counts}')
+    if not harness.are_running(fleet.processes):
+        return harness.NOT_RUN
     total = sum(sent for sent, _ in counts.values())
     served = sum(served for _, served in counts.values())
     for service, (sent_here, served_here) in counts.items():
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -53,6 +53,8 @@
     config = await harness.read_back(fleet, running, 20.0)
     found = harness.find_route(config, 'r-1') if config else None
     record.write(f'read back: {found}')
+    if not harness.are_running(running):
+        return harness.NOT_RUN
     if found is None or found['version'] != 2:
         print('LOST: the acknowledged configuration is not read back')
         return harness.BROKEN
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -61,6 +61,8 @@
     record.write(f'{fifth.name} deleted its data {rejoined} times')
     found = harness.find_route(config, 'r-1') if config else None
     record.write(f'read back: {found}')
+    if not harness.are_running(cores):
+        return harness.NOT_RUN
     if found is None or found['version'] != 2:
         print('LOST: the acknowledged configuration is not read back')
         return harness.BROKEN
--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -238,6 +238,14 @@
         return entry.ip, self.port + 3
 
 
+def are_running(processes: list[Process]) -> bool:
+    """Return whether all programs have started and none has ended."""
+    return all(
+        process.poll() is None and 'event=started' in process.read_log()
+        for process in processes
+    )
+
+
 class Answer:
     """An answer to a request."""
 
