Let only committed lists end a member

After a loss of power with two lost disks, operators got 503 for every call, and the last acknowledged change was gone: a sound voter had deleted its data.

Cause: a member without a leader counted as removed when those that answered did not list it in four checks. One answer was enough, and the one that came was from a member that had been down when this one joined. Related: removals counted before they were committed, in the member's own log and in lists of others.

Members now tell what they have committed and the term of that.

--- a/fulmarseam/consensus/_core.py
+++ b/fulmarseam/consensus/_core.py
@@ -17,6 +17,7 @@
 from fulmarseam.consensus import _core_election
 from fulmarseam.consensus import _core_follower
 from fulmarseam.consensus import _core_leader
+from fulmarseam.consensus import _core_removal
 from fulmarseam.consensus import _core_rounds
 from fulmarseam.consensus import _core_state
 from fulmarseam.consensus import _core_transfer
@@ -185,6 +186,19 @@
         """Return the newest members in the log, committed or not."""
         return self._state.members
 
+    @property
+    def committed_members(self) -> wire.CommittedMembers:
+        """Return the committed members with the term of the last commit."""
+        return _core_removal.describe_committed(self._state)
+
+    def is_retired(self, committed: wire.CommittedMembers) -> bool:
+        """Return whether the removal of this member is committed."""
+        return _core_removal.is_retired(self._state, committed)
+
+    def is_addition_lost(self, committed: wire.CommittedMembers) -> bool:
+        """Return whether the entry that added this member can't commit."""
+        return _core_removal.is_addition_lost(self._state, committed)
+
     @property
     def commit_index(self) -> int:
         """Return the index of the last committed entry."""
--- a/fulmarseam/consensus/_runtime.py
+++ b/fulmarseam/consensus/_runtime.py
@@ -246,15 +246,14 @@
 
     def _describe_identity(self) -> wire.IdentityResponse:
         founding = self._binding.identity.founding
-        empty = wire.GroupMembers()
+        replica = self._driver.replica
         return wire.IdentityResponse(
             member=self._member_id,
             store=self._binding.identity.store_id,
             group=founding.group if founding else '',
-            members=self._driver.replica.members
-            if self._driver.replica
-            else empty,
+            members=replica.members if replica else wire.GroupMembers(),
             founding=founding,
+            committed=replica.committed_members if replica else None,
         )
 
     async def propose(self, command: bytes) -> bytes:
--- a/fulmarseam/consensus/_runtime_binding.py
+++ b/fulmarseam/consensus/_runtime_binding.py
@@ -14,18 +14,13 @@
 from fulmarseam import wire
 from fulmarseam.consensus import _core
 from fulmarseam.consensus import _core_founding
-from fulmarseam.consensus import _core_members
 from fulmarseam.consensus import _discovery
 from fulmarseam.consensus import _interface
+from fulmarseam.consensus import _removal
 from fulmarseam.consensus import _storage
 
 # How often an unbound member queries the initial members.
 POLL_INTERVAL_S = 0.1
-# A member considers itself removed after this many consecutive checks, 0.3 s
-# apart, in which no other member lists it. A change in progress is listed
-# within one check.
-MAX_UNLISTED_CHECKS = 4
-
 _log = logbook.Logger('consensus')
 
 
@@ -44,7 +39,7 @@
         self.identity = _core_founding.Identity(settings.member_id, '')
         self.candidates = _discovery.JoinCandidates()
         self._finder: _discovery.GroupFinder | None = None
-        self._unlisted_checks = 0
+        self._removals = _removal.RemovalTracker()
 
     @property
     def group(self) -> str:
@@ -158,39 +153,41 @@
     async def is_removed(self, replica: _core.Replica | None) -> bool:
         """Return whether this member is permanently out of the group.
 
-        Either the group lists it as removed, or no member lists it at all,
-        because the change that added it was lost with the leader that
-        proposed it.
+        A member without a leader asks the others what they have committed.
         """
         if replica is None:
             return False
-        member_id = self.identity.member
-        if member_id in replica.members.retired:
+        if replica.is_retired(replica.committed_members):
             return True
         if replica.leader is not None or self._settings.discovery is None:
-            self._unlisted_checks = 0
+            self._removals.clear()
             return False
+        return self._removals.update(
+            replica,
+            await self._query_committed_members(
+                replica, self._settings.discovery
+            ),
+        )
+
+    async def _query_committed_members(
+        self,
+        replica: _core.Replica,
+        discovery: _interface.DiscoverySettings,
+    ) -> list[wire.CommittedMembers]:
+        """Return what each reachable member of the group has committed."""
         addresses = {info.address for info in replica.members.members}
-        addresses.update(self._settings.discovery.seeds)
+        addresses.update(discovery.seeds)
         addresses.discard(self._settings.address)
         answers = await asyncio.gather(
             *(self._query_address(address) for address in sorted(addresses))
         )
-        member_lists = [
-            answer.members
+        return [
+            answer.committed
             for answer in answers
-            if answer is not None and answer.group == self.group
+            if answer is not None
+            and answer.group == self.group
+            and answer.committed is not None
         ]
-        if any(member_id in members.retired for members in member_lists):
-            return True
-        if not member_lists or any(
-            _core_members.find_member(members, member_id)
-            for members in member_lists
-        ):
-            self._unlisted_checks = 0
-            return False
-        self._unlisted_checks += 1
-        return self._unlisted_checks >= MAX_UNLISTED_CHECKS
 
     async def _query_address(
         self, address: str
--- a/fulmarseam/wire/__init__.py
+++ b/fulmarseam/wire/__init__.py
@@ -57,6 +57,7 @@
 from fulmarseam.wire._common import Ok
 from fulmarseam.wire._consensus import AppendRequest
 from fulmarseam.wire._consensus import AppendResponse
+from fulmarseam.wire._consensus import CommittedMembers
 from fulmarseam.wire._consensus import Founding
 from fulmarseam.wire._consensus import GroupMembers
 from fulmarseam.wire._consensus import IdentityRequest
@@ -162,6 +163,7 @@
     'FleetRequest',
     'FleetResponse',
     'FoundRequest',
+    'CommittedMembers',
     'Founding',
     'GroupMembers',
     'IdentityRequest',
--- a/fulmarseam/wire/_consensus.py
+++ b/fulmarseam/wire/_consensus.py
@@ -178,6 +178,16 @@
     members: GroupMembers
 
 
+class CommittedMembers(msgspec.Struct, frozen=True, kw_only=True):
+    """The members as of the last entry that a member knows is committed.
+
+    `term` is the term of that entry, or 0 if there is none.
+    """
+
+    term: int
+    members: GroupMembers
+
+
 class IdentityRequest(
     msgspec.Struct, tag='identity_request', frozen=True, kw_only=True
 ):
@@ -196,8 +206,9 @@
     """A member's id and data directory.
 
     `group` is empty while the member belongs to no group. `members` is the
-    membership currently known to the member; `founding` is the initial
-    membership of the group.
+    membership currently known to the member, committed or not; `founding` is
+    the initial membership of the group. `committed` is missing from a member
+    that is not bound, and from members of earlier releases.
     """
 
     member: ids.MemberId
@@ -205,3 +216,4 @@
     group: str
     members: GroupMembers
     founding: Founding | None = None
+    committed: CommittedMembers | None = None
--- a/tests/test_catalog_member.py
+++ b/tests/test_catalog_member.py
@@ -26,7 +26,7 @@
 # An announcement may arrive this long, two leases, after it was sent.
 MAX_DELAY_S = 2 * (3 * HEARTBEAT_S + 1.0)
 # Each member listens on its own address and the same port, like a host.
-HOSTS = ('127.0.7.1', '127.0.7.2', '127.0.7.3', '127.0.7.4')
+HOSTS = tuple(f'127.0.7.{number}' for number in range(1, 7))
 
 
 class Host:
@@ -57,7 +57,14 @@
 
 
 class CatalogMemberCase(unittest.IsolatedAsyncioTestCase):
-    """Runs a group of three members that tolerates the loss of one."""
+    """Runs a group that tolerates the loss of one member of three."""
+
+    tolerated_hosts = 1
+
+    @property
+    def founders(self) -> int:
+        """Return the number of members that found the group."""
+        return 2 * self.tolerated_hosts + 1
 
     async def asyncSetUp(self) -> None:
         asyncio.get_running_loop().set_debug(False)
@@ -65,11 +72,11 @@
         self.addCleanup(directory.cleanup)
         self.directory = pathlib.Path(directory.name)
         self.port = int(fakes.find_free_address().rpartition(':')[2])
-        self.hosts = [self.make_host(number) for number in range(3)]
+        self.hosts = [self.make_host(n) for n in range(self.founders)]
         # The founder starts last, since none may depend on it to listen.
         for host in reversed(self.hosts):
             await host.start()
-        await self.wait_for_voters(3)
+        await self.wait_for_voters(self.founders)
 
     async def asyncTearDown(self) -> None:
         for host in self.hosts:
@@ -89,8 +96,8 @@
                 lookups=f'{HOSTS[number]}:2',
                 seeds=[f'{HOSTS[0]}:1', f'{HOSTS[1]}:1'],
                 peer_port=self.port,
-                first_start=number < 3,
-                tolerated_hosts=1,
+                first_start=number < self.founders,
+                tolerated_hosts=self.tolerated_hosts,
                 heartbeat=HEARTBEAT_S,
             )
         )
@@ -276,6 +283,44 @@
         await self.wait_for_item('katalog')
 
 
+class OutdatedListTest(CatalogMemberCase):
+    """Guards against a sound member that deletes its data.
+
+    It had lost its disk while another member was down. After all had lost
+    power, only that one answered it, with a list of before.
+    """
+
+    tolerated_hosts = 2
+
+    async def test_an_older_list_does_not_end_a_member(self) -> None:
+        first, second, third, absent, wiped = self.hosts
+        await absent.stop()
+        await wiped.wipe()
+        await wiped.start()
+        await self.wait_for_voters(5, 'core-4')
+        former = self.find_member_id(wiped)
+        await self.put(self.members()[0], fixtures.make_pool('katalog', 1))
+        for host in (first, second, third, wiped):
+            await host.stop()
+        await wiped.start()
+        await absent.start()
+        # Five checks, of which each takes 0.7 s if a member does not answer.
+        await asyncio.sleep(3.5)
+        self.assertEqual(self.find_member_id(wiped), former)
+        # The first host stays the seed that the others can find.
+        for host in (second, third):
+            await host.wipe()
+        for host in (first, second, third):
+            await host.start()
+        await self.wait_for_voters(5)
+        await self.wait_for_item('katalog')
+
+    def find_member_id(self, host: Host) -> ids.MemberId:
+        """Return the id of the running member of a host."""
+        assert host.member is not None
+        return host.member.status().member_id
+
+
 class TargetTest(CatalogMemberCase):
     """Guards against targets that are dropped too early or too late."""
 
