Let a learner forget a silent leader

A learner never campaigns, and only a campaign cleared the leader, so a learner that had been removed while it was cut off or frozen waited for ever and its host had no member.

The election timeout now clears the leader of every member.

Before: test_a_removed_learner_forgets_its_leader: leader n1 3 s after the removal. After: none; 59 tests of the consensus modules passed.

--- a/fulmarseam/consensus/_core_election.py
+++ b/fulmarseam/consensus/_core_election.py
@@ -18,14 +18,14 @@
 def tick(
     state: _core_state.State, now: float, effects: _core_types.Effects
 ) -> None:
-    """Request pre-votes when the election timeout has passed."""
+    """Forget a silent leader, and request pre-votes in its place."""
     if now < state.election_due_at:
         return
+    state.leader = None
     if not state.can_campaign:
         _core_state.reset_election_timer(state, now)
         return
     state.role = _core_types.Role.CANDIDATE
-    state.leader = None
     state.pre_voting = True
     _request_votes(state, now, state.term + 1, effects)
 
--- a/tests/test_consensus_core.py
+++ b/tests/test_consensus_core.py
@@ -280,6 +280,25 @@
             self.replica.add_learner(0.0, info)
         self.assertIs(errors.ErrorKind.INVALID_EDIT, caught.exception.kind)
 
+    def test_a_removed_learner_forgets_its_leader(self) -> None:
+        """Guards against a learner that never asks whether it is removed.
+
+        It does not campaign, so nothing else ends its belief in the leader.
+        """
+        group = self.group
+        group.run(0.5)
+        group.propose(self.leader, 50)
+        group.run(0.5)
+        group.blocked_links = {('n3', self.leader.name)}
+        self.assertTrue(self.add('n3'))
+        group.run(0.5)
+        learner = group.nodes['n3'].replica
+        assert learner is not None
+        self.assertEqual(self.leader.name, learner.leader)
+        self.assertTrue(self.remove('n3'))
+        group.run(3.0)
+        self.assertIsNone(learner.leader)
+
     def test_removal_that_would_stop_the_group_is_refused(self) -> None:
         self.group.run(0.5)
         first, second = (
