Remove the member that is replaced, not the silent one

After a loss of power with two lost disks, operators got 503 for every call, although three of five hosts still had their disks.

Cause: with a voter more than wanted, the leader removed the one that had been silent longest. While E was being replaced that was D, which was only without power; E then ended and stayed a voter for good, as nobody was left to be removed.

A member now tells its failure domain, and one that joins beside the wanted number of voters is marked as a successor. A silent voter is removed after 1.5 s only if a successor has joined in its domain, and otherwise after 600 s. Silence alone does not tell a host that is gone from one that will be back with its disk; the domain of the newcomer does.

--- a/fulmarseam/consensus/_core_members.py
+++ b/fulmarseam/consensus/_core_members.py
@@ -94,6 +94,40 @@
     return None
 
 
+def find_successor(
+    members: wire.GroupMembers, member: ids.MemberId
+) -> wire.MemberInfo | None:
+    """Return the voter that joined to replace `member`, or None.
+
+    A successor runs on another host in the same failure domain. Members
+    are listed in the order in which they joined.
+    """
+    replaced = find_member(members, member)
+    if replaced is None:
+        return None
+    joined_later = members.members[members.members.index(replaced) + 1 :]
+    for info in joined_later:
+        is_elsewhere = info.host != replaced.host
+        if (
+            info.voter
+            and info.is_successor
+            and is_elsewhere
+            and _share_domain(info, replaced)
+        ):
+            return info
+    return None
+
+
+def _share_domain(one: wire.MemberInfo, other: wire.MemberInfo) -> bool:
+    """Return whether two members share a failure domain.
+
+    A domain that is not known may be any of the region.
+    """
+    domains = {one.failure_domain, other.failure_domain}
+    is_possible = len(domains) == 1 or '' in domains
+    return one.region == other.region and is_possible
+
+
 def list_voters(members: wire.GroupMembers) -> list[ids.MemberId]:
     """Return the ids of the voters."""
     return [info.member for info in members.members if info.voter]
--- a/fulmarseam/consensus/_interface.py
+++ b/fulmarseam/consensus/_interface.py
@@ -39,6 +39,7 @@
     """
 
     host: ids.HostId
+    failure_domain: ids.DomainName
     seeds: tuple[str, ...]
     wanted_voters: int
     first_start: bool = False
--- a/fulmarseam/consensus/_repair.py
+++ b/fulmarseam/consensus/_repair.py
@@ -9,14 +9,20 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+import msgspec
+
 from fulmarseam import ids
 from fulmarseam import wire
 from fulmarseam.consensus import _core_members
 
-# A learner, or a voter beyond the wanted number, is removed if it has not
-# answered for this long. It is longer than an election (1.2 s), during which
-# a live member may not answer.
+# A learner, or a voter that has a successor, is removed if it has not answered
+# for this long. It is longer than an election (1.2 s), during which a live
+# member may not answer.
 MAX_SILENCE_S = 1.5
+# A voter beyond the wanted number without a successor is removed if it has not
+# answered for this long. A member that is only without power or cut off, as
+# whole regions are for minutes, keeps its vote and its data.
+MAX_UNREPLACED_SILENCE_S = 600.0
 
 
 class RemoveMember(NamedTuple):
@@ -79,8 +85,8 @@
     1. Remove the former member of a candidate's host, as it has lost its
        directory.
     2. Add a candidate.
-    3. Remove a silent learner, or a silent voter if there are more voters
-       than wanted.
+    3. Remove a silent learner. If there are more voters than wanted, remove
+       a silent voter that has a successor.
     """
     new_members = [info for info in candidates if _is_new(members, info)]
     for info in new_members:
@@ -88,7 +94,14 @@
             if former.host == info.host and former.member != leader:
                 return RemoveMember(former.member)
     if new_members:
-        return AddLearner(new_members[0])
+        added = new_members[0]
+        voters = _core_members.list_voters(members)
+        is_successor = len(voters) >= wanted_voters or not _had_member(
+            members, added.host
+        )
+        return AddLearner(
+            msgspec.structs.replace(added, is_successor=is_successor)
+        )
     return _plan_removal(leader, members, silences, wanted_voters)
 
 
@@ -99,6 +112,16 @@
     )
 
 
+def _had_member(members: wire.GroupMembers, host: ids.HostId) -> bool:
+    """Return whether the group has or had a member on a host."""
+    retired_hosts = {
+        ids.HostId(member.rpartition('.')[0]) for member in members.retired
+    }
+    return host in retired_hosts or any(
+        info.host == host for info in members.members
+    )
+
+
 def _plan_removal(
     leader: ids.MemberId,
     members: wire.GroupMembers,
@@ -116,6 +139,13 @@
         key=lambda info: -silences[info.member],
     )
     for info in silent:
-        if not info.voter or len(voters) > wanted_voters:
+        if not info.voter:
+            return RemoveMember(info.member)
+    if len(voters) <= wanted_voters:
+        return None
+    for info in silent:
+        is_replaced = _core_members.find_successor(members, info.member)
+        is_given_up = silences[info.member] >= MAX_UNREPLACED_SILENCE_S
+        if is_replaced or is_given_up:
             return RemoveMember(info.member)
     return None
--- a/fulmarseam/consensus/_runtime_binding.py
+++ b/fulmarseam/consensus/_runtime_binding.py
@@ -114,6 +114,7 @@
             region=self._settings.region,
             store=self.identity.store_id,
             host=discovery.host,
+            failure_domain=discovery.failure_domain,
         )
         finder = _discovery.GroupFinder(discovery, own_info, self.candidates)
         self._finder = finder
--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -196,6 +196,7 @@
                 election_max_s=ELECTION_TIMEOUT_MAX_S,
                 discovery=consensus.DiscoverySettings(
                     host=options.host,
+                    failure_domain=options.failure_domain,
                     seeds=self._seeds,
                     wanted_voters=options.wanted_voters,
                     first_start=options.first_start,
--- a/fulmarseam/wire/_consensus.py
+++ b/fulmarseam/wire/_consensus.py
@@ -13,7 +13,10 @@
     `store` is the random id of its data directory; a directory that was
     wiped gets a new id. A learner (`voter` false) receives the log but
     does not count towards a majority. `host` is the host it runs on, empty
-    in a group whose members are named by an operator.
+    in a group whose members are named by an operator; `failure_domain` is
+    that of the host, empty if a member of an earlier release added it.
+    `is_successor` is set for a member that joined to replace another one
+    which has not been removed yet.
     """
 
     member: ids.MemberId
@@ -22,6 +25,8 @@
     store: str
     voter: bool = True
     host: ids.HostId = ids.HostId('')
+    failure_domain: ids.DomainName = ids.DomainName('')
+    is_successor: bool = False
 
 
 class GroupMembers(msgspec.Struct, frozen=True):
--- a/tests/test_catalog_member.py
+++ b/tests/test_catalog_member.py
@@ -26,7 +26,7 @@
 # An announcement may arrive this long, two leases, after it was sent.
 MAX_DELAY_S = 2 * (3 * HEARTBEAT_S + 1.0)
 # Each member listens on its own address and the same port, like a host.
-HOSTS = tuple(f'127.0.7.{number}' for number in range(1, 7))
+HOSTS = tuple(f'127.0.7.{number}' for number in range(1, 11))
 
 
 class Host:
@@ -88,7 +88,7 @@
             settings.CatalogSettings(
                 host=ids.HostId(f'core-{number}'),
                 region=fixtures.region('ost'),
-                failure_domain=fixtures.domain('ost-wien'),
+                failure_domain=fixtures.domain(f'domain-{number % 5}'),
                 domains={},
                 data_dir=str(self.directory / str(number)),
                 listen=f'{HOSTS[number]}:{self.port}',
@@ -213,22 +213,23 @@
                 await self.wait_for_item('katalog')
 
     async def test_a_new_host_replaces_one_that_is_gone(self) -> None:
+        # Number 7 is in the failure domain of number 2.
         await self.put(self.members()[1], fixtures.make_pool('katalog', 1))
         await self.hosts[2].stop()
-        self.hosts.append(self.make_host(3))
+        self.hosts.append(self.make_host(7))
         await self.hosts[3].start()
-        await self.wait_for_voters(3, 'core-0', 'core-1', 'core-3')
+        await self.wait_for_voters(3, 'core-0', 'core-1', 'core-7')
         await self.wait_for_item('katalog')
 
     async def test_a_member_that_was_replaced_comes_back_as_a_new_one(
         self,
     ) -> None:
         await self.hosts[2].stop()
-        self.hosts.append(self.make_host(3))
+        self.hosts.append(self.make_host(7))
         await self.hosts[3].start()
-        await self.wait_for_voters(3, 'core-3')
+        await self.wait_for_voters(3, 'core-7')
         await self.hosts[2].start()
-        await self.wait_for_voters(4, 'core-2', 'core-3')
+        await self.wait_for_voters(4, 'core-2', 'core-7')
 
     async def test_all_restart_with_stale_seeds(self) -> None:
         await self.put(self.members()[0], fixtures.make_pool('katalog', 1))
@@ -321,6 +322,27 @@
         return host.member.status().member_id
 
 
+class AbsentMemberTest(CatalogMemberCase):
+    """Guards against a member without power that loses its vote."""
+
+    tolerated_hosts = 2
+
+    async def test_it_stays_a_voter_while_another_one_is_replaced(
+        self,
+    ) -> None:
+        absent, replaced = self.hosts[3:]
+        await absent.stop()
+        # It has been silent for longer than the one that is to go.
+        await asyncio.sleep(2.0)
+        # Number 9 is in the failure domain of number 4.
+        self.hosts.append(self.make_host(9))
+        await self.hosts[5].start()
+        await self.wait_for_voters(6, 'core-9')
+        await asyncio.sleep(2.0)
+        await replaced.stop()
+        await self.wait_for_voters(5, 'core-3', 'core-9')
+
+
 class TargetTest(CatalogMemberCase):
     """Guards against targets that are dropped too early or too late."""
 
@@ -434,11 +456,11 @@
 
     async def test_a_member_that_no_other_lists_joins_again(self) -> None:
         """Guards against a member whose addition was lost with the leader."""
-        self.hosts.append(self.make_host(3))
+        self.hosts.append(self.make_host(7))
         host = self.hosts[3]
         group = self.members()[0].status().group
         storage = _storage.Storage(
-            host.options.data_dir, ids.MemberId('core-3.lost')
+            host.options.data_dir, ids.MemberId('core-7.lost')
         )
         identity = storage.open('f' * 32)
         storage.bind(
@@ -446,4 +468,4 @@
         )
         storage.close()
         await host.start()
-        await self.wait_for_voters(4, 'core-3')
+        await self.wait_for_voters(4, 'core-7')
--- a/tests/test_consensus_repair.py
+++ b/tests/test_consensus_repair.py
@@ -4,12 +4,17 @@
 
 from fulmarseam import ids
 from fulmarseam import wire
+from fulmarseam.consensus import _core_members
 from fulmarseam.consensus import _discovery
 from fulmarseam.consensus import _repair
 
 
 def make_info(
-    host: str, store: str = 's', voter: bool = True
+    host: str,
+    store: str = 's',
+    voter: bool = True,
+    domain: str = '',
+    is_successor: bool = False,
 ) -> wire.MemberInfo:
     """Return a member on `host`."""
     return wire.MemberInfo(
@@ -19,6 +24,8 @@
         store=store,
         voter=voter,
         host=ids.HostId(host),
+        failure_domain=ids.DomainName(domain),
+        is_successor=is_successor,
     )
 
 
@@ -64,9 +71,10 @@
     def test_a_new_host_is_added_before_the_silent_one_is_removed(
         self,
     ) -> None:
-        new = make_info('f')
+        new = make_info('f', is_successor=True)
         self.assertEqual(
-            plan_repair(FIVE_VOTERS, [new], b=9.0), _repair.AddLearner(new)
+            plan_repair(FIVE_VOTERS, [make_info('f')], b=9.0),
+            _repair.AddLearner(new),
         )
         six_members = wire.GroupMembers([*FIVE_VOTERS.members, new])
         self.assertEqual(
@@ -75,7 +83,8 @@
         )
 
     def test_a_short_silence_removes_nobody(self) -> None:
-        six_members = wire.GroupMembers([*FIVE_VOTERS.members, make_info('f')])
+        new = make_info('f', is_successor=True)
+        six_members = wire.GroupMembers([*FIVE_VOTERS.members, new])
         self.assertIsNone(plan_repair(six_members, [], b=1.0))
 
     def test_a_retired_id_is_not_added_again(self) -> None:
@@ -94,6 +103,73 @@
         )
 
 
+class SuccessorTest(unittest.TestCase):
+    """Guards against a member without power that loses its vote.
+
+    Another member was replaced meanwhile. The one that had been silent
+    longest was removed, and the one that had ended stayed a voter.
+    """
+
+    voters = wire.GroupMembers(
+        [make_info(host, domain=host) for host in 'abcde']
+    )
+    successor = make_info('f', domain='e', is_successor=True)
+    six_voters = wire.GroupMembers([*voters.members, successor])
+
+    def test_only_the_replaced_member_is_removed(self) -> None:
+        plan = plan_repair
+        self.assertIsNone(plan(self.six_voters, [], d=99.0))
+        self.assertIsNone(plan(self.six_voters, [], d=99.0, e=1.0))
+        self.assertEqual(
+            plan(self.six_voters, [], d=99.0, e=2.0),
+            _repair.RemoveMember(ids.MemberId('e.s')),
+        )
+
+    def test_a_silent_successor_is_kept(self) -> None:
+        self.assertIsNone(plan_repair(self.six_voters, [], f=99.0))
+
+    def test_a_host_that_moved_to_another_domain_is_given_up(self) -> None:
+        self.assertEqual(
+            plan_repair(
+                self.six_voters, [], d=_repair.MAX_UNREPLACED_SILENCE_S
+            ),
+            _repair.RemoveMember(ids.MemberId('d.s')),
+        )
+
+    def test_founders_of_one_domain_replace_nobody(self) -> None:
+        founders = [make_info(host, domain='x') for host in 'abcde']
+        other = make_info('f', domain='y', is_successor=True)
+        members = wire.GroupMembers([*founders, other])
+        self.assertIsNone(plan_repair(members, [], d=99.0))
+
+    def test_a_wiped_member_replaces_nobody_else(self) -> None:
+        remaining = wire.GroupMembers(
+            self.voters.members[:4], [ids.MemberId('e.s')]
+        )
+        change = plan_repair(remaining, [make_info('e', 'new')])
+        assert isinstance(change, _repair.AddLearner)
+        self.assertFalse(change.info.is_successor)
+
+    def test_a_new_host_is_a_successor_beside_a_wiped_one(self) -> None:
+        remaining = wire.GroupMembers(
+            self.voters.members[:4], [ids.MemberId('e.s')]
+        )
+        change = plan_repair(remaining, [make_info('f', domain='d')])
+        assert isinstance(change, _repair.AddLearner)
+        self.assertTrue(change.info.is_successor)
+
+    def test_an_unknown_domain_may_be_any_of_the_region(self) -> None:
+        members = wire.GroupMembers(
+            [
+                *(make_info(host) for host in 'abcde'),
+                make_info('f', domain='x', is_successor=True),
+            ]
+        )
+        self.assertIsNotNone(
+            _core_members.find_successor(members, ids.MemberId('d.s'))
+        )
+
+
 class SilencesTest(unittest.TestCase):
     """Guards against a new leader that considers all members silent."""
 
