Ignore announcements of unknown pools that displace targets

All requests of a pool got 503 while its two sound targets announced themselves and got 200 for it.

Related, with the same cause: such an announcement under the id of a target changed its pool or drained it, and a target of an unknown pool that came first kept its address from a usable one.

The leader keeps such an announcement out of the log while the holder of the id or the address has a pool in force; members of the release before would apply it, so the table itself stays as it is. A usable target takes its address from an unusable one, which is dropped.

--- a/fulmarseam/catalog/_items.py
+++ b/fulmarseam/catalog/_items.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from fulmarseam import ids
 from fulmarseam import wire
 
 ItemKey = tuple[wire.ItemKind, str]
@@ -33,6 +34,11 @@
         """Return the items that are not dropped."""
         return [item for item in self._items.values() if item.row is not None]
 
+    def has_pool(self, name: ids.PoolName) -> bool:
+        """Return whether a pool is in force."""
+        item = self._items.get((wire.ItemKind.POOL, name))
+        return item is not None and item.row is not None
+
     def find_problems(self, items: Sequence[wire.Item]) -> list[str]:
         """Return one line for each problem of a call; none if it is valid.
 
--- a/fulmarseam/catalog/_machine.py
+++ b/fulmarseam/catalog/_machine.py
@@ -119,6 +119,53 @@
             command.items, [item for put in pending for item in put.items]
         )
 
+    def find_displaced(
+        self, record: wire.TargetRecord
+    ) -> wire.TargetRecord | None:
+        """Return the usable target that an announcement must not displace.
+
+        An announcement that names no pool in force may come from another
+        writer. It must change neither the target with its id nor the one at
+        its address while their pools are in force.
+        """
+        if self.items.has_pool(record.pool):
+            return None
+        holders = (
+            self.targets.get(record.target),
+            self.targets.find_address_owner(record),
+        )
+        for holder in holders:
+            if holder is not None and self.items.has_pool(holder.pool):
+                return holder
+        return None
+
+    def find_squatter(
+        self, record: wire.TargetRecord
+    ) -> wire.TargetRecord | None:
+        """Return the unusable target at the address of a usable one.
+
+        Its pool is not in force, while that of `record` is.
+        """
+        owner = self.targets.find_address_owner(record)
+        if owner is None or self.items.has_pool(owner.pool):
+            return None
+        return owner if self.items.has_pool(record.pool) else None
+
+    def classify(
+        self, record: wire.TargetRecord
+    ) -> _targets.AnnouncementState:
+        """Return why an announcement changes nothing, or that it is newer.
+
+        A squatter counts for nothing: the leader drops it.
+        """
+        state = self.targets.classify(record)
+        if (
+            state is _targets.AnnouncementState.ADDRESS_TAKEN
+            and self.find_squatter(record) is not None
+        ):
+            return _targets.AnnouncementState.NEWER
+        return state
+
     def _encode_result(self, problems: list[str]) -> bytes:
         return _encoder.encode(
             wire.CatalogResult(revision=self.revision, problems=problems)
--- a/fulmarseam/catalog/_targets.py
+++ b/fulmarseam/catalog/_targets.py
@@ -30,7 +30,8 @@
     `ENDED`: its incarnation has ended. `OLDER`: a newer announcement of the
     target is known. `ADDRESS_TAKEN`: a younger target has the address.
     `UNCONFIRMED`: its start was not known when the target left, so it may be
-    a late one of the process that left.
+    a late one of the process that left. `POOL_UNKNOWN`: it names no pool in
+    force, and would displace a target of one that is.
     """
 
     NEWER = 'newer'
@@ -38,6 +39,7 @@
     OLDER = 'older'
     ADDRESS_TAKEN = 'address_taken'
     UNCONFIRMED = 'unconfirmed'
+    POOL_UNKNOWN = 'pool_unknown'
 
 
 class TargetTable:
@@ -114,12 +116,12 @@
             if order > (current.born_ms, current.sequence):
                 return AnnouncementState.NEWER
             return AnnouncementState.OLDER
-        owner = self._find_address_owner(record)
+        owner = self.find_address_owner(record)
         if owner is None or owner.born_ms <= record.born_ms:
             return AnnouncementState.NEWER
         return AnnouncementState.ADDRESS_TAKEN
 
-    def _find_address_owner(
+    def find_address_owner(
         self, record: wire.TargetRecord
     ) -> wire.TargetRecord | None:
         """Return the record of another target at the same address."""
@@ -134,7 +136,7 @@
         for record in records:
             if not self.is_newer(record):
                 continue
-            owner = self._find_address_owner(record)
+            owner = self.find_address_owner(record)
             if owner is not None:
                 self._end_incarnation(owner.target, owner.born_ms)
                 changed.append(owner.target)
--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -439,11 +439,29 @@
             return wire.CatalogResult(
                 revision=self.catalog.revision, problems=problems
             )
+        await self._drop_squatters(self._member, command)
         with self._admission.track(command):
             result = catalog.decode_result(await self._member.propose(data))
         self._admission.note_applied(self._now(), command)
         return result
 
+    async def _drop_squatters(
+        self, member: consensus.Member, command: catalog.Command
+    ) -> None:
+        """Drop unusable targets at the addresses of usable ones.
+
+        A squatter that is the younger of the two would keep the address.
+        """
+        if not isinstance(command, catalog.AnnounceTargets):
+            return
+        squatters = [
+            squatter
+            for record in command.records
+            if (squatter := self.catalog.find_squatter(record)) is not None
+        ]
+        for removal in catalog.make_removals(squatters):
+            await member.propose(catalog.encode_command(removal))
+
     def is_leader(self) -> bool:
         """Return whether this member leads, as confirmed by a majority."""
         return (
@@ -496,13 +514,16 @@
             raise errors.FulmarseamError(
                 errors.ErrorKind.UNAVAILABLE, 'no leader is known'
             )
+        if await self._is_misplaced(record, call):
+            self._note_ignored(record, catalog.AnnouncementState.POOL_UNKNOWN)
+            return
         current = self.catalog.targets.get(record.target)
         is_change = self._heartbeat_tracker.record(
             self._now(), current, record
         )
         if not is_change:
             return
-        state = self.catalog.targets.classify(record)
+        state = self.catalog.classify(record)
         if (
             state is catalog.AnnouncementState.ADDRESS_TAKEN
             and record.phase is wire.TargetPhase.DRAINING
@@ -515,7 +536,7 @@
                 catalog.AnnounceTargets(records=[record]), call=call
             )
             if result.problems:
-                state = catalog.AnnouncementState.UNCONFIRMED
+                state = self._classify_refused(record)
         if state is not catalog.AnnouncementState.NEWER:
             self._note_ignored(record, state)
             return
@@ -533,6 +554,26 @@
             )
         )
 
+    async def _is_misplaced(
+        self, record: wire.TargetRecord, call: _pending_calls.PendingCall
+    ) -> bool:
+        """Return whether an announcement would displace a usable target.
+
+        This member may not have applied the pool yet that it names.
+        """
+        if self.catalog.find_displaced(record) is None:
+            return False
+        await self.wait_until_current(call)
+        return self.catalog.find_displaced(record) is not None
+
+    def _classify_refused(
+        self, record: wire.TargetRecord
+    ) -> catalog.AnnouncementState:
+        """Return why the leader kept an announcement out of the log."""
+        if self.catalog.items.has_pool(record.pool):
+            return catalog.AnnouncementState.UNCONFIRMED
+        return catalog.AnnouncementState.POOL_UNKNOWN
+
     def _note_ignored(
         self, record: wire.TargetRecord, state: catalog.AnnouncementState
     ) -> None:
--- a/fulmarseam/control/_log_admission.py
+++ b/fulmarseam/control/_log_admission.py
@@ -108,14 +108,20 @@
     def _check_announcement(
         self, now: float, machine: catalog.Catalog, record: wire.TargetRecord
     ) -> list[str] | None:
-        """Keep out what may be a late announcement before a leave.
+        """Keep out what would displace a target or may be a late one.
 
         A drain is a promise once it is acknowledged, and is recorded.
         """
         targets = machine.targets
+        if self._would_displace(machine, record):
+            return [
+                f'target {record.target}: found pool {record.pool} at '
+                f'{record.address}, which another target has, expected a '
+                'pool in force'
+            ]
         if (
             record.phase is wire.TargetPhase.READY
-            and targets.is_newer(record)
+            and machine.classify(record) is catalog.AnnouncementState.NEWER
             and targets.has_left(record.target)
             and not self._restarts.confirm(now, record)
         ):
@@ -124,3 +130,20 @@
                 'older than its leave, expected a later one'
             ]
         return None
+
+    def _would_displace(
+        self, machine: catalog.Catalog, record: wire.TargetRecord
+    ) -> bool:
+        """Return whether a record without a pool displaces a usable target.
+
+        An announcement in the log that is not applied yet may be of one.
+        """
+        if machine.items.has_pool(record.pool):
+            return False
+        is_contested = any(
+            record.target == other.target or record.address == other.address
+            for command in self._pending
+            if isinstance(command, catalog.AnnounceTargets)
+            for other in command.records
+        )
+        return is_contested or machine.find_displaced(record) is not None
