Let a replaced member leave before it ends

Two disks were lost right after a host that had been replaced got SIGTERM. Operators got 503 for every call from then on.

Cause: the member told nobody that it ends, and stayed a voter until the leader had seen it silent for 1.5 s.

A member whose successor is a voter now asks the leader on SIGTERM to be removed while there are more voters than wanted, and ends when that is committed, 2 s later at the latest; a leader removes itself. The group is back at five voters, with the successor among them, before the process ends. Members without a successor end at once as before.

--- a/fulmarseam/consensus/_repair.py
+++ b/fulmarseam/consensus/_repair.py
@@ -5,6 +5,7 @@
 replaces the former member by it.
 """
 
+from collections.abc import Collection
 from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import NamedTuple
@@ -23,6 +24,8 @@
 # answered for this long. A member that is only without power or cut off, as
 # whole regions are for minutes, keeps its vote and its data.
 MAX_UNREPLACED_SILENCE_S = 600.0
+# A member that has not asked to leave for this long is gone or goes on.
+LEAVE_EXPIRY_S = 1.0
 
 
 class RemoveMember(NamedTuple):
@@ -70,24 +73,61 @@
         }
 
 
+class LeavingMembers:
+    """Members that asked to leave the group; times in seconds."""
+
+    def __init__(self) -> None:
+        self._asked_at: dict[ids.MemberId, float] = {}
+
+    def add(self, now: float, member: ids.MemberId) -> None:
+        """Record that a member has asked to leave."""
+        self._asked_at[member] = now
+
+    def list_recent(self, now: float) -> list[ids.MemberId]:
+        """Return the members that asked recently."""
+        self._asked_at = {
+            member: asked_at
+            for member, asked_at in self._asked_at.items()
+            if now - asked_at <= LEAVE_EXPIRY_S
+        }
+        return list(self._asked_at)
+
+
+def can_leave(
+    members: wire.GroupMembers, member: ids.MemberId, wanted_voters: int
+) -> bool:
+    """Return whether the group keeps enough voters without a member."""
+    voters = _core_members.list_voters(members)
+    return (
+        len(voters) > wanted_voters
+        and _core_members.find_successor(members, member) is not None
+    )
+
+
 def plan_repair(
     leader: ids.MemberId,
     members: wire.GroupMembers,
     silences: Mapping[ids.MemberId, float],
     candidates: Sequence[wire.MemberInfo],
     wanted_voters: int,
+    leaving: Collection[ids.MemberId] = (),
 ) -> Repair | None:
     """Return the next change that `leader` should make, or None.
 
-    `silences` holds the seconds since each member last answered. Three rules
+    `silences` holds the seconds since each member last answered. Four rules
     apply, in this order:
 
-    1. Remove the former member of a candidate's host, as it has lost its
+    1. Remove a member that asked to leave and has a successor, which may be
+       the leader.
+    2. Remove the former member of a candidate's host, as it has lost its
        directory.
-    2. Add a candidate.
-    3. Remove a silent learner. If there are more voters than wanted, remove
+    3. Add a candidate.
+    4. Remove a silent learner. If there are more voters than wanted, remove
        a silent voter that has a successor.
     """
+    for member in leaving:
+        if can_leave(members, member, wanted_voters):
+            return RemoveMember(member)
     new_members = [info for info in candidates if _is_new(members, info)]
     for info in new_members:
         for former in members.members:
--- a/fulmarseam/consensus/_runtime.py
+++ b/fulmarseam/consensus/_runtime.py
@@ -15,6 +15,7 @@
 from fulmarseam import telemetry
 from fulmarseam import wire
 from fulmarseam.consensus import _core
+from fulmarseam.consensus import _core_members
 from fulmarseam.consensus import _core_types
 from fulmarseam.consensus import _interface
 from fulmarseam.consensus import _repair
@@ -31,6 +32,8 @@
 # compared with the 4 s within which a replacement has to become a voter.
 REPAIR_INTERVAL_S = 0.1
 REMOVAL_CHECK_INTERVAL_S = 0.3
+# How often a member that leaves asks the leader whether it has been removed.
+LEAVE_INTERVAL_S = 0.05
 
 _log = logbook.Logger('consensus')
 
@@ -64,6 +67,7 @@
         self._binding = _runtime_binding.GroupBinding(
             settings, self._storage, self._driver.start
         )
+        self._leaving = _repair.LeavingMembers()
         self._failure: Exception | None = None
         self._failed = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
@@ -131,6 +135,7 @@
                 silences.update(now, replica.last_response_times()),
                 self._binding.candidates.list_recent(now),
                 discovery.wanted_voters,
+                self._leaving.list_recent(now),
             )
             if change is not None:
                 await self._apply_repair(replica, change)
@@ -173,6 +178,48 @@
                 return
             await asyncio.sleep(REMOVAL_CHECK_INTERVAL_S)
 
+    async def leave_if_replaced(self) -> None:
+        """Leave the group before the process ends, if a successor has joined.
+
+        Until it is removed, a member that has ended counts as a voter, so
+        the group would tolerate the loss of one member less. Returns when
+        the removal is committed, or when there is no reason to leave.
+        """
+        while (replica := self._driver.replica) is not None:
+            if replica.is_retired(replica.committed_members):
+                return
+            if not self._is_leaving(replica):
+                return
+            if replica.leader == self._member_id:
+                self._leaving.add(time.monotonic(), self._member_id)
+            elif await self._is_leave_settled(replica):
+                return
+            await asyncio.sleep(LEAVE_INTERVAL_S)
+
+    def _is_leaving(self, replica: _core.Replica) -> bool:
+        """Return whether this member may leave or is under removal."""
+        discovery = self._settings.discovery
+        if discovery is None:
+            return False
+        members = replica.members
+        is_listed = _core_members.find_member(members, self._member_id)
+        return is_listed is None or _repair.can_leave(
+            members, self._member_id, discovery.wanted_voters
+        )
+
+    async def _is_leave_settled(self, replica: _core.Replica) -> bool:
+        """Ask the leader for the removal; return whether to stop asking."""
+        if replica.leader is None:
+            return False
+        info = _core_members.find_member(replica.members, replica.leader)
+        if info is None:
+            return False
+        answer = await self._binding.query_identity(info.address, leaving=True)
+        if answer is None or answer.group != self._binding.group:
+            return False
+        # A leader of the release before removes silent members only.
+        return answer.committed is None or replica.is_retired(answer.committed)
+
     def _fail(self, error: Exception) -> None:
         """Stop taking part and report the reason through `wait_failed`."""
         if self._failure is not None:
@@ -213,10 +260,11 @@
         """
         match message:
             case wire.IdentityRequest():
+                now = time.monotonic()
                 if message.candidate is not None:
-                    self._binding.candidates.add(
-                        time.monotonic(), message.candidate
-                    )
+                    self._binding.candidates.add(now, message.candidate)
+                if message.leaving:
+                    self._leaving.add(now, message.sender)
                 return self._describe_identity()
             case wire.MemberRequest():
                 self._check_recipient(message)
--- a/fulmarseam/consensus/_runtime_binding.py
+++ b/fulmarseam/consensus/_runtime_binding.py
@@ -180,7 +180,7 @@
         addresses.update(discovery.seeds)
         addresses.discard(self._settings.address)
         answers = await asyncio.gather(
-            *(self._query_address(address) for address in sorted(addresses))
+            *(self.query_identity(address) for address in sorted(addresses))
         )
         return [
             answer.committed
@@ -190,18 +190,21 @@
             and answer.committed is not None
         ]
 
-    async def _query_address(
-        self, address: str
+    async def query_identity(
+        self, address: str, leaving: bool = False
     ) -> wire.IdentityResponse | None:
+        """Return the identity of the member at an address, or None."""
         async with transport.RpcClient(address) as client:
-            return await self._query_identity(client)
+            return await self._query_identity(client, leaving)
 
     async def _query_identity(
-        self, client: transport.RpcClient
+        self, client: transport.RpcClient, leaving: bool = False
     ) -> wire.IdentityResponse | None:
         try:
             answer = await client.call(
-                wire.IdentityRequest(sender=self.identity.member),
+                wire.IdentityRequest(
+                    sender=self.identity.member, leaving=leaving
+                ),
                 self._settings.election_min_s,
             )
         except errors.FulmarseamError:
--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -50,6 +50,9 @@
 DISK_RETRY_DELAY_S = 0.5
 # Pause before a member rejoins under a new identity.
 REJOIN_DELAY_S = 0.1
+# A member that was replaced ends after this time even if it cannot leave, for
+# example because no majority answers. A host has 6 s to stop.
+LEAVE_TIMEOUT_S = 2.0
 
 _READ_REVISION = catalog.encode_command(catalog.ReadRevision())
 
@@ -77,6 +80,7 @@
         self._target_leases = catalog.TargetLeases(lease_s)
         self._clients = transport.RpcClients()
         self._member: consensus.Member | None = None
+        self._is_leaving = False
         self._exit_stack = contextlib.AsyncExitStack()
         self._admission = _log_admission.LogAdmission(
             options.heartbeat, MAX_DELAY_LEASES * lease_s
@@ -145,15 +149,38 @@
         self.failed.cancel()
         await self._exit_stack.aclose()
 
+    async def leave_group(self) -> None:
+        """Leave the group if this member was replaced; it will end now.
+
+        The data directory stays as it is, in case the process starts again.
+        """
+        self._is_leaving = True
+        if self._member is None:
+            return
+        try:
+            async with asyncio.timeout(LEAVE_TIMEOUT_S):
+                await self._member.leave_if_replaced()
+        except TimeoutError:
+            _log.warning(
+                telemetry.format_event(
+                    'member_not_removed', waited_s=LEAVE_TIMEOUT_S
+                )
+            )
+
     def update_seeds(self, seeds: tuple[str, ...]) -> None:
         """Use other seeds the next time this member looks for the group."""
         self._seeds = seeds
 
     async def _run_memberships(self) -> None:
-        """Take part in the group; rejoin as a new member after a removal."""
+        """Take part in the group; rejoin as a new member after a removal.
+
+        A member that leaves because it ends does not rejoin.
+        """
         while True:
             try:
                 await self._run_until_removed()
+                if self._is_leaving:
+                    return
             except consensus.StorageFailedError as error:
                 _log.error(
                     telemetry.format_event('disk_failed', reason=str(error))
--- a/fulmarseam/platform/_programs.py
+++ b/fulmarseam/platform/_programs.py
@@ -118,6 +118,7 @@
         stop_wait.cancel()
         if member.failed.done():
             member.failed.result()
+        await member.leave_group()
     _log.info(telemetry.format_event('stopped', host=options.host))
 
 
--- a/fulmarseam/wire/_consensus.py
+++ b/fulmarseam/wire/_consensus.py
@@ -199,10 +199,12 @@
     """Asks a member for its identity.
 
     `candidate` describes a sender that is in no group and wants to be in one.
+    `leaving` is set by a member that has a successor and is about to end.
     """
 
     sender: ids.MemberId
     candidate: MemberInfo | None = None
+    leaving: bool = False
 
 
 class IdentityResponse(
--- a/tests/test_catalog_member.py
+++ b/tests/test_catalog_member.py
@@ -44,6 +44,12 @@
             control.CatalogMember(self.options)
         )
 
+    async def terminate(self) -> None:
+        """End the member like the signal to stop."""
+        assert self.member is not None
+        await self.member.leave_group()
+        await self.stop()
+
     async def stop(self) -> None:
         """Stop the member without telling the group."""
         self.member = None
@@ -343,6 +349,50 @@
         await self.wait_for_voters(5, 'core-3', 'core-9')
 
 
+class ReplacedMemberTest(CatalogMemberCase):
+    """Guards against a member that ended and counts as a voter.
+
+    It was removed 1.5 s later, and until then the group could not bear the
+    losses that it has to, although its successor had caught up.
+    """
+
+    async def replace(self, is_leader: bool) -> None:
+        """Replace a member, then wipe another one at once."""
+        await self.put(self.members()[0], fixtures.make_pool('katalog', 1))
+        number = next(
+            number
+            for number, member in enumerate(self.members())
+            if member.is_leader() == is_leader
+        )
+        replaced = self.hosts[number]
+        # In the failure domain of the replaced one.
+        self.hosts.append(self.make_host(number + 5))
+        await self.hosts[3].start()
+        await self.wait_for_voters(4)
+        await replaced.terminate()
+        remaining = [host for host in self.hosts if host is not replaced]
+        # One host stays that the wiped one knows as a seed.
+        await remaining[1].wipe()
+        # Long enough for a leader without a majority to step down.
+        await asyncio.sleep(1.5)
+        await remaining[1].start()
+        await self.wait_for_voters(3, f'core-{number + 5}')
+        await self.wait_for_item('katalog')
+
+    async def test_a_follower_leaves_before_it_ends(self) -> None:
+        await self.replace(is_leader=False)
+
+    async def test_a_leader_leaves_before_it_ends(self) -> None:
+        await self.replace(is_leader=True)
+
+    async def test_a_member_that_starts_again_stays(self) -> None:
+        before = self.members()[0].status().members
+        await self.hosts[2].terminate()
+        await self.hosts[2].start()
+        await self.wait_for_voters(3, 'core-2')
+        self.assertEqual(self.members()[0].status().members, before)
+
+
 class TargetTest(CatalogMemberCase):
     """Guards against targets that are dropped too early or too late."""
 
--- a/tests/test_consensus_repair.py
+++ b/tests/test_consensus_repair.py
@@ -36,6 +36,7 @@
 def plan_repair(
     members: wire.GroupMembers,
     candidates: list[wire.MemberInfo],
+    leaving: tuple[str, ...] = (),
     **silences: float,
 ) -> _repair.Repair | None:
     """Return the leader's next change; `silences` are by host."""
@@ -43,7 +44,14 @@
         info.member: silences.get(str(info.host), 0.0)
         for info in members.members
     }
-    return _repair.plan_repair(LEADER, members, by_member, candidates, 5)
+    return _repair.plan_repair(
+        LEADER,
+        members,
+        by_member,
+        candidates,
+        5,
+        [ids.MemberId(f'{host}.s') for host in leaving],
+    )
 
 
 class RepairTest(unittest.TestCase):
@@ -125,6 +133,22 @@
             _repair.RemoveMember(ids.MemberId('e.s')),
         )
 
+    def test_a_replaced_member_leaves_when_it_asks(self) -> None:
+        plan = plan_repair
+        removal = _repair.RemoveMember(ids.MemberId('e.s'))
+        self.assertEqual(plan(self.six_voters, [], ('e',)), removal)
+        wiped = [make_info('b', 'new')]
+        self.assertEqual(plan(self.six_voters, wiped, ('e',)), removal)
+        self.assertIsNone(plan(self.six_voters, [], ('d',)))
+        self.assertIsNone(plan(self.voters, [], ('e',)))
+
+    def test_a_leader_that_was_replaced_leaves(self) -> None:
+        successor = make_info('f', domain='a', is_successor=True)
+        members = wire.GroupMembers([*self.voters.members, successor])
+        self.assertEqual(
+            plan_repair(members, [], ('a',)), _repair.RemoveMember(LEADER)
+        )
+
     def test_a_silent_successor_is_kept(self) -> None:
         self.assertIsNone(plan_repair(self.six_voters, [], f=99.0))
 
