Refuse answers with a status beyond 599

Such a status is invalid (RFC 9110, section 15), so the answer is malformed and ends as 502, or as a retry of an idempotent request. The check is in the connection to a target, which both kinds of entry and relays share.

--- a/fulmarseam/http/_framing.py
+++ b/fulmarseam/http/_framing.py
@@ -20,6 +20,10 @@
 # Characters of an error of h11, which quotes the whole line that it refuses.
 MAX_DETAIL_CHARS = 200
 
+# A status outside 100 to 599 is invalid (RFC 9110, section 15). h11 refuses
+# those below.
+MAX_STATUS = 599
+
 # Fields that a message has once, apart from those that h11 checks.
 SINGLE_FIELDS = frozenset((b'content-encoding', b'content-length'))
 
--- a/fulmarseam/http/_target.py
+++ b/fulmarseam/http/_target.py
@@ -247,6 +247,12 @@
         if not event.http_version.startswith(b'1.'):
             raise self._make_error(_failures.Reason.MALFORMED, 'not HTTP/1.x')
         status = event.status_code
+        if status > _framing.MAX_STATUS:
+            raise self._make_error(
+                _failures.Reason.MALFORMED,
+                f'status: found {status}, expected at most '
+                f'{_framing.MAX_STATUS}',
+            )
         headers = [
             (name.lower(), value) for name, value in event.headers.raw_items()
         ]
