Eject a target for unreadable answers only if it stands out

Cause: each such answer ejected its target for 0.5 s or more, like one that cannot be reached, without a bound on the share of the pool. A third was the bound for ejections by outcomes in entries with grants only.

An unreadable answer now counts as a failed request, and ejects the target only if it fails far more than its pool and at most a third of the pool is ejected then. The target stays warm, as it has not restarted.

--- a/fulmarseam/gateway/_load_balancer.py
+++ b/fulmarseam/gateway/_load_balancer.py
@@ -67,6 +67,7 @@
         self.record_timeout = recorder.record_timeout
         self.is_pool_failing = recorder.is_pool_failing
         self.eject = recorder.eject
+        self.record_malformed = recorder.record_malformed
 
     @property
     def senders(self) -> int:
--- a/fulmarseam/gateway/_outcomes.py
+++ b/fulmarseam/gateway/_outcomes.py
@@ -90,6 +90,23 @@
         else:
             steering.note_failure(observed)
 
+    def record_malformed(
+        self, now: float, observed: steering.ObservedTarget
+    ) -> None:
+        """Record an answer that cannot be read.
+
+        The target can be reached and has not restarted, so it stays warm.
+        """
+        pool = self._table.get_or_create_pool(observed.record.pool)
+        if not steering.stands_out(
+            observed, pool.targets, now, pool.get_failure_rate(now)
+        ):
+            steering.note_failure(observed)
+            return
+        was_recovering = observed.recovering
+        self.eject(now, observed, is_reachable=True)
+        observed.recovering = was_recovering
+
     def eject(
         self,
         now: float,
--- a/fulmarseam/gateway/_retries.py
+++ b/fulmarseam/gateway/_retries.py
@@ -137,6 +137,8 @@
             kind = errors.ErrorKind.TARGET_TIMEOUT
         elif error.reason is http.Reason.BROKEN and attempt.record_lost_idle():
             lost_idle_connection = True
+        elif error.reason is http.Reason.MALFORMED:
+            load_balancer.record_malformed(now, target)
         else:
             load_balancer.eject(now, target)
         return FailedAttempt(
--- a/fulmarseam/steering/__init__.py
+++ b/fulmarseam/steering/__init__.py
@@ -55,6 +55,7 @@
 from fulmarseam.steering._observed import note_shared_load
 from fulmarseam.steering._observed import note_start
 from fulmarseam.steering._observed import ObservedTarget
+from fulmarseam.steering._observed import stands_out
 from fulmarseam.steering._outcomes import OutcomeTable
 from fulmarseam.steering._outcomes import Outliers
 from fulmarseam.steering._permit_issuer import compute_offline_rate
@@ -186,4 +187,5 @@
     'PERMIT_LIFETIME_S',
     'PermitIssuer',
     'ReturnTimes',
+    'stands_out',
 ]
--- a/fulmarseam/steering/_observed.py
+++ b/fulmarseam/steering/_observed.py
@@ -6,11 +6,13 @@
 
 from collections.abc import Collection
 import dataclasses
+import math
 
 from fulmarseam import ids
 from fulmarseam import wire
 from fulmarseam.steering import _load_reports
 from fulmarseam.steering import _notices
+from fulmarseam.steering import _outcomes
 from fulmarseam.steering import _pool_statistics
 
 # Half-life of the weight of a load report, if requests end sooner than that.
@@ -265,6 +267,25 @@
     return target.failure_rate >= threshold
 
 
+def stands_out(
+    target: ObservedTarget,
+    targets: Collection[ObservedTarget],
+    now: float,
+    pool_failure_rate: float,
+) -> bool:
+    """Return whether to eject a target that is reachable but fails requests.
+
+    It must fail far more than its pool, and at most a third of the pool may
+    be ejected: where all targets have the same fault, leaving some of them
+    alone saves no request and costs their slots.
+    """
+    ejected_count = sum(
+        is_ejected(other, now) for other in targets if other is not target
+    )
+    limit = math.floor(len(targets) * _outcomes.MAX_EJECTED_SHARE)
+    return is_doubtful(target, pool_failure_rate) and ejected_count < limit
+
+
 def compute_mean_failure_rate(targets: Collection[ObservedTarget]) -> float:
     """Return the mean failure rate of the targets of a pool."""
     if not targets:
--- a/tests/test_status_lines.py
+++ b/tests/test_status_lines.py
@@ -60,6 +60,51 @@
                     self.assertNotIn(b'hello', reply.body)
 
 
+class EjectionTest(gateway_case.GatewayCase):
+    """Guards against a pool that is ejected for single unreadable answers.
+
+    One in fifty of them cost a third of all callers their answer.
+    """
+
+    async def test_targets_with_the_same_fault_are_used_on(self) -> None:
+        seen: set[str] = set()
+
+        async def answer(reader, writer, headers):
+            name = headers['fulmarseam-target']
+            is_first = name not in seen
+            seen.add(name)
+            await gateway_case.write_response(
+                writer, headers, 0 if is_first else 200
+            )
+
+        for name in ('t1', 't2', 't3'):
+            await self.add_target(name, answer)
+        await self.put_route(idempotent=False)
+        statuses = [(await self.call(method='POST')).status for _ in range(12)]
+        self.assertNotIn(503, statuses)
+        self.assertEqual(200, statuses[-1])
+
+    async def test_a_target_that_stands_out_is_ejected(self) -> None:
+        async def answer_oddly(reader, writer, headers):
+            await gateway_case.write_response(writer, headers, 0)
+
+        async def answer(reader, writer, headers):
+            await gateway_case.write_response(writer, headers)
+
+        odd = await self.add_target('t1', answer_oddly)
+        for name in ('t2', 't3', 't4'):
+            await self.add_target(name, answer)
+        await self.put_route(idempotent=False)
+        statuses = []
+        for number in range(60):
+            reply = await self.call(
+                method='POST', fulmarseam_request_id=f'q{number}'
+            )
+            statuses.append(reply.status)
+        self.assertLess(len(odd.heads), 8)
+        self.assertEqual(statuses.count(502), len(odd.heads))
+
+
 class EntryStatusLineTest(entry_case.EntryCase):
     """Guards against the same in an entry with grants."""
 
