Name the holders of addresses in plain terms

No behaviour changes: what was called a squatter is the unused owner of an address, as the table already has owners.

--- a/fulmarseam/catalog/_machine.py
+++ b/fulmarseam/catalog/_machine.py
@@ -139,12 +139,12 @@
                 return holder
         return None
 
-    def find_squatter(
+    def find_unused_owner(
         self, record: wire.TargetRecord
     ) -> wire.TargetRecord | None:
-        """Return the unusable target at the address of a usable one.
+        """Return the target that a usable one may displace in any case.
 
-        Its pool is not in force, while that of `record` is.
+        It has the address of `record`, but its pool is not in force.
         """
         owner = self.targets.find_address_owner(record)
         if owner is None or self.items.has_pool(owner.pool):
@@ -156,12 +156,13 @@
     ) -> _targets.AnnouncementState:
         """Return why an announcement changes nothing, or that it is newer.
 
-        A squatter counts for nothing: the leader drops it.
+        The leader drops a target without a pool in force, so that it does
+        not keep its address from a usable one.
         """
         state = self.targets.classify(record)
         if (
             state is _targets.AnnouncementState.ADDRESS_TAKEN
-            and self.find_squatter(record) is not None
+            and self.find_unused_owner(record) is not None
         ):
             return _targets.AnnouncementState.NEWER
         return state
--- a/fulmarseam/consensus/_core_change.py
+++ b/fulmarseam/consensus/_core_change.py
@@ -116,9 +116,9 @@
     """
     removed = _core_members.find_member(members, member)
     successor = _core_members.find_successor(members, member)
-    has_own_task = removed is not None and removed.is_successor
+    was_successor = removed is not None and removed.is_successor
     remaining = [
-        msgspec.structs.replace(info, is_successor=has_own_task)
+        msgspec.structs.replace(info, is_successor=was_successor)
         if info == successor
         else info
         for info in members.members
--- a/fulmarseam/consensus/_runtime_binding.py
+++ b/fulmarseam/consensus/_runtime_binding.py
@@ -21,6 +21,7 @@
 
 # How often an unbound member queries the initial members.
 POLL_INTERVAL_S = 0.1
+
 _log = logbook.Logger('consensus')
 
 
--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -466,27 +466,27 @@
             return wire.CatalogResult(
                 revision=self.catalog.revision, problems=problems
             )
-        await self._drop_squatters(self._member, command)
+        await self._drop_unused_owners(self._member, command)
         with self._admission.track(command):
             result = catalog.decode_result(await self._member.propose(data))
         self._admission.note_applied(self._now(), command)
         return result
 
-    async def _drop_squatters(
+    async def _drop_unused_owners(
         self, member: consensus.Member, command: catalog.Command
     ) -> None:
-        """Drop unusable targets at the addresses of usable ones.
+        """Drop targets without a pool in force at addresses of usable ones.
 
-        A squatter that is the younger of the two would keep the address.
+        One that is younger than the usable target would keep the address.
         """
         if not isinstance(command, catalog.AnnounceTargets):
             return
-        squatters = [
-            squatter
+        owners = [
+            owner
             for record in command.records
-            if (squatter := self.catalog.find_squatter(record)) is not None
+            if (owner := self.catalog.find_unused_owner(record)) is not None
         ]
-        for removal in catalog.make_removals(squatters):
+        for removal in catalog.make_removals(owners):
             await member.propose(catalog.encode_command(removal))
 
     def is_leader(self) -> bool:
@@ -541,7 +541,7 @@
             raise errors.FulmarseamError(
                 errors.ErrorKind.UNAVAILABLE, 'no leader is known'
             )
-        if await self._is_misplaced(record, call):
+        if await self._would_displace(record, call):
             self._note_ignored(record, catalog.AnnouncementState.POOL_UNKNOWN)
             return
         current = self.catalog.targets.get(record.target)
@@ -581,7 +581,7 @@
             )
         )
 
-    async def _is_misplaced(
+    async def _would_displace(
         self, record: wire.TargetRecord, call: _pending_calls.PendingCall
     ) -> bool:
         """Return whether an announcement would displace a usable target.
