Keep the mark of a successor while either host may come back

The order of joining now decides between successors only, the mark is kept after a removal, and it counts while the failure domain has more voters than when the successor joined. A host that the group knew before joins as a successor only if its domain has none.

--- a/fulmarseam/consensus/_core_change.py
+++ b/fulmarseam/consensus/_core_change.py
@@ -95,7 +95,8 @@
             f'member: found {member}, expected a member of the group'
         )
     _require_change_allowed(state)
-    changed = _without_member(members, member)
+    remaining = [info for info in members.members if info.member != member]
+    changed = wire.GroupMembers(remaining, [*members.retired, member])
     reachable = _list_reachable(state, now)
     if not _core_members.has_majority(changed, reachable):
         voters = _core_members.list_voters(changed)
@@ -107,26 +108,6 @@
     effects.first_index = _append_change(state, changed, effects)
 
 
-def _without_member(
-    members: wire.GroupMembers, member: ids.MemberId
-) -> wire.GroupMembers:
-    """Return the list without a member, which its successor replaces.
-
-    The successor of a successor takes over the member that is to go.
-    """
-    removed = _core_members.find_member(members, member)
-    successor = _core_members.find_successor(members, member)
-    was_successor = removed is not None and removed.is_successor
-    remaining = [
-        msgspec.structs.replace(info, is_successor=was_successor)
-        if info == successor
-        else info
-        for info in members.members
-        if info.member != member
-    ]
-    return wire.GroupMembers(remaining, [*members.retired, member])
-
-
 def _list_reachable(
     state: _core_state.State, now: float
 ) -> list[ids.MemberId]:
--- a/fulmarseam/consensus/_core_members.py
+++ b/fulmarseam/consensus/_core_members.py
@@ -99,26 +99,39 @@
 ) -> wire.MemberInfo | None:
     """Return the voter that joined to replace `member`, or None.
 
-    A successor runs on another host in the same failure domain. Members
-    are listed in the order in which they joined.
+    A successor runs on another host in the same failure domain, which has
+    more voters than when the successor joined. The host of the replaced
+    member may come back and join again meanwhile. A successor itself is
+    replaced by a later one only; members are listed as they joined.
     """
     replaced = find_member(members, member)
     if replaced is None:
         return None
-    joined_later = members.members[members.members.index(replaced) + 1 :]
-    for info in joined_later:
-        is_elsewhere = info.host != replaced.host
+    start = 0
+    if replaced.is_successor:
+        start = members.members.index(replaced) + 1
+    for info in members.members[start:]:
         if (
             info.voter
             and info.is_successor
-            and is_elsewhere
-            and _share_domain(info, replaced)
+            and info.host != replaced.host
+            and share_domain(info, replaced)
+            and count_domain_voters(members, info) > info.domain_voters
         ):
             return info
     return None
 
 
-def _share_domain(one: wire.MemberInfo, other: wire.MemberInfo) -> bool:
+def count_domain_voters(
+    members: wire.GroupMembers, info: wire.MemberInfo
+) -> int:
+    """Return the number of voters in the failure domain of a member."""
+    return sum(
+        other.voter and share_domain(other, info) for other in members.members
+    )
+
+
+def share_domain(one: wire.MemberInfo, other: wire.MemberInfo) -> bool:
     """Return whether two members share a failure domain.
 
     A domain that is not known may be any of the region.
--- a/fulmarseam/consensus/_repair.py
+++ b/fulmarseam/consensus/_repair.py
@@ -134,14 +134,7 @@
             if former.host == info.host and former.member != leader:
                 return RemoveMember(former.member)
     if new_members:
-        added = new_members[0]
-        voters = _core_members.list_voters(members)
-        is_successor = len(voters) >= wanted_voters or not _had_member(
-            members, added.host
-        )
-        return AddLearner(
-            msgspec.structs.replace(added, is_successor=is_successor)
-        )
+        return _plan_addition(members, new_members[0], wanted_voters)
     return _plan_removal(leader, members, silences, wanted_voters)
 
 
@@ -152,6 +145,32 @@
     )
 
 
+def _plan_addition(
+    members: wire.GroupMembers, added: wire.MemberInfo, wanted_voters: int
+) -> AddLearner:
+    """Return the addition of a member, marked if it is a successor.
+
+    A host that the group does not know replaces another one. Known hosts
+    have lost their disk or come back after their removal. In a group that
+    has its voters already, the first of a failure domain is the successor,
+    which may have lost its disk as well.
+    """
+    voters = _core_members.list_voters(members)
+    domain_voters = _core_members.count_domain_voters(members, added)
+    has_successor = any(
+        info.is_successor and _core_members.share_domain(info, added)
+        for info in members.members
+    )
+    is_successor = not _had_member(members, added.host) or (
+        len(voters) >= wanted_voters and not has_successor
+    )
+    return AddLearner(
+        msgspec.structs.replace(
+            added, is_successor=is_successor, domain_voters=domain_voters
+        )
+    )
+
+
 def _had_member(members: wire.GroupMembers, host: ids.HostId) -> bool:
     """Return whether the group has or had a member on a host."""
     retired_hosts = {
@@ -184,8 +203,9 @@
     if len(voters) <= wanted_voters:
         return None
     for info in silent:
-        is_replaced = _core_members.find_successor(members, info.member)
-        is_given_up = silences[info.member] >= MAX_UNREPLACED_SILENCE_S
-        if is_replaced or is_given_up:
+        if _core_members.find_successor(members, info.member) is not None:
+            return RemoveMember(info.member)
+    for info in silent:
+        if silences[info.member] >= MAX_UNREPLACED_SILENCE_S:
             return RemoveMember(info.member)
     return None
--- a/fulmarseam/wire/_consensus.py
+++ b/fulmarseam/wire/_consensus.py
@@ -15,8 +15,8 @@
     does not count towards a majority. `host` is the host it runs on, empty
     in a group whose members are named by an operator; `failure_domain` is
     that of the host, empty if a member of an earlier release added it.
-    `is_successor` is set for a member that joined to replace another one
-    which has not been removed yet.
+    `is_successor` is set for a member that joined to replace another one of
+    its failure domain, which then had `domain_voters`.
     """
 
     member: ids.MemberId
@@ -27,6 +27,7 @@
     host: ids.HostId = ids.HostId('')
     failure_domain: ids.DomainName = ids.DomainName('')
     is_successor: bool = False
+    domain_voters: int = 0
 
 
 class GroupMembers(msgspec.Struct, frozen=True):
--- a/tests/test_consensus_repair.py
+++ b/tests/test_consensus_repair.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import msgspec
+
 from fulmarseam import ids
 from fulmarseam import wire
 from fulmarseam.consensus import _core_members
@@ -15,6 +17,7 @@
     voter: bool = True,
     domain: str = '',
     is_successor: bool = False,
+    domain_voters: int = 1,
 ) -> wire.MemberInfo:
     """Return a member on `host`."""
     return wire.MemberInfo(
@@ -26,6 +29,7 @@
         host=ids.HostId(host),
         failure_domain=ids.DomainName(domain),
         is_successor=is_successor,
+        domain_voters=domain_voters,
     )
 
 
@@ -71,7 +75,7 @@
             [info for info in FIVE_VOTERS.members if info.host != 'b'],
             [ids.MemberId('b.s')],
         )
-        new = make_info('b', 'new')
+        new = make_info('b', 'new', domain_voters=4)
         self.assertEqual(
             plan_repair(remaining, [new]), _repair.AddLearner(new)
         )
@@ -79,7 +83,8 @@
     def test_a_new_host_is_added_before_the_silent_one_is_removed(
         self,
     ) -> None:
-        new = make_info('f', is_successor=True)
+        # All are of one region and of no known domain.
+        new = make_info('f', is_successor=True, domain_voters=5)
         self.assertEqual(
             plan_repair(FIVE_VOTERS, [make_info('f')], b=9.0),
             _repair.AddLearner(new),
@@ -146,12 +151,49 @@
         successor = make_info('f', domain='a', is_successor=True)
         members = wire.GroupMembers([*self.voters.members, successor])
         self.assertEqual(
-            plan_repair(members, [], ('a',)), _repair.RemoveMember(LEADER)
+            plan_repair(members, [], ('a',)),
+            _repair.RemoveMember(LEADER),
         )
 
     def test_a_silent_successor_is_kept(self) -> None:
         self.assertIsNone(plan_repair(self.six_voters, [], f=99.0))
 
+    def test_a_replaced_host_that_joins_again_may_go(self) -> None:
+        """Guards against a host that comes back, ends then and is kept.
+
+        It joins after its successor, or loses its disk beside it.
+        """
+        settled = wire.GroupMembers(
+            [*self.voters.members[:4], self.successor], [ids.MemberId('e.s')]
+        )
+        change = plan_repair(settled, [make_info('e', 'new', domain='e')])
+        assert isinstance(change, _repair.AddLearner)
+        self.assertFalse(change.info.is_successor)
+        again = msgspec.structs.replace(change.info, voter=True)
+        members = wire.GroupMembers([*settled.members, again])
+        self.assertEqual(
+            plan_repair(members, [], e=2.0),
+            _repair.RemoveMember(ids.MemberId('e.new')),
+        )
+        self.assertIsNone(plan_repair(members, [], f=2.0))
+
+    def test_a_successor_that_lost_its_disk_stays_one(self) -> None:
+        former = wire.GroupMembers(self.voters.members, [ids.MemberId('f.s')])
+        change = plan_repair(former, [make_info('f', 'new', domain='e')])
+        assert isinstance(change, _repair.AddLearner)
+        self.assertTrue(change.info.is_successor)
+
+    def test_a_successor_is_replaced_by_a_later_one(self) -> None:
+        later = make_info('g', domain='e', is_successor=True)
+        members = wire.GroupMembers(
+            [*self.voters.members[:4], self.successor, later]
+        )
+        self.assertEqual(
+            plan_repair(members, [], f=2.0),
+            _repair.RemoveMember(ids.MemberId('f.s')),
+        )
+        self.assertIsNone(plan_repair(members, [], g=2.0))
+
     def test_a_host_that_moved_to_another_domain_is_given_up(self) -> None:
         self.assertEqual(
             plan_repair(
