--- a/tests/consensus_simulation.py
+++ b/tests/consensus_simulation.py
@@ -91,6 +91,9 @@
     are held back for longer than an election timeout.
     """
 
+    # Follows the number in the names of the first members.
+    name_suffix = ''
+
     def __init__(self, seed: int, size: int, loss: float = 0.02) -> None:
         self.random = random.Random(seed)
         self.loss = loss
@@ -108,7 +111,7 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
         self._commands = itertools.count()
-        names = [f'n{number}' for number in range(size)]
+        names = [f'n{number}{self.name_suffix}' for number in range(size)]
         members = wire.GroupMembers([self.describe(name) for name in names])
         self.nodes = {name: Node(name, members) for name in names}
         for node in self.nodes.values():
