--- a/tests/test_full_disks.py
+++ b/tests/test_full_disks.py
@@ -9,7 +9,7 @@
 from fulmarseam import catalog
 from fulmarseam import errors
 from tests import catalog_fixtures as fixtures
-from tests import test_catalog_member
+from tests import catalog_member_case
 
 # How long a disk is full, and the pause until the next one is.
 FULL_S = 1.5
@@ -38,7 +38,7 @@
         return _real_write(file, data)
 
 
-class FullDisksTest(test_catalog_member.CatalogMemberCase):
+class FullDisksTest(catalog_member_case.CatalogMemberCase):
     """Guards against changes that are refused after disks were full."""
 
     async def asyncSetUp(self) -> None:
@@ -106,9 +106,9 @@
         await self.check_changes()
         await self.wait_for_voters(3)
 
-    async def wait_for_leader(self) -> test_catalog_member.Host:
+    async def wait_for_leader(self) -> catalog_member_case.Host:
         """Return the host of the leader."""
-        async with asyncio.timeout(test_catalog_member.WAIT_S):
+        async with asyncio.timeout(catalog_member_case.WAIT_S):
             while True:
                 for host in self.hosts:
                     if host.member and host.member.is_leader():
--- /dev/null
+++ b/tests/test_replaced_members.py
@@ -0,0 +1,110 @@
+"""Tests of members that are replaced, absent or wiped meanwhile."""
+
+import asyncio
+
+from fulmarseam import ids
+from tests import catalog_fixtures as fixtures
+from tests import catalog_member_case
+
+
+class OutdatedListTest(catalog_member_case.CatalogMemberCase):
+    """Guards against a sound member that deletes its data.
+
+    It had lost its disk while another member was down. After all had lost
+    power, only that one answered it, with a list of before.
+    """
+
+    tolerated_hosts = 2
+
+    async def test_an_older_list_does_not_end_a_member(self) -> None:
+        first, second, third, absent, wiped = self.hosts
+        await absent.stop()
+        await wiped.wipe()
+        await wiped.start()
+        await self.wait_for_voters(5, 'core-4')
+        former = self.find_member_id(wiped)
+        await self.put(self.members()[0], fixtures.make_pool('katalog', 1))
+        for host in (first, second, third, wiped):
+            await host.stop()
+        await wiped.start()
+        await absent.start()
+        # Five checks, of which each takes 0.7 s if a member does not answer.
+        await asyncio.sleep(3.5)
+        self.assertEqual(self.find_member_id(wiped), former)
+        # The first host stays the seed that the others can find.
+        for host in (second, third):
+            await host.wipe()
+        for host in (first, second, third):
+            await host.start()
+        await self.wait_for_voters(5)
+        await self.wait_for_item('katalog')
+
+    def find_member_id(self, host: catalog_member_case.Host) -> ids.MemberId:
+        """Return the id of the running member of a host."""
+        assert host.member is not None
+        return host.member.status().member_id
+
+
+class AbsentMemberTest(catalog_member_case.CatalogMemberCase):
+    """Guards against a member without power that loses its vote."""
+
+    tolerated_hosts = 2
+
+    async def test_it_stays_a_voter_while_another_one_is_replaced(
+        self,
+    ) -> None:
+        absent, replaced = self.hosts[3:]
+        await absent.stop()
+        # It has been silent for longer than the one that is to go.
+        await asyncio.sleep(2.0)
+        # Number 9 is in the failure domain of number 4.
+        self.hosts.append(self.make_host(9))
+        await self.hosts[5].start()
+        await self.wait_for_voters(6, 'core-9')
+        await asyncio.sleep(2.0)
+        await replaced.stop()
+        await self.wait_for_voters(5, 'core-3', 'core-9')
+
+
+class ReplacedMemberTest(catalog_member_case.CatalogMemberCase):
+    """Guards against a member that ended and counts as a voter.
+
+    It was removed 1.5 s later, and until then the group could not bear the
+    losses that it has to, although its successor had caught up.
+    """
+
+    async def replace(self, is_leader: bool) -> None:
+        """Replace a member, then wipe another one at once."""
+        await self.put(self.members()[0], fixtures.make_pool('katalog', 1))
+        number = next(
+            number
+            for number, member in enumerate(self.members())
+            if member.is_leader() == is_leader
+        )
+        replaced = self.hosts[number]
+        # In the failure domain of the replaced one.
+        self.hosts.append(self.make_host(number + 5))
+        await self.hosts[3].start()
+        await self.wait_for_voters(4)
+        await replaced.terminate()
+        remaining = [host for host in self.hosts if host is not replaced]
+        # One host stays that the wiped one knows as a seed.
+        await remaining[1].wipe()
+        # Long enough for a leader without a majority to step down.
+        await asyncio.sleep(1.5)
+        await remaining[1].start()
+        await self.wait_for_voters(3, f'core-{number + 5}')
+        await self.wait_for_item('katalog')
+
+    async def test_a_follower_leaves_before_it_ends(self) -> None:
+        await self.replace(is_leader=False)
+
+    async def test_a_leader_leaves_before_it_ends(self) -> None:
+        await self.replace(is_leader=True)
+
+    async def test_a_member_that_starts_again_stays(self) -> None:
+        before = self.members()[0].status().members
+        await self.hosts[2].terminate()
+        await self.hosts[2].start()
+        await self.wait_for_voters(3, 'core-2')
+        self.assertEqual(self.members()[0].status().members, before)
--- a/tests/test_stale_commands.py
+++ b/tests/test_stale_commands.py
@@ -18,8 +18,8 @@
 from fulmarseam.control import _pending_calls
 from fulmarseam.platform import _control_api
 from tests import catalog_fixtures as fixtures
+from tests import catalog_member_case
 from tests import fakes
-from tests import test_catalog_member
 
 DOMAIN = 'ost-wien'
 EVACUATION = f'/api/evacuate/{DOMAIN}'
@@ -29,7 +29,7 @@
 SETTLE_S = 1.5
 
 
-class StaleCase(test_catalog_member.CatalogMemberCase):
+class StaleCase(catalog_member_case.CatalogMemberCase):
     """Serves the API of each member of a group of three."""
 
     async def asyncSetUp(self) -> None:
@@ -88,7 +88,7 @@
         await asyncio.sleep(SETTLE_S)
         await self.wait_for_voters(3)
         leader = self.find_leader()
-        async with asyncio.timeout(test_catalog_member.WAIT_S):
+        async with asyncio.timeout(catalog_member_case.WAIT_S):
             await leader.wait_until_current()
         self.assertEqual({DOMAIN}, leader.catalog.evacuated)
 
