--- a/review/common-3/stand.py
+++ b/review/common-3/stand.py
@@ -134,6 +134,10 @@
         temporary.write_text(render(self._template, self.fields))
         os.replace(temporary, self._settings)
 
+    def write_disk(self) -> None:
+        """Give the machine an empty disk."""
+        pathlib.Path(self.fields['dataDir']).mkdir(exist_ok=True)
+
     async def start(self) -> None:
         environment = {
             name: os.environ[name]
@@ -220,6 +224,22 @@
             for n, zone in enumerate(entries)
         ]
         self.parts = []
+        # Machines that were taken away for good.
+        self.removed = []
+
+    def add_control(self, zone):
+        """Return a further core machine at an address of its own."""
+        machine = self._make(
+            'control',
+            f'core-{zone}-{len(self.controls)}',
+            take_address(),
+            zone,
+            296,
+        )
+        machine.fields['bootstrap'] = False
+        machine.write_settings()
+        self.controls.append(machine)
+        return machine
 
     def _make(self, role, node, ip, zone, memory):
         ports = self.ports
@@ -304,7 +324,7 @@
     async def close(self) -> None:
         for part in self.parts:
             part.close()
-        for process in (*self.controls, *self.entries):
+        for process in (*self.controls, *self.entries, *self.removed):
             with contextlib.suppress(ProcessLookupError):
                 if process.is_running:
                     process.process.send_signal(signal.SIGCONT)
