--- a/fulmarseam/gateway/_daemon.py
+++ b/fulmarseam/gateway/_daemon.py
@@ -338,6 +338,7 @@
             self.poller.pause_guard.check()
             self._set_senders()
             self._request_log.tick()
+            self.load_balancer.log_retries(self._loop.time())
             self.crash_guard.expire()
 
     async def _drain(self) -> None:
--- a/fulmarseam/gateway/_load_balancer.py
+++ b/fulmarseam/gateway/_load_balancer.py
@@ -50,6 +50,7 @@
         self.get_targets = table.get_targets
         self.get_allowed_targets = table.get_allowed_targets
         self.set_senders = table.set_senders
+        self.log_retries = table.log_retries
         self.paths = _paths.Paths(table.pools, has_kept_connection)
         observations = _shared_observations.SharedObservations(
             table, mirror, self.paths
@@ -83,6 +84,10 @@
                 functools.partial(placer.run_counts.__getitem__, kind),
                 kind=kind.value,
             )
+        metrics.register_gauge('retries', self._table.count_retries)
+        metrics.register_gauge(
+            'retries_refused', self._table.count_refused_retries
+        )
         metrics.register_gauge(
             'object_requests', lambda: placer.object_requests
         )
--- a/fulmarseam/gateway/_poller.py
+++ b/fulmarseam/gateway/_poller.py
@@ -240,6 +240,8 @@
                     items=len(changes.items),
                     targets=len(changes.targets),
                     removed_targets=len(changes.removed_targets),
+                    evacuated=','.join(sorted(changes.evacuated)),
+                    leader=answer.leader,
                 )
             )
             self._on_change()
--- a/fulmarseam/gateway/_pools.py
+++ b/fulmarseam/gateway/_pools.py
@@ -11,6 +11,8 @@
 
     def __init__(self, retry_budget: steering.WindowedRetryBudget) -> None:
         self.retry_budget = retry_budget
+        # The refused retries that log lines have counted.
+        self.refused_logged = 0
         self.targets: list[steering.ObservedTarget] = []
         self.statistics = steering.PoolStatistics()
         self.object_demand = steering.ObjectDemand()
--- a/fulmarseam/gateway/_target_table.py
+++ b/fulmarseam/gateway/_target_table.py
@@ -48,6 +48,7 @@
         # Set once the whole catalog has been applied, so that its targets
         # are not logged one by one at the start.
         self._logs_phases = False
+        self._retries_logged_at = 0.0
         self.senders = 1
 
     def update(self, now: float) -> None:
@@ -182,6 +183,37 @@
             )
         return pool
 
+    def log_retries(self, now: float) -> None:
+        """Log once in each window what the pools use of their budgets."""
+        if now < self._retries_logged_at + self._options.retry_window:
+            return
+        self._retries_logged_at = now
+        for name, pool in self.pools.items():
+            usage = pool.retry_budget.get_usage(now)
+            refused = pool.retry_budget.refused
+            if not usage.retries and refused == pool.refused_logged:
+                continue
+            _log.info(
+                telemetry.format_event(
+                    'retries',
+                    pool=name,
+                    requests=usage.requests,
+                    retries=usage.retries,
+                    refused=refused - pool.refused_logged,
+                    slack=usage.slack,
+                    senders=self.senders,
+                )
+            )
+            pool.refused_logged = refused
+
+    def count_retries(self) -> int:
+        """Return the number of retries since the start."""
+        return sum(pool.retry_budget.granted for pool in self.pools.values())
+
+    def count_refused_retries(self) -> int:
+        """Return how many retries the budgets refused since the start."""
+        return sum(pool.retry_budget.refused for pool in self.pools.values())
+
     def count_ready(self) -> int:
         """Return the number of targets that may get requests."""
         return sum(len(pool.targets) for pool in self.pools.values())
--- a/fulmarseam/steering/_windowed_retry_budget.py
+++ b/fulmarseam/steering/_windowed_retry_budget.py
@@ -1,6 +1,15 @@
 """Retry budget over a sliding time window."""
 
 import collections
+from typing import NamedTuple
+
+
+class BudgetUsage(NamedTuple):
+    """The requests and retries of the last window, and the slack."""
+
+    requests: int
+    retries: int
+    slack: float
 
 
 class WindowedRetryBudget:
@@ -17,6 +26,9 @@
         self._window_s = window_s
         self._request_times: collections.deque[float] = collections.deque()
         self._retry_times: collections.deque[float] = collections.deque()
+        # Retries since the start, for logs and metrics.
+        self.granted = 0
+        self.refused = 0
 
     def count_request(self, now: float) -> None:
         """Count a request of a caller."""
@@ -28,10 +40,19 @@
         self._drop_expired(now)
         limit = self._ratio * len(self._request_times) + self.slack
         if len(self._retry_times) + 1 > limit:
+            self.refused += 1
             return False
+        self.granted += 1
         self._retry_times.append(now)
         return True
 
+    def get_usage(self, now: float) -> BudgetUsage:
+        """Return what the last window has used of the budget."""
+        self._drop_expired(now)
+        return BudgetUsage(
+            len(self._request_times), len(self._retry_times), self.slack
+        )
+
     def _drop_expired(self, now: float) -> None:
         window_start = now - self._window_s
         for times in (self._request_times, self._retry_times):
--- a/tests/soak/_operator.py
+++ b/tests/soak/_operator.py
@@ -18,6 +18,7 @@
 # A command is retried on other members until it is acknowledged.
 ACKNOWLEDGE_TIMEOUT_S = 30.0
 EVACUATE_AT_S = 4.0
+EVACUATION_PATH = f'/api/evacuate/{_system.EVACUATED}'
 # Lasts longer than the 5 s in which an evacuation must take effect, and than
 # a member is paused.
 EVACUATE_FOR_S = 9.0
@@ -119,8 +120,7 @@
     async def evacuate_repeatedly(self) -> None:
         """Evacuate a failure domain again and again."""
         await asyncio.sleep(EVACUATE_AT_S)
-        path = f'/api/evacuate/{_system.EVACUATED}'
-        while await self._send_until_acknowledged('POST', path):
+        while await self.evacuate():
             started = time.monotonic()
             try:
                 await asyncio.sleep(EVACUATE_FOR_S)
@@ -128,9 +128,13 @@
                 self._record.evacuations.append(
                     (_system.EVACUATED, started, time.monotonic())
                 )
-            await self._send_until_acknowledged('DELETE', path)
+            await self._send_until_acknowledged('DELETE', EVACUATION_PATH)
             await asyncio.sleep(random.uniform(*EVACUATE_GAP_S))
 
+    async def evacuate(self) -> bool:
+        """Evacuate the failure domain; return whether it is acknowledged."""
+        return await self._send_until_acknowledged('POST', EVACUATION_PATH)
+
     async def _send_until_acknowledged(
         self, method: str, path: str, body: Any = None
     ) -> bool:
