--- a/tests/cut_off_case.py
+++ b/tests/cut_off_case.py
@@ -97,9 +97,7 @@
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         await self.put_items(idempotent=True, max_attempts=2, **self.route)
-        self.servers = [
-            rate_limit_case.LimitedTarget() for _ in range(self.target_count)
-        ]
+        self.servers = [self.make_target() for _ in range(self.target_count)]
         for number, server in enumerate(self.servers):
             await self.add_target(f't{number}', server)
         await self.start_entries(self.entry_count)
@@ -115,6 +113,10 @@
             forwarder._target_attempts._dependencies = forwarder._dependencies
             self.paths.append(paths)
 
+    def make_target(self) -> rate_limit_case.LimitedTarget:
+        """Return a target that is not started yet."""
+        return rate_limit_case.LimitedTarget()
+
     def cut(
         self, entry: int, kind: CutKind, targets: int | None = None
     ) -> None:
--- a/tests/rate_limit_case.py
+++ b/tests/rate_limit_case.py
@@ -137,13 +137,20 @@
         self.targets: list[gateway_case.Target] = []
 
     async def asyncTearDown(self) -> None:
-        for run in self._runs:
-            run.cancel()
-        await asyncio.gather(*self._runs, return_exceptions=True)
+        await self.stop_entries()
         for target in self.targets:
             target.stop()
         await self.stack.aclose()
 
+    async def stop_entries(self) -> None:
+        """End all entries at once, as when their processes are killed."""
+        for run in self._runs:
+            run.cancel()
+        await asyncio.gather(*self._runs, return_exceptions=True)
+        self._runs.clear()
+        self.entries.clear()
+        self.addresses.clear()
+
     async def stop_member(self) -> None:
         """Stop the control member."""
         await self._member_stack.aclose()
