Start entries only with a catalog that is proved to be current

Callers' requests reached an evacuated domain: an entry that started while only a member answered that had missed the evacuation adopted its catalog, became ready and was listed by look-ups until another member answered. A member that had just woken also ended an entry's wait after a pause.

Cause: the state of one replica was taken for the state of the group. A poll can ask now whether the member is current. The member reads the revision through the log, as it does before it answers an operator, and shares the read among the polls that wait. Without that proof the entry is not ready and refuses requests at once.

--- a/fulmarseam/catalog/_mirror.py
+++ b/fulmarseam/catalog/_mirror.py
@@ -9,9 +9,10 @@
 
     `revision` never decreases, so an older configuration never comes back
     into force while the process runs. `is_complete` is set once the mirror
-    has caught up with a member and has received at least one item. Targets
-    alone are not enough: they announce themselves before the operator's
-    first call, when no routes are known yet.
+    has caught up with a member that proved to be current, and has received at
+    least one item. Another member may have missed leaves and evacuations.
+    Targets alone are not enough: they announce themselves before the
+    operator's first call, when no routes are known yet.
     """
 
     def __init__(self) -> None:
@@ -19,6 +20,7 @@
         self.removals_revision = -1
         self.is_complete = False
         self._has_items = False
+        self._has_caught_up = False
         self.routes: dict[str, wire.RouteItem] = {}
         self.pools: dict[str, wire.PoolItem] = {}
         self.limits: wire.LimitsItem | None = None
@@ -56,6 +58,16 @@
             self._complete()
         return True
 
+    def confirm(self, revision: int) -> bool:
+        """Note that the group had this revision when a member was asked.
+
+        Returns whether the mirror has become complete.
+        """
+        if self.is_complete or not self._has_caught_up:
+            return False
+        self.is_complete = self.revision >= revision
+        return self.is_complete
+
     def list_incarnations(self) -> dict[ids.TargetId, int]:
         """Return when each target started, in ms since the epoch."""
         return {
@@ -66,7 +78,7 @@
         for target in self._unlisted:
             self.targets.pop(target, None)
         self._unlisted.clear()
-        self.is_complete = self.is_complete or self._has_items
+        self._has_caught_up = self._has_items
 
     def _apply_item(self, item: wire.Item) -> None:
         match item.kind:
--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -21,6 +21,7 @@
 from fulmarseam import telemetry
 from fulmarseam import transport
 from fulmarseam import wire
+from fulmarseam.control import _currency
 from fulmarseam.control import _entry_answers
 from fulmarseam.control import _log_admission
 from fulmarseam.control import _pending_calls
@@ -36,6 +37,9 @@
 FORWARD_TIMEOUT_S = 0.6
 # Pause before a command is retried, for example while there is no leader.
 COMMAND_RETRY_PAUSE_S = 0.05
+# A poll that asks whether this member is current is answered after this time
+# at the latest; entries wait 0.8 s.
+CURRENCY_TIMEOUT_S = 0.5
 RENEWAL_INTERVAL_S = 0.5
 RENEWAL_TIMEOUT_S = 0.4
 # A target is dropped after this many missed announcements, plus a margin for
@@ -86,6 +90,7 @@
             options.heartbeat, MAX_DELAY_LEASES * lease_s
         )
         self._arrivals = _pending_calls.ArrivalClock()
+        self._currency = _currency.CurrencyCheck(self.wait_until_current)
         self._tasks: list[asyncio.Task[None]] = []
         # Gets the exception of a background task, which must never end.
         self.failed: asyncio.Future[None] = self._loop.create_future()
@@ -123,6 +128,7 @@
 
     async def __aenter__(self) -> Self:
         await self._exit_stack.enter_async_context(self._clients)
+        await self._exit_stack.enter_async_context(self._currency)
         server = transport.RpcServer(self._options.listen, self.handle)
         await self._exit_stack.enter_async_context(server)
         for work in (
@@ -263,8 +269,14 @@
                 self._target_leases.renew(self._now(), targets)
                 return wire.Ok()
             case wire.EntryPoll():
+                is_current = None
+                if message.asks_current:
+                    is_current = (
+                        self.has_leader()
+                        and await self._currency.prove(CURRENCY_TIMEOUT_S)
+                    )
                 return self._entry_answers.answer_poll(
-                    self._now(), message, self._view_group()
+                    self._now(), message, self._view_group(), is_current
                 )
             case wire.PermitRequest():
                 return self._entry_answers.issue_permits(
--- a/fulmarseam/control/_entry_answers.py
+++ b/fulmarseam/control/_entry_answers.py
@@ -58,9 +58,17 @@
         self.suspect_registry = quarantine.SuspectRegistry()
 
     def answer_poll(
-        self, now: float, poll: wire.EntryPoll, view: GroupView
+        self,
+        now: float,
+        poll: wire.EntryPoll,
+        view: GroupView,
+        is_current: bool | None = None,
     ) -> wire.EntryPollResponse:
-        """Record the state of an entry; return what it lacks."""
+        """Record the state of an entry; return what it lacks.
+
+        `is_current` tells whether this member has proved to be current, if
+        the poll asks for that.
+        """
         if self.entry_registry.record_poll(now, poll):
             _log.info(
                 telemetry.format_event(
@@ -112,6 +120,7 @@
             suspects_version=suspects_version,
             suspects=suspects,
             region_loads=region_loads,
+            is_current=is_current,
         )
 
     def _list_changes(
--- a/fulmarseam/gateway/_pauses.py
+++ b/fulmarseam/gateway/_pauses.py
@@ -44,6 +44,11 @@
         self._is_fresh = asyncio.Event()
         self._is_fresh.set()
 
+    @property
+    def is_fresh(self) -> bool:
+        """Return whether a member has answered since the last pause."""
+        return self._paused_at is None
+
     def check(self) -> None:
         """Note a sign of life; detect a pause since the last one."""
         pause_s = self._detector.check()
--- a/fulmarseam/gateway/_poller.py
+++ b/fulmarseam/gateway/_poller.py
@@ -71,7 +71,7 @@
     A member that is slow or cut off does not delay the others. The newest
     revision of any member is applied, since members only send what the
     group has committed. `on_change` is called after each change of the
-    mirror.
+    mirror, and when the mirror has become complete.
     """
 
     def __init__(
@@ -204,16 +204,34 @@
         one that takes long does not keep other members from being asked.
         """
         sent_at = self.pause_guard.get_time()
-        answer = await self._send_poll(address, False, POLL_TIMEOUT_S)
+        answer = await self._send_poll(
+            address,
+            False,
+            POLL_TIMEOUT_S,
+            not self._mirror.is_complete or not self.pause_guard.is_fresh,
+        )
+        is_current = answer.is_current
+        if is_current is None:
+            # A member that knows no leader may itself be behind.
+            is_current = bool(answer.leader)
+        revision = answer.revision
         while answer.revision > self._mirror.revision and self._may_fetch():
             self._fetches[address] = self._loop.time()
             try:
                 answer = await self._fetch_changes(address)
             finally:
                 del self._fetches[address]
-        # A member that knows no leader may itself be behind.
-        if answer.leader and answer.revision <= self._mirror.revision:
+        if is_current and revision <= self._mirror.revision:
             self.pause_guard.note_answer(sent_at)
+            if self._mirror.confirm(revision):
+                _log.info(
+                    telemetry.format_event(
+                        'catalog_confirmed', revision=revision, source=address
+                    )
+                )
+                self._on_change()
+                # Look-ups may list this entry from now on.
+                self.poll_now()
 
     def _may_fetch(self) -> bool:
         started_before = self._loop.time() - POLL_TIMEOUT_S
@@ -225,7 +243,6 @@
     async def _fetch_changes(self, address: str) -> wire.EntryPollResponse:
         """Fetch and apply the next changes from a member."""
         revision = self._mirror.revision
-        was_complete = self._mirror.is_complete
         answer = await self._send_poll(address, True, FETCH_TIMEOUT_S)
         changes = answer.changes
         if answer.packed_changes:
@@ -245,13 +262,14 @@
                 )
             )
             self._on_change()
-        if self._mirror.is_complete and not was_complete:
-            # Look-ups may list this entry from now on.
-            self.poll_now()
         return answer
 
     async def _send_poll(
-        self, address: str, wants_changes: bool, timeout_s: float
+        self,
+        address: str,
+        wants_changes: bool,
+        timeout_s: float,
+        asks_current: bool = False,
     ) -> wire.EntryPollResponse:
         """Send a poll; raises `errors.FulmarseamError` if it fails."""
         is_leader = address == self._leader and self._mirror.is_complete
@@ -269,6 +287,7 @@
                     if address == self._leader
                     else 0,
                     reports,
+                    asks_current,
                 ),
                 timeout_s,
             )
@@ -313,6 +332,7 @@
         rate_limits: list[wire.TargetRateLimit],
         suspects_version: int = 0,
         quota_reports: Sequence[wire.QuotaAsk] = (),
+        asks_current: bool = False,
     ) -> wire.EntryPoll:
         """Return a poll; it leaves out what its response does not need."""
         options = self._options
@@ -352,6 +372,7 @@
             group=wire.compute_group_checksum(self._group),
             suspects_version=suspects_version,
             is_cut_off=self.is_cut_off,
+            asks_current=asks_current,
             wants_region_loads=(
                 wants_loads and self._load_exchange.wants_region_loads()
             ),
--- a/fulmarseam/wire/_catalog.py
+++ b/fulmarseam/wire/_catalog.py
@@ -332,7 +332,8 @@
     `quota_reports` tell the leader what was used of quotas without permits.
     `reads_organisations` is set by an entry that can read items of this kind;
     others do not get them. With `wants_region_loads` the leader's response
-    has `region_loads`.
+    has `region_loads`. With `asks_current` the member proves first that it is
+    current, if it can; see `EntryPollResponse.is_current`.
     """
 
     entry: ids.EntryId
@@ -357,6 +358,7 @@
     reads_organisations: bool = False
     quota_reports: list[QuotaAsk] = []
     wants_region_loads: bool = False
+    asks_current: bool = False
 
 
 class CatalogChanges(msgspec.Struct, frozen=True, kw_only=True):
@@ -395,7 +397,10 @@
     of targets if the entry knows them as of another `limits_version`.
     `suspects` are the suspected requests that bring it to
     `suspects_version`, which is 0 if there is nothing new. `region_loads`
-    are the requests in flight of the entries of each region.
+    are the requests in flight of the entries of each region. `is_current`
+    tells whether `revision` is at least the one that the group had when the
+    poll arrived; it is None unless the poll asks for it, and for a member of
+    the previous release.
     """
 
     revision: int
@@ -411,6 +416,7 @@
     suspects: list[_suspects.SuspectRow] = []
     is_count_partial: bool = False
     region_loads: dict[ids.RegionName, int] = {}
+    is_current: bool | None = None
 
 
 CatalogMessage = (
--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -115,6 +115,8 @@
         self.polls: list[wire.EntryPoll] = []
         # Address of the leader that answers to polls name, if any.
         self.leader = ''
+        # What the member answers to a poll that asks for it.
+        self.is_current: bool | None = True
         self.poll_delay_s = 0.0
         self.entry_count = 1
         # Addresses of the members that answers list.
@@ -172,6 +174,7 @@
             changes=changes,
             entry_count=self.entry_count,
             leader=self.leader,
+            is_current=self.is_current if message.asks_current else None,
         )
 
     async def add_target(
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -267,6 +267,7 @@
                 revision=changes.newest, changes=changes
             )
             self.assertLess(len(wire.encode(message)), 32 * 1024)
+            self.mirror.confirm(self.machine.revision)
             self.assertEqual(self.mirror.is_complete, parts > 5)
             if not self.mirror.apply(asked, changes):
                 break
@@ -274,6 +275,15 @@
         self.assertEqual(parts, 6)
         self.assertEqual(len(self.mirror.routes), 1_000)
 
+    def test_a_mirror_is_complete_at_the_revision_of_the_group(self) -> None:
+        """Guards against requests by what a member that lags tells."""
+        fixtures.put(self.machine, fixtures.make_route('r', 1))
+        self.assertFalse(self.mirror.confirm(self.machine.revision))
+        self.mirror.apply(0, self.machine.list_changes(0, -1))
+        self.assertFalse(self.mirror.confirm(self.machine.revision + 1))
+        self.assertTrue(self.mirror.confirm(self.machine.revision))
+        self.assertTrue(self.mirror.is_complete)
+
     def test_changes_between_two_answers_are_not_lost(self) -> None:
         for number in range(500):
             fixtures.announce(
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -650,6 +650,57 @@
         self.guard.note_answer(self.guard.get_time())
         self.assertTrue(self.guard._is_fresh.is_set())
 
+    async def test_a_member_that_is_not_current_ends_no_wait(self) -> None:
+        self.is_current = False
+        self.pause_s += 5.0
+        self.guard.check()
+        await asyncio.sleep(0.3)
+        self.assertFalse(self.guard.is_fresh)
+        self.is_current = True
+        await self.guard.wait_until_fresh()
+        self.assertTrue(self.guard.is_fresh)
+
+
+class StartTest(gateway_case.GatewayCase):
+    """Guards against an entry that starts with what is no longer true."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.is_current = False
+        self.target = await self.add_target('t1', serve)
+        await self.put_route()
+
+    async def check_start(self) -> None:
+        """Check that nothing is served, and that callers need not wait."""
+        await asyncio.sleep(0.3)
+        self.assertFalse(self.gateway.is_ready())
+        started = time.monotonic()
+        reply = await self.call()
+        self.assertLess(time.monotonic() - started, 0.1)
+        self.assertEqual(503, reply.status)
+        self.assertIn('retry-after', reply.headers)
+        self.assertEqual([], self.target.heads)
+
+    async def check_ready(self) -> None:
+        """Check that the entry becomes ready and serves."""
+        async with asyncio.timeout(1.0):
+            while True:
+                if self.gateway.is_ready():
+                    break
+                await asyncio.sleep(0.02)
+        self.assertEqual(200, (await self.call()).status)
+
+    async def test_no_member_is_current(self) -> None:
+        await self.check_start()
+        self.is_current = True
+        await self.check_ready()
+
+    async def test_members_of_the_previous_release(self) -> None:
+        self.is_current = None
+        await self.check_start()
+        self.leader = self.member_address
+        await self.check_ready()
+
 
 class MembersTest(gateway_case.GatewayCase):
     """Guards against members that an entry polls too late or for ever."""
--- a/tests/test_restart_load.py
+++ b/tests/test_restart_load.py
@@ -172,7 +172,7 @@
 
     def test_the_table_arrives_in_half_a_second(self) -> None:
         mirror, taken_s = self.transfer()
-        self.assertTrue(mirror.is_complete)
+        self.assertTrue(mirror.confirm(self.machine.revision))
         self.assertEqual(ROUTES, len(mirror.routes))
         self.assertEqual(TARGETS, len(mirror.targets))
         self.assertLess(taken_s, 0.5)
--- a/tests/test_started_entries.py
+++ b/tests/test_started_entries.py
@@ -27,9 +27,10 @@
 # they do.
 CURRENT_S = 3.0
 STILL_S = 5.0
-RECOVERY_S = 4.0
-# Entries serve again this long after the current members go on.
-CATCH_UP_S = 2.0
+# Entries serve again this long after the current members go on, the
+# `catchUp` of the deployments.
+CATCH_UP_S = 4.0
+SAMPLE_S = 2.0
 MIN_SERVED_SHARE = 0.95
 # One of the members that entries know at their start.
 MISSED = 'core-1'
@@ -103,7 +104,7 @@
         await asyncio.sleep(STILL_S)
         self.send(CURRENT, signal.SIGCONT)
         awake_at = time.monotonic()
-        await asyncio.sleep(RECOVERY_S)
+        await asyncio.sleep(CATCH_UP_S + SAMPLE_S)
         late = [
             run.started_at - acknowledged
             for run in self.record.runs
