Count ended entries among the senders for the window of the bound

Entries share the retry slack by the number of entries that members count. A member that has started anew counts fewer after 2.5 s, without those that ended meanwhile, while the retries that they made still count against the bound: half of eight entries that end together with the members take their part, and the others then share all of it.

The largest count of the last window decides now, of whatever member, not the latest one of each. A test has a member that counts 4 of 8 from 1 s on: the number falls after the window of 20 s, it fell after 10 s or less before. The tests of the catalog pass.

--- a/fulmarseam/gateway/_poller.py
+++ b/fulmarseam/gateway/_poller.py
@@ -110,7 +110,7 @@
         self._leader_heard_at = float('-inf')
         # The members as an answer listed them last.
         self._group: list[str] = []
-        self._sender_count = catalog.SenderCount()
+        self._sender_count = catalog.SenderCount(options.retry_window)
 
     @property
     def senders(self) -> int:
@@ -298,7 +298,6 @@
         self._record_reachability(address, None)
         self._sender_count.record(
             time.monotonic(),
-            address,
             answer.entry_count,
             answer.is_count_partial,
         )
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -482,47 +482,58 @@
                 now, fixtures.make_poll(entry, 'ost', 'ost-wien')
             )
 
-    def record(self, now: float, member: str) -> int:
+    def record(self, now: float) -> int:
         self.count.record(
             now,
-            member,
             self.registry.count_senders(now),
             self.registry.is_count_partial(now),
         )
         return self.count.senders
 
     def test_the_member_polled_last_does_not_decide(self) -> None:
-        self.count.record(0.0, 'm1', 7, False)
-        self.count.record(0.1, 'm2', 3, False)
+        self.count.record(0.0, 7, False)
+        self.count.record(0.1, 3, False)
         self.assertEqual(7, self.count.senders)
 
     def test_a_restarted_member_does_not_count_from_one(self) -> None:
-        self.count.record(0.0, 'm1', 7, False)
+        self.count.record(0.0, 7, False)
         for step in range(30):
             self.poll(0.1 + step * 0.8, 'e1')
             if step < 3:
-                self.assertEqual(7, self.record(0.1 + step * 0.8, 'm1'))
+                self.assertEqual(7, self.record(0.1 + step * 0.8))
         # By then the other six have really gone.
-        self.assertEqual(1, self.record(30.0, 'm1'))
+        self.assertEqual(1, self.record(30.0))
+
+    # The others took their parts of a bound before they ended.
+    def test_entries_that_ended_share_the_bound_for_its_window(self) -> None:
+        count = catalog.SenderCount(20.0)
+        count.record(0.0, 8, False)
+        for now in (1.0, 10.0, 19.0):
+            count.record(now, 4, False)
+            self.assertEqual(8, count.senders)
+        count.record(21.0, 3, False)
+        self.assertEqual(4, count.senders)
+        count.record(22.0, 5, False)
+        self.assertEqual(5, count.senders)
 
     def test_a_first_start_counts_at_once(self) -> None:
         # All entries start with the members and know no count.
         self.poll(0.0, 'e1')
-        self.assertEqual(1, self.record(0.0, 'm1'))
+        self.assertEqual(1, self.record(0.0))
         self.poll(0.2, 'e2', 'e3')
-        self.assertEqual(3, self.record(0.2, 'm1'))
+        self.assertEqual(3, self.record(0.2))
 
     def test_a_member_that_was_paused_does_not_lower_the_count(self) -> None:
         for step in range(5):
             self.poll(float(step), 'e1', 'e2', 'e3')
-        self.assertEqual(3, self.record(4.0, 'm1'))
+        self.assertEqual(3, self.record(4.0))
         self.poll(104.0, 'e1')
-        self.assertEqual(3, self.record(104.0, 'm1'))
+        self.assertEqual(3, self.record(104.0))
 
     def test_a_member_that_is_gone_is_forgotten(self) -> None:
-        self.count.record(0.0, 'm1', 7, False)
-        self.count.record(5.0, 'm2', 3, False)
-        self.count.record(11.0, 'm2', 3, False)
+        self.count.record(0.0, 7, False)
+        self.count.record(5.0, 3, False)
+        self.count.record(11.0, 3, False)
         self.assertEqual(3, self.count.senders)
 
 
