Withhold the retry slack from an entry that has just started

Targets got more repeats than the budget allows while entries started anew one after the other: each process had an empty window and its whole part of the slack again, although the process before had used it within the same window.

An entry uses none of the slack in its first window now, and keeps the ratio. Traffic starts about a window after the first start of a system, and first_start lifts this for one that cannot have run before.

--- a/fulmarseam/gateway/_daemon.py
+++ b/fulmarseam/gateway/_daemon.py
@@ -72,7 +72,12 @@
         self.mirror = catalog.CatalogMirror()
         self._target_pools = http.TargetPools(self.caller_intake.answer_budget)
         self.load_balancer = _load_balancer.LoadBalancer(
-            options, self.mirror, self._target_pools.has_idle
+            options,
+            self.mirror,
+            self._target_pools.has_idle,
+            float('-inf')
+            if options.first_start
+            else self._loop.time() + options.retry_window,
         )
         self.routes = _routes.RouteTable()
         self.organisations = catalog.OrganisationTable()
--- a/fulmarseam/gateway/_load_balancer.py
+++ b/fulmarseam/gateway/_load_balancer.py
@@ -37,8 +37,11 @@
         options: settings.GatewaySettings,
         mirror: catalog.CatalogMirror,
         has_kept_connection: Callable[[str], bool] = _has_none,
+        retry_slack_from: float = float('-inf'),
     ) -> None:
-        table = self._table = _target_table.TargetTable(options, mirror)
+        table = self._table = _target_table.TargetTable(
+            options, mirror, retry_slack_from
+        )
         self._targets = table.targets
         self.limited_targets = table.limited_targets
         self.notices = table.notices
--- a/fulmarseam/gateway/_target_table.py
+++ b/fulmarseam/gateway/_target_table.py
@@ -28,13 +28,18 @@
 
     `version` changes with the targets of any pool. `limited_targets` and
     `notices` hold what the targets say about the requests that they want.
-    `senders` entries share the bounds.
+    `senders` entries share the bounds. Before `retry_slack_from` no retry
+    uses the slack.
     """
 
     def __init__(
-        self, options: settings.GatewaySettings, mirror: catalog.CatalogMirror
+        self,
+        options: settings.GatewaySettings,
+        mirror: catalog.CatalogMirror,
+        retry_slack_from: float = float('-inf'),
     ) -> None:
         self._options = options
+        self._retry_slack_from = retry_slack_from
         self._mirror = mirror
         self.targets: dict[ids.TargetId, steering.ObservedTarget] = {}
         self.pools: dict[ids.PoolName, _pools.Pool] = {}
@@ -179,6 +184,7 @@
                     options.retry_ratio * RETRY_SHARE_USED,
                     self._compute_slack(),
                     options.retry_window,
+                    self._retry_slack_from,
                 )
             )
         return pool
--- a/fulmarseam/settings/_catalog.py
+++ b/fulmarseam/settings/_catalog.py
@@ -108,7 +108,9 @@
     `listen` is for callers and `readiness` for the checks of the platform.
     `seeds` and `peer_port` are those of the control members. The retry
     bounds hold for the sum of all entries: in any `retry_window` a pool
-    gets at most `retry_ratio` x its requests + `retry_slack` repeats. A
+    gets at most `retry_ratio` x its requests + `retry_slack` repeats. An
+    entry uses none of the slack in its first window, unless `first_start`
+    says that no process of it can have run before. A
     cold target gets at most its rate x `cold_factor` + `cold_slack`
     requests a second. In any `quota_window` an organisation gets at
     most (rate x window + burst) x (1 + `quota_overage`) + `quota_slack`
@@ -132,6 +134,7 @@
     retry_ratio: float = _option(_options.number(0.0, 10.0), 0.2)
     retry_slack: float = _option(_options.number(0.0, 1e6), 10.0)
     retry_window: float = _option(_options.duration(0.1, 600.0), 10.0)
+    first_start: bool = _option(_options.boolean(), False)
     cold_factor: float = _option(_options.number(0.0, 100.0), 1.5)
     cold_slack: float = _option(_options.number(0.0, 1e6), 5.0)
     memory_limit: int | None = _option(
--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -145,6 +145,7 @@
             peer_port=int(port),
             grace=2.0,
             retry_slack=40.0,
+            first_start=True,
         )
 
     async def asyncTearDown(self) -> None:
--- a/tests/rate_limit_case.py
+++ b/tests/rate_limit_case.py
@@ -116,6 +116,8 @@
     # Interval of announcements, in seconds. Tests that announce targets only
     # once need a long one.
     heartbeat_s = 20.0
+    # Whether entries start for the first time.
+    is_first_start = True
 
     async def asyncSetUp(self) -> None:
         asyncio.get_running_loop().set_debug(False)
@@ -207,6 +209,7 @@
             readiness=fakes.find_free_address(),
             seeds=[f'{MEMBER_HOST}:1'],
             peer_port=self.peer_port,
+            first_start=self.is_first_start,
         )
 
     async def put_items(self, **route: object) -> None:
--- a/tests/test_even_parts.py
+++ b/tests/test_even_parts.py
@@ -70,7 +70,7 @@
     """Scenario: each request of all entries would be sent once more.
 
     Guards against retries of all entries together above the budget, also
-    when callers move from one entry to another.
+    when callers move from one entry to another, and when entries start anew.
     """
 
     RATIO = 0.2
@@ -82,24 +82,40 @@
     def test_the_sum_stays_within_the_budget(self) -> None:
         for entries in SIZES:
             with self.subTest(entries=entries):
-                self.check(entries)
+                self.check(entries, 0.0)
 
-    def check(self, entries: int) -> None:
+    # Each process had its part of the slack anew.
+    def test_the_sum_stays_within_the_budget_over_restarts(self) -> None:
+        for entries in SIZES:
+            with self.subTest(entries=entries):
+                self.check(entries, 0.5)
+
+    def make_budget(
+        self, entries: int, slack_from: float
+    ) -> steering.WindowedRetryBudget:
+        """Return the budget of one of several entries."""
+        return steering.WindowedRetryBudget(
+            self.RATIO * self.USED,
+            self.SLACK * self.USED / entries,
+            self.WINDOW_S,
+            slack_from,
+        )
+
+    def check(self, entries: int, restarts_per_s: float) -> None:
+        """Check all windows; each entry starts anew `restarts_per_s` times."""
         rng = random.Random(entries)
-        budgets = [
-            steering.WindowedRetryBudget(
-                self.RATIO * self.USED,
-                self.SLACK * self.USED / entries,
-                self.WINDOW_S,
-            )
-            for _ in range(entries)
-        ]
+        budgets = [self.make_budget(entries, 0.0) for _ in range(entries)]
         requests = []
         retries = []
         for step in range(6_000):
             now = step * STEP_S
             # Callers use another third of the entries each 5 s.
             first = int(now / 5.0) * entries // 3
+            for number in range(entries):
+                if rng.random() < restarts_per_s * STEP_S:
+                    budgets[number] = self.make_budget(
+                        entries, now + self.WINDOW_S
+                    )
             budget = budgets[
                 (first + rng.randrange(max(1, entries // 3))) % entries
             ]
--- a/tests/test_retry_budgets.py
+++ b/tests/test_retry_budgets.py
@@ -75,6 +75,7 @@
         for start in range(STARTS):
             if start:
                 await self.stop_entries()
+                self.is_first_start = False
                 await self.start_entries(1)
             caller = rate_limit_case.Caller(self.addresses[-1], f'e{start}')
             await caller.run(RATE_PER_S, PERIOD_S)
