Count repeats through further entries as retries

Targets got more repeats than the budget allows from requests that an entry without paths sends through others: after targets of one entry had refused a request, it went through a second and a third one. The entry that relays took this for the first try, and the others do not count relayed requests.

A refusal of a relayed request tells now how often targets may have got it, and relay.Relays asks the retry budget before the next entry repeats it, in gateway and entry alike. What no target got still goes on at once.

--- a/fulmarseam/entry/_answers.py
+++ b/fulmarseam/entry/_answers.py
@@ -5,6 +5,7 @@
 
 from fulmarseam import errors
 from fulmarseam import http
+from fulmarseam.entry import _requests
 
 OUTCOME_HEADER = b'fulmarseam-outcome'
 KIND_HEADER = b'fulmarseam-kind'
@@ -61,6 +62,8 @@
 
 
 def _make_extra_headers(error: errors.FulmarseamError) -> http.Headers:
+    if error.arrivals is not None:
+        return [(_requests.RELAYED_HEADER, b'%d' % error.arrivals)]
     if error.kind is errors.ErrorKind.ROUTE_RETIRED:
         max_age = b'max-age=%d' % RETIRED_MAX_AGE_S
         return [(b'cache-control', max_age)]
--- a/fulmarseam/entry/_attempts.py
+++ b/fulmarseam/entry/_attempts.py
@@ -51,7 +51,15 @@
 
 
 class TargetShedError(Exception):
-    """The target declared that it did not run the request."""
+    """The target declared that it did not run the request.
+
+    `has_reached_target` is unset if another entry declared it, before any
+    target got the request.
+    """
+
+    def __init__(self, detail: str, has_reached_target: bool = True) -> None:
+        super().__init__(detail)
+        self.has_reached_target = has_reached_target
 
 
 class Attempt:
@@ -160,7 +168,10 @@
         self._check_attempt(response)
         self.notice = notices.read_notice(response, LEAVING_HEADER)
         if is_shed(response):
-            raise TargetShedError(f'{self._choice.target} shed the request')
+            raise TargetShedError(
+                f'{self._choice.target} shed the request',
+                response.fields.get(_requests.RELAYED_HEADER) != b'0',
+            )
         self._start_response(response)
         await self._forward_body(connection)
         if self.store_answer:
--- a/fulmarseam/entry/_daemon.py
+++ b/fulmarseam/entry/_daemon.py
@@ -116,7 +116,7 @@
         self.lookups = _lookups.Lookups(options, self.state)
         self._entry_pools = http.TargetPools(self.caller_intake.answer_budget)
         self._relayer = _relaying.Relayer(
-            options, self.state, self._entry_pools
+            options, self.state, self._entry_pools, self.pools
         )
         self.prober = relay.Prober(
             relay.Paths(
--- a/fulmarseam/entry/_proxying.py
+++ b/fulmarseam/entry/_proxying.py
@@ -178,6 +178,9 @@
         self.relayed_requests.start(self._dependencies.count_active())
         try:
             await self._run(context)
+        except errors.FulmarseamError as error:
+            error.arrivals = context.arrivals
+            raise
         finally:
             self.relayed_requests.finish()
 
@@ -198,7 +201,7 @@
                 if not context.caller.body_done:
                     await context.read_prefix()
                 if self._is_out_of_reach(context):
-                    await self._dependencies.relayer.relay(context)
+                    await self._dependencies.relayer.relay_request(context)
                     return
                 claim = self._dependencies.claims.create_claim(context)
                 try:
@@ -303,6 +306,7 @@
             sent = attempt is not None and (
                 attempt.progress is not http.Progress.NOT_SENT
             )
+            context.arrivals += sent
             self._scheduler.release(context, placement, sent)
 
     async def _forward(
--- a/fulmarseam/entry/_relaying.py
+++ b/fulmarseam/entry/_relaying.py
@@ -10,6 +10,7 @@
 from fulmarseam import steering
 from fulmarseam import wire
 from fulmarseam.entry import _attempts
+from fulmarseam.entry import _pools
 from fulmarseam.entry import _requests
 from fulmarseam.entry import _state
 
@@ -29,8 +30,10 @@
         options: settings.EntrySettings,
         state: _state.SharedState,
         entry_pools: http.TargetPools,
+        pools: _pools.Pools,
     ) -> None:
         self._options = options
+        self._pools = pools
         self._state = state
         self._entry_pools = entry_pools
         self.relays = relay.Relays(options.region, self._list_entries)
@@ -44,7 +47,7 @@
             and entry != self._options.entry_id
         ]
 
-    async def relay(self, context: _requests.RequestContext) -> None:
+    async def relay_request(self, context: _requests.RequestContext) -> None:
         """Relay a request.
 
         Raises `errors.FulmarseamError` if no entry answers it.
@@ -57,6 +60,7 @@
             context.deadline,
             context.body,
             functools.partial(self._send, context),
+            self._pools.get(context.route.pool).retry_budget.try_acquire,
         )
         if failure is not None:
             raise failure.error or errors.FulmarseamError(
@@ -67,7 +71,7 @@
 
     async def _send(
         self, context: _requests.RequestContext, entry: wire.EntryAddress
-    ) -> errors.FulmarseamError | None:
+    ) -> relay.RelayFailure | None:
         """Send a request to one entry; return None if it is answered."""
         attempt = _attempts.Attempt(
             context,
@@ -86,10 +90,13 @@
             await attempt.run()
             return None
         except _attempts.TargetShedError as error:
-            return errors.FulmarseamError(
-                errors.ErrorKind.TARGET_SHED, f'{entry.address}: {error}'
+            return relay.RelayFailure(
+                errors.FulmarseamError(
+                    errors.ErrorKind.TARGET_SHED, f'{entry.address}: {error}'
+                ),
+                error.has_reached_target,
             )
         except http.TargetError as error:
-            return relay.make_error(entry, error, attempt.progress)
+            return relay.make_failure(entry, error, attempt.progress)
         except errors.FulmarseamError as error:
             raise relay.make_body_error(error, attempt.progress) from error
--- a/fulmarseam/entry/_requests.py
+++ b/fulmarseam/entry/_requests.py
@@ -9,7 +9,8 @@
 
 DEADLINE_HEADER = b'fulmarseam-deadline-ms'
 REQUEST_ID_HEADER = b'idempotency-key'
-# Marks a request that another entry relays, which is relayed no further.
+# Marks a request that another entry relays, which is relayed no further. In an
+# error of such a request it is how often targets may have got it.
 RELAYED_HEADER = b'fulmarseam-relayed'
 # Headers that a request has once, beside the request id.
 _SINGLE_FIELDS = frozenset((DEADLINE_HEADER, RELAYED_HEADER))
@@ -30,6 +31,7 @@
     """
 
     __slots__ = (
+        'arrivals',
         'arrived_at',
         'body',
         'caller',
@@ -64,6 +66,8 @@
         self.traceparent: str | None = None
         self.body = http.CallerBody(caller, MAX_REPLAY_BODY_BYTES)
         self.body_prefix = b''
+        # How often targets may have got the request.
+        self.arrivals = 0
         # Whether another entry relays the request.
         self.is_relayed = RELAYED_HEADER in request.fields
         self.is_trial = False
--- a/fulmarseam/errors/_exceptions.py
+++ b/fulmarseam/errors/_exceptions.py
@@ -11,7 +11,8 @@
     """A failure with a kind and a detail for the reader.
 
     `retry_after_s` is when the caller should come back, if that is known
-    better than by the kind.
+    better than by the kind. `arrivals` is set for a request that another entry
+    relays: how often targets may have got it.
     """
 
     def __init__(
@@ -24,6 +25,7 @@
         self.kind = kind
         self.detail = detail or kind.value
         self.retry_after_s = retry_after_s
+        self.arrivals: int | None = None
 
     @property
     def answer(self) -> Answer:
--- a/fulmarseam/gateway/_attempts.py
+++ b/fulmarseam/gateway/_attempts.py
@@ -96,6 +96,8 @@
         self.has_answered = False
         # Whether a new connection opened.
         self.has_opened = False
+        # Whether a target may have got the request, if it goes to an entry.
+        self.has_reached_target = True
         # Whether the target ran the request and did not fail it.
         self.is_served = False
 
@@ -346,6 +348,10 @@
             response, http_names.rate_limit
         )
         if http_names.not_run in response.fields:
+            # An entry of the previous release does not tell.
+            self.has_reached_target = (
+                response.fields.get(http_names.relayed) != b'0'
+            )
             raise NotRunError(f'the target answered {response.status}')
         self.is_served = response.status < 500
 
--- a/fulmarseam/gateway/_forwarding.py
+++ b/fulmarseam/gateway/_forwarding.py
@@ -305,7 +305,7 @@
                 # The other entry asks for a trial by itself.
                 context.is_trial = False
                 dependencies.crash_guard.end_trial(context.fingerprint())
-            relayed = await dependencies.relayer.relay(
+            relayed = await dependencies.relayer.relay_request(
                 context, retries.pool_name, summary
             )
             if relayed is None:
--- a/fulmarseam/gateway/_http_names.py
+++ b/fulmarseam/gateway/_http_names.py
@@ -14,11 +14,12 @@
     `leaving` is `1` in the answers of a target that leaves.
     `rate_limit` is the number of requests a second that the target takes
     from all entries together. `stamp` is a target's mark on its answers.
-    `relayed` marks a request that another entry
-    relays, and is the number of targets that may still run it. `affinity` is
-    the cookie that names the object of a request, and `readiness_path` the
-    path of the platform's readiness checks. `organisation` names the
-    organisation of the caller to targets and other entries.
+    `relayed` marks a request that another entry relays, and is the number of
+    targets that may still run it; in the refusal of such a request it is how
+    often targets may have got it. `affinity` is the cookie that names the
+    object of a request, and `readiness_path` the path of the platform's
+    readiness checks. `organisation` names the organisation of the caller to
+    targets and other entries.
     """
 
     request_id: bytes = b'fulmarseam-request-id'
--- a/fulmarseam/gateway/_relaying.py
+++ b/fulmarseam/gateway/_relaying.py
@@ -40,8 +40,9 @@
         self._http_names = http_names
         self._entry_pools = entry_pools
         self._load_balancer = load_balancer
+        self._loop = asyncio.get_running_loop()
 
-    async def relay(
+    async def relay_request(
         self,
         context: _requests.RequestContext,
         pool: ids.PoolName,
@@ -54,14 +55,18 @@
             context.deadline,
             context.body,
             functools.partial(self._relay_through, context, summary),
+            functools.partial(self._try_acquire_retry, pool),
         )
 
+    def _try_acquire_retry(self, pool: ids.PoolName) -> bool:
+        return self._load_balancer.try_acquire_retry(self._loop.time(), pool)
+
     async def _relay_through(
         self,
         context: _requests.RequestContext,
         summary: _summaries.RequestSummary,
         entry: wire.EntryAddress,
-    ) -> errors.FulmarseamError | None:
+    ) -> relay.RelayFailure | None:
         """Send a request to one entry; return None if it is answered."""
         self._organisations.check(context)
         summary.add_relay(entry.address)
@@ -87,15 +92,18 @@
             await _sending.send_answer(context, attempt, answer)
             return None
         except _attempts.NotRunError as error:
-            return errors.FulmarseamError(
-                errors.ErrorKind.TARGET_SHED, f'{entry.address}: {error}'
+            return relay.RelayFailure(
+                errors.FulmarseamError(
+                    errors.ErrorKind.TARGET_SHED, f'{entry.address}: {error}'
+                ),
+                attempt.has_reached_target,
             )
         except http.TargetError as error:
             if context.caller.response_started:
                 raise errors.FulmarseamError(
                     errors.ErrorKind.TARGET_FAILED, error.detail
                 ) from error
-            return relay.make_error(entry, error, attempt.progress)
+            return relay.make_failure(entry, error, attempt.progress)
         except errors.FulmarseamError as error:
             raise relay.make_body_error(error, attempt.progress) from error
         finally:
@@ -120,7 +128,7 @@
         ]
         if notice is not None and notice.is_leaving:
             self._load_balancer.record_relayed_leave(
-                asyncio.get_running_loop().time(),
+                self._loop.time(),
                 ids.TargetId(target.decode('latin-1')),
             )
 
@@ -132,7 +140,8 @@
 ) -> None:
     """Tell the entry that relays a request about an error.
 
-    It tells that entry whether the request has run.
+    It tells that entry whether the request has run, and how many targets may
+    have got it.
     """
     answer = _answers.make_answer(error)
     headers = list(answer.headers)
@@ -140,4 +149,5 @@
         headers.append((http_names.request_id, context.request_id))
     if error.answer.outcome is errors.Outcome.NOT_RUN:
         headers.append((http_names.not_run, b'1'))
+        headers.append((http_names.relayed, b'%d' % context.arrivals))
     context.caller.send_response(answer.status, headers, answer.body)
--- a/fulmarseam/gateway/_requests.py
+++ b/fulmarseam/gateway/_requests.py
@@ -24,6 +24,7 @@
 
     __slots__ = (
         'answered_by',
+        'arrivals',
         'arrived_at',
         'attempted',
         'body',
@@ -69,6 +70,8 @@
         self.hides_credentials = False
         # Targets that may have run the request; a route bounds their number.
         self.attempted: set[ids.TargetId] = set()
+        # How often targets may have got it, if only to refuse it.
+        self.arrivals = 0
         # Targets that have answered it, if only to refuse it.
         self.answered_by: set[ids.TargetId] = set()
         self.body = http.CallerBody(caller, MAX_BUFFERED_BODY_BYTES)
--- a/fulmarseam/gateway/_target_attempts.py
+++ b/fulmarseam/gateway/_target_attempts.py
@@ -156,6 +156,8 @@
                 f'the request body broke off: {error.detail}',
             ) from error
         finally:
+            if attempt.progress is not http.Progress.NOT_SENT:
+                context.arrivals += 1
             self._note_statements(target, attempt)
             self._note_connection(target, attempt)
             attempt.close()
--- a/fulmarseam/relay/__init__.py
+++ b/fulmarseam/relay/__init__.py
@@ -5,7 +5,7 @@
 but relay them no further::
 
     failure = await relays.relay(
-        pool, allowed_regions, deadline, body, send
+        pool, allowed_regions, deadline, body, send, try_acquire_retry
     )
     if failure is not None:
         raise failure.error or refusal
@@ -16,7 +16,7 @@
 from fulmarseam.relay._probes import Prober
 from fulmarseam.relay._relayed import RelayedRequests
 from fulmarseam.relay._relays import make_body_error
-from fulmarseam.relay._relays import make_error
+from fulmarseam.relay._relays import make_failure
 from fulmarseam.relay._relays import RelayFailure
 from fulmarseam.relay._relays import Relays
 
@@ -28,5 +28,5 @@
     'RelayedRequests',
     'Relays',
     'make_body_error',
-    'make_error',
+    'make_failure',
 ]
--- a/fulmarseam/relay/_relays.py
+++ b/fulmarseam/relay/_relays.py
@@ -38,8 +38,6 @@
 MAX_TRIED = 3
 
 FetchEntries = Callable[[], Awaitable[list[wire.EntryAddress]]]
-# Sends a request through an entry; returns None if the caller has its answer.
-Send = Callable[[wire.EntryAddress], Awaitable[errors.FulmarseamError | None]]
 
 _log = logbook.Logger('relay')
 
@@ -47,10 +45,17 @@
 class RelayFailure(NamedTuple):
     """Why no entry answered a request.
 
-    `error` is None if no entry could be asked.
+    `error` is None if no entry could be asked. `has_reached_target` tells
+    whether a target may have got the request, if only to refuse it.
     """
 
     error: errors.FulmarseamError | None = None
+    has_reached_target: bool = False
+
+
+# Sends a request through an entry; returns None if the caller has its answer.
+# The failure that it returns has an error.
+Send = Callable[[wire.EntryAddress], Awaitable[RelayFailure | None]]
 
 
 class _Pause(NamedTuple):
@@ -118,11 +123,14 @@
         deadline: float,
         body: http.CallerBody,
         send: Send,
+        try_acquire_retry: Callable[[], bool],
     ) -> RelayFailure | None:
         """Send a request for a pool through one entry after another.
 
         An entry that did not run it is followed by the next one, a few at
-        most, while `body` can start again. Returns None once the caller has
+        most, while `body` can start again. If a target may have got it, the
+        next one repeats it, which `try_acquire_retry` must allow: no other
+        entry counts that. Returns None once the caller has
         its answer. With `allowed_regions` only entries there or in the region
         of the caller are used. `deadline` is in seconds of the event loop's
         clock.
@@ -137,14 +145,16 @@
             with self._start(pool, allowed_regions, tried) as entry:
                 if entry is None:
                     break
+                if failure.has_reached_target and not try_acquire_retry():
+                    break
                 tried.add(entry.address)
-                error = await send(entry)
-            if error is None:
+                result = await send(entry)
+            if result is None:
                 self._pauses.pop((entry.address, pool), None)
                 return None
-            failure = RelayFailure(error)
+            failure = result
             self._pause((entry.address, pool))
-            if error.answer.outcome is not errors.Outcome.NOT_RUN:
+            if not _is_not_run(failure):
                 break
         return failure
 
@@ -225,18 +235,27 @@
         return sum(self._in_flight.values())
 
 
-def make_error(
+def _is_not_run(failure: RelayFailure) -> bool:
+    """Return whether no target ran the request."""
+    error = failure.error
+    return error is None or error.answer.outcome is errors.Outcome.NOT_RUN
+
+
+def make_failure(
     entry: wire.EntryAddress,
     error: http.TargetError,
     progress: http.Progress,
-) -> errors.FulmarseamError:
-    """Return the error of a request that another entry did not answer."""
+) -> RelayFailure:
+    """Return the failure of a request that another entry did not answer."""
     kind = errors.ErrorKind.TARGET_FAILED
     if progress is http.Progress.NOT_SENT:
         kind = errors.ErrorKind.NO_TARGET
     elif error.reason is http.Reason.TIMED_OUT:
         kind = errors.ErrorKind.TARGET_TIMEOUT
-    return errors.FulmarseamError(kind, f'{entry.address}: {error.detail}')
+    return RelayFailure(
+        errors.FulmarseamError(kind, f'{entry.address}: {error.detail}'),
+        has_reached_target=progress is not http.Progress.NOT_SENT,
+    )
 
 
 def make_body_error(
--- a/tests/test_caller_bodies.py
+++ b/tests/test_caller_bodies.py
@@ -20,6 +20,11 @@
 LARGE_BODY = bytes(range(256)) * 2_000
 READ_BEFORE_REFUSAL = 300_000
 SMALL_BODY = b'0123456789' * 1_000
+# No target got the request, so that it needs no retry to go on.
+NOT_RUN_HEADERS = (
+    b'fulmarseam-not-run: 1\r\nfulmarseam-outcome: not-run\r\n'
+    b'fulmarseam-relayed: 0\r\n'
+)
 CHUNK_BYTES = 16_000
 REGION = ids.RegionName('ost')
 
@@ -124,9 +129,7 @@
             left = READ_BEFORE_REFUSAL
             while left > 0:
                 left -= len(await reader.read(left))
-            not_run = (
-                b'fulmarseam-not-run: 1\r\nfulmarseam-outcome: not-run\r\n'
-            )
+            not_run = NOT_RUN_HEADERS
             writer.write(make_answer(headers, target.status, not_run))
             await writer.drain()
             await reader.read()
@@ -329,8 +332,7 @@
     """Refuse a request some time after its head has come."""
     headers = await read_head(reader)
     await asyncio.sleep(0.2)
-    not_run = b'fulmarseam-not-run: 1\r\nfulmarseam-outcome: not-run\r\n'
-    writer.write(make_answer(headers, 503, not_run))
+    writer.write(make_answer(headers, 503, NOT_RUN_HEADERS))
 
 
 async def refuse_at_once(
@@ -345,7 +347,7 @@
         make_answer(
             headers,
             503,
-            b'fulmarseam-not-run: 1\r\nfulmarseam-outcome: not-run\r\n',
+            NOT_RUN_HEADERS,
         )
     )
 
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -188,6 +188,34 @@
             answer = await self.call(f'/{number}')
             self.assertEqual((200, '', 'answered'), answer.describe())
 
+    # Another entry was asked whatever the targets of the first one had got.
+    async def test_a_repeat_through_another_entry_needs_a_retry(self) -> None:
+        sent = []
+
+        async def send(
+            context: object, entry: wire.EntryAddress
+        ) -> relay.RelayFailure:
+            sent.append(entry.address)
+            return relay.RelayFailure(
+                errors.FulmarseamError(
+                    errors.ErrorKind.TARGET_SHED, 'no room'
+                ),
+                has_reached_target=True,
+            )
+
+        relayer = self.entry._relayer
+        relayer._send = send
+        relayer.relays._entries = [
+            wire.EntryAddress(f'127.0.0.1:{port}', ids.RegionName('ost'))
+            for port in range(1, 5)
+        ]
+        self.entry.proxy._is_out_of_reach = lambda context: True
+        # The budget begins with one retry.
+        for expected in (2, 3):
+            answer = await self.call('/x')
+            self.assertEqual((503, 'not-run'), (answer.status, answer.outcome))
+            self.assertEqual(expected, len(sent))
+
     async def test_a_request_does_not_travel_in_circles(self) -> None:
         self.cut(self.entry, CutKind.REFUSED)
         self.cut(self.other, CutKind.REFUSED)
@@ -289,6 +317,11 @@
     async def asyncSetUp(self) -> None:
         self.sent: list[str] = []
         self.error: errors.FulmarseamError | None = None
+        # Whether a target gets the requests that fail.
+        self.has_reached_target = False
+        # How many retries were asked for, and how many are allowed.
+        self.retries = 0
+        self.max_retries = 0
         self.body = http.CallerBody(mock.Mock(), 0)
         self.relays = await self.enterAsyncContext(
             relay.Relays(ids.RegionName('ost'), self.list_entries)
@@ -303,15 +336,26 @@
 
     async def send(
         self, entry: wire.EntryAddress
-    ) -> errors.FulmarseamError | None:
+    ) -> relay.RelayFailure | None:
         self.sent.append(entry.address)
-        return self.error
+        if self.error is None:
+            return None
+        return relay.RelayFailure(self.error, self.has_reached_target)
+
+    def try_acquire_retry(self) -> bool:
+        self.retries += 1
+        return self.retries <= self.max_retries
 
     async def relay(self, pool: str, count: int) -> None:
         deadline = asyncio.get_running_loop().time() + 60.0
         for _ in range(count):
             await self.relays.relay(
-                ids.PoolName(pool), (), deadline, self.body, self.send
+                ids.PoolName(pool),
+                (),
+                deadline,
+                self.body,
+                self.send,
+                self.try_acquire_retry,
             )
             await asyncio.sleep(0.01)
 
@@ -338,6 +382,23 @@
         await self.relay('p', 8)
         self.assertEqual(8, len(self.sent))
 
+    # Targets got requests through one entry after another beyond the budget.
+    async def test_a_repeat_through_another_entry_needs_a_retry(self) -> None:
+        self.error = errors.FulmarseamError(
+            errors.ErrorKind.TARGET_SHED, 'no room'
+        )
+        self.has_reached_target = True
+        self.max_retries = 1
+        await self.relay('p', 1)
+        self.assertEqual((2, 2), (len(self.sent), self.retries))
+
+    async def test_what_no_target_got_is_no_repeat(self) -> None:
+        self.error = errors.FulmarseamError(
+            errors.ErrorKind.NO_CAPACITY, 'no room'
+        )
+        await self.relay('p', 1)
+        self.assertEqual((3, 0), (len(self.sent), self.retries))
+
     async def test_a_request_that_may_have_run_is_relayed_once(self) -> None:
         self.error = errors.FulmarseamError(
             errors.ErrorKind.TARGET_FAILED, 'broken'
@@ -361,10 +422,10 @@
                 for name in regions
             ]
 
-        async def send(entry: wire.EntryAddress) -> errors.FulmarseamError:
+        async def send(entry: wire.EntryAddress) -> relay.RelayFailure:
             sent.append(entry.region)
-            return errors.FulmarseamError(
-                errors.ErrorKind.TARGET_SHED, 'no room'
+            return relay.RelayFailure(
+                errors.FulmarseamError(errors.ErrorKind.TARGET_SHED, 'no room')
             )
 
         relays = await self.enterAsyncContext(
@@ -375,7 +436,9 @@
         allowed = [ids.RegionName('sued')]
         body = mock.Mock(spec=http.CallerBody)
         body.can_start.return_value = True
-        await relays.relay(ids.PoolName('p'), allowed, deadline, body, send)
+        await relays.relay(
+            ids.PoolName('p'), allowed, deadline, body, send, lambda: True
+        )
         self.assertEqual(set(sent), {'ost', 'sued'})
 
 
