--- a/fulmarseam/gateway/_requests.py
+++ b/fulmarseam/gateway/_requests.py
@@ -1,5 +1,7 @@
 """The state of a caller's request in a gateway."""
 
+import hashlib
+
 from fulmarseam import errors
 from fulmarseam import http
 from fulmarseam import ids
@@ -12,6 +14,8 @@
 MAX_BUFFERED_BODY_BYTES = 256 * 1024
 MAX_DEADLINE_DIGITS = 9
 MAX_ATTEMPTS_DIGITS = 3
+MAX_AFFINITY_KEY_BYTES = 128
+AFFINITY_DIGEST_BYTES = 16
 
 
 class RequestContext:
@@ -158,12 +162,19 @@
 def read_affinity(
     request: http.Request, http_names: _http_names.HttpNames
 ) -> str | None:
-    """Return the affinity key, which names the object of a request, if any."""
+    """Return the affinity key, which names the object of a request, if any.
+
+    A long key is replaced by its digest, as thousands of keys are kept.
+    """
     cookie_header = request.fields.get(b'cookie')
     if cookie_header is None:
         return None
     for cookie in cookie_header.split(b';'):
         name, _, value = cookie.strip().partition(b'=')
         if name.lower() == http_names.affinity:
+            if len(value) > MAX_AFFINITY_KEY_BYTES:
+                return hashlib.blake2b(
+                    value, digest_size=AFFINITY_DIGEST_BYTES
+                ).hexdigest()
             return value.decode('latin-1')
     return None
--- a/tests/test_long_inputs.py
+++ b/tests/test_long_inputs.py
@@ -57,3 +57,27 @@
             ('/a/', 'a'),
         ):
             self.assertEqual(name, self.match(path), path)
+
+
+class ObjectKeyTest(unittest.TestCase):
+    """Guards against object keys that use up the memory of an entry."""
+
+    def read(self, key: str) -> str | None:
+        names = gateway.HttpNames()
+        cookie = names.affinity + b'=' + key.encode('latin-1')
+        request = mock.Mock(fields={b'cookie': cookie})
+        return _requests.read_affinity(request, names)
+
+    # Thousands of keys are kept, and a key was as long as the head allows.
+    def test_long_keys_are_kept_as_short_ones(self) -> None:
+        keys = [f'{number}{"k" * 15_500}' for number in range(100)]
+        found = {self.read(key) for key in keys}
+        self.assertEqual(len(keys), len(found))
+        for key in found:
+            assert key is not None
+            self.assertLessEqual(len(key), MAX_KEY_CHARACTERS)
+        self.assertEqual(self.read(keys[0]), self.read(keys[0]))
+
+    def test_usual_keys_stay_as_they_are(self) -> None:
+        for key in ('17', 'k' * MAX_KEY_CHARACTERS):
+            self.assertEqual(key, self.read(key))
