Refuse long bodies of calls that are no configuration

Members read every body whole and parsed it.

Configurations come from operators and keep the limit of the server.

--- a/fulmarseam/platform/_control_api.py
+++ b/fulmarseam/platform/_control_api.py
@@ -28,6 +28,9 @@
 LOOKUP_TTL_S = 1.4
 JSON_HEADERS = [(b'content-type', b'application/json')]
 DIGEST_BYTES = 16
+# Longest body of a call that is no configuration. Announcements of targets
+# have some 300 bytes.
+MAX_BODY_BYTES = 16 * 1024
 
 _log = logbook.Logger('platform')
 
@@ -54,7 +57,7 @@
             return not caller.gone
 
         call = self._member.make_call(is_wanted)
-        body = await http.read_body(caller)
+        body = await _read_body(request, caller, path)
         if path == CONFIG_PATH:
             # The upload of a configuration may take longer than its sender
             # waits for the answer.
@@ -176,6 +179,24 @@
         caller.send_response(200, JSON_HEADERS, body.encode())
 
 
+async def _read_body(
+    request: http.Request, caller: http.CallerConnection, path: str
+) -> bytes:
+    """Return the body of a call, of which only configurations are long.
+
+    Raises like `http.read_body`, before the body if its length is stated.
+    """
+    if path == CONFIG_PATH:
+        return await http.read_body(caller)
+    if request.length is not None and request.length > MAX_BODY_BYTES:
+        raise errors.FulmarseamError(
+            errors.ErrorKind.BODY_TOO_LARGE,
+            f'found a body of {request.length} bytes, expected at most '
+            f'{MAX_BODY_BYTES}',
+        )
+    return await http.read_body(caller, MAX_BODY_BYTES)
+
+
 def _split_target(request: http.Request) -> tuple[str, str]:
     path, _, query = request.target.decode('latin-1').partition('?')
     return path, query
--- a/tests/test_long_inputs.py
+++ b/tests/test_long_inputs.py
@@ -81,3 +81,47 @@
     def test_usual_keys_stay_as_they_are(self) -> None:
         for key in ('17', 'k' * MAX_KEY_CHARACTERS):
             self.assertEqual(key, self.read(key))
+
+
+class HeartbeatTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against calls of targets that end a control member."""
+
+    async def asyncSetUp(self) -> None:
+        self.address = fakes.find_free_address()
+        self.member = mock.Mock()
+        api = _control_api.ControlApi(
+            mock.Mock(lookup_lifetime_limit=5.0), self.member
+        )
+        await self.enterAsyncContext(
+            http.Server(
+                self.address, api.handle_api_request, gateway.make_answer
+            )
+        )
+
+    async def call(self, path: str, header: str, body: bytes) -> bytes:
+        """Send the beginning of a call; return the first line that comes."""
+        host, _, port = self.address.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        head = f'PUT {path} HTTP/1.1\r\nhost: x\r\n{header}\r\n\r\n'
+        writer.write(head.encode() + body)
+        async with asyncio.timeout(ANSWER_S):
+            line = await reader.readline()
+        writer.transport.abort()
+        return line
+
+    async def test_a_long_body_is_refused_before_it_comes(self) -> None:
+        for path in ('/api/instances/x', '/api/evacuate/z'):
+            line = await self.call(
+                path, f'content-length: {HEARTBEAT_BYTES}', b''
+            )
+            self.assertIn(b' 413 ', line)
+
+    async def test_long_chunks_are_refused_while_they_come(self) -> None:
+        size = 64 * 1024
+        line = await self.call(
+            '/api/instances/x',
+            'transfer-encoding: chunked',
+            b'%x\r\n%b\r\n' % (size, b'[' * size),
+        )
+        self.assertIn(b' 413 ', line)
+        self.assertEqual([], self.member.announce.mock_calls)
