Keep the limit of a target that the members do not hear

It was dropped from the catalog, and entries and leader forgot the limit of every incarnation that is not listed.

The four new tests of tests.test_rate_limit_load fail before; its other tests and those of the limits pass.

--- a/fulmarseam/control/_rate_limits.py
+++ b/fulmarseam/control/_rate_limits.py
@@ -47,13 +47,11 @@
         self._issuer.record(
             now, [limit for limit in reported if _is_valid(limit)]
         )
-        self._issuer.update(now, self._is_current_incarnation)
+        self._issuer.update(now, self._find_incarnation)
 
-    def _is_current_incarnation(
-        self, target: ids.TargetId, born_ms: int
-    ) -> bool:
+    def _find_incarnation(self, target: ids.TargetId) -> int | None:
         record = self._machine.targets.get(target)
-        return record is not None and record.born_ms == born_ms
+        return None if record is None else record.born_ms
 
     def issue(self, now: float, request: wire.PermitRequest) -> list[int]:
         """Return the number of permits issued for each ask of an entry."""
--- a/fulmarseam/gateway/_target_table.py
+++ b/fulmarseam/gateway/_target_table.py
@@ -59,7 +59,7 @@
     def update(self, now: float) -> None:
         """Apply the targets and evacuations of the mirror."""
         records = self._mirror.targets
-        self.limited_targets.retain(self._mirror.list_incarnations())
+        self.limited_targets.retain(now, self._mirror.list_incarnations())
         for target in self.targets.keys() - records.keys():
             self._log_phase(self.targets.pop(target).record, 'gone')
             self._unusable.discard(target)
--- a/fulmarseam/steering/_limited_targets.py
+++ b/fulmarseam/steering/_limited_targets.py
@@ -35,7 +35,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Limit:
+class _Limit(_permit_issuer.LimitedIncarnation):
     """What is known of one target; times in seconds.
 
     `change` counts the changes that answers to this entry brought, and
@@ -44,8 +44,6 @@
     requests were to be sent, and `receipts` when permits came, and how many.
     """
 
-    born_ms: int
-    rate_per_s: float
     noted_at: float
     has_ended: bool = False
     change: int = 0
@@ -178,7 +176,7 @@
         listed = set()
         for row in limits:
             if row.rate_per_s is None or (
-                born_ms.get(row.target) != row.born_ms
+                born_ms.get(row.target, row.born_ms) != row.born_ms
             ):
                 continue
             listed.add(row.target)
@@ -200,10 +198,10 @@
             limit.rate_per_s = rate_per_s
             limit.has_ended = row.is_ending
 
-    def retain(self, born_ms: Mapping[ids.TargetId, int]) -> None:
-        """Forget targets that have left or have been replaced."""
+    def retain(self, now: float, born_ms: Mapping[ids.TargetId, int]) -> None:
+        """Forget targets that have been replaced, or absent for long."""
         for target, limit in list(self._limits.items()):
-            if born_ms.get(target) != limit.born_ms:
+            if not limit.is_kept(now, born_ms.get(target)):
                 del self._limits[target]
 
     def list_unreported(
--- a/fulmarseam/steering/_permit_issuer.py
+++ b/fulmarseam/steering/_permit_issuer.py
@@ -41,7 +41,13 @@
 # Bits of a version that count the changes within a term.
 CHANGE_BITS = 20
 
-IsCurrent = Callable[[ids.TargetId, int], bool]
+# A target that is not in the catalog keeps its limit for this long: one that
+# only the members cannot hear still serves, and returns with its limit.
+ABSENCE_S = 300.0
+
+# Returns when the current incarnation of a target started, or None if the
+# catalog does not have the target.
+FindIncarnation = Callable[[ids.TargetId], int | None]
 
 
 def compute_offline_rate(rate_per_s: float, senders: int) -> float:
@@ -56,15 +62,37 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Budget:
+class LimitedIncarnation:
+    """One incarnation of a target with a limit; times in seconds.
+
+    `absent_since` is when the catalog was first seen without it.
+    """
+
+    born_ms: int
+    rate_per_s: float
+    absent_since: float | None = dataclasses.field(default=None, kw_only=True)
+
+    def is_kept(self, now: float, current_born_ms: int | None) -> bool:
+        """Return whether the limit still counts.
+
+        `current_born_ms` tells the incarnation in the catalog, if any.
+        """
+        if current_born_ms is not None:
+            self.absent_since = None
+            return current_born_ms == self.born_ms
+        if self.absent_since is None:
+            self.absent_since = now
+        return now - self.absent_since <= ABSENCE_S
+
+
+@dataclasses.dataclass(slots=True)
+class _Budget(LimitedIncarnation):
     """The permits for one incarnation of a target; times in seconds.
 
     `evidence_at` is when an answer named the limit, or when one no longer
     did, from `ended_at` on.
     """
 
-    born_ms: int
-    rate_per_s: float
     published_per_s: float
     evidence_at: float
     refilled_at: float
@@ -131,17 +159,15 @@
         self._change_count = 0
         self._issues_from = now + PERMIT_LIFETIME_S
 
-    def update(self, now: float, is_current: IsCurrent) -> None:
-        """Drop limits that have ended, and those of targets that have.
-
-        `is_current` tells whether a target's incarnation still exists.
-        """
+    def update(self, now: float, find_incarnation: FindIncarnation) -> None:
+        """Drop limits that have ended, and those of targets that have."""
         for target, budget in list(self._budgets.items()):
             has_recovered = (
                 budget.ended_at is not None
                 and now - budget.ended_at > RECOVERY_S
             )
-            if has_recovered or not is_current(target, budget.born_ms):
+            is_kept = budget.is_kept(now, find_incarnation(target))
+            if has_recovered or not is_kept:
                 del self._budgets[target]
                 self._change_count += 1
 
--- a/tests/permit_simulation.py
+++ b/tests/permit_simulation.py
@@ -117,7 +117,7 @@
                 fixtures.make_record('t', born_ms=self.target.born_ms),
                 is_remote=False,
             )
-            entry.limited.retain({TARGET: self.target.born_ms})
+            entry.limited.retain(self.now, {TARGET: self.target.born_ms})
 
     def change_leader(self) -> None:
         """Let another member lead, which knows nothing of limits."""
@@ -174,9 +174,7 @@
         self.heard_at[entry.number] = self.now
         self.issuer.start_term(self.now, self.term)
         self.issuer.record(self.now, rows)
-        self.issuer.update(
-            self.now, lambda target, born_ms: born_ms == self.target.born_ms
-        )
+        self.issuer.update(self.now, lambda target: self.target.born_ms)
 
     def _end_poll(
         self,
--- a/tests/test_rate_limit_load.py
+++ b/tests/test_rate_limit_load.py
@@ -358,6 +358,55 @@
         self.assertGreater(times.schedule(0.0, 2, 10.0), 1.0)
 
 
+class AbsentTargetTest(unittest.TestCase):
+    """Guards against limits that end with a few lost announcements."""
+
+    BORN_MS = 5
+    RATE_PER_S = 2.0
+
+    def setUp(self) -> None:
+        self.target = fixtures.target_id('t')
+        observed = steering.ObservedTarget(
+            fixtures.make_record('t', born_ms=self.BORN_MS), is_remote=False
+        )
+        self.limited = steering.LimitedTargets()
+        self.limited.note_answer(0.0, observed, self.RATE_PER_S)
+        self.issuer = steering.PermitIssuer()
+        self.issuer.start_term(0.0, 1)
+        self.issuer.record(0.0, self.limited.list_unreported(0.0)[0])
+
+    def play(self, now: float, born_ms: int | None) -> list[float | None]:
+        """Apply the catalog; return what the entry and the leader know."""
+        incarnations = {} if born_ms is None else {self.target: born_ms}
+        self.limited.retain(now, incarnations)
+        self.issuer.update(now, incarnations.get)
+        rates = {
+            row.target: row.rate_per_s for row in self.issuer.list_limits()
+        }
+        return [self.limited.get_rate(self.target), rates.get(self.target)]
+
+    # A target that was back after a cut got more than its limit.
+    def test_a_target_that_is_heard_again_keeps_its_limit(self) -> None:
+        kept = [self.RATE_PER_S] * 2
+        for now, born_ms in ((1.0, self.BORN_MS), (2.0, None), (60.0, None)):
+            self.assertEqual(kept, self.play(now, born_ms))
+        self.assertEqual(kept, self.play(61.0, self.BORN_MS))
+
+    def test_a_leader_tells_entries_of_absent_targets(self) -> None:
+        self.play(1.0, None)
+        other = steering.LimitedTargets()
+        other.apply(1.0, self.issuer.version, self.issuer.list_limits(), {})
+        self.assertEqual(self.RATE_PER_S, other.get_rate(self.target))
+
+    def test_another_incarnation_has_no_limit(self) -> None:
+        self.play(1.0, None)
+        self.assertEqual([None, None], self.play(2.0, self.BORN_MS + 1))
+
+    def test_a_target_that_stays_away_is_forgotten(self) -> None:
+        self.play(1.0, None)
+        self.assertEqual([None, None], self.play(400.0, None))
+
+
 class MemoryTest(unittest.TestCase):
     """Guards against an entry that grows while a target names a limit."""
 
