Name the state of a pause that awaits an answer

is_fresh was also the name of the event that a time-out sets, so the property said something else than the event beside it.

--- a/fulmarseam/gateway/_daemon.py
+++ b/fulmarseam/gateway/_daemon.py
@@ -71,13 +71,14 @@
         )
         self.mirror = catalog.CatalogMirror()
         self._target_pools = http.TargetPools(self.caller_intake.answer_budget)
+        retry_slack_from = float('-inf')
+        if not options.first_start:
+            retry_slack_from = self._loop.time() + options.retry_window
         self.load_balancer = _load_balancer.LoadBalancer(
             options,
             self.mirror,
             self._target_pools.has_idle,
-            float('-inf')
-            if options.first_start
-            else self._loop.time() + options.retry_window,
+            retry_slack_from,
         )
         self.routes = _routes.RouteTable()
         self.organisations = catalog.OrganisationTable()
--- a/fulmarseam/gateway/_pauses.py
+++ b/fulmarseam/gateway/_pauses.py
@@ -45,9 +45,9 @@
         self._is_fresh.set()
 
     @property
-    def is_fresh(self) -> bool:
-        """Return whether a member has answered since the last pause."""
-        return self._paused_at is None
+    def awaits_answer(self) -> bool:
+        """Return whether no member has answered since the last pause."""
+        return self._paused_at is not None
 
     def check(self) -> None:
         """Note a sign of life; detect a pause since the last one."""
--- a/fulmarseam/gateway/_poller.py
+++ b/fulmarseam/gateway/_poller.py
@@ -208,7 +208,7 @@
             address,
             False,
             POLL_TIMEOUT_S,
-            not self._mirror.is_complete or not self.pause_guard.is_fresh,
+            not self._mirror.is_complete or self.pause_guard.awaits_answer,
         )
         is_current = answer.is_current
         if is_current is None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -655,10 +655,10 @@
         self.pause_s += 5.0
         self.guard.check()
         await asyncio.sleep(0.3)
-        self.assertFalse(self.guard.is_fresh)
+        self.assertTrue(self.guard.awaits_answer)
         self.is_current = True
         await self.guard.wait_until_fresh()
-        self.assertTrue(self.guard.is_fresh)
+        self.assertFalse(self.guard.awaits_answer)
 
 
 class StartTest(gateway_case.GatewayCase):
