Let the next seed found the group if the founder lost its disk

The member at the next seed takes over once all members of the first start have asked it for 2 s without a change, and each earlier one says that it may not found a group. All are in no group then, and a member binds once, so the former founder's group and the new one never have a majority each.

--- a/fulmarseam/consensus/_discovery.py
+++ b/fulmarseam/consensus/_discovery.py
@@ -2,11 +2,13 @@
 
 Every new member announces itself to the seeds and to all members it learns
 of. The member at the first seed founds the group, only at the first start of
-the system. All other members are listed in the founding record or are added
-by the leader.
+the system. If it has lost its disk before, the member at the next seed takes
+over. All other members are listed in the founding record or are added by the
+leader.
 """
 
 import asyncio
+from collections.abc import Collection
 import contextlib
 import time
 
@@ -32,6 +34,10 @@
 FOUNDING_MAX_WAIT_S = 4.0
 # A candidate that has not asked for this long is gone or has joined.
 CANDIDATE_EXPIRY_S = 1.0
+# The member at a later seed founds the group only if the candidates have been
+# the same for this long. Each has then asked since the earlier founder lost
+# its disk, so none can still get a founding record from there.
+TAKEOVER_STABLE_S = CANDIDATE_EXPIRY_S + QUERY_TIMEOUT_S + 0.5
 
 _log = logbook.Logger('consensus')
 
@@ -47,10 +53,20 @@
         self._latest_by_host: dict[
             ids.HostId, tuple[float, wire.MemberInfo]
         ] = {}
+        # The candidates of the first start of the system.
+        self._initial: set[ids.MemberId] = set()
 
-    def add(self, now: float, info: wire.MemberInfo) -> None:
+    def add(
+        self, now: float, info: wire.MemberInfo, is_first_start: bool = False
+    ) -> None:
         """Record that a candidate has asked to join."""
         self._latest_by_host[info.host] = (now, info)
+        if is_first_start:
+            self._initial.add(info.member)
+
+    def is_initial(self, info: wire.MemberInfo) -> bool:
+        """Return whether a candidate is one of the first start."""
+        return info.member in self._initial
 
     def list_recent(self, now: float) -> list[wire.MemberInfo]:
         """Return the candidates that asked recently, sorted by host."""
@@ -60,6 +76,28 @@
         return [info for _, (_, info) in sorted(self._latest_by_host.items())]
 
 
+def may_take_over(
+    unchanged_s: float,
+    candidates: list[wire.MemberInfo],
+    candidates_without_disk: list[wire.MemberInfo],
+    earlier_seeds: Collection[str],
+    wanted_voters: int,
+) -> bool:
+    """Return whether a member at a later seed may found the group.
+
+    The members at `earlier_seeds` have lost their disks. A group that they
+    founded may exist at members that do not answer. So that no two groups
+    have a majority each, the candidates must be the members of the first
+    start, each in no group, with only those members replaced.
+    """
+    return (
+        unchanged_s >= TAKEOVER_STABLE_S
+        and len(candidates) == wanted_voters
+        and {info.address for info in candidates_without_disk}
+        <= set(earlier_seeds)
+    )
+
+
 def should_found_group(
     waited_s: float,
     unchanged_s: float,
@@ -100,24 +138,36 @@
         self._addresses: set[str] = set(discovery.seeds)
         self._addresses.discard(own_info.address)
         self._started_at = time.monotonic()
-        self._count_changed_at = self._started_at
-        self._candidate_count = 0
+        self._candidates_changed_at = self._started_at
+        self._last_candidates: list[ids.MemberId] = []
+        # The last answer of each address, or None if there was none.
+        self._answers: dict[str, wire.IdentityResponse | None] = {}
         # Id of the group whose leader may add this member, or empty.
         self.joinable_group = ''
 
-    @property
-    def is_founder(self) -> bool:
-        """Return whether this member is the one that founds the group."""
+    def _list_earlier_seeds(self) -> list[str] | None:
+        """Return the seeds before this member, or None if it founds nothing.
+
+        The members there must have lost the right to found the group.
+        """
         seeds = self._discovery.seeds
-        return self._discovery.first_start and (
-            bool(seeds) and seeds[0] == self._own_info.address
-        )
+        own_address = self._own_info.address
+        if not self._discovery.first_start or own_address not in seeds:
+            return None
+        earlier = list(seeds[: seeds.index(own_address)])
+        answers = [self._answers.get(address) for address in earlier]
+        if all(
+            answer is not None and answer.may_found is False
+            for answer in answers
+        ):
+            return earlier
+        return None
 
     async def query_all(self) -> list[wire.IdentityResponse]:
         """Announce this member to every known address; return the answers."""
-        answers = await asyncio.gather(
-            *(self._query(address) for address in sorted(self._addresses))
-        )
+        addresses = sorted(self._addresses)
+        answers = await asyncio.gather(*map(self._query, addresses))
+        self._answers = dict(zip(addresses, answers, strict=True))
         received = [answer for answer in answers if answer is not None]
         for answer in received:
             for info in answer.members.members:
@@ -127,7 +177,9 @@
 
     async def _query(self, address: str) -> wire.IdentityResponse | None:
         request = wire.IdentityRequest(
-            sender=self._own_info.member, candidate=self._own_info
+            sender=self._own_info.member,
+            candidate=self._own_info,
+            is_first_start=self._discovery.first_start,
         )
         with contextlib.suppress(errors.FulmarseamError):
             # An address that does not answer is queried again after
@@ -162,28 +214,49 @@
         self, answers: list[wire.IdentityResponse], new_group_id: str
     ) -> wire.Founding | None:
         """Return the founding of a new group if this member may found it."""
-        if not self.is_founder or any(answer.group for answer in answers):
+        earlier_seeds = self._list_earlier_seeds()
+        if earlier_seeds is None or any(answer.group for answer in answers):
             return None
         now = time.monotonic()
-        self._candidates.add(now, self._own_info)
-        candidates = self._candidates.list_recent(now)
-        if len(candidates) != self._candidate_count:
-            self._candidate_count = len(candidates)
-            self._count_changed_at = now
-        if not should_found_group(
-            now - self._started_at,
-            now - self._count_changed_at,
-            candidates,
-            self._discovery.wanted_voters,
-        ):
+        candidates = self._list_candidates(now)
+        unchanged_s = now - self._candidates_changed_at
+        wanted_voters = self._discovery.wanted_voters
+        if earlier_seeds:
+            is_due = may_take_over(
+                unchanged_s,
+                candidates,
+                [
+                    info
+                    for info in candidates
+                    if not self._candidates.is_initial(info)
+                ],
+                earlier_seeds,
+                wanted_voters,
+            )
+        else:
+            is_due = should_found_group(
+                now - self._started_at, unchanged_s, candidates, wanted_voters
+            )
+        if not is_due:
             return None
         _log.info(
             telemetry.format_event(
                 'group_founded',
                 group=new_group_id,
                 members=','.join(info.member for info in candidates),
+                after_loss_of=','.join(earlier_seeds),
             )
         )
         return wire.Founding(
             group=new_group_id, members=wire.GroupMembers(candidates)
         )
+
+    def _list_candidates(self, now: float) -> list[wire.MemberInfo]:
+        """Return the candidates, and note when they change."""
+        self._candidates.add(now, self._own_info, is_first_start=True)
+        candidates = self._candidates.list_recent(now)
+        members = [info.member for info in candidates]
+        if members != self._last_candidates:
+            self._last_candidates = members
+            self._candidates_changed_at = now
+        return candidates
--- a/fulmarseam/consensus/_runtime.py
+++ b/fulmarseam/consensus/_runtime.py
@@ -262,7 +262,9 @@
             case wire.IdentityRequest():
                 now = time.monotonic()
                 if message.candidate is not None:
-                    self._binding.candidates.add(now, message.candidate)
+                    self._binding.candidates.add(
+                        now, message.candidate, message.is_first_start
+                    )
                 if message.leaving:
                     self._leaving.add(now, message.sender)
                 return self._describe_identity()
@@ -302,6 +304,7 @@
             members=replica.members if replica else wire.GroupMembers(),
             founding=founding,
             committed=replica.committed_members if replica else None,
+            may_found=self._binding.may_found,
         )
 
     async def propose(self, command: bytes) -> bytes:
--- a/fulmarseam/consensus/_runtime_binding.py
+++ b/fulmarseam/consensus/_runtime_binding.py
@@ -48,6 +48,12 @@
         founding = self.identity.founding
         return founding.group if founding else ''
 
+    @property
+    def may_found(self) -> bool | None:
+        """Return whether this member's settings let it found a group."""
+        discovery = self._settings.discovery
+        return None if discovery is None else discovery.first_start
+
     def open(self) -> None:
         """Read the identity; start a bound member or a group of one member.
 
--- a/fulmarseam/wire/_consensus.py
+++ b/fulmarseam/wire/_consensus.py
@@ -201,11 +201,14 @@
 
     `candidate` describes a sender that is in no group and wants to be in one.
     `leaving` is set by a member that has a successor and is about to end.
+    `is_first_start` is set if the candidate's host has lost no disk since the
+    first start of the system.
     """
 
     sender: ids.MemberId
     candidate: MemberInfo | None = None
     leaving: bool = False
+    is_first_start: bool = False
 
 
 class IdentityResponse(
@@ -216,7 +219,9 @@
     `group` is empty while the member belongs to no group. `members` is the
     membership currently known to the member, committed or not; `founding` is
     the initial membership of the group. `committed` is missing from a member
-    that is not bound, and from members of earlier releases.
+    that is not bound, and from members of earlier releases. `may_found` tells
+    whether this is the first start of the system for the member; it is None
+    if that is not known.
     """
 
     member: ids.MemberId
@@ -225,3 +230,4 @@
     members: GroupMembers
     founding: Founding | None = None
     committed: CommittedMembers | None = None
+    may_found: bool | None = None
