--- a/fulmarseam/gateway/_poller.py
+++ b/fulmarseam/gateway/_poller.py
@@ -212,7 +212,8 @@
         )
         is_current = answer.is_current
         if is_current is None:
-            # A member that knows no leader may itself be behind.
+            # Not asked for, or a member of an earlier release: one that knows
+            # no leader may itself be behind.
             is_current = bool(answer.leader)
         revision = answer.revision
         while answer.revision > self._mirror.revision and self._may_fetch():
