Read and build the refusals of relays in one place

Gateway and entry each read the header that tells how often targets may have got a relayed request, and each built the failure of a refused one. Both are functions of relay now.

--- a/fulmarseam/entry/_attempts.py
+++ b/fulmarseam/entry/_attempts.py
@@ -10,6 +10,7 @@
 from fulmarseam import http
 from fulmarseam import notices
 from fulmarseam import records
+from fulmarseam import relay
 from fulmarseam import steering
 from fulmarseam import wire
 from fulmarseam.entry import _answers
@@ -170,7 +171,9 @@
         if is_shed(response):
             raise TargetShedError(
                 f'{self._choice.target} shed the request',
-                response.fields.get(_requests.RELAYED_HEADER) != b'0',
+                relay.may_have_reached_target(
+                    response.fields.get(_requests.RELAYED_HEADER)
+                ),
             )
         self._start_response(response)
         await self._forward_body(connection)
--- a/fulmarseam/entry/_relaying.py
+++ b/fulmarseam/entry/_relaying.py
@@ -90,11 +90,8 @@
             await attempt.run()
             return None
         except _attempts.TargetShedError as error:
-            return relay.RelayFailure(
-                errors.FulmarseamError(
-                    errors.ErrorKind.TARGET_SHED, f'{entry.address}: {error}'
-                ),
-                error.has_reached_target,
+            return relay.make_refusal(
+                entry, str(error), error.has_reached_target
             )
         except http.TargetError as error:
             return relay.make_failure(entry, error, attempt.progress)
--- a/fulmarseam/gateway/_attempts.py
+++ b/fulmarseam/gateway/_attempts.py
@@ -6,6 +6,7 @@
 from fulmarseam import http
 from fulmarseam import ids
 from fulmarseam import notices
+from fulmarseam import relay
 from fulmarseam.gateway import _http_names
 from fulmarseam.gateway import _organisations
 from fulmarseam.gateway import _rate_limits
@@ -348,9 +349,8 @@
             response, http_names.rate_limit
         )
         if http_names.not_run in response.fields:
-            # An entry of the previous release does not tell.
-            self.has_reached_target = (
-                response.fields.get(http_names.relayed) != b'0'
+            self.has_reached_target = relay.may_have_reached_target(
+                response.fields.get(http_names.relayed)
             )
             raise NotRunError(f'the target answered {response.status}')
         self.is_served = response.status < 500
--- a/fulmarseam/gateway/_relaying.py
+++ b/fulmarseam/gateway/_relaying.py
@@ -92,11 +92,8 @@
             await _sending.send_answer(context, attempt, answer)
             return None
         except _attempts.NotRunError as error:
-            return relay.RelayFailure(
-                errors.FulmarseamError(
-                    errors.ErrorKind.TARGET_SHED, f'{entry.address}: {error}'
-                ),
-                attempt.has_reached_target,
+            return relay.make_refusal(
+                entry, str(error), attempt.has_reached_target
             )
         except http.TargetError as error:
             if context.caller.response_started:
--- a/fulmarseam/relay/__init__.py
+++ b/fulmarseam/relay/__init__.py
@@ -17,6 +17,8 @@
 from fulmarseam.relay._relayed import RelayedRequests
 from fulmarseam.relay._relays import make_body_error
 from fulmarseam.relay._relays import make_failure
+from fulmarseam.relay._relays import make_refusal
+from fulmarseam.relay._relays import may_have_reached_target
 from fulmarseam.relay._relays import RelayFailure
 from fulmarseam.relay._relays import Relays
 
@@ -29,4 +31,6 @@
     'Relays',
     'make_body_error',
     'make_failure',
+    'make_refusal',
+    'may_have_reached_target',
 ]
--- a/fulmarseam/relay/_relays.py
+++ b/fulmarseam/relay/_relays.py
@@ -241,6 +241,27 @@
     return error is None or error.answer.outcome is errors.Outcome.NOT_RUN
 
 
+def may_have_reached_target(arrivals: bytes | None) -> bool:
+    """Return whether a target may have got a request that was refused.
+
+    `arrivals` is the header of the refusal that tells how often, which an
+    entry of an earlier release does not send.
+    """
+    return arrivals != b'0'
+
+
+def make_refusal(
+    entry: wire.EntryAddress, detail: str, has_reached_target: bool
+) -> RelayFailure:
+    """Return the failure of a request that another entry refused."""
+    return RelayFailure(
+        errors.FulmarseamError(
+            errors.ErrorKind.TARGET_SHED, f'{entry.address}: {detail}'
+        ),
+        has_reached_target,
+    )
+
+
 def make_failure(
     entry: wire.EntryAddress,
     error: http.TargetError,
