Limit the reads of all answers once the budget is exceeded

Callers of an entry whose memory is used up lose their requests when it ends.

Cause, by a trace of the budget: a connection to a target chose the size of its next read when it received bytes itself. A turn of the event loop that finds 300 sockets ready reads 64 KiB from each before any of them knows that the budget is exceeded: 13.2 MiB held, 3.2 allowed.

Change: connections subscribe to the budget and all read pieces of 8 KiB from the moment one of them exceeds it, also within the same turn.

--- a/fulmarseam/http/_target.py
+++ b/fulmarseam/http/_target.py
@@ -80,16 +80,31 @@
 
     # Memory
 
-    def data_received(self, data: bytes) -> None:
-        """Buffer a piece and count it."""
-        super().data_received(data)
-        self._count_held()
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Let the budget limit what the transport reads."""
+        super().connection_made(transport)
+        self._answer_budget.subscribe(self._limit_reading)
+        self._limit_reading()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Leave the budget and record the end of the connection."""
+        self._answer_budget.unsubscribe(self._limit_reading)
+        super().connection_lost(exc)
+
+    def _limit_reading(self) -> None:
+        # One turn of the loop reads from all sockets that are ready, so the
+        # limit has to hold before the next of them is read.
         self.set_read_limit(
             _limits.PRESSED_READ_BYTES
             if self._answer_budget.is_exceeded
             else _limits.BUFFER_BYTES
         )
 
+    def data_received(self, data: bytes) -> None:
+        """Buffer a piece and count it."""
+        super().data_received(data)
+        self._count_held()
+
     def take_piece(self) -> bytes | None:
         """Return the next received piece, which no longer counts."""
         piece = super().take_piece()
--- a/tests/test_answer_budget.py
+++ b/tests/test_answer_budget.py
@@ -3,8 +3,10 @@
 import asyncio
 from collections.abc import Awaitable
 import contextlib
+import socket
 import unittest
 
+from fulmarseam import http
 from fulmarseam import intake
 from tests import entry_case
 from tests import fakes
@@ -14,9 +16,14 @@
 CALLERS = 20
 # A budget that a few of the answers below exceed.
 LIMIT_BYTES = 256 * KIB
+# The size of a read, and of one while the budget is exceeded.
+READ_BYTES = 64 * KIB
+PRESSED_READ_BYTES = 8 * KIB
+# Enough to read what is ready.
+LOOP_TURNS = 3
 # An answer may take this much in any case: what it may hold, and a piece that
 # has just been read.
-MAX_ANSWER_BYTES = intake.SMALL_ANSWER_BYTES + 64 * KIB
+MAX_ANSWER_BYTES = intake.SMALL_ANSWER_BYTES + READ_BYTES
 MAX_HELD_BYTES = LIMIT_BYTES + CALLERS * MAX_ANSWER_BYTES
 
 LARGE_HEAD = b'x-a: ' + b'a' * 60 * KIB
@@ -43,6 +50,31 @@
         self.assertTrue(budget.may_grow(LIMIT_BYTES))
 
 
+class ReadSizeTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against many answers that are all read in full at once."""
+
+    async def test_answers_that_are_ready_at_the_same_time(self) -> None:
+        budget = intake.AnswerBudget(4 * LIMIT_BYTES)
+        loop = asyncio.get_running_loop()
+        targets = []
+        for _ in range(CALLERS):
+            target, entry = socket.socketpair()
+            targets.append(target)
+            self.addCleanup(target.close)
+            transport, _ = await loop.create_connection(
+                lambda: http.TargetConnection(None, budget), sock=entry
+            )
+            self.addCleanup(transport.abort)
+        for target in targets:
+            target.setblocking(False)
+            target.send(bytes(READ_BYTES))
+        for _ in range(LOOP_TURNS):
+            await asyncio.sleep(0)
+        self.assertGreater(budget.held, LIMIT_BYTES)
+        most = LIMIT_BYTES + READ_BYTES + CALLERS * PRESSED_READ_BYTES
+        self.assertLessEqual(budget.held, most)
+
+
 class HeldBytes:
     """Shrinks a budget and records the most that is held of it."""
 
