Take the vote of a member that has a successor

Cause: a member that ended without a word stayed a voter until it had been silent for 1.5 s. A shorter wait would only narrow the gap, and remove members that elect a leader.

Change: once a successor votes, the leader makes the only other voter of its failure domain a learner, so the group has the wanted number of voters before the replaced member ends. A leader that is replaced goes on to lead without a vote of its own, so nothing pauses. If the successor is silent for 600 s or gone, the replaced member is restored, as the successor of its successor. With several other voters in the domain nothing tells which one is replaced; there all keep their votes as before.

The random faults of the consensus simulation demote and restore members now.

--- a/fulmarseam/consensus/_core.py
+++ b/fulmarseam/consensus/_core.py
@@ -130,6 +130,26 @@
         _core_leader.broadcast(self._state, now, effects)
         return effects
 
+    def demote_member(
+        self, now: float, member: ids.MemberId
+    ) -> _core_types.Effects:
+        """Append a change that takes a vote; raises like `add_learner`."""
+        self._require_leader()
+        effects = _core_types.Effects()
+        _core_change.demote_member(self._state, now, member, effects)
+        _core_leader.broadcast(self._state, now, effects)
+        return effects
+
+    def restore_member(
+        self, now: float, member: ids.MemberId
+    ) -> _core_types.Effects:
+        """Append a change that undoes `demote_member`; raises like it."""
+        self._require_leader()
+        effects = _core_types.Effects()
+        _core_change.restore_member(self._state, member, effects)
+        _core_leader.broadcast(self._state, now, effects)
+        return effects
+
     def compact(self, data: bytes) -> _core_types.Effects:
         """Compact the log; `data` is the state at the commit index."""
         effects = _core_types.Effects()
--- a/fulmarseam/consensus/_core_change.py
+++ b/fulmarseam/consensus/_core_change.py
@@ -97,6 +97,71 @@
     _require_change_allowed(state)
     remaining = [info for info in members.members if info.member != member]
     changed = wire.GroupMembers(remaining, [*members.retired, member])
+    _require_reachable_majority(state, now, member, changed)
+    effects.first_index = _append_change(state, changed, effects)
+
+
+def demote_member(
+    state: _core_state.State,
+    now: float,
+    member: ids.MemberId,
+    effects: _core_types.Effects,
+) -> None:
+    """Append the change that makes a replaced voter a learner.
+
+    A leader may demote itself: it goes on to lead, and counts for no
+    majority. Raises like `remove_member`.
+    """
+    members = state.members
+    found = _core_members.find_member(members, member)
+    if found is None or not found.voter:
+        raise _make_refusal(f'member: found {member}, expected a voter')
+    _require_change_allowed(state)
+    learner = msgspec.structs.replace(found, voter=False, is_replaced=True)
+    changed = wire.GroupMembers(
+        [learner if info is found else info for info in members.members],
+        members.retired,
+    )
+    _require_reachable_majority(state, now, member, changed)
+    effects.first_index = _append_change(state, changed, effects)
+
+
+def restore_member(
+    state: _core_state.State,
+    member: ids.MemberId,
+    effects: _core_types.Effects,
+) -> None:
+    """Append the change that lets a replaced learner become a voter again.
+
+    From then on it is the successor of its successor. Raises
+    `errors.FulmarseamError` with `INVALID_EDIT`.
+    """
+    members = state.members
+    found = _core_members.find_member(members, member)
+    if found is None or not found.is_replaced:
+        raise _make_refusal(
+            f'member: found {member}, expected a replaced member'
+        )
+    _require_change_allowed(state)
+    learner = msgspec.structs.replace(
+        found,
+        is_replaced=False,
+        is_successor=True,
+        domain_voters=_core_members.count_domain_voters(members, found),
+    )
+    # Members are listed as they joined, which decides between successors.
+    others = [info for info in members.members if info is not found]
+    changed = wire.GroupMembers([*others, learner], members.retired)
+    effects.first_index = _append_change(state, changed, effects)
+
+
+def _require_reachable_majority(
+    state: _core_state.State,
+    now: float,
+    member: ids.MemberId,
+    changed: wire.GroupMembers,
+) -> None:
+    """Refuse a change that takes the vote of a member that is needed."""
     reachable = _list_reachable(state, now)
     if not _core_members.has_majority(changed, reachable):
         voters = _core_members.list_voters(changed)
@@ -105,7 +170,6 @@
             f'majority of the voters ({", ".join(voters) or "none"}) is '
             'reachable'
         )
-    effects.first_index = _append_change(state, changed, effects)
 
 
 def _list_reachable(
@@ -129,7 +193,7 @@
         return False
     for info in state.members.members:
         peer = state.peers.get(info.member)
-        if info.voter or peer is None:
+        if info.voter or info.is_replaced or peer is None:
             continue
         if peer.match_index >= state.commit_index:
             _append_change(state, _with_voter(state.members, info), effects)
--- a/fulmarseam/consensus/_repair.py
+++ b/fulmarseam/consensus/_repair.py
@@ -21,8 +21,9 @@
 # member may not answer.
 MAX_SILENCE_S = 1.5
 # A voter beyond the wanted number without a successor is removed if it has not
-# answered for this long. A member that is only without power or cut off, as
-# whole regions are for minutes, keeps its vote and its data.
+# answered for this long, and a successor gives its vote back to the member
+# that it replaced. A member that is only without power or cut off, as whole
+# regions are for minutes, keeps its vote and its data.
 MAX_UNREPLACED_SILENCE_S = 600.0
 # A member that has not asked to leave for this long is gone or goes on.
 LEAVE_EXPIRY_S = 1.0
@@ -40,7 +41,19 @@
     info: wire.MemberInfo
 
 
-Repair = RemoveMember | AddLearner
+class DemoteMember(NamedTuple):
+    """A change that takes the vote of a member that has a successor."""
+
+    member: ids.MemberId
+
+
+class RestoreMember(NamedTuple):
+    """A change that lets a replaced member become a voter again."""
+
+    member: ids.MemberId
+
+
+Repair = RemoveMember | AddLearner | DemoteMember | RestoreMember
 
 
 class SilenceTracker:
@@ -97,6 +110,9 @@
     members: wire.GroupMembers, member: ids.MemberId, wanted_voters: int
 ) -> bool:
     """Return whether the group keeps enough voters without a member."""
+    info = _core_members.find_member(members, member)
+    if info is not None and info.is_replaced:
+        return True
     voters = _core_members.list_voters(members)
     return (
         len(voters) > wanted_voters
@@ -114,7 +130,7 @@
 ) -> Repair | None:
     """Return the next change that `leader` should make, or None.
 
-    `silences` holds the seconds since each member last answered. Four rules
+    `silences` holds the seconds since each member last answered. Six rules
     apply, in this order:
 
     1. Remove a member that asked to leave and has a successor, which may be
@@ -124,6 +140,10 @@
     3. Add a candidate.
     4. Remove a silent learner. If there are more voters than wanted, remove
        a silent voter that has a successor.
+    5. If there are more voters than wanted, demote the only other voter in
+       the failure domain of a successor. It may end at any moment, and would
+       count as a voter until its silence is noticed.
+    6. Restore a replaced member whose successor is silent or gone.
     """
     for member in leaving:
         if can_leave(members, member, wanted_voters):
@@ -135,7 +155,11 @@
                 return RemoveMember(former.member)
     if new_members:
         return _plan_addition(members, new_members[0], wanted_voters)
-    return _plan_removal(leader, members, silences, wanted_voters)
+    return (
+        _plan_removal(leader, members, silences, wanted_voters)
+        or _plan_demotion(members, silences, wanted_voters)
+        or _plan_restoration(leader, members, silences, wanted_voters)
+    )
 
 
 def _is_new(members: wire.GroupMembers, info: wire.MemberInfo) -> bool:
@@ -209,3 +233,55 @@
         if silences[info.member] >= MAX_UNREPLACED_SILENCE_S:
             return RemoveMember(info.member)
     return None
+
+
+def _plan_demotion(
+    members: wire.GroupMembers,
+    silences: Mapping[ids.MemberId, float],
+    wanted_voters: int,
+) -> Repair | None:
+    """Return the demotion of a voter that is certain to be replaced.
+
+    With several other voters in its failure domain, nothing tells which of
+    them a successor replaces.
+    """
+    if len(_core_members.list_voters(members)) <= wanted_voters:
+        return None
+    for info in members.members:
+        successor = _core_members.find_successor(members, info.member)
+        if (
+            info.voter
+            and successor is not None
+            and silences.get(successor.member, 0.0) < MAX_SILENCE_S
+            and _core_members.count_domain_voters(members, info) == 2
+        ):
+            return DemoteMember(info.member)
+    return None
+
+
+def _plan_restoration(
+    leader: ids.MemberId,
+    members: wire.GroupMembers,
+    silences: Mapping[ids.MemberId, float],
+    wanted_voters: int,
+) -> Repair | None:
+    """Return the restoration of a replaced member that is needed again."""
+    voters = [info for info in members.members if info.voter]
+    if len(voters) > wanted_voters or any(
+        not info.voter and not info.is_replaced for info in members.members
+    ):
+        # Another member is about to become a voter or to be demoted.
+        return None
+    for info in members.members:
+        if not info.is_replaced or (
+            silences.get(info.member, 0.0) >= MAX_SILENCE_S
+        ):
+            continue
+        if len(voters) < wanted_voters or any(
+            voter.member != leader
+            and _core_members.share_domain(voter, info)
+            and silences.get(voter.member, 0.0) >= MAX_UNREPLACED_SILENCE_S
+            for voter in voters
+        ):
+            return RestoreMember(info.member)
+    return None
--- a/fulmarseam/consensus/_runtime.py
+++ b/fulmarseam/consensus/_runtime.py
@@ -156,6 +156,16 @@
                     await self._propose_change(
                         lambda now: replica.remove_member(now, member)
                     )
+                case _repair.DemoteMember(member):
+                    event = 'member_demoted'
+                    await self._propose_change(
+                        lambda now: replica.demote_member(now, member)
+                    )
+                case _repair.RestoreMember(member):
+                    event = 'member_restored'
+                    await self._propose_change(
+                        lambda now: replica.restore_member(now, member)
+                    )
         except errors.FulmarseamError as error:
             # The next plan, made from the new state, tries again.
             event = 'member_change_refused'
--- a/fulmarseam/wire/_consensus.py
+++ b/fulmarseam/wire/_consensus.py
@@ -16,7 +16,8 @@
     in a group whose members are named by an operator; `failure_domain` is
     that of the host, empty if a member of an earlier release added it.
     `is_successor` is set for a member that joined to replace another one of
-    its failure domain, which then had `domain_voters`.
+    its failure domain, which then had `domain_voters`. `is_replaced` is set
+    for the learner that gave its vote to a successor.
     """
 
     member: ids.MemberId
@@ -28,6 +29,7 @@
     failure_domain: ids.DomainName = ids.DomainName('')
     is_successor: bool = False
     domain_voters: int = 0
+    is_replaced: bool = False
 
 
 class GroupMembers(msgspec.Struct, frozen=True):
--- a/tests/consensus_simulation.py
+++ b/tests/consensus_simulation.py
@@ -455,6 +455,8 @@
             (1, self._compact),
             (1, self._add),
             (1, self._remove),
+            (1, self._demote),
+            (1, self._restore),
         )
 
     def run(self, seconds: float) -> None:
@@ -536,6 +538,26 @@
             ),
         )
 
+    def _demote(self) -> None:
+        leader = self._pick_leader()
+        name = self._pick().name
+        self._simulation.change_members(
+            leader,
+            lambda replica: replica.demote_member(
+                self._simulation.clock(leader), name
+            ),
+        )
+
+    def _restore(self) -> None:
+        leader = self._pick_leader()
+        name = self._pick().name
+        self._simulation.change_members(
+            leader,
+            lambda replica: replica.restore_member(
+                self._simulation.clock(leader), name
+            ),
+        )
+
 
 def _load_commands(data: bytes) -> list[bytes]:
     return msgspec.msgpack.decode(data, type=list[bytes])
--- a/tests/repair_search.py
+++ b/tests/repair_search.py
@@ -125,6 +125,14 @@
                 self.change_members(
                     node, lambda r: r.remove_member(now, member)
                 )
+            case _repair.DemoteMember(member):
+                self.change_members(
+                    node, lambda r: r.demote_member(now, member)
+                )
+            case _repair.RestoreMember(member):
+                self.change_members(
+                    node, lambda r: r.restore_member(now, member)
+                )
 
     def _check_removed(self, node: consensus_simulation.Node) -> None:
         replica = node.replica
--- a/tests/test_consensus_core.py
+++ b/tests/test_consensus_core.py
@@ -213,6 +213,22 @@
             ),
         )
 
+    def demote(self, name: str) -> bool:
+        return self.group.change_members(
+            self.leader,
+            lambda replica: replica.demote_member(
+                self.group.clock(self.leader), name
+            ),
+        )
+
+    def restore(self, name: str) -> bool:
+        return self.group.change_members(
+            self.leader,
+            lambda replica: replica.restore_member(
+                self.group.clock(self.leader), name
+            ),
+        )
+
     def list_voters(self) -> list[str]:
         return _core_members.list_voters(self.replica.members)
 
@@ -311,6 +327,60 @@
         self.assertFalse(self.remove(second.name))
         self.assertTrue(self.remove(first.name))
 
+    def test_demotion_that_would_stop_the_group_is_refused(self) -> None:
+        self.group.run(0.5)
+        first, second = (
+            node
+            for node in self.group.nodes.values()
+            if node is not self.leader
+        )
+        self.group.crash(first)
+        self.group.run(2.0)
+        self.assertFalse(self.demote(second.name))
+        self.assertTrue(self.demote(first.name))
+
+    def test_a_demoted_leader_leads_on_without_a_vote(self) -> None:
+        """Guards against a pause of the group each time a leader is replaced.
+
+        Once it has stopped leading, it must not campaign any more.
+        """
+        group = self.group
+        group.run(0.5)
+        self.assertTrue(self.add('n3'))
+        group.run(0.5)
+        self.assertTrue(self.demote(self.leader.name))
+        group.run(4.0)
+        self.assertIs(_core_types.Role.LEADER, self.replica.role)
+        self.assertEqual(3, len(self.list_voters()))
+        committed = self.replica.commit_index
+        group.propose(self.leader)
+        group.run(0.5)
+        self.assertGreater(self.replica.commit_index, committed)
+        group.crash(self.leader)
+        self.assertIsNot(self.leader, group.wait_for_leader())
+        group.start(self.leader)
+        group.run(4.0)
+        demoted = self.leader.replica
+        assert demoted is not None
+        self.assertIs(_core_types.Role.FOLLOWER, demoted.role)
+        group.heal_and_check()
+
+    def test_a_restored_member_is_a_successor_and_a_voter(self) -> None:
+        group = self.group
+        group.run(0.5)
+        name = next(n for n in group.nodes if n != self.leader.name)
+        self.assertFalse(self.restore(name))
+        self.assertTrue(self.demote(name))
+        group.run(1.0)
+        self.assertNotIn(name, self.list_voters())
+        self.assertTrue(self.restore(name))
+        group.run(1.0)
+        self.assertIn(name, self.list_voters())
+        last = self.replica.members.members[-1]
+        self.assertEqual(name, last.member)
+        self.assertTrue(last.is_successor)
+        self.assertEqual(2, last.domain_voters)
+
     def test_leader_that_removes_itself_hands_over(self) -> None:
         self.group.run(0.5)
         self.assertTrue(self.remove(self.leader.name))
