Announce the group to hosts that may have lost their disk

Two of five disks were lost after a replaced host had been removed, and both wiped members stayed out of the group for good. It then had three voters of five and could bear no further loss.

Cause: a wiped member searches for the group only at its seeds. In the failed runs the removed leader was one of the two seeds, and the other seed had lost its disk itself. The rest of the group knew both addresses, but only sent messages there that a member with another directory refuses. Class of fault: only one side looks for the other, and its knowledge is the older one.

The leader now sends the addresses of the group to every member that has not answered for 1.5 s. A member without a group announces itself there as well, and the leader replaces the former member of its host.

--- a/fulmarseam/consensus/_discovery.py
+++ b/fulmarseam/consensus/_discovery.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import Collection
+from collections.abc import Iterable
 import contextlib
 import time
 
@@ -135,8 +136,8 @@
         self._discovery = discovery
         self._own_info = own_info
         self._candidates = candidates
-        self._addresses: set[str] = set(discovery.seeds)
-        self._addresses.discard(own_info.address)
+        self._addresses: set[str] = set()
+        self.add_addresses(discovery.seeds)
         self._started_at = time.monotonic()
         self._candidates_changed_at = self._started_at
         self._last_candidates: list[ids.MemberId] = []
@@ -145,6 +146,11 @@
         # Id of the group whose leader may add this member, or empty.
         self.joinable_group = ''
 
+    def add_addresses(self, addresses: Iterable[str]) -> None:
+        """Announce this member to these addresses as well from now on."""
+        self._addresses.update(addresses)
+        self._addresses.discard(self._own_info.address)
+
     def _list_earlier_seeds(self) -> list[str] | None:
         """Return the seeds before this member, or None if it founds nothing.
 
@@ -170,9 +176,7 @@
         self._answers = dict(zip(addresses, answers, strict=True))
         received = [answer for answer in answers if answer is not None]
         for answer in received:
-            for info in answer.members.members:
-                if info.address != self._own_info.address:
-                    self._addresses.add(info.address)
+            self.add_addresses(info.address for info in answer.members.members)
         return received
 
     async def _query(self, address: str) -> wire.IdentityResponse | None:
--- a/fulmarseam/consensus/_repair.py
+++ b/fulmarseam/consensus/_repair.py
@@ -86,6 +86,17 @@
         }
 
 
+def list_silent(
+    now: float, last_responses: Mapping[ids.MemberId, float | None]
+) -> list[ids.MemberId]:
+    """Return the members that have not answered the leader for long."""
+    return [
+        member
+        for member, last_response_at in last_responses.items()
+        if last_response_at is None or now - last_response_at >= MAX_SILENCE_S
+    ]
+
+
 class LeavingMembers:
     """Members that asked to leave the group; times in seconds."""
 
--- a/fulmarseam/consensus/_runtime.py
+++ b/fulmarseam/consensus/_runtime.py
@@ -32,6 +32,8 @@
 # compared with the 4 s within which a replacement has to become a voter.
 REPAIR_INTERVAL_S = 0.1
 REMOVAL_CHECK_INTERVAL_S = 0.3
+# How often the leader tells silent members where the group is.
+ANNOUNCE_INTERVAL_S = 0.5
 # How often a member that leaves asks the leader whether it has been removed.
 LEAVE_INTERVAL_S = 0.05
 
@@ -99,13 +101,16 @@
         self._storage.close()
 
     async def _run(self) -> None:
-        repair: asyncio.Task[None] | None = None
+        tasks: list[asyncio.Task[None]] = []
         try:
             await self._binding.run()
             if self._settings.discovery is not None:
-                repair = asyncio.create_task(
-                    self._run_repairs(self._settings.discovery)
-                )
+                tasks = [
+                    asyncio.create_task(
+                        self._run_repairs(self._settings.discovery)
+                    ),
+                    asyncio.create_task(self._run_announcements()),
+                ]
             await self._driver.run()
         except errors.FulmarseamError as error:
             self._fail(error)
@@ -114,8 +119,8 @@
         except Exception as error:
             self._end_process(error)
         finally:
-            if repair is not None:
-                repair.cancel()
+            for task in tasks:
+                task.cancel()
 
     async def _run_repairs(
         self, discovery: _interface.DiscoverySettings
@@ -140,6 +145,21 @@
             if change is not None:
                 await self._apply_repair(replica, change)
 
+    async def _run_announcements(self) -> None:
+        """Tell silent members where the group is while this member leads.
+
+        A host that has lost its disk searches for the group at its seeds,
+        and those may all have been lost or replaced.
+        """
+        while True:
+            await asyncio.sleep(ANNOUNCE_INTERVAL_S)
+            replica = self._driver.replica
+            if replica is not None and replica.leading_term is not None:
+                silent = _repair.list_silent(
+                    time.monotonic(), replica.last_response_times()
+                )
+                await self._binding.announce_group(replica.members, silent)
+
     async def _apply_repair(
         self, replica: _core.Replica, change: _repair.Repair
     ) -> None:
@@ -277,6 +297,7 @@
                     )
                 if message.leaving:
                     self._leaving.add(now, message.sender)
+                self._binding.add_addresses(message.group_addresses)
                 return self._describe_identity()
             case wire.MemberRequest():
                 self._check_recipient(message)
--- a/fulmarseam/consensus/_runtime_binding.py
+++ b/fulmarseam/consensus/_runtime_binding.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Sequence
 import contextlib
 import uuid
 
@@ -134,6 +136,11 @@
                 self._bind(founding)
             await asyncio.sleep(_discovery.QUERY_INTERVAL_S)
 
+    def add_addresses(self, addresses: Iterable[str]) -> None:
+        """Search for the group at these addresses too, if unbound."""
+        if self._finder is not None:
+            self._finder.add_addresses(addresses)
+
     async def _poll_initial_members(self) -> None:
         """Query the initial members until this member is bound.
 
@@ -152,7 +159,13 @@
             ]
             while self.identity.founding is None:
                 answers = await asyncio.gather(
-                    *(self._query_identity(client) for client in clients)
+                    *(
+                        self._query_identity(
+                            client,
+                            wire.IdentityRequest(sender=self.identity.member),
+                        )
+                        for client in clients
+                    )
                 )
                 if self.identity.founding is None:
                     self._decide_binding([item for item in answers if item])
@@ -197,23 +210,39 @@
             and answer.committed is not None
         ]
 
+    async def announce_group(
+        self, members: wire.GroupMembers, silent: Iterable[ids.MemberId]
+    ) -> None:
+        """Tell the hosts of silent members where the group is."""
+        addresses = [info.address for info in members.members]
+        await asyncio.gather(
+            *(
+                self.query_identity(info.address, group_addresses=addresses)
+                for info in members.members
+                if info.member in silent
+            )
+        )
+
     async def query_identity(
-        self, address: str, leaving: bool = False
+        self,
+        address: str,
+        leaving: bool = False,
+        group_addresses: Sequence[str] = (),
     ) -> wire.IdentityResponse | None:
         """Return the identity of the member at an address, or None."""
+        request = wire.IdentityRequest(
+            sender=self.identity.member,
+            leaving=leaving,
+            group_addresses=list(group_addresses),
+        )
         async with transport.RpcClient(address) as client:
-            return await self._query_identity(client, leaving)
+            return await self._query_identity(client, request)
 
     async def _query_identity(
-        self, client: transport.RpcClient, leaving: bool = False
+        self, client: transport.RpcClient, request: wire.IdentityRequest
     ) -> wire.IdentityResponse | None:
         try:
-            answer = await client.call(
-                wire.IdentityRequest(
-                    sender=self.identity.member, leaving=leaving
-                ),
-                self._settings.election_min_s,
-            )
+            answer = await client.call(request, self._settings.election_min_s)
         except errors.FulmarseamError:
             return None
         return answer if isinstance(answer, wire.IdentityResponse) else None
--- a/fulmarseam/wire/_consensus.py
+++ b/fulmarseam/wire/_consensus.py
@@ -204,13 +204,15 @@
     `candidate` describes a sender that is in no group and wants to be in one.
     `leaving` is set by a member that has a successor and is about to end.
     `is_first_start` is set if the candidate's host has lost no disk since the
-    first start of the system.
+    first start of the system. `group_addresses` are those of the members of
+    the sender's group, sent to a host that may have lost its disk.
     """
 
     sender: ids.MemberId
     candidate: MemberInfo | None = None
     leaving: bool = False
     is_first_start: bool = False
+    group_addresses: list[str] = []
 
 
 class IdentityResponse(
--- a/tests/test_replaced_members.py
+++ b/tests/test_replaced_members.py
@@ -106,6 +106,11 @@
         leaders = [h for h in self.hosts if h.get_member().is_leader()]
         await self.lose_two_disks(leaders[0])
 
+    # Guards against hosts without a disk that never find their group: one
+    # of their two seeds is gone, and the other lost its disk as well.
+    async def test_a_killed_seed(self) -> None:
+        await self.lose_two_disks(self.hosts[0])
+
 
 class ReplacedMemberTest(catalog_member_case.CatalogMemberCase):
     """Guards against a member that ended and counts as a voter.
