Search for the group at seeds that change meanwhile

A member that had no group yet went on to search at the seeds of its start. Seeds that were written later, on SIGHUP, counted only once the member had found the group and lost it again; so did those that it asks whether it was removed. A host that is added or loses its disk while its seeds are out of date could never join.

Cause: the settings of the search are copied at its start, and CatalogMember.update_seeds changed only what the next copy is made of. The search, and the question whether a member was removed, now use the newest seeds. Which member may found a group is still decided by the first ones.

--- a/fulmarseam/consensus/_runtime.py
+++ b/fulmarseam/consensus/_runtime.py
@@ -197,6 +197,13 @@
             return
         _log.info(telemetry.format_event(event, member=member))
 
+    def update_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Search for the group at other seeds from now on.
+
+        Which member founds a group is still decided by the first seeds.
+        """
+        self._binding.update_seeds(seeds)
+
     async def wait_removed(self) -> None:
         """Return when the group has permanently removed this member.
 
--- a/fulmarseam/consensus/_runtime_binding.py
+++ b/fulmarseam/consensus/_runtime_binding.py
@@ -42,6 +42,9 @@
         self.identity = _core_founding.Identity(settings.member_id, '')
         self.candidates = _discovery.JoinCandidates()
         self._finder: _discovery.GroupFinder | None = None
+        self._seeds: tuple[str, ...] = ()
+        if settings.discovery is not None:
+            self._seeds = settings.discovery.seeds
         self._removals = _removal.RemovalTracker()
 
     @property
@@ -136,6 +139,11 @@
                 self._bind(founding)
             await asyncio.sleep(_discovery.QUERY_INTERVAL_S)
 
+    def update_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Search for the group at other seeds, beside the former ones."""
+        self._seeds = seeds
+        self.add_addresses(seeds)
+
     def add_addresses(self, addresses: Iterable[str]) -> None:
         """Search for the group at these addresses too, if unbound."""
         if self._finder is not None:
@@ -185,19 +193,15 @@
             return False
         return self._removals.update(
             replica,
-            await self._query_committed_members(
-                replica, self._settings.discovery
-            ),
+            await self._query_committed_members(replica),
         )
 
     async def _query_committed_members(
-        self,
-        replica: _core.Replica,
-        discovery: _interface.DiscoverySettings,
+        self, replica: _core.Replica
     ) -> list[wire.CommittedMembers]:
         """Return what each reachable member of the group has committed."""
         addresses = {info.address for info in replica.members.members}
-        addresses.update(discovery.seeds)
+        addresses.update(self._seeds)
         addresses.discard(self._settings.address)
         answers = await asyncio.gather(
             *(self.query_identity(address) for address in sorted(addresses))
--- a/fulmarseam/control/_catalog.py
+++ b/fulmarseam/control/_catalog.py
@@ -174,8 +174,10 @@
             )
 
     def update_seeds(self, seeds: tuple[str, ...]) -> None:
-        """Use other seeds the next time this member looks for the group."""
+        """Use other seeds, also for a search that is under way."""
         self._seeds = seeds
+        if self._member is not None:
+            self._member.update_seeds(seeds)
 
     async def _run_memberships(self) -> None:
         """Take part in the group; rejoin as a new member after a removal.
--- a/tests/test_catalog_member.py
+++ b/tests/test_catalog_member.py
@@ -108,6 +108,19 @@
         await self.wait_for_voters(3)
         await self.wait_for_item('katalog')
 
+    # Guards against a search that goes on at seeds that no longer exist.
+    async def test_seeds_change_during_the_search(self) -> None:
+        host = self.make_host(7)
+        host.options = dataclasses.replace(
+            host.options, seeds=['127.0.7.99:1']
+        )
+        self.hosts.append(host)
+        await host.start()
+        await asyncio.sleep(1.0)
+        self.assertEqual(host.get_member().status().group, '')
+        host.get_member().update_seeds((self.hosts[0].options.listen,))
+        await self.wait_for_voters(3, 'core-7')
+
     async def test_a_full_disk_ends_no_process(self) -> None:
         full = mock.patch.object(
             _storage.os, 'fdatasync', side_effect=OSError(28, 'no space')
