--- a/fulmarseam/transport/_rpc.py
+++ b/fulmarseam/transport/_rpc.py
@@ -36,8 +36,9 @@
 # is resolving when pynng ends nng at exit aborts the process; resolving takes
 # far less than this.
 EXIT_PAUSE_S = 0.05
-# So does, at times, one that it is resolving when its socket is closed. Before
-# that, a socket connects for the last time, at most `RECONNECT_MAX_MS` later.
+# Closing a socket while nng resolves its address can abort the process too.
+# A socket therefore stops connecting first. An attempt that was due begins
+# `RECONNECT_MAX_MS` later at most, and the socket is closed after it.
 RECONNECT_NEVER_MS = 3_600_000
 CLOSE_DELAY_S = 0.5
 
