Apply the changes of the members in one place

Cause: demotion and restoration copied the arms of _runtime._apply_repair and the methods of _core.Replica, and tests.repair_search had the same match once more.

Change: _repair.apply_repair makes a planned change at a replica, for the member and for the search; Replica._change_members holds what the four methods share. Behaviour and log events stay as they were.

Measured: 221 tests of the modules on consensus and membership pass; the search broke 0 of 46 and 0 of 310 orders, as before.

--- a/fulmarseam/consensus/_core.py
+++ b/fulmarseam/consensus/_core.py
@@ -7,6 +7,7 @@
     effects = replica.receive(now, sender, message)
 """
 
+from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
 
@@ -114,39 +115,53 @@
         Raises `errors.NotLeaderError`, or `errors.FulmarseamError` with
         `INVALID_EDIT`.
         """
-        self._require_leader()
-        effects = _core_types.Effects()
-        _core_change.add_learner(self._state, info, effects)
-        _core_leader.broadcast(self._state, now, effects)
-        return effects
+        return self._change_members(
+            now,
+            lambda effects: _core_change.add_learner(
+                self._state, info, effects
+            ),
+        )
 
     def remove_member(
         self, now: float, member: ids.MemberId
     ) -> _core_types.Effects:
         """Append a change that removes a member; raises like `add_learner`."""
-        self._require_leader()
-        effects = _core_types.Effects()
-        _core_change.remove_member(self._state, now, member, effects)
-        _core_leader.broadcast(self._state, now, effects)
-        return effects
+        return self._change_members(
+            now,
+            lambda effects: _core_change.remove_member(
+                self._state, now, member, effects
+            ),
+        )
 
     def demote_member(
         self, now: float, member: ids.MemberId
     ) -> _core_types.Effects:
         """Append a change that takes a vote; raises like `add_learner`."""
-        self._require_leader()
-        effects = _core_types.Effects()
-        _core_change.demote_member(self._state, now, member, effects)
-        _core_leader.broadcast(self._state, now, effects)
-        return effects
+        return self._change_members(
+            now,
+            lambda effects: _core_change.demote_member(
+                self._state, now, member, effects
+            ),
+        )
 
     def restore_member(
         self, now: float, member: ids.MemberId
     ) -> _core_types.Effects:
         """Append a change that undoes `demote_member`; raises like it."""
+        return self._change_members(
+            now,
+            lambda effects: _core_change.restore_member(
+                self._state, member, effects
+            ),
+        )
+
+    def _change_members(
+        self, now: float, append: Callable[[_core_types.Effects], None]
+    ) -> _core_types.Effects:
+        """Append a change of the members and send it to the peers."""
         self._require_leader()
         effects = _core_types.Effects()
-        _core_change.restore_member(self._state, member, effects)
+        append(effects)
         _core_leader.broadcast(self._state, now, effects)
         return effects
 
--- a/fulmarseam/consensus/_repair.py
+++ b/fulmarseam/consensus/_repair.py
@@ -14,7 +14,9 @@
 
 from fulmarseam import ids
 from fulmarseam import wire
+from fulmarseam.consensus import _core
 from fulmarseam.consensus import _core_members
+from fulmarseam.consensus import _core_types
 
 # A learner, or a voter that has a successor, is removed if it has not answered
 # for this long. It is longer than an election (1.2 s), during which a live
@@ -40,6 +42,11 @@
 
     info: wire.MemberInfo
 
+    @property
+    def member(self) -> ids.MemberId:
+        """Return the id of the candidate."""
+        return self.info.member
+
 
 class DemoteMember(NamedTuple):
     """A change that takes the vote of a member that has a successor."""
@@ -56,6 +63,21 @@
 Repair = RemoveMember | AddLearner | DemoteMember | RestoreMember
 
 
+def apply_repair(
+    replica: _core.Replica, now: float, change: Repair
+) -> _core_types.Effects:
+    """Append a change; raises like the method of the replica."""
+    match change:
+        case AddLearner(info):
+            return replica.add_learner(now, info)
+        case RemoveMember(member):
+            return replica.remove_member(now, member)
+        case DemoteMember(member):
+            return replica.demote_member(now, member)
+        case RestoreMember(member):
+            return replica.restore_member(now, member)
+
+
 class SilenceTracker:
     """Tracks how long ago each member last answered; times in seconds.
 
--- a/fulmarseam/consensus/_runtime.py
+++ b/fulmarseam/consensus/_runtime.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Mapping
 import os
 import sys
 import time
@@ -36,6 +37,12 @@
 ANNOUNCE_INTERVAL_S = 0.5
 # How often a member that leaves asks the leader whether it has been removed.
 LEAVE_INTERVAL_S = 0.05
+REPAIR_EVENTS: Mapping[type[_repair.Repair], str] = {
+    _repair.AddLearner: 'member_added',
+    _repair.RemoveMember: 'member_removed',
+    _repair.DemoteMember: 'member_demoted',
+    _repair.RestoreMember: 'member_restored',
+}
 
 _log = logbook.Logger('consensus')
 
@@ -163,39 +170,25 @@
     async def _apply_repair(
         self, replica: _core.Replica, change: _repair.Repair
     ) -> None:
-        event = 'member_added'
         try:
-            match change:
-                case _repair.AddLearner(info):
-                    member = info.member
-                    await self._propose_change(
-                        lambda now: replica.add_learner(now, info)
-                    )
-                case _repair.RemoveMember(member):
-                    event = 'member_removed'
-                    await self._propose_change(
-                        lambda now: replica.remove_member(now, member)
-                    )
-                case _repair.DemoteMember(member):
-                    event = 'member_demoted'
-                    await self._propose_change(
-                        lambda now: replica.demote_member(now, member)
-                    )
-                case _repair.RestoreMember(member):
-                    event = 'member_restored'
-                    await self._propose_change(
-                        lambda now: replica.restore_member(now, member)
-                    )
+            await self._propose_change(
+                lambda now: _repair.apply_repair(replica, now, change)
+            )
         except errors.FulmarseamError as error:
             # The next plan, made from the new state, tries again.
-            event = 'member_change_refused'
             _log.info(
                 telemetry.format_event(
-                    event, member=member, reason=error.detail
+                    'member_change_refused',
+                    member=change.member,
+                    reason=error.detail,
                 )
             )
             return
-        _log.info(telemetry.format_event(event, member=member))
+        _log.info(
+            telemetry.format_event(
+                REPAIR_EVENTS[type(change)], member=change.member
+            )
+        )
 
     def update_seeds(self, seeds: tuple[str, ...]) -> None:
         """Search for the group at other seeds from now on.
--- a/tests/repair_search.py
+++ b/tests/repair_search.py
@@ -118,21 +118,10 @@
             self.size,
             self._leaving,
         )
-        match change:
-            case _repair.AddLearner(info):
-                self.change_members(node, lambda r: r.add_learner(now, info))
-            case _repair.RemoveMember(member):
-                self.change_members(
-                    node, lambda r: r.remove_member(now, member)
-                )
-            case _repair.DemoteMember(member):
-                self.change_members(
-                    node, lambda r: r.demote_member(now, member)
-                )
-            case _repair.RestoreMember(member):
-                self.change_members(
-                    node, lambda r: r.restore_member(now, member)
-                )
+        if change is not None:
+            self.change_members(
+                node, lambda r: _repair.apply_repair(r, now, change)
+            )
 
     def _check_removed(self, node: consensus_simulation.Node) -> None:
         replica = node.replica
