--- a/tests/consensus_simulation.py
+++ b/tests/consensus_simulation.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from fulmarseam import errors
+from fulmarseam import ids
 from fulmarseam import wire
 from fulmarseam.consensus import _core
 from fulmarseam.consensus import _core_members
@@ -528,35 +529,30 @@
             ),
         )
 
-    def _remove(self) -> None:
+    def _change_any(
+        self,
+        change: Callable[
+            [_core.Replica, float, ids.MemberId], _core_types.Effects
+        ],
+    ) -> None:
+        """Let the leader change any member."""
         leader = self._pick_leader()
         name = self._pick().name
         self._simulation.change_members(
             leader,
-            lambda replica: replica.remove_member(
-                self._simulation.clock(leader), name
+            lambda replica: change(
+                replica, self._simulation.clock(leader), name
             ),
         )
 
+    def _remove(self) -> None:
+        self._change_any(_core.Replica.remove_member)
+
     def _demote(self) -> None:
-        leader = self._pick_leader()
-        name = self._pick().name
-        self._simulation.change_members(
-            leader,
-            lambda replica: replica.demote_member(
-                self._simulation.clock(leader), name
-            ),
-        )
+        self._change_any(_core.Replica.demote_member)
 
     def _restore(self) -> None:
-        leader = self._pick_leader()
-        name = self._pick().name
-        self._simulation.change_members(
-            leader,
-            lambda replica: replica.restore_member(
-                self._simulation.clock(leader), name
-            ),
-        )
+        self._change_any(_core.Replica.restore_member)
 
 
 def _load_commands(data: bytes) -> list[bytes]:
--- a/tests/test_consensus_core.py
+++ b/tests/test_consensus_core.py
@@ -315,7 +315,8 @@
         group.run(3.0)
         self.assertIsNone(learner.leader)
 
-    def test_removal_that_would_stop_the_group_is_refused(self) -> None:
+    def crash_a_follower(self) -> list[str]:
+        """Crash one of two followers; return it and the other one."""
         self.group.run(0.5)
         first, second = (
             node
@@ -324,20 +325,17 @@
         )
         self.group.crash(first)
         self.group.run(2.0)
-        self.assertFalse(self.remove(second.name))
-        self.assertTrue(self.remove(first.name))
+        return [first.name, second.name]
+
+    def test_removal_that_would_stop_the_group_is_refused(self) -> None:
+        crashed, running = self.crash_a_follower()
+        self.assertFalse(self.remove(running))
+        self.assertTrue(self.remove(crashed))
 
     def test_demotion_that_would_stop_the_group_is_refused(self) -> None:
-        self.group.run(0.5)
-        first, second = (
-            node
-            for node in self.group.nodes.values()
-            if node is not self.leader
-        )
-        self.group.crash(first)
-        self.group.run(2.0)
-        self.assertFalse(self.demote(second.name))
-        self.assertTrue(self.demote(first.name))
+        crashed, running = self.crash_a_follower()
+        self.assertFalse(self.demote(running))
+        self.assertTrue(self.demote(crashed))
 
     def test_a_demoted_leader_leads_on_without_a_vote(self) -> None:
         """Guards against a pause of the group each time a leader is replaced.
--- a/tests/test_replaced_members.py
+++ b/tests/test_replaced_members.py
@@ -27,7 +27,7 @@
         await wiped.start()
         await self.wait_for_voters(5, 'core-4')
         former = self.find_member_id(wiped)
-        await self.put(self.members()[0], fixtures.make_pool('katalog', 1))
+        await self.put(self.members()[0], POOL)
         for host in (first, second, third, wiped):
             await host.stop()
         await wiped.start()
@@ -121,7 +121,7 @@
 
     async def replace(self, is_leader: bool) -> None:
         """Replace a member, then wipe another one at once."""
-        await self.put(self.members()[0], fixtures.make_pool('katalog', 1))
+        await self.put(self.members()[0], POOL)
         number = next(
             number
             for number, member in enumerate(self.members())
